--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Targets for people: demo, test, lint, proof, bench, capacity. README.md explains them.
+export CGO_ENABLED = 1
+TOOLS := $(CURDIR)/.tools
+STATICCHECK_VERSION := v0.8.2
+
+.PHONY: all build demo test lint bench clean generate
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/... ./test/standin/cmd/...
+
+demo: build
+	@scripts/demo.sh
+
+test: build
+	go test ./...
+
+lint:
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "run gofmt"; exit 1; }
+	go vet ./...
+	@test -x $(TOOLS)/staticcheck || GOBIN=$(TOOLS) go install honnef.co/go/tools/cmd/staticcheck@$(STATICCHECK_VERSION)
+	$(TOOLS)/staticcheck ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf bin .tools
+
+# Needs protoc, protoc-gen-go and protoc-gen-connect-go; the result is committed.
+generate:
+	protoc --go_out=. --go_opt=paths=source_relative --connect-go_out=. --connect-go_opt=paths=source_relative api/marbleroad/v1/marbleroad.proto
--- /dev/null
+++ b/cmd/marbleroad-control/main.go
@@ -0,0 +1,13 @@
+// Command marbleroad-control is the control daemon.
+package main
+
+import (
+	"os"
+
+	"github.com/marbleroad/marbleroad/internal/daemon"
+	"github.com/marbleroad/marbleroad/internal/settings"
+)
+
+func main() {
+	os.Exit(daemon.Main(settings.ControlProgram))
+}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,73 @@
+// Package admin serves health, metrics and profiles of a daemon.
+package admin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marbleroad/marbleroad/internal/kernel"
+)
+
+// ServiceName is the admin service's name in the kernel.
+const ServiceName = "admin"
+
+const readHeaderTimeout = 5 * time.Second
+
+// Readiness says whether the daemon may get work, and if not, why.
+type Readiness func() (ready bool, reason string)
+
+// Server is the admin listener.
+type Server struct {
+	address string
+	http    *http.Server
+}
+
+// New returns an admin server for the address.
+func New(address string, metrics http.Handler, ready Readiness, profiles bool) *Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		ok, reason := ready()
+		if !ok {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	mux.Handle("GET /metrics", metrics)
+	if profiles {
+		mux.HandleFunc("/debug/pprof/", pprof.Index)
+		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+		mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	}
+	return &Server{
+		address: address,
+		http:    &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout},
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Server) Name() string { return ServiceName }
+
+// Start implements kernel.Service.
+func (s *Server) Start(context.Context, *kernel.Kernel) error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Wrap(err, "listen for admin")
+	}
+	go func() { _ = s.http.Serve(listener) }()
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Server) Stop(context.Context) error {
+	return errors.Wrap(s.http.Close(), "close admin")
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,399 @@
+package control
+
+import (
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/groups"
+	"github.com/marbleroad/marbleroad/internal/item"
+	"github.com/marbleroad/marbleroad/internal/node"
+	"github.com/marbleroad/marbleroad/internal/platform"
+	"github.com/marbleroad/marbleroad/internal/view"
+)
+
+// Messages to the state actor.
+type (
+	// tick asks to judge everything anew.
+	tick struct{ now time.Time }
+	// peerAnswered reports an exchange.
+	peerAnswered struct {
+		id            string
+		failureDomain string
+		asked         time.Time
+		digest        uint64
+		entries       []*marbleroadv1.EntryDemand
+		platformDown  bool
+	}
+	// entryAsked reports that an entry read the view.
+	entryAsked struct {
+		id     string
+		at     time.Time
+		demand []*marbleroadv1.TeamDemand
+	}
+	// planTried reports the end of an attempt to commit a plan.
+	planTried struct {
+		fabric string
+		base   uint64
+		err    error
+	}
+	// orderTried reports the end of an order to a VM.
+	orderTried struct{ vm string }
+	// askStatus is answered with a *marbleroadv1.StatusResponse.
+	askStatus struct{}
+)
+
+const (
+	// peerLease is how long a peer counts as alive after it was last asked
+	// with success.
+	peerLease = 3 * time.Second
+	// demandLease is how long a silent entry's or failure domain's share stays reserved.
+	demandLease = 5 * time.Second
+	// probersPerVM is how many control processes probe each VM.
+	probersPerVM = 2
+	// forgetAfter is how long a VM's witness is kept without news.
+	forgetAfter = 10 * time.Minute
+)
+
+// duties is what this process has to do now. It is never changed once published.
+type duties struct {
+	// probes are the VMs to probe.
+	probes []platform.Member
+	// peers are the nodes to exchange with.
+	peers []node.Record
+	// reader is true when this process reads the table and the membership list
+	// from the platform for its failure domain.
+	reader bool
+	// snapshot is what is in force, as this process sees it.
+	snapshot *view.Snapshot
+	// liveEntries counts the entries of the failure domain.
+	liveEntries int
+	// shares are the parts of the limits by subject and entry.
+	shares map[string]map[string]float64
+	// entries is the demand to report to peers.
+	entries []*marbleroadv1.EntryDemand
+	// wholeDomain is the demand of this failure domain, for others.
+	wholeDomain *marbleroadv1.EntryDemand
+}
+
+type peerState struct {
+	failureDomain string
+	answeredAt    time.Time
+	digest        uint64
+	platformDown  bool
+	lost          bool
+}
+
+type entryState struct {
+	failureDomain string
+	at            time.Time
+	demand        []*marbleroadv1.TeamDemand
+}
+
+// state is the actor that owns the control state. Every field belongs to it.
+type state struct {
+	k       *Control
+	builder *view.Builder
+
+	peers map[string]*peerState
+	// entries are this failure domain's entries by ID.
+	entries map[string]entryState
+	// domains are other failure domains' summed demands.
+	domains map[string]entryState
+
+	// missingSince is when a VM was first found absent.
+	missingSince map[string]time.Time
+	// retiringSince is when a group was first seen retiring.
+	retiringSince map[string]time.Time
+	planner       map[string]*fabricState
+	ordering      map[string]time.Time
+
+	lastTick        time.Time
+	downSince       map[string]time.Time
+	downSeconds     float64
+	strandedSeconds float64
+}
+
+func newState(k *Control) *state {
+	return &state{
+		k:             k,
+		builder:       view.NewBuilder(k.config.FailureDomain, k.items),
+		peers:         make(map[string]*peerState),
+		entries:       make(map[string]entryState),
+		domains:       make(map[string]entryState),
+		missingSince:  make(map[string]time.Time),
+		retiringSince: make(map[string]time.Time),
+		planner:       make(map[string]*fabricState),
+		ordering:      make(map[string]time.Time),
+		downSince:     make(map[string]time.Time),
+	}
+}
+
+// Receive implements actor.Actor.
+func (s *state) Receive(c actor.Context) {
+	switch m := c.Message().(type) {
+	case tick:
+		s.tick(m.now)
+	case peerAnswered:
+		s.peerAnswered(m)
+	case entryAsked:
+		s.entries[m.id] = entryState{failureDomain: s.k.config.FailureDomain, at: m.at, demand: m.demand}
+	case planTried:
+		s.planTried(m)
+	case orderTried:
+		delete(s.ordering, m.vm)
+	case askStatus:
+		c.Respond(s.status(time.Now()))
+	}
+}
+
+func (s *state) tick(now time.Time) {
+	snapshot, faults := s.builder.Build(s.k.board, now, s.k.config.Window)
+	for _, f := range faults {
+		s.k.parts.Log.Emit(event.RowUnreadable).Str("key", f.Key).Err(f.Err).Send()
+	}
+	s.loseSilentPeers(now)
+	s.trackMissing(now, snapshot)
+	s.account(now, snapshot)
+	s.k.board.Forget(now.Add(-forgetAfter))
+	live := s.liveNodes(now)
+	d := &duties{
+		probes:   s.probes(snapshot, live),
+		peers:    s.exchangePeers(live),
+		reader:   hinted("read/"+s.k.config.FailureDomain, s.readers(live), 1, s.k.config.NodeID),
+		snapshot: snapshot,
+	}
+	s.divideLimits(now, snapshot, d)
+	s.k.duties.Store(d)
+	s.plan(now, snapshot, live)
+	s.lastTick = now
+}
+
+// liveNodes lists the live control processes of this failure domain, itself included.
+func (s *state) liveNodes(now time.Time) []string {
+	out := []string{s.k.config.NodeID}
+	for id, p := range s.peers {
+		if p.failureDomain == s.k.config.FailureDomain && now.Sub(p.answeredAt) <= peerLease {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// readers lists the live nodes that the platform answers; all live ones when
+// it answers none, so that somebody keeps trying.
+func (s *state) readers(live []string) []string {
+	var out []string
+	for _, id := range live {
+		down := s.k.platformDown.Load()
+		if id != s.k.config.NodeID {
+			down = s.peers[id].platformDown
+		}
+		if !down {
+			out = append(out, id)
+		}
+	}
+	if len(out) == 0 {
+		return live
+	}
+	return out
+}
+
+func (s *state) peerAnswered(m peerAnswered) {
+	p := s.peers[m.id]
+	if p == nil {
+		p = &peerState{}
+		s.peers[m.id] = p
+	}
+	if p.lost {
+		p.lost = false
+		s.k.parts.Log.Emit(event.PeerReturned).Str("peer", m.id).Send()
+	}
+	p.failureDomain = m.failureDomain
+	p.answeredAt = m.asked
+	p.digest = m.digest
+	p.platformDown = m.platformDown
+	for _, e := range m.entries {
+		s.noteDemand(m, e)
+	}
+}
+
+// noteDemand keeps the newest report of an entry, or of another failure domain.
+func (s *state) noteDemand(m peerAnswered, e *marbleroadv1.EntryDemand) {
+	at := m.asked.Add(-time.Duration(e.GetAgeMs()) * time.Millisecond)
+	into, key := s.entries, e.GetEntryId()
+	if e.GetFailureDomain() != s.k.config.FailureDomain {
+		into, key = s.domains, e.GetFailureDomain()
+	}
+	if key == "" || !at.After(into[key].at) {
+		return
+	}
+	into[key] = entryState{failureDomain: e.GetFailureDomain(), at: at, demand: e.GetTeams()}
+}
+
+func (s *state) loseSilentPeers(now time.Time) {
+	for id, p := range s.peers {
+		if !p.lost && now.Sub(p.answeredAt) > peerLease {
+			p.lost = true
+			s.k.parts.Log.Emit(event.PeerLost).Str("peer", id).Send()
+		}
+	}
+}
+
+// probes lists the VMs that this process probes.
+func (s *state) probes(snapshot *view.Snapshot, live []string) []platform.Member {
+	var out []platform.Member
+	for _, m := range snapshot.Members {
+		if hinted("probe/"+m.VM, live, probersPerVM, s.k.config.NodeID) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// exchangePeers lists all nodes of this failure domain, and for each other
+// failure domain one node if that falls to this process.
+func (s *state) exchangePeers(live []string) []node.Record {
+	byDomain := make(map[string][]node.Record)
+	for _, rec := range s.nodes() {
+		if rec.ID != s.k.config.NodeID {
+			byDomain[rec.FailureDomain] = append(byDomain[rec.FailureDomain], rec)
+		}
+	}
+	out := byDomain[s.k.config.FailureDomain]
+	for domain, recs := range byDomain {
+		if domain == s.k.config.FailureDomain {
+			continue
+		}
+		if hinted("delegate/"+domain, live, 1, s.k.config.NodeID) {
+			out = append(out, s.delegate(recs))
+		}
+	}
+	return out
+}
+
+// delegate picks the node to ask in another failure domain: one that answers,
+// else the next one each few seconds.
+func (s *state) delegate(recs []node.Record) node.Record {
+	for _, rec := range recs {
+		if p := s.peers[rec.ID]; p != nil && !p.lost {
+			return rec
+		}
+	}
+	turn := int(s.lastTick.Unix()/int64(peerLease.Seconds())) % len(recs)
+	return recs[max(turn, 0)]
+}
+
+// nodes lists the records of entry VMs that are not retired.
+func (s *state) nodes() []node.Record {
+	var out []node.Record
+	for _, it := range s.k.items.List(item.NodePrefix) {
+		rec, err := node.Decode(it.Value)
+		if err == nil && !rec.Retired && rec.Control != "" {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
+// trackMissing notes since when each VM of the fleet has been absent. The
+// clock starts here, not in the store, so a new planner waits anew.
+func (s *state) trackMissing(now time.Time, snapshot *view.Snapshot) {
+	known := make(map[string]bool, len(snapshot.Members))
+	for vm := range snapshot.Members {
+		known[vm] = true
+	}
+	for _, p := range snapshot.Plans {
+		for vm := range p.Assign {
+			known[vm] = true
+		}
+	}
+	for vm := range known {
+		s.trackVM(now, vm)
+	}
+	for vm := range s.missingSince {
+		if !known[vm] {
+			delete(s.missingSince, vm)
+		}
+	}
+}
+
+func (s *state) trackVM(now time.Time, vm string) {
+	w, ok := s.k.board.Get(vm)
+	present := ok && w.Fresh(now, s.k.config.Window)
+	_, missing := s.missingSince[vm]
+	switch {
+	case present && missing:
+		delete(s.missingSince, vm)
+		s.k.parts.Log.Emit(event.VMReturned).Str("vm", vm).Send()
+	case !present && !missing:
+		s.missingSince[vm] = now
+		if ok {
+			s.k.parts.Log.Emit(event.VMLost).Str("vm", vm).Send()
+		}
+	}
+}
+
+// account adds up group downtime and stranded VMs.
+func (s *state) account(now time.Time, snapshot *view.Snapshot) {
+	elapsed := now.Sub(s.lastTick).Seconds()
+	if s.lastTick.IsZero() {
+		elapsed = 0
+	}
+	down, stranded := 0, 0
+	seen := make(map[string]bool)
+	for _, p := range snapshot.Plans {
+		for _, g := range p.Groups {
+			verdict := groups.Eligible(p, g, s.k.board, snapshot.Leaving, now, s.k.config.Window)
+			seen[g.ID] = true
+			if verdict.Reason == groups.Serving {
+				delete(s.downSince, g.ID)
+				continue
+			}
+			if _, ok := s.downSince[g.ID]; !ok {
+				s.downSince[g.ID] = now
+			}
+			stranded += s.strandedIn(p, g)
+		}
+	}
+	for id := range s.downSince {
+		if !seen[id] {
+			delete(s.downSince, id)
+		}
+	}
+	for _, w := range snapshot.Wants {
+		down += max(w.Replicas-len(servingOf(snapshot, w)), 0)
+	}
+	s.downSeconds += float64(down) * elapsed
+	s.strandedSeconds += float64(stranded) * elapsed
+	s.k.parts.Metrics.Set("groups.down", int64(down))
+	s.k.parts.Metrics.Set("vms.stranded", int64(stranded))
+	s.k.parts.Metrics.Set("groups.down_seconds", int64(s.downSeconds))
+	s.k.parts.Metrics.Set("vms.stranded_seconds", int64(s.strandedSeconds))
+}
+
+// servingOf lists the serving groups of one row.
+func servingOf(snapshot *view.Snapshot, w view.Want) []string {
+	var out []string
+	for _, u := range snapshot.Services[w.Service].Upstreams {
+		for _, p := range snapshot.Plans {
+			if g, ok := p.Group(u.ID); ok && g.Row == w.Name {
+				out = append(out, u.ID)
+			}
+		}
+	}
+	return out
+}
+
+// strandedIn counts the present VMs of a group that does not serve.
+func (s *state) strandedIn(p *groups.Plan, g groups.Group) int {
+	n := 0
+	for _, vm := range p.Members(g) {
+		if _, missing := s.missingSince[vm]; vm != "" && !missing {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,158 @@
+package ctl
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+)
+
+func (a *app) statusCommand() *cobra.Command {
+	var watch time.Duration
+	c := &cobra.Command{
+		Use:     "status",
+		Short:   "Show the failure domain of the control daemon: groups, VMs, nodes and the table in force.",
+		Example: "  marbleroadctl status --watch 2s",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			for {
+				if err := a.status(c); err != nil || watch <= 0 {
+					return err
+				}
+				time.Sleep(watch)
+				_, _ = fmt.Fprintln(a.out)
+			}
+		},
+	}
+	c.Flags().DurationVar(&watch, "watch", 0, "print again at this interval")
+	c.Flags().Lookup("watch").NoOptDefVal = "2s"
+	return c
+}
+
+func (a *app) status(c *cobra.Command) error {
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := a.context(c)
+	defer cancel()
+	resp, err := client.Status(ctx, connect.NewRequest(&marbleroadv1.StatusRequest{}))
+	if err != nil {
+		return err
+	}
+	m := resp.Msg
+	if format(a.output) == formatTable {
+		a.statusHead(m)
+	}
+	if err := a.print(groupGrid(m), m); err != nil || format(a.output) != formatTable {
+		return err
+	}
+	_, _ = fmt.Fprintln(a.out)
+	return a.print(nodeGrid(m), m)
+}
+
+func (a *app) statusHead(m *marbleroadv1.StatusResponse) {
+	reach := "answers"
+	if !m.GetPlatformReachable() {
+		reach = "DOES NOT ANSWER; known state stays in force"
+	}
+	_, _ = fmt.Fprintf(a.out, "failure domain %s, as seen by %s\n", m.GetFailureDomain(), m.GetNodeId())
+	_, _ = fmt.Fprintf(a.out, "table in force: %016x, %d rows; platform %s\n", m.GetTableDigest(), m.GetTableRows(), reach)
+	_, _ = fmt.Fprintf(a.out, "VMs stranded now: %d, spare: %d; since this daemon's start: %.0f group seconds down, %.0f VM seconds stranded\n\n",
+		m.GetStrandedVms(), m.GetSpareVms(), m.GetGroupDownSeconds(), m.GetStrandedVmSeconds())
+}
+
+func groupGrid(m *marbleroadv1.StatusResponse) grid {
+	g := grid{header: []string{"group", "service", "fabric", "generation", "vms", "serving", "why not", "missing", "stranded", "down"}}
+	for _, s := range m.GetGroups() {
+		serving := "no"
+		down := time.Duration(s.GetDownSeconds() * float64(time.Second)).Round(time.Second).String()
+		if s.GetServing() {
+			serving, down = "yes", ""
+		}
+		g.add(s.GetGroup(), s.GetService(), s.GetFabric(), strconv.FormatUint(s.GetGeneration(), 10),
+			strconv.Itoa(int(s.GetSize())), serving, s.GetReason(), strings.Join(s.GetMissing(), " "),
+			strconv.Itoa(int(s.GetStranded())), down)
+	}
+	return g
+}
+
+func nodeGrid(m *marbleroadv1.StatusResponse) grid {
+	g := grid{header: []string{"node", "failure domain", "address", "alive", "table"}}
+	for _, n := range m.GetNodes() {
+		state, digest := "no news", ""
+		if n.GetAlive() {
+			state = "yes"
+		}
+		if n.GetTableDigest() != 0 {
+			digest = fmt.Sprintf("%016x", n.GetTableDigest())
+		}
+		g.add(n.GetId(), n.GetFailureDomain(), n.GetAddress(), state, digest)
+	}
+	return g
+}
+
+func (a *app) drainCommand(drain bool) *cobra.Command {
+	use, short := "drain VM", "Give the VM no new work; its group is put together again without it."
+	if !drain {
+		use, short = "undrain VM", "Let the VM take work again."
+	}
+	return &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			client, err := a.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := a.context(c)
+			defer cancel()
+			resp, err := client.Drain(ctx, connect.NewRequest(&marbleroadv1.DrainRequest{Vm: args[0], Drain: drain, Author: a.author}))
+			if err != nil {
+				return err
+			}
+			if resp.Msg.GetStored() {
+				_, _ = fmt.Fprintln(a.out, "accepted")
+				return nil
+			}
+			_, _ = fmt.Fprintln(a.out, "in force in this failure domain; it is stored when the platform answers")
+			return nil
+		},
+	}
+}
+
+func (a *app) explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "explain REQUEST-ID",
+		Short:   "Show what was decided about one of the latest requests.",
+		Example: "  marbleroadctl explain 01JE3W1S6ZQ0V8M2C7R5T9XKPA",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			client, err := a.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := a.context(c)
+			defer cancel()
+			resp, err := client.Explain(ctx, connect.NewRequest(&marbleroadv1.ExplainRequest{RequestId: args[0]}))
+			if err != nil {
+				return err
+			}
+			if !resp.Msg.GetFound() {
+				return errors.Newf("no entry remembers request %s", args[0])
+			}
+			g := grid{header: []string{"step"}}
+			for _, s := range resp.Msg.GetSteps() {
+				g.add(s)
+			}
+			return a.print(g, resp.Msg)
+		},
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,300 @@
+// Package daemon assembles the two daemons from their services and runs them.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/marbleroad/marbleroad/internal/admin"
+	"github.com/marbleroad/marbleroad/internal/control"
+	engineapi "github.com/marbleroad/marbleroad/internal/engine/httpapi"
+	"github.com/marbleroad/marbleroad/internal/entry"
+	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/groups"
+	"github.com/marbleroad/marbleroad/internal/kernel"
+	"github.com/marbleroad/marbleroad/internal/ledger"
+	"github.com/marbleroad/marbleroad/internal/metrics"
+	platformapi "github.com/marbleroad/marbleroad/internal/platform/httpapi"
+	"github.com/marbleroad/marbleroad/internal/settings"
+	"github.com/marbleroad/marbleroad/internal/tracing"
+	"github.com/marbleroad/marbleroad/internal/transport"
+)
+
+// Exit codes of the daemons.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitSettings = 2
+)
+
+const (
+	// ledgerWindow is how long an idempotency key is remembered.
+	ledgerWindow = time.Hour
+	// controlStopLimit bounds the shutdown of the control daemon.
+	controlStopLimit = 10 * time.Second
+	platformIdle     = 4
+	probeIdle        = 1
+	idleTimeout      = 90 * time.Second
+	dialTimeout      = time.Second
+)
+
+// base is what both daemons have.
+type base struct {
+	settings *settings.Settings
+	log      *event.Logger
+	metrics  *metrics.Registry
+	tracer   *tracing.Tracer
+	peers    *transport.Peers
+	platform *platformapi.Client
+}
+
+// Main runs the command line of a daemon and returns the exit code.
+func Main(program settings.Program) int {
+	root := &cobra.Command{
+		Use:           string(program),
+		Short:         shorts[program],
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(runCommand(program), checkCommand(program), versionCommand(program))
+	err := root.Execute()
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = fmt.Fprintln(os.Stderr, "error:", err)
+	if errors.Is(err, settings.ErrInvalid) {
+		return ExitSettings
+	}
+	return ExitFailure
+}
+
+var shorts = map[settings.Program]string{
+	settings.EntryProgram:   "Serves callers: admission in order of worth, routing, relay.",
+	settings.ControlProgram: "Probes upstreams, forms groups, distributes the table, answers operators.",
+}
+
+func runCommand(program settings.Program) *cobra.Command {
+	return &cobra.Command{
+		Use:     "run FILE",
+		Short:   "Run the daemon with the settings of an INI file.",
+		Example: "  " + string(program) + " run /etc/marbleroad.ini",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			s, err := settings.Load(args[0], program)
+			if err != nil {
+				return err
+			}
+			return run(program, s)
+		},
+	}
+}
+
+func checkCommand(program settings.Program) *cobra.Command {
+	return &cobra.Command{
+		Use:     "check-config FILE",
+		Short:   "Check an INI file and list all faults; exit code 2 if there are any.",
+		Example: "  " + string(program) + " check-config /etc/marbleroad.ini",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if _, err := settings.Load(args[0], program); err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintln(c.OutOrStdout(), args[0]+": ok")
+			return nil
+		},
+	}
+}
+
+func versionCommand(program settings.Program) *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version.",
+		Args:  cobra.NoArgs,
+		Run: func(c *cobra.Command, _ []string) {
+			_, _ = fmt.Fprintln(c.OutOrStdout(), string(program), Version())
+		},
+	}
+}
+
+// Version returns the module version that the binary was built from.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "(devel)"
+	}
+	return info.Main.Version
+}
+
+func run(program settings.Program, s *settings.Settings) error {
+	log, err := event.New(os.Stderr, s.Log.Level, s.Node.ID, string(program))
+	if err != nil {
+		return err
+	}
+	tracer, err := tracing.New(context.Background(), s.Trace.Target, string(program), s.Node.ID, s.Trace.Sample)
+	if err != nil {
+		return err
+	}
+	peers, err := transport.NewPeers(s.TLS)
+	if err != nil {
+		return errors.Mark(err, settings.ErrInvalid)
+	}
+	b := base{
+		settings: s,
+		log:      log,
+		metrics:  metrics.NewRegistry(),
+		tracer:   tracer,
+		peers:    peers,
+		platform: platformapi.New(s.Platform.URL, tracer.Transport("platform", newTransport(platformIdle)), s.Platform.Timeout),
+	}
+	k, err := b.assemble(program)
+	if err != nil {
+		return err
+	}
+	return b.runUntilSignal(k)
+}
+
+func newTransport(idle int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idle,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+func (b base) assemble(program settings.Program) (*kernel.Kernel, error) {
+	if program == settings.EntryProgram {
+		return b.entry()
+	}
+	return b.control()
+}
+
+func (b base) entry() (*kernel.Kernel, error) {
+	s := b.settings
+	callerTLS, err := callerTLS(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	server, source := entry.NewServer(entry.Config{
+		NodeID:        s.Node.ID,
+		FailureDomain: s.Node.FailureDomain,
+		Listen:        s.Entry.Listen,
+		Peer:          s.Entry.Peer,
+		MaxBody:       s.Entry.MaxBody,
+		BalancerDelay: s.Entry.BalancerDelay,
+		ShutdownLimit: s.Entry.ShutdownLimit,
+		CallerTLS:     callerTLS,
+	}, entry.SourceConfig{
+		EntryID:       s.Node.ID,
+		FailureDomain: s.Node.FailureDomain,
+		Controls:      s.Entry.Control,
+		Interval:      s.Entry.ViewInterval,
+		Window:        s.Presence.Window,
+	}, entry.Parts{
+		Log:     b.log,
+		Metrics: b.metrics,
+		Tracer:  b.tracer,
+		Peers:   b.peers,
+		Ledger:  ledger.New(b.platform, ledgerWindow, b.platform.StoreTime),
+	})
+	return assemble(
+		admin.New(s.Entry.Admin, b.metrics, server.Ready, s.Debug.Pprof),
+		source,
+		server,
+	)
+}
+
+func callerTLS(s settings.TLS) (*tls.Config, error) {
+	if s.CallerCert == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.CallerCert, s.CallerKey)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "read caller certificate"), settings.ErrInvalid)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}}, nil
+}
+
+func (b base) control() (*kernel.Kernel, error) {
+	s := b.settings
+	estimates := groups.DefaultEstimates
+	estimates.Grace = 2 * s.Presence.Window
+	estimates.SettleTime = s.Presence.Window + time.Second
+	c := control.New(control.Config{
+		NodeID:              s.Node.ID,
+		FailureDomain:       s.Node.FailureDomain,
+		Listen:              s.Control.Listen,
+		EntryPeer:           s.Entry.Peer,
+		Seeds:               s.Control.Seeds,
+		OperatorTokenSHA256: s.Control.OperatorTokenSHA256,
+		ProbeInterval:       s.Control.ProbeInterval,
+		ProbeTimeout:        s.Control.ProbeTimeout,
+		ExchangeInterval:    s.Control.ExchangeInterval,
+		MembersInterval:     s.Control.MembersInterval,
+		WatchWait:           s.Platform.WatchWait,
+		Window:              s.Presence.Window,
+		Estimates:           estimates,
+	}, control.Parts{
+		Log:      b.log,
+		Metrics:  b.metrics,
+		Tracer:   b.tracer,
+		Peers:    b.peers,
+		Platform: b.platform,
+		Engine:   engineapi.New(newTransport(probeIdle)),
+	})
+	return assemble(admin.New(s.Control.Admin, b.metrics, c.Ready, s.Debug.Pprof), c)
+}
+
+func assemble(services ...kernel.Service) (*kernel.Kernel, error) {
+	k := kernel.New()
+	for _, s := range services {
+		if err := k.Register(s); err != nil {
+			return nil, err
+		}
+	}
+	return k, nil
+}
+
+// runUntilSignal starts the services and stops them at the first SIGTERM or
+// SIGINT; a second one ends the waiting for work in flight.
+func (b base) runUntilSignal(k *kernel.Kernel) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := k.Start(context.Background()); err != nil {
+		b.log.Emit(event.ServiceFailed).Err(err).Send()
+		return err
+	}
+	b.log.Emit(event.Started).Str("failure_domain", b.settings.Node.FailureDomain).Str("version", Version()).Send()
+	<-signals
+	b.log.Emit(event.Stopping).Send()
+	ctx, cancel := context.WithTimeout(context.Background(), b.stopLimit())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	err := k.Stop(ctx)
+	flush, cancelFlush := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancelFlush()
+	if flushErr := b.tracer.Stop(flush); flushErr != nil {
+		b.log.Emit(event.TraceExportFailed).Err(flushErr).Send()
+	}
+	b.log.Emit(event.Stopped).Err(err).Send()
+	return err
+}
+
+// stopLimit bounds the whole stop; the services keep their own, shorter limits.
+func (b base) stopLimit() time.Duration {
+	return b.settings.Entry.BalancerDelay + b.settings.Entry.ShutdownLimit + controlStopLimit
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,433 @@
+// Package entry serves callers: it admits their requests in order of worth,
+// picks the upstream and relays the answer.
+//
+// Concurrency: one goroutine (Source) owns what comes from control; requests
+// run on net/http's goroutines and read immutable snapshots. A desk per
+// service holds admission and routing under a short lock.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
+	"github.com/marbleroad/marbleroad/internal/admission"
+	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/kernel"
+	"github.com/marbleroad/marbleroad/internal/ledger"
+	"github.com/marbleroad/marbleroad/internal/metrics"
+	"github.com/marbleroad/marbleroad/internal/relay"
+	"github.com/marbleroad/marbleroad/internal/table"
+	"github.com/marbleroad/marbleroad/internal/tracing"
+	"github.com/marbleroad/marbleroad/internal/transport"
+	"github.com/marbleroad/marbleroad/internal/verdict"
+	"github.com/marbleroad/marbleroad/internal/view"
+)
+
+// ServerName is the server's name in the kernel.
+const ServerName = "callers"
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 60 * time.Second
+	idleTimeout       = 120 * time.Second
+	maxHeaderBytes    = 64 << 10
+	// stoppingRetryAfter sends callers to another entry behind the balancer.
+	stoppingRetryAfter = 100 * time.Millisecond
+)
+
+// Paths of the callers' protocol.
+const (
+	chatPath       = "/v1/chat/completions"
+	completionPath = "/v1/completions"
+	modelsPath     = "/v1/models"
+	servicesPrefix = "/services/"
+)
+
+// Config holds what the server needs to know.
+type Config struct {
+	NodeID        string
+	FailureDomain string
+	Listen        string
+	Peer          string
+	MaxBody       int64
+	BalancerDelay time.Duration
+	ShutdownLimit time.Duration
+	// CallerTLS is nil for plain HTTP.
+	CallerTLS *tls.Config
+}
+
+// Server serves callers.
+type Server struct {
+	config  Config
+	log     *event.Logger
+	metrics *metrics.Registry
+	tracer  *tracing.Tracer
+	peers   *transport.Peers
+	source  *Source
+	sender  *relay.Sender
+	ledger  *ledger.Ledger
+	limits  *limits
+	trails  *trails
+
+	mu    sync.Mutex
+	desks map[string]*desk
+
+	stopping atomic.Bool
+	refusing atomic.Bool
+	inFlight sync.WaitGroup
+	// flight guards inFlight against Add after Wait.
+	flight sync.RWMutex
+	// hard ends every call at once; set when waiting has been long enough.
+	hard       context.Context
+	cancelHard context.CancelFunc
+
+	callers *http.Server
+	peer    *http.Server
+}
+
+// Parts are the server's collaborators.
+type Parts struct {
+	Log     *event.Logger
+	Metrics *metrics.Registry
+	Tracer  *tracing.Tracer
+	Peers   *transport.Peers
+	Ledger  *ledger.Ledger
+}
+
+// NewServer returns a server and its source; both are kernel services.
+func NewServer(c Config, sc SourceConfig, p Parts) (*Server, *Source) {
+	hard, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		config:     c,
+		log:        p.Log,
+		metrics:    p.Metrics,
+		tracer:     p.Tracer,
+		peers:      p.Peers,
+		sender:     relay.NewSender(p.Peers.TLS()),
+		ledger:     p.Ledger,
+		limits:     newLimits(time.Now()),
+		trails:     newTrails(),
+		desks:      make(map[string]*desk),
+		hard:       hard,
+		cancelHard: cancel,
+	}
+	demand := func() []*marbleroadv1.TeamDemand { return s.limits.demand(time.Now()) }
+	s.source = NewSource(sc, p.Log, p.Peers, demand, s.update)
+	return s, s.source
+}
+
+// Name implements kernel.Service.
+func (s *Server) Name() string { return ServerName }
+
+// Start implements kernel.Service.
+func (s *Server) Start(context.Context, *kernel.Kernel) error {
+	listener, err := net.Listen("tcp", s.config.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	s.callers = &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		TLSConfig:         s.config.CallerTLS,
+	}
+	go s.serveCallers(listener)
+	mux := http.NewServeMux()
+	mux.Handle(marbleroadv1connect.NewEntryServiceHandler(explainer{s}))
+	mux.Handle("/", s.handler())
+	s.peer, err = s.peers.Serve(s.config.Peer, mux)
+	return err
+}
+
+func (s *Server) serveCallers(l net.Listener) {
+	if s.config.CallerTLS != nil {
+		_ = s.callers.ServeTLS(l, "", "")
+		return
+	}
+	_ = s.callers.Serve(l)
+}
+
+// Ready says whether the balancer may send callers here.
+func (s *Server) Ready() (bool, string) {
+	switch {
+	case s.stopping.Load():
+		return false, "shutting down"
+	case !s.source.Loaded():
+		return false, "the table has not been read yet"
+	}
+	return true, ""
+}
+
+// Stop implements kernel.Service: not ready, wait for the balancer, refuse new
+// work, finish what is in flight, stop. When ctx ends first, or the limit is
+// reached, open streams end with an error event.
+func (s *Server) Stop(ctx context.Context) error {
+	s.stopping.Store(true)
+	sleep(ctx, s.config.BalancerDelay)
+	s.flight.Lock()
+	s.refusing.Store(true)
+	s.flight.Unlock()
+	done := make(chan struct{})
+	go func() {
+		s.inFlight.Wait()
+		close(done)
+	}()
+	limit := time.NewTimer(s.config.ShutdownLimit)
+	defer limit.Stop()
+	select {
+	case <-done:
+	case <-limit.C:
+		s.log.Emit(event.StopLimit).Send()
+	case <-ctx.Done():
+	}
+	s.cancelHard()
+	<-done
+	closing, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return errors.CombineErrors(transport.Shutdown(closing, s.callers), transport.Shutdown(closing, s.peer))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// update is called by the source after each new snapshot.
+func (s *Server) update(snapshot *view.Snapshot, share *Share) {
+	now := time.Now()
+	for name, service := range snapshot.Services {
+		s.desk(name).update(now, service, share.LiveEntries)
+	}
+	running, waiting := 0, 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, d := range s.desks {
+		if _, ok := snapshot.Services[name]; !ok {
+			d.update(now, view.Service{}, 1)
+		}
+		r, w, _ := d.load()
+		running += r
+		waiting += w
+	}
+	s.metrics.Set("requests.running", int64(running))
+	s.metrics.Set("requests.waiting", int64(waiting))
+}
+
+func (s *Server) desk(service string) *desk {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.desks[service]
+	if d == nil {
+		d = newDesk()
+		s.desks[service] = d
+	}
+	return d
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+chatPath, s.handle(s.model))
+	mux.HandleFunc("POST "+completionPath, s.handle(s.model))
+	mux.HandleFunc("GET "+modelsPath, s.handle(s.models))
+	mux.HandleFunc(servicesPrefix, s.handle(s.plain))
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		fault := badInput(http.StatusNotFound, codeNotFound, "there is nothing at "+r.Method+" "+r.URL.Path)
+		s.log.Emit(event.BadInput).Str("code", fault.Code).Str("path", r.URL.Path).Send()
+		writeError(w, newRequestID(), strings.HasPrefix(r.URL.Path, "/v1/"), fault)
+	})
+	return mux
+}
+
+// step handles one kind of call after authentication.
+type step func(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, snapshot *view.Snapshot) *verdict.Error
+
+// enter counts a request in, unless the entry refuses new work.
+func (s *Server) enter() bool {
+	s.flight.RLock()
+	defer s.flight.RUnlock()
+	if s.refusing.Load() {
+		return false
+	}
+	s.inFlight.Add(1)
+	return true
+}
+
+// handle wraps a step with what all calls have in common.
+func (s *Server) handle(next step) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		openAI := strings.HasPrefix(r.URL.Path, "/v1/")
+		if !s.enter() {
+			w.Header().Set("Connection", "close")
+			writeError(w, newRequestID(), openAI, refused(&admission.Refusal{Reason: admission.Stopping, RetryAfter: stoppingRetryAfter}))
+			return
+		}
+		defer s.inFlight.Done()
+		s.metrics.Count("requests", 1)
+		began := time.Now()
+		ctx, span := s.tracer.Start(s.tracer.Extract(r.Context(), r.Header), "request", trace.SpanKindServer,
+			attribute.String("path", r.URL.Path))
+		defer span.End()
+		c, fault := s.take(ctx, w, r, next, openAI)
+		s.metrics.Observe("request", time.Since(began))
+		if fault == nil {
+			s.log.Emit(event.RequestDone).Str("request", c.id).Dur("took_ms", time.Since(began)).Send()
+			return
+		}
+		span.SetAttributes(attribute.String("code", fault.Code), attribute.String("verdict", fault.Verdict.String()))
+		s.failed(c, fault)
+		writeError(w, c.id, openAI, fault)
+	}
+}
+
+// take authenticates, reads and runs one call. The call is never nil.
+func (s *Server) take(ctx context.Context, w http.ResponseWriter, r *http.Request, next step, openAI bool) (*call, *verdict.Error) {
+	unread := &call{id: newRequestID(), trail: &trail{began: time.Now()}}
+	snapshot := s.source.Snapshot()
+	if snapshot == nil || !s.source.Loaded() {
+		return unread, &verdict.Error{
+			Verdict:    verdict.NotRun,
+			Status:     http.StatusServiceUnavailable,
+			Code:       codeNotReady,
+			Detail:     "this entry has not read the table yet",
+			RetryAfter: refusedRetryAfter,
+		}
+	}
+	team, fault := authenticate(snapshot, r.Header)
+	if fault != nil {
+		s.log.Emit(event.BadKey).Str("address", r.RemoteAddr).Send()
+		return unread, fault
+	}
+	c, fault := s.readCall(w, r, team)
+	if fault != nil {
+		return c, fault
+	}
+	c.openAI = openAI
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(s.hard, cancel)
+	defer stop()
+	return c, next(ctx, w, r, c, snapshot)
+}
+
+// failed logs and counts a failure by its kind.
+func (s *Server) failed(c *call, fault *verdict.Error) {
+	kind := event.RequestRefused
+	switch {
+	case fault.Verdict != verdict.NotRun:
+		kind = event.RequestFailed
+	case fault.Status < http.StatusInternalServerError && fault.RetryAfter == 0:
+		kind = event.BadInput
+	}
+	s.metrics.Count("failed."+fault.Code, 1)
+	c.trail.add("answered %d %s (%s)", fault.Status, fault.Code, fault.Verdict)
+	line := s.log.Emit(kind).Str("request", c.id).Str("code", fault.Code).Str("verdict", fault.Verdict.String())
+	if c.team.Name != "" {
+		line = line.Str("team", c.team.Name)
+	}
+	if fault.Cause != nil {
+		line = line.AnErr("cause", fault.Cause)
+	}
+	line.Send()
+}
+
+// model handles the OpenAI paths.
+func (s *Server) model(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, snapshot *view.Snapshot) *verdict.Error {
+	name, fault := c.readModelRequest()
+	if fault != nil {
+		return fault
+	}
+	c.path = r.URL.Path
+	return s.start(ctx, w, c, snapshot, name, table.Model)
+}
+
+// plain handles /services/SERVICE/PATH. The upstream gets /PATH.
+func (s *Server) plain(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, snapshot *view.Snapshot) *verdict.Error {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicesPrefix), "/")
+	c.path = "/" + rest
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+	if _, err := url.ParseRequestURI(c.path); err != nil {
+		return badInput(http.StatusBadRequest, codeBadRequest, "the path can't be passed on")
+	}
+	return s.start(ctx, w, c, snapshot, name, table.Plain)
+}
+
+func (s *Server) start(ctx context.Context, w http.ResponseWriter, c *call, snapshot *view.Snapshot, name string, kind table.ServiceKind) *verdict.Error {
+	if fault := c.setService(snapshot, name, kind, time.Now()); fault != nil {
+		return fault
+	}
+	c.trail.add("team %s, service %s, priority %d, at most once: %t", c.team.Name, name, c.priority, c.once)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	if !c.last.zero() {
+		return s.resume(ctx, w, c, snapshot)
+	}
+	return s.serve(ctx, w, c, snapshot)
+}
+
+// callerPath is the path at an entry, for handing the call to another one.
+func (c *call) callerPath() string {
+	if c.service.Kind == table.Plain {
+		return servicesPrefix + c.service.Name + c.path
+	}
+	return c.path
+}
+
+// modelList is the OpenAI answer of /v1/models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(_ context.Context, w http.ResponseWriter, _ *http.Request, _ *call, snapshot *view.Snapshot) *verdict.Error {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for name, service := range snapshot.Services {
+		if service.Kind == table.Model {
+			list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "marbleroad"})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+	return nil
+}
+
+// explainer serves EntryService.
+type explainer struct{ s *Server }
+
+// Explain implements EntryService.
+func (e explainer) Explain(_ context.Context, r *connect.Request[marbleroadv1.ExplainRequest]) (*connect.Response[marbleroadv1.ExplainResponse], error) {
+	steps, found := e.s.trails.find(r.Msg.GetRequestId())
+	return connect.NewResponse(&marbleroadv1.ExplainResponse{
+		Found:   found,
+		EntryId: e.s.config.NodeID,
+		Steps:   steps,
+	}), nil
+}
--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,101 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of the processes themselves.
+var (
+	Started = Event{1001, zerolog.InfoLevel, "daemon started",
+		"None."}
+	Stopping = Event{1002, zerolog.InfoLevel, "shutdown began; new work is refused, work in flight goes on",
+		"None. A second signal ends the daemon at once."}
+	Stopped = Event{1003, zerolog.InfoLevel, "daemon stopped",
+		"None."}
+	StopLimit = Event{1004, zerolog.WarnLevel, "shutdown limit reached; open streams end with an error event",
+		"Raise entry.shutdown_limit if answers take longer."}
+	ServiceFailed = Event{1005, zerolog.ErrorLevel, "a service failed",
+		"Read the error; restart the daemon when the cause is mended."}
+	TraceExportFailed = Event{1006, zerolog.WarnLevel, "spans could not be exported",
+		"Check trace.target. Serving is not affected."}
+)
+
+// Events of the operators' table.
+var (
+	RowAdopted = Event{2001, zerolog.InfoLevel, "a newer row is in force",
+		"None."}
+	ChangeAccepted = Event{2002, zerolog.InfoLevel, "an operator's change was accepted",
+		"None."}
+	ChangeConflict = Event{2003, zerolog.WarnLevel, "an operator's change lost a race",
+		"The operator sees both values and decides."}
+	ChangeInvalid = Event{2004, zerolog.WarnLevel, "an operator's change has faults",
+		"The operator corrects the named cells."}
+	RowUnreadable = Event{2005, zerolog.ErrorLevel, "a stored row cannot be read; the last good version stays in force",
+		"Somebody wrote to the platform past marbleroad, or a newer version did. Apply the row again."}
+	DrainHeld = Event{2006, zerolog.WarnLevel, "a drain order is in force here and waits for the platform",
+		"None; it is stored when the platform answers."}
+)
+
+// Events of the platform.
+var (
+	PlatformDown = Event{3001, zerolog.WarnLevel, "the platform does not answer; known state stays in force",
+		"Check the platform. Serving goes on; grouping and table changes wait."}
+	PlatformUp = Event{3002, zerolog.InfoLevel, "the platform answers again",
+		"None."}
+	WriteResolved = Event{3003, zerolog.InfoLevel, "a write whose answer was lost had taken effect",
+		"None."}
+)
+
+// Events of groups, upstreams and peers.
+var (
+	PlanCommitted = Event{4001, zerolog.InfoLevel, "a new group plan was committed",
+		"None."}
+	PlanLost = Event{4002, zerolog.InfoLevel, "another control process changed the plan first; planning again",
+		"None."}
+	OrderRefused = Event{4003, zerolog.WarnLevel, "an engine refused an order",
+		"If it repeats, compare the engine's fencing token with the plan."}
+	VMLost = Event{4004, zerolog.WarnLevel, "a VM is no longer present",
+		"See marbleroadctl status for its group."}
+	VMReturned = Event{4005, zerolog.InfoLevel, "a VM is present",
+		"None."}
+	PeerLost = Event{4006, zerolog.WarnLevel, "a peer no longer answers",
+		"Check its VM and the network between."}
+	PeerReturned = Event{4007, zerolog.InfoLevel, "a peer answers",
+		"None."}
+	ControlSwitched = Event{4008, zerolog.WarnLevel, "the entry reads from another control process",
+		"Check the control daemon on this VM."}
+	ViewUnreadable = Event{4009, zerolog.ErrorLevel, "an item cannot be read and is passed over",
+		"Compare the versions of the daemons."}
+)
+
+// Events of requests.
+var (
+	RequestDone = Event{5001, zerolog.DebugLevel, "request answered",
+		"None."}
+	RequestRefused = Event{5002, zerolog.InfoLevel, "request refused",
+		"See the code in docs/OPERATING.md."}
+	RequestFailed = Event{5003, zerolog.WarnLevel, "request failed after it may have run",
+		"See marbleroadctl explain with its ID."}
+	BadInput = Event{5004, zerolog.InfoLevel, "request with bad input refused",
+		"The caller corrects it."}
+	UpstreamEjected = Event{5005, zerolog.WarnLevel, "an upstream fails or is slow and gets less work",
+		"Check the upstream VM."}
+	StreamBroken = Event{5006, zerolog.WarnLevel, "an upstream's stream broke",
+		"Check the upstream VM."}
+)
+
+// Events of access.
+var (
+	BadKey = Event{6001, zerolog.WarnLevel, "a caller without a valid key was refused",
+		"If it repeats, find the caller by its address."}
+	BadOperator = Event{6002, zerolog.WarnLevel, "an operator without a valid token was refused",
+		"If it repeats, find the caller by its address."}
+)
+
+// Catalogue lists all events in order of their numbers.
+var Catalogue = []Event{
+	Started, Stopping, Stopped, StopLimit, ServiceFailed, TraceExportFailed,
+	RowAdopted, ChangeAccepted, ChangeConflict, ChangeInvalid, RowUnreadable, DrainHeld,
+	PlatformDown, PlatformUp, WriteResolved,
+	PlanCommitted, PlanLost, OrderRefused, VMLost, VMReturned, PeerLost, PeerReturned, ControlSwitched, ViewUnreadable,
+	RequestDone, RequestRefused, RequestFailed, BadInput, UpstreamEjected, StreamBroken,
+	BadKey, BadOperator,
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,82 @@
+// Package event is the catalogue of numbered log events and the logger that
+// writes them. docs/EVENTS.md lists the same events; a test compares the two.
+package event
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+)
+
+// ID is an event's number. Numbers are never reused.
+type ID int
+
+// Event is one catalogue entry.
+type Event struct {
+	ID    ID
+	Level zerolog.Level
+	// Message is the constant text of the log line.
+	Message string
+	// Action tells an operator what to do about it.
+	Action string
+}
+
+// Logger writes numbered events. It is safe for use by several goroutines.
+type Logger struct {
+	out zerolog.Logger
+}
+
+// ErrLevel is returned for an unknown log level.
+var ErrLevel = errors.New("log level is not one of debug, info, warn, error")
+
+// New returns a logger that writes JSON lines to w, at level or above.
+func New(w io.Writer, level, node, program string) (*Logger, error) {
+	parsed, err := ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	out := zerolog.New(w).Level(parsed).With().
+		Timestamp().
+		Str("node", node).
+		Str("program", program).
+		Logger()
+	return &Logger{out: out}, nil
+}
+
+// ParseLevel reads debug, info, warn or error.
+func ParseLevel(level string) (zerolog.Level, error) {
+	switch level {
+	case "debug", "info", "warn", "error":
+		return zerolog.ParseLevel(level)
+	}
+	return zerolog.NoLevel, errors.Wrapf(ErrLevel, "%q", level)
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger {
+	return &Logger{out: zerolog.Nop()}
+}
+
+// Stderr returns a logger for messages before the settings are read.
+func Stderr(program string) *Logger {
+	l, _ := New(os.Stderr, "info", "", program)
+	return l
+}
+
+// Emit starts the log line of an event. The caller adds fields and calls Send.
+func (l *Logger) Emit(e Event) *zerolog.Event {
+	return l.out.WithLevel(l.enabled(e.Level)).Int("event", int(e.ID)).Str("message", e.Message)
+}
+
+// enabled maps levels below the threshold to Disabled, since WithLevel alone
+// does not filter.
+func (l *Logger) enabled(level zerolog.Level) zerolog.Level {
+	if level < l.out.GetLevel() {
+		return zerolog.Disabled
+	}
+	return level
+}
--- /dev/null
+++ b/internal/groups/decide.go
@@ -0,0 +1,464 @@
+package groups
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Want is one row of the groups sheet for this fabric domain.
+type Want struct {
+	Row            string
+	Service        string
+	Pool           string
+	Size           int
+	Replicas       int
+	DowntimeWeight float64
+	StrandedWeight float64
+	LoadTime       time.Duration
+}
+
+// VM is what the planner knows of one VM of the fabric domain.
+type VM struct {
+	Name string
+	Pool string
+	// Present is true while a probe within the presence window was answered.
+	Present bool
+	// MissingFor is how long the VM has been absent; zero when present.
+	MissingFor time.Duration
+	// Leaving is true when the platform, the VM itself or an operator says so.
+	Leaving bool
+	// Group and Generation are the VM's own word; empty when it is released.
+	Group      string
+	Generation uint64
+	// InFlight is the VM's own count of running requests.
+	InFlight int
+}
+
+// Estimates are what is believed about failures. They turn weights into
+// choices; docs/POLICY.md explains each.
+type Estimates struct {
+	// Grace is how long a VM must be missing before its group changes at
+	// all; at least twice the presence window, so that no entry still trusts it.
+	Grace time.Duration
+	// ReturnChance is the share of lost VMs that come back by themselves.
+	ReturnChance float64
+	// ReturnTime is the mean time until such a VM is back.
+	ReturnTime time.Duration
+	// RepairTime is the mean time until a VM that does not return is replaced.
+	RepairTime time.Duration
+	// DrainLimit bounds how long a retiring group may take to finish its work.
+	DrainLimit time.Duration
+	// SettleTime is how long a retiring group waits before its idle VMs are
+	// believed: every entry has heard of it by then.
+	SettleTime time.Duration
+}
+
+// DefaultEstimates follow the fleet of letter 1: 3,600 restarts a day beside
+// 210 failures.
+var DefaultEstimates = Estimates{
+	Grace:        6 * time.Second,
+	ReturnChance: 0.94,
+	ReturnTime:   45 * time.Second,
+	RepairTime:   time.Hour,
+	DrainLimit:   2 * time.Minute,
+	SettleTime:   3 * time.Second,
+}
+
+// Input is all that Decide looks at.
+type Input struct {
+	Plan  *Plan
+	Wants []Want
+	VMs   map[string]VM
+	// RetiringFor is how long each retiring group has been so.
+	RetiringFor map[string]time.Duration
+	Estimates   Estimates
+}
+
+// Choice names what was decided for an incomplete group.
+type Choice string
+
+// The choices.
+const (
+	Wait     Choice = "wait"
+	Spare    Choice = "spare"
+	Join     Choice = "join"
+	Dissolve Choice = "dissolve"
+	Form     Choice = "form"
+	Retire   Choice = "retire"
+	Release  Choice = "release"
+)
+
+// Move is one decision, for logs and reports.
+type Move struct {
+	Group  string
+	Choice Choice
+	// Donor is the group that a Join takes apart.
+	Donor string
+	// Cost is the expected cost of the choice in weighted seconds.
+	Cost float64
+}
+
+// Decide returns the next plan and the moves that lead to it. The plan is nil
+// when nothing changes. It reads no clock and no random numbers, so two
+// control processes with the same view reach the same plan.
+func Decide(in Input) (*Plan, []Move) {
+	d := &decision{in: in, next: in.Plan.Clone()}
+	d.wants = make(map[string]Want, len(in.Wants))
+	for _, w := range in.Wants {
+		d.wants[w.Row] = w
+	}
+	d.retireUnwanted()
+	d.retireLeaving()
+	d.releaseRetired()
+	d.mendIncomplete()
+	d.formMissing()
+	if !d.changed {
+		return nil, d.moves
+	}
+	d.next.Version = in.Plan.Version + 1
+	for id := range d.touched {
+		if g := d.next.group(id); g != nil {
+			g.Generation = d.next.Version
+		}
+	}
+	return d.next, d.moves
+}
+
+type decision struct {
+	in      Input
+	next    *Plan
+	wants   map[string]Want
+	moves   []Move
+	changed bool
+	// touched are groups whose VMs changed; they get a new generation.
+	touched map[string]bool
+}
+
+func (d *decision) move(m Move) {
+	d.changed = true
+	d.moves = append(d.moves, m)
+}
+
+func (d *decision) touch(group string) {
+	if d.touched == nil {
+		d.touched = make(map[string]bool)
+	}
+	d.touched[group] = true
+}
+
+// retireUnwanted retires groups that no row wants any more, or not at this size.
+func (d *decision) retireUnwanted() {
+	count := make(map[string]int)
+	for i := range d.next.Groups {
+		g := &d.next.Groups[i]
+		if g.Phase != Active {
+			continue
+		}
+		w, ok := d.wants[g.Row]
+		if ok && w.Size == g.Size && w.Service == g.Service && count[g.Row] < w.Replicas {
+			count[g.Row]++
+			continue
+		}
+		g.Phase = Retiring
+		d.move(Move{Group: g.ID, Choice: Retire})
+	}
+}
+
+// retireLeaving retires a complete group with a leaving member only when a
+// replacement for each such member is at hand or the member goes anyway: the
+// platform's and the VM's own word can't be refused, so it always retires.
+func (d *decision) retireLeaving() {
+	for i := range d.next.Groups {
+		g := &d.next.Groups[i]
+		if g.Phase != Active || !d.hasLeavingMember(*g) {
+			continue
+		}
+		g.Phase = Retiring
+		d.move(Move{Group: g.ID, Choice: Retire})
+	}
+}
+
+func (d *decision) hasLeavingMember(g Group) bool {
+	for _, vm := range d.next.Members(g) {
+		if vm != "" && d.in.VMs[vm].Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// releaseRetired removes retiring groups whose VMs have finished their work.
+func (d *decision) releaseRetired() {
+	var done []string
+	for _, g := range d.next.Groups {
+		if g.Phase == Retiring && d.finished(g) {
+			done = append(done, g.ID)
+		}
+	}
+	for _, id := range done {
+		d.next.remove(id)
+		d.move(Move{Group: id, Choice: Release})
+	}
+}
+
+func (d *decision) finished(g Group) bool {
+	since, known := d.in.RetiringFor[g.ID]
+	if !known || since < d.in.Estimates.SettleTime {
+		return false
+	}
+	if since >= d.in.Estimates.DrainLimit {
+		return true
+	}
+	for _, vm := range d.next.Members(g) {
+		if vm != "" && d.in.VMs[vm].Present && d.in.VMs[vm].InFlight > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// incomplete is an active group with its lost and empty ranks.
+type incomplete struct {
+	group   Group
+	want    Want
+	lost    []string
+	empty   int
+	healthy int
+	// longest is how long the longest-lost VM has been missing.
+	longest time.Duration
+	// shortest is the same for the last-lost one.
+	shortest time.Duration
+}
+
+func (i incomplete) vacancies() int { return len(i.lost) + i.empty }
+
+func (d *decision) incompleteGroups() []incomplete {
+	var out []incomplete
+	for _, g := range d.next.Groups {
+		if g.Phase != Active {
+			continue
+		}
+		inc := d.inspect(g)
+		if inc.vacancies() > 0 {
+			out = append(out, inc)
+		}
+	}
+	// The fewest vacancies first: they are the cheapest to mend.
+	sort.SliceStable(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if a.vacancies() != b.vacancies() {
+			return a.vacancies() < b.vacancies()
+		}
+		return a.group.ID < b.group.ID
+	})
+	return out
+}
+
+func (d *decision) inspect(g Group) incomplete {
+	inc := incomplete{group: g, want: d.wants[g.Row], shortest: math.MaxInt64}
+	for _, name := range d.next.Members(g) {
+		vm, known := d.in.VMs[name]
+		switch {
+		case name == "":
+			inc.empty++
+		case known && vm.Present:
+			inc.healthy++
+		default:
+			inc.lost = append(inc.lost, name)
+			inc.longest = max(inc.longest, vm.MissingFor)
+			inc.shortest = min(inc.shortest, vm.MissingFor)
+		}
+	}
+	return inc
+}
+
+// mendIncomplete chooses for each incomplete group the cheapest of waiting,
+// spares, joining another group's remains and dissolving.
+func (d *decision) mendIncomplete() {
+	taken := make(map[string]bool)
+	groups := d.incompleteGroups()
+	for i, inc := range groups {
+		if taken[inc.group.ID] || !d.ripe(inc) {
+			continue
+		}
+		best := d.cheapest(inc, groups[i+1:], taken)
+		switch best.Choice {
+		case Spare:
+			d.fill(inc, d.spares(inc.want.Pool))
+			d.move(best)
+		case Join:
+			donor := d.next.group(best.Donor)
+			vms := d.healthyMembers(*donor)
+			taken[best.Donor] = true
+			d.next.remove(best.Donor)
+			d.fill(inc, append(d.spares(inc.want.Pool), vms...))
+			d.move(best)
+		case Dissolve:
+			d.next.remove(inc.group.ID)
+			d.move(best)
+		default:
+			d.moves = append(d.moves, best)
+		}
+	}
+}
+
+// ripe reports whether the group may change: every lost VM has been missing
+// for the grace time, so no entry still takes it for present.
+func (d *decision) ripe(inc incomplete) bool {
+	return len(inc.lost) == 0 || inc.shortest >= d.in.Estimates.Grace
+}
+
+func (d *decision) cheapest(inc incomplete, others []incomplete, taken map[string]bool) Move {
+	rate := d.costRate(inc)
+	remaining := d.remaining(inc).Seconds()
+	load := inc.want.LoadTime.Seconds()
+	best := Move{Group: inc.group.ID, Choice: Wait, Cost: rate * remaining}
+	spares := len(d.spares(inc.want.Pool))
+	if spares >= inc.vacancies() {
+		best = cheaper(best, Move{Group: inc.group.ID, Choice: Spare, Cost: rate * load})
+		return best
+	}
+	for _, donor := range others {
+		if taken[donor.group.ID] || !d.ripe(donor) || donor.want.Pool != inc.want.Pool {
+			continue
+		}
+		if spares+donor.healthy < inc.vacancies() {
+			continue
+		}
+		cost := rate*load + d.dissolveCost(donor) - d.costRate(donor)*d.remaining(donor).Seconds()
+		best = cheaper(best, Move{Group: inc.group.ID, Choice: Join, Donor: donor.group.ID, Cost: cost})
+	}
+	if inc.healthy > 0 && d.wantsVMs(inc) {
+		best = cheaper(best, Move{Group: inc.group.ID, Choice: Dissolve, Cost: d.dissolveCost(inc)})
+	}
+	return best
+}
+
+// cheaper keeps a unless b is cheaper by a clear margin, so that equal
+// choices cause no moves.
+func cheaper(a, b Move) Move {
+	const margin = 0.95
+	if b.Cost < a.Cost*margin {
+		return b
+	}
+	return a
+}
+
+// wantsVMs reports whether another active group could use the remains.
+func (d *decision) wantsVMs(inc incomplete) bool {
+	free := len(d.spares(inc.want.Pool)) + inc.healthy
+	for _, w := range d.in.Wants {
+		if w.Row == inc.want.Row || w.Pool != inc.want.Pool {
+			continue
+		}
+		if d.activeCount(w.Row) < w.Replicas && free >= w.Size {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *decision) activeCount(row string) int {
+	n := 0
+	for _, g := range d.next.Groups {
+		if g.Row == row && g.Phase == Active {
+			n++
+		}
+	}
+	return n
+}
+
+// costRate is the cost of a second during which the group is incomplete.
+func (d *decision) costRate(inc incomplete) float64 {
+	return inc.want.DowntimeWeight + inc.want.StrandedWeight*float64(inc.healthy)
+}
+
+// dissolveCost is the expected cost of taking the group apart: nothing is
+// stranded any more, but it is down until its VMs are back and all are loaded.
+func (d *decision) dissolveCost(inc incomplete) float64 {
+	reload := inc.want.LoadTime.Seconds() * float64(inc.healthy)
+	return inc.want.DowntimeWeight * (d.remaining(inc).Seconds() + reload)
+}
+
+// remaining is the expected time until the group's lost VMs are back, given
+// how long they have been away. A VM either returns (exponentially, mean
+// ReturnTime) or is replaced after RepairTime; the longer it is away, the
+// likelier the second.
+func (d *decision) remaining(inc incomplete) time.Duration {
+	e := d.in.Estimates
+	if inc.empty > 0 {
+		return e.RepairTime
+	}
+	away := inc.longest.Seconds()
+	back := e.ReturnChance * math.Exp(-away/e.ReturnTime.Seconds())
+	chance := back / (back + 1 - e.ReturnChance)
+	// Every lost VM must return.
+	chance = math.Pow(chance, float64(len(inc.lost)))
+	seconds := chance*e.ReturnTime.Seconds() + (1-chance)*e.RepairTime.Seconds()
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// spares returns the free VMs of a pool, by name.
+func (d *decision) spares(pool string) []string {
+	var out []string
+	for name, vm := range d.in.VMs {
+		_, assigned := d.next.Assign[name]
+		if assigned || vm.Pool != pool || !vm.Present || vm.Leaving || vm.Group != "" {
+			continue
+		}
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (d *decision) healthyMembers(g Group) []string {
+	var out []string
+	for _, name := range d.next.Members(g) {
+		if name != "" && d.in.VMs[name].Present && !d.in.VMs[name].Leaving {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// fill drops the group's lost VMs and puts candidates into its vacancies.
+func (d *decision) fill(inc incomplete, candidates []string) {
+	for _, vm := range inc.lost {
+		delete(d.next.Assign, vm)
+	}
+	for rank, vm := range d.next.Members(inc.group) {
+		if vm != "" || len(candidates) == 0 {
+			continue
+		}
+		d.next.Assign[candidates[0]] = Assignment{Group: inc.group.ID, Rank: rank}
+		candidates = candidates[1:]
+	}
+	d.touch(inc.group.ID)
+}
+
+// formMissing forms the replicas that rows want and that spares allow.
+func (d *decision) formMissing() {
+	wants := append([]Want(nil), d.in.Wants...)
+	sort.SliceStable(wants, func(i, j int) bool {
+		if wants[i].DowntimeWeight != wants[j].DowntimeWeight {
+			return wants[i].DowntimeWeight > wants[j].DowntimeWeight
+		}
+		return wants[i].Row < wants[j].Row
+	})
+	for _, w := range wants {
+		for d.activeCount(w.Row) < w.Replicas {
+			spares := d.spares(w.Pool)
+			if len(spares) < w.Size {
+				break
+			}
+			id := d.next.add(w)
+			for rank, vm := range spares[:w.Size] {
+				d.next.Assign[vm] = Assignment{Group: id, Rank: rank}
+			}
+			d.touch(id)
+			d.move(Move{Group: id, Choice: Form})
+		}
+	}
+}
--- /dev/null
+++ b/internal/groups/decide_test.go
@@ -0,0 +1,195 @@
+package groups
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/marbleroad/marbleroad/test/seed"
+)
+
+// fleet is a fabric domain as the planner's oracle sees it: VMs obey orders
+// late or not at all, die and come back.
+type fleet struct {
+	plan     *Plan
+	vms      map[string]VM
+	retiring map[string]time.Duration
+	wants    []Want
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{plan: NewPlan("fd", "f1"), vms: make(map[string]VM), retiring: make(map[string]time.Duration)}
+	for i := range n {
+		name := fmt.Sprintf("vm-%02d", i)
+		f.vms[name] = VM{Name: name, Pool: "p", Present: true}
+	}
+	return f
+}
+
+func (f *fleet) decide() []Move {
+	next, moves := Decide(Input{
+		Plan: f.plan, Wants: f.wants, VMs: f.vms, RetiringFor: f.retiring, Estimates: DefaultEstimates,
+	})
+	if next != nil {
+		f.plan = next
+	}
+	return moves
+}
+
+// obey lets a VM follow the plan in force.
+func (f *fleet) obey(name string) {
+	vm := f.vms[name]
+	vm.Group, vm.Generation = "", 0
+	if a, ok := f.plan.Assign[name]; ok {
+		g, _ := f.plan.Group(a.Group)
+		vm.Group, vm.Generation = g.ID, g.Generation
+	}
+	f.vms[name] = vm
+}
+
+func (f *fleet) obeyAll() {
+	for name := range f.vms {
+		f.obey(name)
+	}
+}
+
+func (f *fleet) lose(name string, ago time.Duration) {
+	vm := f.vms[name]
+	vm.Present, vm.MissingFor = false, ago
+	f.vms[name] = vm
+}
+
+func want(size, replicas int) Want {
+	return Want{Row: "r", Service: "s", Pool: "p", Size: size, Replicas: replicas,
+		DowntimeWeight: 1, StrandedWeight: 0.1, LoadTime: 30 * time.Second}
+}
+
+// TestPlanStaysSound checks over any history of losses, returns, leaves and
+// changed wishes that plans hold their invariants, that a VM gets a place only
+// when it is free by its own word, and that a group whose VMs change gets a
+// new generation.
+func TestPlanStaysSound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(10)
+		vm := rapid.SampledFrom([]string{"vm-00", "vm-01", "vm-02", "vm-03", "vm-04", "vm-05", "vm-06", "vm-07", "vm-08", "vm-09"})
+		t.Repeat(map[string]func(*rapid.T){
+			"want": func(t *rapid.T) {
+				f.wants = []Want{want(rapid.IntRange(1, 4).Draw(t, "size"), rapid.IntRange(0, 3).Draw(t, "replicas"))}
+			},
+			"lose": func(t *rapid.T) {
+				f.lose(vm.Draw(t, "vm"), time.Duration(rapid.IntRange(0, 600).Draw(t, "s"))*time.Second)
+			},
+			"return": func(t *rapid.T) {
+				n := vm.Draw(t, "vm")
+				one := f.vms[n]
+				one.Present, one.MissingFor = true, 0
+				f.vms[n] = one
+			},
+			"leave": func(t *rapid.T) {
+				n := vm.Draw(t, "vm")
+				one := f.vms[n]
+				one.Leaving = !one.Leaving
+				f.vms[n] = one
+			},
+			"obey": func(t *rapid.T) { f.obey(vm.Draw(t, "vm")) },
+			"time": func(t *rapid.T) {
+				for _, g := range f.plan.Groups {
+					if g.Phase == Retiring {
+						f.retiring[g.ID] += 5 * time.Second
+					}
+				}
+			},
+			"decide": func(t *rapid.T) {
+				before := f.plan.Clone()
+				f.decide()
+				checkStep(t, before, f)
+			},
+		})
+	})
+}
+
+func checkStep(t *rapid.T, before *Plan, f *fleet) {
+	if err := f.plan.Check(); err != nil {
+		t.Fatal(err)
+	}
+	if f.plan.Version < before.Version {
+		t.Fatalf("version fell from %d to %d", before.Version, f.plan.Version)
+	}
+	for name, a := range f.plan.Assign {
+		old, had := before.Assign[name]
+		if had && old == a {
+			continue
+		}
+		vm := f.vms[name]
+		fromDonor := had && old.Group != a.Group
+		if !vm.Present || vm.Leaving || (vm.Group != "" && !fromDonor) {
+			t.Fatalf("%s got a place though present=%t leaving=%t in %q", name, vm.Present, vm.Leaving, vm.Group)
+		}
+		if g, _ := f.plan.Group(a.Group); g.Generation != f.plan.Version {
+			t.Fatalf("group %s changed VMs but is of generation %d in plan %d", g.ID, g.Generation, f.plan.Version)
+		}
+	}
+}
+
+func TestFormsWaitsAndTakesSpare(t *testing.T) {
+	f := newFleet(9)
+	f.wants = []Want{want(4, 2)}
+	f.decide()
+	f.obeyAll()
+	if len(f.plan.Assign) != 8 {
+		t.Fatalf("%d VMs placed, want 8", len(f.plan.Assign))
+	}
+	f.lose("vm-00", time.Second)
+	if moves := f.decide(); len(moves) != 0 {
+		t.Fatalf("moved within the grace time: %v", moves)
+	}
+	f.lose("vm-00", 10*time.Second)
+	moves := f.decide()
+	if len(moves) != 1 || moves[0].Choice != Spare {
+		t.Fatalf("got %v, want a spare", moves)
+	}
+	if _, still := f.plan.Assign["vm-00"]; still {
+		t.Fatal("the lost VM kept its place")
+	}
+}
+
+// TestEqualViewsGiveEqualPlans is what lets a hint replace a lease.
+func TestEqualViewsGiveEqualPlans(t *testing.T) {
+	for range 20 {
+		a, b := newFleet(10), newFleet(10)
+		a.wants, b.wants = []Want{want(3, 3)}, []Want{want(3, 3)}
+		a.decide()
+		b.decide()
+		x, _ := a.plan.Encode()
+		y, _ := b.plan.Encode()
+		if string(x) != string(y) {
+			t.Fatalf("plans differ:\n%s\n%s", x, y)
+		}
+	}
+}
+
+// TestWeightsChoose: on the same loss, two rows that differ only in weights
+// lead to different choices.
+func TestWeightsChoose(t *testing.T) {
+	choose := func(down, stranded float64) Choice {
+		f := newFleet(8)
+		w := want(8, 1)
+		w.DowntimeWeight, w.StrandedWeight = down, stranded
+		small := Want{Row: "small", Service: "s2", Pool: "p", Size: 4, Replicas: 1, DowntimeWeight: 1, LoadTime: 5 * time.Second}
+		f.wants = []Want{w, small}
+		f.wants[0].DowntimeWeight = max(down, 1.1)
+		f.decide()
+		f.obeyAll()
+		f.wants[0].DowntimeWeight = down
+		f.lose("vm-03", 10*time.Second)
+		return f.decide()[0].Choice
+	}
+	if got := choose(10, 0.1); got != Wait {
+		t.Errorf("downtime weighs more: got %s, want wait", got)
+	}
+	if got := choose(0.5, 5); got != Dissolve {
+		t.Errorf("stranded VMs weigh more: got %s, want dissolve", got)
+	}
+}
--- /dev/null
+++ b/internal/platform/httpapi/httpapi.go
@@ -0,0 +1,224 @@
+// Package httpapi is the HTTP adapter of the platform interface.
+package httpapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marbleroad/marbleroad/internal/platform"
+)
+
+// Wire paths and headers of the platform's protocol.
+const (
+	ObjectsPath    = "/v1/objects/"
+	ListPath       = "/v1/list"
+	WatchPath      = "/v1/watch"
+	MembersPath    = "/v1/members"
+	BaseHeader     = "If-Version"
+	maxAnswerBytes = 64 << 20
+)
+
+// Object is the wire form of one object.
+type Object struct {
+	Key      string          `json:"key"`
+	Version  uint64          `json:"version"`
+	Revision uint64          `json:"revision"`
+	Value    json.RawMessage `json:"value"`
+}
+
+// ObjectList is the wire form of a listing or of a watch's answer.
+type ObjectList struct {
+	Revision uint64   `json:"revision"`
+	Objects  []Object `json:"objects"`
+}
+
+// Client talks to the platform. It may be used from any goroutine.
+type Client struct {
+	base    string
+	http    *http.Client
+	timeout time.Duration
+
+	mu sync.Mutex
+	// storeTime is the newest Date that the platform sent, seenAt when it came.
+	storeTime time.Time
+	seenAt    time.Time
+}
+
+// New returns a client of the platform at base, such as http://10.0.0.1:9000.
+// Timeout bounds every call but the waiting part of a watch.
+func New(base string, transport http.RoundTripper, timeout time.Duration) *Client {
+	return &Client{
+		base:    strings.TrimRight(base, "/"),
+		http:    &http.Client{Transport: transport},
+		timeout: timeout,
+	}
+}
+
+var _ platform.Platform = (*Client)(nil)
+
+// StoreTime returns the platform's own clock, carried on by this process's
+// monotonic clock; the zero time before the first answer. Clock jumps on this
+// VM don't change it.
+func (c *Client) StoreTime() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.storeTime.IsZero() {
+		return time.Time{}
+	}
+	return c.storeTime.Add(time.Since(c.seenAt))
+}
+
+func (c *Client) noteTime(resp *http.Response) {
+	date, err := http.ParseTime(resp.Header.Get("Date"))
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeTime = date
+	c.seenAt = time.Now()
+}
+
+// do sends the request and notes the platform's clock.
+func (c *Client) do(req *http.Request) (*http.Response, error) {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform")
+	}
+	c.noteTime(resp)
+	return resp, nil
+}
+
+// Get implements platform.ObjectStore.
+func (c *Client) Get(ctx context.Context, key string) (platform.Object, error) {
+	var out Object
+	if err := c.read(ctx, ObjectsPath+key, c.timeout, &out); err != nil {
+		return platform.Object{}, err
+	}
+	return out.domain(), nil
+}
+
+// List implements platform.ObjectStore.
+func (c *Client) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+	var out ObjectList
+	path := ListPath + "?prefix=" + url.QueryEscape(prefix)
+	if err := c.read(ctx, path, c.timeout, &out); err != nil {
+		return nil, 0, err
+	}
+	return out.domain(), out.Revision, nil
+}
+
+// Watch implements platform.ObjectStore.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Object, uint64, error) {
+	query := url.Values{}
+	query.Set("prefix", prefix)
+	query.Set("after", strconv.FormatUint(after, 10))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var out ObjectList
+	if err := c.read(ctx, WatchPath+"?"+query.Encode(), c.timeout+wait, &out); err != nil {
+		return nil, 0, err
+	}
+	return out.domain(), out.Revision, nil
+}
+
+// Members implements platform.Membership.
+func (c *Client) Members(ctx context.Context, failureDomain string) (platform.MemberList, error) {
+	var out platform.MemberList
+	path := MembersPath + "?failure_domain=" + url.QueryEscape(failureDomain)
+	err := c.read(ctx, path, c.timeout, &out)
+	return out, err
+}
+
+// Put implements platform.ObjectStore.
+func (c *Client) Put(ctx context.Context, key string, value []byte, base uint64) (platform.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, c.base+ObjectsPath+key, bytes.NewReader(value))
+	if err != nil {
+		return platform.Object{}, errors.Mark(err, platform.ErrUnavailable)
+	}
+	// A PUT counts as replayable for net/http; without GetBody it is sent once.
+	req.GetBody = nil
+	req.Header.Set(BaseHeader, strconv.FormatUint(base, 10))
+	resp, err := c.do(req)
+	if err != nil {
+		return platform.Object{}, errors.Mark(err, platform.ErrUnknown)
+	}
+	defer drain(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return platform.Object{}, statusError(resp, platform.ErrUnknown)
+	}
+	var out Object
+	if err := decode(resp.Body, &out); err != nil {
+		return platform.Object{}, errors.Mark(err, platform.ErrUnknown)
+	}
+	return out.domain(), nil
+}
+
+func (c *Client) read(ctx context.Context, path string, timeout time.Duration, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return errors.Mark(err, platform.ErrUnavailable)
+	}
+	resp, err := c.do(req)
+	if err != nil {
+		return errors.Mark(err, platform.ErrUnavailable)
+	}
+	defer drain(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return statusError(resp, platform.ErrUnavailable)
+	}
+	return errors.Mark(decode(resp.Body, into), platform.ErrUnavailable)
+}
+
+// statusError maps a status to a sentinel. Only statuses that the protocol
+// promises to send before any effect count as such; the rest is fallback.
+func statusError(resp *http.Response, fallback error) error {
+	kind := fallback
+	switch resp.StatusCode {
+	case http.StatusNotFound:
+		kind = platform.ErrNotFound
+	case http.StatusPreconditionFailed:
+		kind = platform.ErrConflict
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		kind = platform.ErrUnavailable
+	}
+	return errors.Wrapf(kind, "platform answered %d", resp.StatusCode)
+}
+
+func decode(body io.Reader, into any) error {
+	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	if err != nil {
+		return errors.Wrap(err, "read platform answer")
+	}
+	return errors.Wrap(json.Unmarshal(data, into), "decode platform answer")
+}
+
+func drain(body io.ReadCloser) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxAnswerBytes))
+	_ = body.Close()
+}
+
+func (o Object) domain() platform.Object {
+	return platform.Object{Key: o.Key, Version: o.Version, Revision: o.Revision, Value: o.Value}
+}
+
+func (l ObjectList) domain() []platform.Object {
+	out := make([]platform.Object, len(l.Objects))
+	for i, o := range l.Objects {
+		out[i] = o.domain()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/presence/presence.go
@@ -0,0 +1,97 @@
+// Package presence keeps what each upstream VM last said of itself and when
+// it was asked. Times are monotonic and count from when a probe was sent, so
+// a slow answer can only make a VM look staler than it is.
+package presence
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// Witness is one VM's own word, as answered to a probe.
+type Witness struct {
+	VM         string
+	Group      string
+	Generation uint64
+	Rank       int
+	// Size is the number of VMs in the group; zero when the VM is in none.
+	Size int
+	// Fence is the highest fencing token that the VM has obeyed.
+	Fence uint64
+	// Ready is true when the VM can take part in serving.
+	Ready bool
+	// Leaving is true when the VM wants no new work.
+	Leaving bool
+	// Gone is true when the VM's port was closed: its process is not running.
+	Gone bool
+	// InFlight and Queued are the engine's lagging load report, in requests.
+	InFlight int
+	Queued   int
+	// Slots is how many requests the VM runs at once.
+	Slots int
+	// SentAt is when the probe was sent, on this process's monotonic clock.
+	SentAt time.Time
+}
+
+// Board holds the newest witness of each VM. Methods may be called from any
+// goroutine.
+type Board struct {
+	mu  sync.RWMutex
+	vms map[string]Witness
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board {
+	return &Board{vms: make(map[string]Witness)}
+}
+
+// Record stores w unless a witness from a later probe is already there.
+func (b *Board) Record(w Witness) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, ok := b.vms[w.VM]
+	if ok && !w.SentAt.After(old.SentAt) {
+		return
+	}
+	b.vms[w.VM] = w
+}
+
+// Forget drops VMs whose last probe was sent before the given time.
+func (b *Board) Forget(before time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for vm, w := range b.vms {
+		if w.SentAt.Before(before) {
+			delete(b.vms, vm)
+		}
+	}
+}
+
+// Get returns the VM's witness.
+func (b *Board) Get(vm string) (Witness, bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	w, ok := b.vms[vm]
+	return w, ok
+}
+
+// Sorted returns the witnesses that keep accepts, in the order of their VMs' names.
+func (b *Board) Sorted(keep func(vm string) bool) []Witness {
+	b.mu.RLock()
+	out := make([]Witness, 0, len(b.vms))
+	for vm, w := range b.vms {
+		if keep(vm) {
+			out = append(out, w)
+		}
+	}
+	b.mu.RUnlock()
+	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
+	return out
+}
+
+// Fresh reports whether the VM counts as present: it answered a probe sent
+// within the window.
+func (w Witness) Fresh(now time.Time, window time.Duration) bool {
+	return !w.Gone && now.Sub(w.SentAt) <= window
+}
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,50 @@
+// Package quota divides a limit that holds over all entries into shares, one
+// for each entry, without a central counter. Every control process computes
+// the same shares from the same reported demand.
+package quota
+
+import "sort"
+
+// headroom is how far above its reported demand an entry's share may go
+// before others that want more are served, so that a rising demand is seen.
+const headroom = 1.1
+
+// floorShare is the part of an equal share that an entry keeps without any
+// demand, so that its first requests are not refused.
+const floorShare = 0.02
+
+// Demand is what one entry asked for, in requests per second.
+type Demand struct {
+	Entry string
+	Rate  float64
+}
+
+// Shares divides limit by water-filling: no entry gets more than it wants
+// while another wants more, and what nobody wants is divided equally. The
+// shares never add up to more than limit.
+func Shares(limit float64, demands []Demand) map[string]float64 {
+	out := make(map[string]float64, len(demands))
+	if len(demands) == 0 || limit <= 0 {
+		return out
+	}
+	sorted := append([]Demand(nil), demands...)
+	sort.Slice(sorted, func(i, j int) bool {
+		if sorted[i].Rate != sorted[j].Rate {
+			return sorted[i].Rate < sorted[j].Rate
+		}
+		return sorted[i].Entry < sorted[j].Entry
+	})
+	floor := limit / float64(len(sorted)) * floorShare
+	left := limit
+	for i, d := range sorted {
+		fair := left / float64(len(sorted)-i)
+		share := min(max(d.Rate*headroom, floor), fair)
+		out[d.Entry] = share
+		left -= share
+	}
+	spread := left / float64(len(sorted))
+	for entry := range out {
+		out[entry] += spread
+	}
+	return out
+}
--- /dev/null
+++ b/internal/relay/sender.go
@@ -0,0 +1,253 @@
+// Package relay sends a request to one upstream and carries the answer back.
+// It knows at every failure whether the upstream may have run the request.
+package relay
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marbleroad/marbleroad/internal/verdict"
+)
+
+// Headers of the upstreams' protocol.
+const (
+	// RequestIDHeader carries the request's ID; engines echo it.
+	RequestIDHeader = "X-Request-Id"
+	// RunIDHeader names the run that an engine began, for resuming.
+	RunIDHeader = "X-Run-Id"
+	// RefusedHeader with the value "not-run" is an upstream's word that it
+	// did not begin the request.
+	RefusedHeader = "X-Refused"
+	// GroupHeader and GenerationHeader say which group the entry believes in.
+	GroupHeader      = "Marbleroad-Group"
+	GenerationHeader = "Marbleroad-Generation"
+	// PriorityHeader carries the priority, 0 to 9.
+	PriorityHeader = "Marbleroad-Priority"
+
+	refusedNotRun = "not-run"
+)
+
+// Codes of failures in this package.
+const (
+	CodeUnreachable = "upstream-unreachable"
+	CodeRefused     = "upstream-refused"
+	CodeBroken      = "upstream-broken"
+	CodeForeign     = "foreign-answer"
+	CodeDeadline    = "deadline"
+)
+
+// ErrForeignAnswer means that an answer belongs to another request.
+var ErrForeignAnswer = errors.New("answer belongs to another request")
+
+// Outgoing is one request to one upstream.
+type Outgoing struct {
+	Address   string
+	Method    string
+	Path      string
+	Header    http.Header
+	Body      []byte
+	RequestID string
+	// Once is true when the request must not run twice: it goes out on a
+	// connection of its own, which net/http never replays.
+	Once bool
+	// Peer is true when the request goes to another entry, over mutual TLS if set.
+	Peer bool
+	// Echo is true when the upstream's protocol promises to echo the request ID.
+	Echo bool
+}
+
+// Sender sends requests. It may be used from any goroutine.
+type Sender struct {
+	shared *http.Transport
+	single *http.Transport
+	// scheme is http or https, for requests to other entries.
+	peerScheme string
+}
+
+const (
+	dialTimeout     = time.Second
+	idleTimeout     = 60 * time.Second
+	idlePerUpstream = 256
+	writeBuffer     = 32 << 10
+)
+
+// NewSender returns a sender. peerTLS is used towards other entries; nil
+// sends plain HTTP to them.
+//
+// Two transports: net/http's Transport replays some requests on its own when
+// a reused connection breaks (idempotent methods, and any request with an
+// Idempotency-Key), which would run a non-idempotent request twice. It never
+// replays on a connection that is not reused, so the single transport keeps none.
+func NewSender(peerTLS *tls.Config) *Sender {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{Conn: conn}, nil
+	}
+	base := http.Transport{
+		DialContext:         dial,
+		TLSClientConfig:     peerTLS,
+		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{},
+		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: idlePerUpstream,
+		WriteBufferSize:     writeBuffer,
+		DisableCompression:  true,
+	}
+	single := base.Clone()
+	single.DisableKeepAlives = true
+	scheme := "http"
+	if peerTLS != nil {
+		scheme = "https"
+	}
+	return &Sender{shared: base.Clone(), single: single, peerScheme: scheme}
+}
+
+// countingConn counts the bytes written.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write implements net.Conn. Bytes count before they are handed over, since a
+// failed write may have sent a part.
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// wireWatch sees whether any byte of one request reached a connection.
+type wireWatch struct {
+	conns []*countingConn
+	base  []int64
+}
+
+func (w *wireWatch) gotConn(info httptrace.GotConnInfo) {
+	inner := info.Conn
+	if secure, ok := inner.(*tls.Conn); ok {
+		inner = secure.NetConn()
+	}
+	conn, ok := inner.(*countingConn)
+	if !ok {
+		return
+	}
+	w.conns = append(w.conns, conn)
+	w.base = append(w.base, conn.written.Load())
+}
+
+func (w *wireWatch) touched() bool {
+	for i, conn := range w.conns {
+		if conn.written.Load() != w.base[i] {
+			return true
+		}
+	}
+	return false
+}
+
+// Send sends the request and returns the upstream's answer with its header
+// read. The caller closes the body. Every error is a *verdict.Error.
+func (s *Sender) Send(ctx context.Context, o Outgoing) (*http.Response, error) {
+	watch := &wireWatch{}
+	req, err := s.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: watch.gotConn}), o)
+	if err != nil {
+		return nil, failure(verdict.NotRun, CodeUnreachable, "the request cannot be sent", err)
+	}
+	transport := s.shared
+	if o.Once {
+		transport = s.single
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, classify(ctx, watch, err)
+	}
+	if err := check(resp, o); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+func (s *Sender) newRequest(ctx context.Context, o Outgoing) (*http.Request, error) {
+	scheme := "http"
+	if o.Peer {
+		scheme = s.peerScheme
+	}
+	var body io.Reader
+	if len(o.Body) > 0 {
+		body = bytes.NewReader(o.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, o.Method, scheme+"://"+o.Address+o.Path, body)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	req.Header = o.Header.Clone()
+	if req.Header == nil {
+		req.Header = make(http.Header)
+	}
+	req.Header.Set(RequestIDHeader, o.RequestID)
+	if o.Once {
+		req.GetBody = nil
+	}
+	return req, nil
+}
+
+func classify(ctx context.Context, watch *wireWatch, err error) *verdict.Error {
+	v := verdict.NotRun
+	if watch.touched() {
+		v = verdict.MayHaveRun
+	}
+	if ctx.Err() != nil {
+		e := failure(v, CodeDeadline, "the deadline passed or the caller left", err)
+		e.Status = http.StatusGatewayTimeout
+		return e
+	}
+	if v == verdict.NotRun {
+		return failure(v, CodeUnreachable, "no byte of the request reached the upstream", err)
+	}
+	return failure(v, CodeBroken, "the connection broke before the answer", err)
+}
+
+// check refuses answers that are not this request's own, and reads an
+// upstream's word that it did not run the request.
+func check(resp *http.Response, o Outgoing) error {
+	echo := resp.Header.Get(RequestIDHeader)
+	if echo != o.RequestID && (o.Echo || echo != "") {
+		return failure(verdict.MayHaveRun, CodeForeign, "the upstream answered another request", ErrForeignAnswer)
+	}
+	if resp.Header.Get(RefusedHeader) == refusedNotRun {
+		return failure(verdict.NotRun, CodeRefused, "the upstream refused the request before running it", nil)
+	}
+	return nil
+}
+
+func failure(v verdict.Verdict, code, detail string, cause error) *verdict.Error {
+	status := http.StatusBadGateway
+	if v == verdict.NotRun {
+		status = http.StatusServiceUnavailable
+	}
+	return &verdict.Error{Verdict: v, Status: status, Code: code, Detail: detail, Cause: cause}
+}
+
+// Whole reads an answer's body to its end, at most limit bytes. An error is a
+// *verdict.Error with MayHaveRun.
+func Whole(resp *http.Response, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, failure(verdict.MayHaveRun, CodeBroken, "the answer broke off", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, failure(verdict.MayHaveRun, CodeBroken, "the answer is larger than the entry takes", nil)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,224 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marbleroad/marbleroad/internal/verdict"
+)
+
+// ErrSequence means that a stream's events do not follow each other.
+var ErrSequence = errors.New("stream events out of sequence")
+
+// ErrCallerGone means that the caller stopped reading.
+var ErrCallerGone = errors.New("caller is gone")
+
+const (
+	// maxEventBytes bounds one event line.
+	maxEventBytes = 256 << 10
+	// ResumePath is where engines give out the rest of a run.
+	ResumePath = "/v1/runs/"
+)
+
+var (
+	idField   = []byte("id:")
+	dataField = []byte("data:")
+	doneData  = []byte("[DONE]")
+	newline   = []byte("\n")
+)
+
+// Stream relays one run's server-sent events to a caller. It belongs to one
+// goroutine. Invariant: the caller gets events 1, 2, 3 … of one run without
+// gap or repeat, then the terminal event; or an error.
+type Stream struct {
+	out   io.Writer
+	flush func() error
+	// idPrefix is written before each sequence number in the caller's event ID.
+	idPrefix []byte
+	last     uint64
+	scratch  []byte
+	event    []byte
+	events   int
+}
+
+// NewStream returns a stream that continues after event last.
+func NewStream(out io.Writer, flush func() error, idPrefix string, last uint64) *Stream {
+	return &Stream{out: out, flush: flush, idPrefix: []byte(idPrefix), last: last}
+}
+
+// Last returns the sequence number of the last event that the caller got.
+func (s *Stream) Last() uint64 { return s.last }
+
+// Events returns how many events were relayed.
+func (s *Stream) Events() int { return s.events }
+
+// Copy relays events from the upstream's body until the terminal event (done
+// is true), the body's end or an error. Events leave as they come: the output
+// is flushed whenever no further event is at hand.
+func (s *Stream) Copy(body io.Reader) (done bool, err error) {
+	r := bufio.NewReaderSize(body, maxEventBytes)
+	for {
+		ev, err := readEvent(r, s.scratch)
+		if err != nil {
+			return false, err
+		}
+		s.scratch = ev.raw
+		done, err := s.relay(ev)
+		if err != nil {
+			return false, err
+		}
+		if done || r.Buffered() == 0 {
+			if err := s.flush(); err != nil {
+				return done, errors.Mark(err, ErrCallerGone)
+			}
+		}
+		if done {
+			return true, nil
+		}
+	}
+}
+
+// event is one parsed event; raw is the buffer that data points into.
+type event struct {
+	raw  []byte
+	id   uint64
+	data []byte
+}
+
+// readEvent reads up to a blank line. Fields other than id and data are dropped.
+func readEvent(r *bufio.Reader, buf []byte) (event, error) {
+	buf = buf[:0]
+	var ev event
+	dataStart, dataEnd := -1, -1
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return ev, errors.Wrap(brokenStream(err), "read event")
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			if dataStart < 0 && ev.id == 0 {
+				continue
+			}
+			break
+		}
+		if rest, ok := bytes.CutPrefix(line, idField); ok {
+			ev.id, err = parseSequence(bytes.TrimSpace(rest))
+			if err != nil {
+				return ev, err
+			}
+		}
+		if rest, ok := bytes.CutPrefix(line, dataField); ok {
+			if dataStart >= 0 {
+				buf = append(buf, '\n')
+			} else {
+				dataStart = len(buf)
+			}
+			buf = append(buf, bytes.TrimPrefix(rest, []byte(" "))...)
+			dataEnd = len(buf)
+			if len(buf) > maxEventBytes {
+				return ev, errors.Wrap(bufio.ErrBufferFull, "read event")
+			}
+		}
+	}
+	ev.raw = buf
+	if dataStart >= 0 {
+		ev.data = buf[dataStart:dataEnd]
+	}
+	return ev, nil
+}
+
+// brokenStream turns a clean end into an unexpected one: without the terminal
+// event, the stream is short.
+func brokenStream(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// parseSequence reads a decimal number without allocation.
+func parseSequence(text []byte) (uint64, error) {
+	const most = 18
+	if len(text) == 0 || len(text) > most {
+		return 0, errors.Wrapf(ErrSequence, "event ID %q", text)
+	}
+	var n uint64
+	for _, c := range text {
+		if c < '0' || c > '9' {
+			return 0, errors.Wrapf(ErrSequence, "event ID %q", text)
+		}
+		n = n*10 + uint64(c-'0')
+	}
+	return n, nil
+}
+
+func (s *Stream) relay(ev event) (done bool, err error) {
+	switch {
+	case ev.id == s.last+1:
+	case ev.id != 0 && ev.id <= s.last:
+		// An event that the caller already has, after a resume.
+		return false, nil
+	default:
+		return false, errors.Wrapf(ErrSequence, "event %d after %d", ev.id, s.last)
+	}
+	if err := s.write(ev); err != nil {
+		return false, errors.Mark(err, ErrCallerGone)
+	}
+	s.last = ev.id
+	s.events++
+	return bytes.Equal(ev.data, doneData), nil
+}
+
+func (s *Stream) write(ev event) error {
+	b := s.event[:0]
+	b = append(b, "id: "...)
+	b = append(b, s.idPrefix...)
+	b = strconv.AppendUint(b, ev.id, 10)
+	for _, line := range bytes.Split(ev.data, newline) {
+		b = append(b, "\ndata: "...)
+		b = append(b, line...)
+	}
+	b = append(b, "\n\n"...)
+	s.event = b
+	_, err := s.out.Write(b)
+	return err
+}
+
+// Resume asks the engine for the rest of a run after event last.
+func (s *Sender) Resume(ctx context.Context, address, runID, requestID string, last uint64) (*http.Response, error) {
+	resp, err := s.Send(ctx, Outgoing{
+		Address:   address,
+		Method:    http.MethodGet,
+		Path:      ResumePath + runID + "?after=" + strconv.FormatUint(last, 10),
+		RequestID: requestID,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, failure(verdict.MayHaveRun, CodeBroken, "the run cannot be resumed", nil)
+	}
+	return resp, nil
+}
+
+// Cancel tells the engine to stop a run. Failures are ignored: an engine
+// stops a run that nobody reads by itself.
+func (s *Sender) Cancel(ctx context.Context, address, runID, requestID string) {
+	resp, err := s.Send(ctx, Outgoing{
+		Address:   address,
+		Method:    http.MethodDelete,
+		Path:      ResumePath + runID,
+		RequestID: requestID,
+	})
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+}
--- /dev/null
+++ b/internal/tracing/tracing.go
@@ -0,0 +1,122 @@
+// Package tracing sets up OpenTelemetry: a span per hop, W3C context carried on.
+package tracing
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+const (
+	tracerName = "github.com/marbleroad/marbleroad"
+	filePrefix = "file:"
+	// None is the target that switches tracing off.
+	None = "none"
+)
+
+// Tracer starts spans. It is safe for use by several goroutines.
+type Tracer struct {
+	inner      trace.Tracer
+	propagator propagation.TraceContext
+	stop       func(context.Context) error
+}
+
+// New returns a tracer that exports to the target (none, file:PATH or an
+// OTLP/HTTP base URL) and keeps the part sample of new traces.
+func New(ctx context.Context, target, program, node string, sample float64) (*Tracer, error) {
+	if target == None || target == "" {
+		return Off(), nil
+	}
+	exporter, err := newExporter(ctx, target)
+	if err != nil {
+		return nil, err
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(sample))),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", program),
+			attribute.String("service.instance.id", node),
+		)),
+	)
+	return &Tracer{inner: provider.Tracer(tracerName), stop: provider.Shutdown}, nil
+}
+
+// Off returns a tracer that records nothing but still carries context on.
+func Off() *Tracer {
+	return &Tracer{
+		inner: noop.NewTracerProvider().Tracer(tracerName),
+		stop:  func(context.Context) error { return nil },
+	}
+}
+
+func newExporter(ctx context.Context, target string) (sdktrace.SpanExporter, error) {
+	if path, ok := strings.CutPrefix(target, filePrefix); ok {
+		file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, errors.Wrap(err, "open trace file")
+		}
+		exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+		return exporter, errors.Wrap(err, "trace to file")
+	}
+	exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(strings.TrimRight(target, "/")+"/v1/traces"))
+	return exporter, errors.Wrap(err, "trace to OTLP")
+}
+
+// Extract reads the caller's trace context from the header.
+func (t *Tracer) Extract(ctx context.Context, h http.Header) context.Context {
+	return t.propagator.Extract(ctx, propagation.HeaderCarrier(h))
+}
+
+// Inject writes the trace context to the header.
+func (t *Tracer) Inject(ctx context.Context, h http.Header) {
+	t.propagator.Inject(ctx, propagation.HeaderCarrier(h))
+}
+
+// Start starts a span; the caller ends it.
+func (t *Tracer) Start(ctx context.Context, name string, kind trace.SpanKind, attrs ...attribute.KeyValue) (context.Context, trace.Span) {
+	return t.inner.Start(ctx, name, trace.WithSpanKind(kind), trace.WithAttributes(attrs...))
+}
+
+// Stop exports what is left.
+func (t *Tracer) Stop(ctx context.Context) error {
+	return errors.Wrap(t.stop(ctx), "export spans")
+}
+
+// Transport wraps a transport with a client span for each call.
+func (t *Tracer) Transport(name string, next http.RoundTripper) http.RoundTripper {
+	return tracedTransport{tracer: t, name: name, next: next}
+}
+
+type tracedTransport struct {
+	tracer *Tracer
+	name   string
+	next   http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t tracedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	ctx, span := t.tracer.Start(r.Context(), t.name, trace.SpanKindClient,
+		attribute.String("http.request.method", r.Method), attribute.String("url.path", r.URL.Path))
+	defer span.End()
+	sent := r.Clone(ctx)
+	t.tracer.Inject(ctx, sent.Header)
+	resp, err := t.next.RoundTrip(sent)
+	if err != nil {
+		span.RecordError(err)
+		return nil, err
+	}
+	span.SetAttributes(attribute.Int("http.response.status_code", resp.StatusCode))
+	return resp, nil
+}
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,120 @@
+// Package transport builds the listeners and clients between our own
+// processes: HTTP/2 over plain TCP, or over mutual TLS when set.
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marbleroad/marbleroad/internal/settings"
+)
+
+const (
+	dialTimeout       = time.Second
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 90 * time.Second
+	// pingInterval finds peers that are cut off without a closed connection.
+	pingInterval = 5 * time.Second
+	pingTimeout  = 2 * time.Second
+)
+
+// Peers makes listeners and clients for the traffic between our processes.
+type Peers struct {
+	tls *tls.Config
+}
+
+// NewPeers reads the TLS files. Without them traffic is plain.
+func NewPeers(s settings.TLS) (*Peers, error) {
+	if s.PeerCert == "" {
+		return &Peers{}, nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.PeerCert, s.PeerKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "read peer certificate")
+	}
+	pem, err := os.ReadFile(s.PeerCA)
+	if err != nil {
+		return nil, errors.Wrap(err, "read peer authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("%s holds no certificate", s.PeerCA)
+	}
+	return &Peers{tls: &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}}, nil
+}
+
+// TLS returns the TLS settings towards our own processes; nil for plain TCP.
+func (p *Peers) TLS() *tls.Config { return p.tls.Clone() }
+
+// URL returns the base URL of a peer at an IP number and port.
+func (p *Peers) URL(address string) string {
+	if p.tls == nil {
+		return "http://" + address
+	}
+	return "https://" + address
+}
+
+// Client returns an HTTP/2 client for peers.
+func (p *Peers) Client() *http.Client {
+	var protocols http.Protocols
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(p.tls == nil)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:     dialer.DialContext,
+		TLSClientConfig: p.tls.Clone(),
+		Protocols:       &protocols,
+		IdleConnTimeout: idleTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+	}}
+}
+
+// Serve listens on the address and serves the handler until the server is closed.
+func (p *Peers) Serve(address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(p.tls == nil)
+	server := &http.Server{
+		Handler:           handler,
+		Protocols:         &protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		TLSConfig:         p.tls.Clone(),
+	}
+	go func() {
+		if p.tls == nil {
+			_ = server.Serve(listener)
+			return
+		}
+		_ = server.ServeTLS(listener, "", "")
+	}()
+	return server, nil
+}
+
+// Shutdown ends a server gracefully within the context, then for good.
+func Shutdown(ctx context.Context, s *http.Server) error {
+	if s == nil {
+		return nil
+	}
+	if err := s.Shutdown(ctx); err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "shut down"), s.Close())
+	}
+	return nil
+}
--- /dev/null
+++ b/test/standin/plain/plain.go
@@ -0,0 +1,118 @@
+// Package plain is a small stand-in for a plain application service that
+// counts its executions by request.
+package plain
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/engine/httpapi"
+	"github.com/marbleroad/marbleroad/internal/relay"
+)
+
+// Service is the stand-in of one VM.
+type Service struct {
+	VM string
+	// Slots is how many requests the VM says it runs at once.
+	Slots int
+
+	mu         sync.Mutex
+	executions map[string]int
+	byKey      map[string]int
+	total      int
+	delay      time.Duration
+	// breakNext closes that many connections after the request has run.
+	breakNext int
+	leaving   bool
+	inFlight  int
+}
+
+// New returns the stand-in.
+func New(vm string, slots int) *Service {
+	return &Service{VM: vm, Slots: slots, executions: make(map[string]int), byKey: make(map[string]int)}
+}
+
+// SetDelay makes each request take this long.
+func (s *Service) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// BreakNext closes the connection of the next n requests after they ran.
+func (s *Service) BreakNext(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breakNext = n
+}
+
+// SetLeaving makes the VM say that it wants no new work.
+func (s *Service) SetLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+// Executions returns how often the request with this ID ran.
+func (s *Service) Executions(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.executions[id]
+}
+
+// ByKey returns how often a request with this idempotency key ran.
+func (s *Service) ByKey(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byKey[key]
+}
+
+// Total returns how many requests ran.
+func (s *Service) Total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == httpapi.StatusPath {
+		s.mu.Lock()
+		status := httpapi.Status{Ready: true, Leaving: s.leaving, InFlight: s.inFlight, Slots: s.Slots}
+		s.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(status)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get(relay.RequestIDHeader)
+	s.mu.Lock()
+	s.executions[id]++
+	s.total++
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		s.byKey[key]++
+	}
+	delay := s.delay
+	broken := s.breakNext > 0
+	if broken {
+		s.breakNext--
+	}
+	s.inFlight++
+	s.mu.Unlock()
+	time.Sleep(delay)
+	s.mu.Lock()
+	s.inFlight--
+	s.mu.Unlock()
+	if broken {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(relay.RequestIDHeader, id)
+	w.Header().Set("Content-Type", "text/plain")
+	_, _ = fmt.Fprintf(w, "%s %s by %s for %s: %s", r.Method, r.URL.RequestURI(), s.VM, id, body)
+}
