Connections come from the VM's own address; advertised addresses

Cause: faults between two given processes can't be injected, nor a multi-homed VM recognised, while connections come from any local address. Ruled out: one proxy address per pair of processes, which the node records cannot express. Change: outgoing connections are bound to the IP number of the listener; entry.advertise and control.advertise name another address for others. Before: all loopback connections came from 127.0.0.1. Conclusion: a setting that a multi-homed VM needs anyway serves the tests.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -38,9 +38,12 @@
 
 // Config holds what the control daemon needs to know.
 type Config struct {
-	NodeID              string
-	FailureDomain       string
-	Listen              string
+	NodeID        string
+	FailureDomain string
+	Listen        string
+	// Advertise is the address that other nodes reach Listen under.
+	Advertise string
+	// EntryPeer is the address of this VM's entry for other nodes.
 	EntryPeer           string
 	Seeds               []string
 	OperatorTokenSHA256 string
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -69,7 +69,7 @@
 // peers lists the nodes to read, and the seeds that no known node covers.
 func (x *exchanger) peers() []node.Record {
 	out := x.k.duties.Load().peers
-	covered := map[string]bool{x.k.config.Listen: true}
+	covered := map[string]bool{x.k.config.Advertise: true}
 	for _, p := range out {
 		covered[p.Control] = true
 	}
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -163,7 +163,7 @@
 	rec := node.Record{
 		ID:            k.config.NodeID,
 		FailureDomain: k.config.FailureDomain,
-		Control:       k.config.Listen,
+		Control:       k.config.Advertise,
 		EntryPeer:     k.config.EntryPeer,
 	}
 	var wait backoff
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	peers, err := transport.NewPeers(a.tls)
+	peers, err := transport.NewPeers(a.tls, "")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -46,7 +45,7 @@
 	platformIdle     = 4
 	probeIdle        = 1
 	idleTimeout      = 90 * time.Second
-	dialTimeout      = time.Second
+	flushTimeout     = time.Second
 )
 
 // base is what both daemons have.
@@ -145,7 +144,11 @@
 	if err != nil {
 		return err
 	}
-	peers, err := transport.NewPeers(s.TLS)
+	from := s.Control.Listen
+	if program == settings.EntryProgram {
+		from = s.Entry.Peer
+	}
+	peers, err := transport.NewPeers(s.TLS, from)
 	if err != nil {
 		return errors.Mark(err, settings.ErrInvalid)
 	}
@@ -155,7 +158,7 @@
 		metrics:  metrics.NewRegistry(),
 		tracer:   tracer,
 		peers:    peers,
-		platform: platformapi.New(s.Platform.URL, tracer.Transport("platform", newTransport(platformIdle)), s.Platform.Timeout),
+		platform: platformapi.New(s.Platform.URL, tracer.Transport("platform", newTransport(from, platformIdle)), s.Platform.Timeout),
 	}
 	k, err := b.assemble(program)
 	if err != nil {
@@ -164,10 +167,9 @@
 	return b.runUntilSignal(k)
 }
 
-func newTransport(idle int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(from string, idle int) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         transport.Dialer(from).DialContext,
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     idleTimeout,
 	}
@@ -235,7 +237,8 @@
 		NodeID:              s.Node.ID,
 		FailureDomain:       s.Node.FailureDomain,
 		Listen:              s.Control.Listen,
-		EntryPeer:           s.Entry.Peer,
+		Advertise:           s.Control.Advertise,
+		EntryPeer:           s.Entry.Advertise,
 		Seeds:               s.Control.Seeds,
 		OperatorTokenSHA256: s.Control.OperatorTokenSHA256,
 		ProbeInterval:       s.Control.ProbeInterval,
@@ -251,7 +254,7 @@
 		Tracer:   b.tracer,
 		Peers:    b.peers,
 		Platform: b.platform,
-		Engine:   engineapi.New(newTransport(probeIdle)),
+		Engine:   engineapi.New(newTransport(s.Control.Listen, probeIdle)),
 	})
 	return assemble(admin.New(s.Control.Admin, b.metrics, c.Ready, s.Debug.Pprof), c)
 }
@@ -285,7 +288,7 @@
 		cancel()
 	}()
 	err := k.Stop(ctx)
-	flush, cancelFlush := context.WithTimeout(context.Background(), dialTimeout)
+	flush, cancelFlush := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancelFlush()
 	if flushErr := b.tracer.Stop(flush); flushErr != nil {
 		b.log.Emit(event.TraceExportFailed).Err(flushErr).Send()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -118,7 +118,7 @@
 		metrics:    p.Metrics,
 		tracer:     p.Tracer,
 		peers:      p.Peers,
-		sender:     relay.NewSender(p.Peers.TLS()),
+		sender:     relay.NewSender(transport.Dialer(c.Peer), p.Peers.TLS()),
 		ledger:     p.Ledger,
 		limits:     newLimits(time.Now()),
 		trails:     newTrails(),
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -74,21 +74,19 @@
 }
 
 const (
-	dialTimeout     = time.Second
 	idleTimeout     = 60 * time.Second
 	idlePerUpstream = 256
 	writeBuffer     = 32 << 10
 )
 
-// NewSender returns a sender. peerTLS is used towards other entries; nil
+// NewSender returns a sender whose connections come from the dialer. peerTLS is used towards other entries; nil
 // sends plain HTTP to them.
 //
 // Two transports: net/http's Transport replays some requests on its own when
 // a reused connection breaks (idempotent methods, and any request with an
 // Idempotency-Key), which would run a non-idempotent request twice. It never
 // replays on a connection that is not reused, so the single transport keeps none.
-func NewSender(peerTLS *tls.Config) *Sender {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func NewSender(dialer *net.Dialer, peerTLS *tls.Config) *Sender {
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -70,6 +70,8 @@
 		func(s *Settings, t string) error { return address(t, &s.Entry.Admin) }},
 	{"entry", "peer", "", allowedAddress, "Where control daemons ask the entry to explain requests, and other failure domains' entries send what they cannot serve.", entryOnly,
 		func(s *Settings, t string) error { return address(t, &s.Entry.Peer) }},
+	{"entry", "advertise", "", allowedAddress, "Address under which others reach entry.peer; empty is entry.peer itself.", nil,
+		func(s *Settings, t string) error { return address(t, &s.Entry.Advertise) }},
 	{"entry", "control", "", "addresses of control daemons, separated by commas", "Control daemons of this failure domain, the one on this VM first; the next is read when one does not answer.", entryOnly,
 		func(s *Settings, t string) error { return addresses(t, &s.Entry.Control) }},
 	{"entry", "view_interval", "250ms", allowedDuration, "Time between two readings of a control daemon's view.", nil,
@@ -83,6 +85,8 @@
 
 	{"control", "listen", "", allowedAddress, "Where entries, peers and operators reach the control daemon.", controlOnly,
 		func(s *Settings, t string) error { return address(t, &s.Control.Listen) }},
+	{"control", "advertise", "", allowedAddress, "Address under which others reach control.listen; empty is control.listen itself.", nil,
+		func(s *Settings, t string) error { return address(t, &s.Control.Advertise) }},
 	{"control", "admin", "", allowedAddress, "Where health, metrics and, if set, profiles of the control daemon are served.", controlOnly,
 		func(s *Settings, t string) error { return address(t, &s.Control.Admin) }},
 	{"control", "seeds", "", "addresses of control daemons, separated by commas", "Peers to begin with, needed when the platform is away at the start.", nil,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,10 +30,12 @@
 
 // Entry holds the settings of marbleroad-entry.
 type Entry struct {
-	Listen  string
-	Admin   string
-	Peer    string
-	Control []string
+	Listen string
+	Admin  string
+	Peer   string
+	// Advertise is the peer address that others are told; Peer when empty.
+	Advertise string
+	Control   []string
 	// ViewInterval is the time between two readings of the control process's view.
 	ViewInterval time.Duration
 	// BalancerDelay is how long the balancer may still send work after
@@ -49,7 +51,9 @@
 type Control struct {
 	Listen string
 	Admin  string
-	Seeds  []string
+	// Advertise is the address that others are told; Listen when empty.
+	Advertise string
+	Seeds     []string
 	// OperatorTokenSHA256 is the hex SHA-256 of the operators' bearer token.
 	OperatorTokenSHA256 string
 	ProbeInterval       time.Duration
@@ -196,6 +200,12 @@
 
 func (r *reader) checkTogether(s *Settings) {
 	r.checkPorts(s)
+	if s.Entry.Advertise == "" {
+		s.Entry.Advertise = s.Entry.Peer
+	}
+	if s.Control.Advertise == "" {
+		s.Control.Advertise = s.Control.Listen
+	}
 	if s.Presence.Window < 2*(s.Control.ProbeInterval+s.Control.ExchangeInterval) {
 		r.fault("presence", "window", "%s is too short; allowed is at least twice control.probe_interval and control.exchange_interval together", s.Presence.Window)
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"time"
 
@@ -25,15 +26,29 @@
 	pingTimeout  = 2 * time.Second
 )
 
+// Dialer returns a dialer whose connections come from the IP number of the
+// given address, so that a VM with several is known by the one in its
+// settings. An empty or unspecified address leaves the choice to the system.
+func Dialer(from string) *net.Dialer {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	parsed, err := netip.ParseAddrPort(from)
+	if err == nil && !parsed.Addr().IsUnspecified() {
+		dialer.LocalAddr = &net.TCPAddr{IP: parsed.Addr().AsSlice()}
+	}
+	return dialer
+}
+
 // Peers makes listeners and clients for the traffic between our processes.
 type Peers struct {
-	tls *tls.Config
+	tls    *tls.Config
+	dialer *net.Dialer
 }
 
-// NewPeers reads the TLS files. Without them traffic is plain.
-func NewPeers(s settings.TLS) (*Peers, error) {
+// NewPeers reads the TLS files; without them traffic is plain. Connections
+// come from the IP number of the address from.
+func NewPeers(s settings.TLS, from string) (*Peers, error) {
 	if s.PeerCert == "" {
-		return &Peers{}, nil
+		return &Peers{dialer: Dialer(from)}, nil
 	}
 	cert, err := tls.LoadX509KeyPair(s.PeerCert, s.PeerKey)
 	if err != nil {
@@ -47,7 +62,7 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, errors.Newf("%s holds no certificate", s.PeerCA)
 	}
-	return &Peers{tls: &tls.Config{
+	return &Peers{dialer: Dialer(from), tls: &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{cert},
 		RootCAs:      pool,
@@ -72,9 +87,8 @@
 	var protocols http.Protocols
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(p.tls == nil)
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:     dialer.DialContext,
+		DialContext:     p.dialer.DialContext,
 		TLSClientConfig: p.tls.Clone(),
 		Protocols:       &protocols,
 		IdleConnTimeout: idleTimeout,
--- a/test/standin/faultproxy/faultproxy.go
+++ b/test/standin/faultproxy/faultproxy.go
@@ -25,16 +25,19 @@
 	LoseRequests
 )
 
-// Proxy forwards one listening address to one target.
+// Proxy forwards one listening address to one target. Faults hold for all
+// callers, or for those from one IP number.
 type Proxy struct {
 	target   string
 	listener net.Listener
 
 	mu    sync.Mutex
 	mode  Mode
+	from  map[string]Mode
 	delay time.Duration
 	freed chan struct{}
-	conns map[net.Conn]bool
+	// conns maps each connection to its caller's IP number.
+	conns map[net.Conn]string
 }
 
 // New listens on the address and forwards to the target.
@@ -43,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, conns: make(map[net.Conn]bool), freed: make(chan struct{})}
+	p := &Proxy{target: target, listener: l, conns: make(map[net.Conn]string), from: make(map[string]Mode), freed: make(chan struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -56,13 +59,28 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
-	close(p.freed)
-	p.freed = make(chan struct{})
+	p.wake()
+	if m == Refuse {
+		p.breakAll("")
+	}
+}
+
+// SetFrom changes the mode for callers from one IP number; Pass lifts it.
+func (p *Proxy) SetFrom(ip string, m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.from[ip] = m
+	p.wake()
 	if m == Refuse {
-		p.breakAll()
+		p.breakAll(ip)
 	}
 }
 
+func (p *Proxy) wake() {
+	close(p.freed)
+	p.freed = make(chan struct{})
+}
+
 // SetDelay delays each piece of data, both ways.
 func (p *Proxy) SetDelay(d time.Duration) {
 	p.mu.Lock()
@@ -74,12 +92,14 @@
 func (p *Proxy) Break() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.breakAll()
+	p.breakAll("")
 }
 
-func (p *Proxy) breakAll() {
-	for c := range p.conns {
-		_ = c.Close()
+func (p *Proxy) breakAll(ip string) {
+	for c, from := range p.conns {
+		if ip == "" || ip == from {
+			_ = c.Close()
+		}
 	}
 }
 
@@ -99,25 +119,31 @@
 	}
 }
 
-func (p *Proxy) state() (Mode, time.Duration, chan struct{}) {
+func (p *Proxy) state(ip string) (Mode, time.Duration, chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if m := p.from[ip]; m != Pass {
+		return m, p.delay, p.freed
+	}
 	return p.mode, p.delay, p.freed
 }
 
-func (p *Proxy) track(c net.Conn, open bool) {
+func (p *Proxy) track(c net.Conn, ip string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = ip
+}
+
+func (p *Proxy) untrack(c net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if open {
-		p.conns[c] = true
-		return
-	}
 	delete(p.conns, c)
 }
 
 func (p *Proxy) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
-	if mode, _, _ := p.state(); mode == Refuse {
+	ip, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	if mode, _, _ := p.state(ip); mode == Refuse {
 		return
 	}
 	up, err := net.Dial("tcp", p.target)
@@ -125,26 +151,26 @@
 		return
 	}
 	defer func() { _ = up.Close() }()
-	p.track(c, true)
-	p.track(up, true)
-	defer p.track(c, false)
-	defer p.track(up, false)
+	p.track(c, ip)
+	p.track(up, ip)
+	defer p.untrack(c)
+	defer p.untrack(up)
 	done := make(chan struct{}, 2)
-	go func() { p.copy(up, c, LoseRequests); done <- struct{}{} }()
-	go func() { p.copy(c, up, LoseAnswers); done <- struct{}{} }()
+	go func() { p.copy(up, c, ip, LoseRequests); done <- struct{}{} }()
+	go func() { p.copy(c, up, ip, LoseAnswers); done <- struct{}{} }()
 	<-done
 }
 
 // copy moves bytes one way; lost is the mode in which they are dropped.
-func (p *Proxy) copy(into io.Writer, from io.Reader, lost Mode) {
+func (p *Proxy) copy(into io.Writer, from io.Reader, ip string, lost Mode) {
 	const size = 32 << 10
 	buf := make([]byte, size)
 	for {
 		n, err := from.Read(buf)
-		mode, delay, freed := p.state()
+		mode, delay, freed := p.state(ip)
 		for mode == Freeze {
 			<-freed
-			mode, delay, freed = p.state()
+			mode, delay, freed = p.state(ip)
 		}
 		if delay > 0 {
 			time.Sleep(delay)
