Integration tests with real processes; ledger and routing faults mended

Cause: a first run of the failure tests showed three faults. 1. A retry at another entry never got the first answer: the ledger judged reads by its cached bucket, which nobody refreshed. 2. An upstream that was new or had come back got no work while the others were idle: its unknown time to first byte counted as 50 ms, and equal scores always fell to the same upstream. 3. Ruled out for 1: a lost background write (the store held the answer). Change: a batch without a change reads the store once before it answers; unknown upstreams count as quick as the quickest, scores within 5 ms are equal, and a request without a prompt takes a random number as its affinity. Before: 5 of 29 tests failed. After: all pass (one run, 18.2 s). Conclusion: the tests stay as they found the faults.

--- a/internal/entry/desk.go
+++ b/internal/entry/desk.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -73,7 +74,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	candidates := d.tracker.Candidates(now, d.upstreams, blocks)
-	request := routing.Request{Now: now, Tried: tried}
+	request := routing.Request{Now: now, Affinity: rand.Uint64(), Tried: tried}
 	if len(blocks) > 0 {
 		request.Affinity = blocks[0]
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -276,12 +276,20 @@
 // for another round when the state was old or the write's outcome is unknown:
 // the operations recognise their own records, so applying again is safe.
 func (c *committer) attempt(ctx context.Context, batch []*operation) (again bool, err error) {
-	if c.base == 0 {
+	fresh := c.base == 0
+	if fresh {
 		if err := c.load(ctx); err != nil {
 			return false, err
 		}
 	}
 	next, changed := c.apply(batch)
+	if !changed && !fresh {
+		// Only reads: what is known may be old, since other entries write too.
+		if err := c.load(ctx); err != nil {
+			return false, err
+		}
+		next, changed = c.apply(batch)
+	}
 	if !changed {
 		return false, nil
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -26,7 +26,8 @@
 // Request is what routing looks at.
 type Request struct {
 	Now time.Time
-	// Affinity is the hash of the prompt's first block; zero for none.
+	// Affinity is the hash of the prompt's first block, or a random number for
+	// a request without a prompt. Equal scores go by it.
 	Affinity uint64
 	// Tried holds the IDs of upstreams that already refused the request.
 	Tried map[string]bool
@@ -69,29 +70,39 @@
 	Prefill time.Duration
 }
 
-// defaultFirstByte stands in for an upstream never used before.
-const defaultFirstByte = 50 * time.Millisecond
-
-// Score implements Scorer.
-func (s ExpectedFirstTokenScorer) Score(_ Request, c Candidate, _ []Candidate) float64 {
+// Score implements Scorer. An upstream never used before is taken to be as
+// quick as the quickest, so that it gets its first requests.
+func (s ExpectedFirstTokenScorer) Score(_ Request, c Candidate, all []Candidate) float64 {
 	load := max(c.InFlight+c.Queued, c.Own)
 	waitingAhead := max(load+1-c.Slots, 0)
 	perSlot := s.ServiceTime.Seconds() / float64(c.Slots)
 	first := c.FirstByte
 	if first == 0 {
-		first = defaultFirstByte
+		first = quickest(all)
 	}
 	busy := float64(load) / float64(c.Slots)
 	prefill := s.Prefill.Seconds() * (1 - c.HasPrefix)
 	return float64(waitingAhead)*perSlot + first.Seconds()*(1+busy) + prefill
 }
 
+func quickest(all []Candidate) time.Duration {
+	best := time.Duration(0)
+	for _, c := range all {
+		if c.FirstByte > 0 && (best == 0 || c.FirstByte < best) {
+			best = c.FirstByte
+		}
+	}
+	return best
+}
+
 // LowestScorePicker picks the lowest score; equal scores go by rendezvous
 // hash of the prompt, so that equal prompts meet at one upstream.
 type LowestScorePicker struct {
 	// Margin is the part by which a score may be above the lowest and still
 	// count as equal.
 	Margin float64
+	// Noise is the difference in seconds below which scores count as equal.
+	Noise float64
 }
 
 // Pick implements Picker.
@@ -103,7 +114,7 @@
 	best := -1
 	var bestHash uint64
 	for i, s := range scores {
-		if s > lowest*(1+p.Margin) {
+		if s > lowest*(1+p.Margin)+p.Noise {
 			continue
 		}
 		h := rendezvous(r.Affinity, cs[i].ID)
@@ -165,11 +176,12 @@
 	const (
 		prefill = 200 * time.Millisecond
 		margin  = 0.1
+		noise   = 0.005
 	)
 	return Policy{
 		Filters: []Filter{TrustFilter{}},
 		Scorer:  ExpectedFirstTokenScorer{ServiceTime: serviceTime, Prefill: prefill},
-		Picker:  LowestScorePicker{Margin: margin},
+		Picker:  LowestScorePicker{Margin: margin, Noise: noise},
 	}
 }
 
--- /dev/null
+++ b/test/integration/operator_test.go
@@ -0,0 +1,68 @@
+package integration
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/marbleroad/marbleroad/internal/ctl"
+)
+
+// ctl runs marbleroadctl against a node's control daemon.
+func (s *site) ctl(nd *node, args ...string) (string, int) {
+	return s.ctlIn(nd, "", args...)
+}
+
+func (s *site) ctlIn(nd *node, in string, args ...string) (string, int) {
+	var out bytes.Buffer
+	all := append([]string{"--control", fmt.Sprintf("%s:%d", nd.ip, controlPort), "--token-file", s.tokenFile(), "--timeout", "5s"}, args...)
+	code := ctl.Main(all, strings.NewReader(in), &out, &out)
+	return out.String(), code
+}
+
+func keyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// load writes the sample table and waits until it is in force everywhere and
+// the groups serve.
+func (s *site) load(domains []string, vms, replicas int) {
+	s.t.Helper()
+	services := "name,kind,pool,idempotent\nnowcast,model,,yes\ntiles,plain,tiles,yes\nwarnings,plain,tiles,no\n"
+	teams := fmt.Sprintf("name,key_sha256,weight,max_priority\nforecasters,%s,4,9\nagrimet,%s,1,5\n", keyHash(teamKey), keyHash(bulkKey))
+	groups := "name,service,failure_domain,fabric,pool,vms,replicas,load_time\n"
+	for _, d := range domains {
+		groups += fmt.Sprintf("g-%s,nowcast,%s,f1,models,%d,%d,100ms\n", d, d, vms, replicas)
+	}
+	for _, sheet := range [][2]string{{"services", services}, {"teams", teams}, {"groups", groups}} {
+		s.eventually("sheet "+sheet[0]+" is accepted", func() bool {
+			_, code := s.ctlIn(s.nodes[0], sheet[1], "table", "apply", sheet[0], "-")
+			return code == 0
+		})
+	}
+	s.eventually("every entry serves", func() bool {
+		return s.everyNode(func(nd *node) bool { return s.serves(nd) })
+	})
+}
+
+// serves reports whether the node answers a model request and a plain one by
+// its own failure domain.
+func (s *site) serves(nd *node) bool {
+	hop := map[string]string{"Marbleroad-Hop": "test"}
+	model := s.call(nd, ask{header: hop})
+	plain := s.call(nd, ask{path: "/services/tiles/x", method: "GET", header: hop})
+	return model.status == 200 && plain.status == 200
+}
+
+func (s *site) tokenFile() string {
+	path := filepath.Join(s.dir, "token")
+	if err := os.WriteFile(path, []byte(operatorToken+"\n"), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
