A control process finds out that the platform is back

Cause: TestVMAndPlatformLostTogether once failed: the planner of the fabric domain was not the reader, so after a failed call nothing of its own ever called the platform again, and it went on believing that it was away. Change: while the platform counts as away a process asks for its own record, with growing, jittered pauses.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -144,6 +144,7 @@
 	k.work(ctx, k.exchanger.loop)
 	k.work(ctx, k.tableLoop)
 	k.work(ctx, k.membersLoop)
+	k.work(ctx, k.recoverLoop)
 	k.work(ctx, k.registerLoop)
 	return nil
 }
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -128,6 +128,31 @@
 	}
 }
 
+// recoverLoop asks the platform again after a failed call, until it answers.
+// Processes that are not readers make calls only now and then, and would
+// otherwise go on believing that it is away.
+func (k *Control) recoverLoop(ctx context.Context) {
+	var wait backoff
+	for {
+		next := idlePause
+		if k.platformDown.Load() {
+			next = wait.pause()
+		} else {
+			wait.reset()
+		}
+		if !pause(ctx, next) {
+			return
+		}
+		if !k.platformDown.Load() {
+			continue
+		}
+		_, err := k.parts.Platform.Get(ctx, node.Key(k.config.NodeID))
+		if ctx.Err() == nil {
+			k.notePlatform(err)
+		}
+	}
+}
+
 // membersLoop reads the membership list while this process is the reader, and
 // once at the start.
 func (k *Control) membersLoop(ctx context.Context) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -181,7 +181,10 @@
 	b = append(b, "id: "...)
 	b = append(b, s.idPrefix...)
 	b = strconv.AppendUint(b, ev.id, 10)
-	for _, line := range bytes.Split(ev.data, newline) {
+	rest, more := ev.data, true
+	for more {
+		var line []byte
+		line, rest, more = bytes.Cut(rest, newline)
 		b = append(b, "\ndata: "...)
 		b = append(b, line...)
 	}
