--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -11,6 +11,7 @@
 	"github.com/marbleroad/marbleroad/internal/item"
 	"github.com/marbleroad/marbleroad/internal/node"
 	"github.com/marbleroad/marbleroad/internal/platform"
+	"github.com/marbleroad/marbleroad/internal/transport"
 	"github.com/marbleroad/marbleroad/internal/view"
 )
 
@@ -169,6 +170,18 @@
 	s.k.duties.Store(d)
 	s.plan(now, snapshot, live)
 	s.lastTick = now
+	s.reportTraffic()
+}
+
+func (s *state) reportTraffic() {
+	t := &s.k.parts.Peers.Traffic
+	for name, m := range map[string]*transport.Meter{
+		"peers": &t.Peers, "local": &t.Local, "platform": &t.Platform, "upstreams": &t.Upstreams,
+	} {
+		in, out := m.Bytes()
+		s.k.parts.Metrics.Set("bytes."+name+".in", in)
+		s.k.parts.Metrics.Set("bytes."+name+".out", out)
+	}
 }
 
 // liveNodes lists the live control processes of this failure domain, itself included.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -158,7 +158,7 @@
 		metrics:  metrics.NewRegistry(),
 		tracer:   tracer,
 		peers:    peers,
-		platform: platformapi.New(s.Platform.URL, tracer.Transport("platform", newTransport(from, platformIdle)), s.Platform.Timeout),
+		platform: platformapi.New(s.Platform.URL, tracer.Transport("platform", newTransport(from, platformIdle, &peers.Traffic.Platform)), s.Platform.Timeout),
 	}
 	k, err := b.assemble(program)
 	if err != nil {
@@ -167,9 +167,9 @@
 	return b.runUntilSignal(k)
 }
 
-func newTransport(from string, idle int) *http.Transport {
+func newTransport(from string, idle int, meter *transport.Meter) *http.Transport {
 	return &http.Transport{
-		DialContext:         transport.Dialer(from).DialContext,
+		DialContext:         transport.Metered(transport.Dialer(from).DialContext, meter),
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     idleTimeout,
 	}
@@ -254,7 +254,7 @@
 		Tracer:   b.tracer,
 		Peers:    b.peers,
 		Platform: b.platform,
-		Engine:   engineapi.New(newTransport(s.Control.Listen, probeIdle)),
+		Engine:   engineapi.New(newTransport(s.Control.Listen, probeIdle, &b.peers.Traffic.Upstreams)),
 	})
 	return assemble(admin.New(s.Control.Admin, b.metrics, c.Ready, s.Debug.Pprof), c)
 }
--- /dev/null
+++ b/internal/transport/meter.go
@@ -0,0 +1,90 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Meter counts the bytes of payload that some connections carry, without the
+// headers of TCP and IP. It is safe for use by several goroutines.
+type Meter struct {
+	in  atomic.Int64
+	out atomic.Int64
+}
+
+// Bytes returns the bytes received and sent so far.
+func (m *Meter) Bytes() (in, out int64) { return m.in.Load(), m.out.Load() }
+
+// Traffic counts a control daemon's bytes by their purpose.
+type Traffic struct {
+	// Peers counts exchanges with other nodes' control daemons, and operators.
+	Peers Meter
+	// Local counts what stays on this VM: the entry's reading of the view.
+	Local Meter
+	// Platform counts calls to the platform.
+	Platform Meter
+	// Upstreams counts probes and orders.
+	Upstreams Meter
+}
+
+type meteredConn struct {
+	net.Conn
+	meter *Meter
+}
+
+// Read implements net.Conn.
+func (c meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.in.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.out.Add(int64(n))
+	return n, err
+}
+
+// DialFunc opens a connection, as http.Transport asks for it.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Metered counts the bytes of the connections that dial opens.
+func Metered(dial DialFunc, m *Meter) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return meteredConn{Conn: conn, meter: m}, nil
+	}
+}
+
+// meteredListener counts the bytes of accepted connections, those from this
+// VM's own address apart.
+type meteredListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+// Accept implements net.Listener.
+func (l meteredListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	meter := &l.traffic.Peers
+	if hostOf(conn.RemoteAddr()) == hostOf(conn.LocalAddr()) {
+		meter = &l.traffic.Local
+	}
+	return meteredConn{Conn: conn, meter: meter}, nil
+}
+
+func hostOf(a net.Addr) string {
+	host, _, err := net.SplitHostPort(a.String())
+	if err != nil {
+		return ""
+	}
+	return host
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -40,6 +40,9 @@
 
 // Peers makes listeners and clients for the traffic between our processes.
 type Peers struct {
+	// Traffic counts the bytes of the clients and listeners made here.
+	Traffic Traffic
+
 	tls    *tls.Config
 	dialer *net.Dialer
 }
@@ -88,7 +91,7 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(p.tls == nil)
 	return &http.Client{Transport: &http.Transport{
-		DialContext:     p.dialer.DialContext,
+		DialContext:     Metered(p.dialer.DialContext, &p.Traffic.Peers),
 		TLSClientConfig: p.tls.Clone(),
 		Protocols:       &protocols,
 		IdleConnTimeout: idleTimeout,
@@ -98,10 +101,11 @@
 
 // Serve listens on the address and serves the handler until the server is closed.
 func (p *Peers) Serve(address string, handler http.Handler) (*http.Server, error) {
-	listener, err := net.Listen("tcp", address)
+	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
+	listener := meteredListener{Listener: inner, traffic: &p.Traffic}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
