--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
@@ -130,8 +131,8 @@
 	}
 	k.state = state
 	mux := http.NewServeMux()
-	mux.Handle(marbleroadv1connect.NewViewServiceHandler(viewHandler{k}))
-	mux.Handle(marbleroadv1connect.NewPeerServiceHandler(peerHandler{k}))
+	mux.Handle(marbleroadv1connect.NewViewServiceHandler(viewHandler{k}, smallPlain))
+	mux.Handle(marbleroadv1connect.NewPeerServiceHandler(peerHandler{k}, smallPlain))
 	mux.Handle(k.operatorHandler())
 	k.server, err = k.parts.Peers.Serve(k.config.Listen, mux)
 	if err != nil {
@@ -141,6 +142,7 @@
 	k.cancel = cancel
 	k.work(ctx, k.tickLoop)
 	k.work(ctx, k.probeLoop)
+	k.work(ctx, k.backupLoop)
 	k.work(ctx, k.exchanger.loop)
 	k.work(ctx, k.tableLoop)
 	k.work(ctx, k.membersLoop)
@@ -183,8 +185,15 @@
 	k.system.Root.Send(k.state, message)
 }
 
+// smallPlain leaves small answers uncompressed: compressing them costs more
+// processor time than it saves bytes.
+var smallPlain = connect.WithCompressMinBytes(compressFrom)
+
+// compressFrom is the least size of an answer that is compressed, bytes.
+const compressFrom = 2048
+
 // tickInterval is how often the state is judged anew.
-const tickInterval = 250 * time.Millisecond
+const tickInterval = 500 * time.Millisecond
 
 func (k *Control) tickLoop(ctx context.Context) {
 	every(ctx, tickInterval, func() { k.tell(tick{now: time.Now()}) })
@@ -218,7 +227,8 @@
 
 // notePlatform keeps track of whether the platform answers.
 func (k *Control) notePlatform(err error) {
-	answered := err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict)
+	answered := err == nil || errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict,
+		platform.ErrCompacted, platform.ErrUnchanged)
 	was := k.platformDown.Swap(!answered)
 	switch {
 	case answered && was:
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -20,7 +20,7 @@
 	exchangeTimeout = time.Second
 	// peersPerSecond bounds how many peers are read in a second, so that the
 	// traffic of a node does not grow with the failure domain.
-	peersPerSecond = 16
+	peersPerSecond = 12
 	// acrossInterval is the time between two readings of another failure domain.
 	acrossInterval = 2 * time.Second
 )
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -63,7 +63,7 @@
 // see well, and must not regroup them.
 func (s *state) quorum(live []string) bool {
 	registered := 1
-	for _, rec := range s.nodes() {
+	for _, rec := range s.nodes {
 		if rec.FailureDomain == s.k.config.FailureDomain && rec.ID != s.k.config.NodeID {
 			registered++
 		}
--- a/internal/control/probe.go
+++ b/internal/control/probe.go
@@ -60,12 +60,24 @@
 	return out
 }
 
-// probeLoop probes each of this process's VMs once an interval, spread over
-// the interval by the VM's name.
+// probeLoop probes the VMs that fall to this process first.
 func (k *Control) probeLoop(ctx context.Context) {
-	every(ctx, k.config.ProbeInterval, func() {
-		for _, m := range k.duties.Load().probes {
-			after := time.Duration(xxhash.Sum64String(m.VM) % uint64(k.config.ProbeInterval))
+	k.probeEvery(ctx, k.config.ProbeInterval, func(d *duties) []platform.Member { return d.probes })
+}
+
+// backupLoop probes the VMs that fall to this process second. Its interval
+// leaves half of the presence window for the news to reach the entries.
+func (k *Control) backupLoop(ctx context.Context) {
+	interval := max(k.config.ProbeInterval, k.config.Window/2)
+	k.probeEvery(ctx, interval, func(d *duties) []platform.Member { return d.backups })
+}
+
+// probeEvery probes each VM once an interval, spread over the interval by the
+// VM's name.
+func (k *Control) probeEvery(ctx context.Context, interval time.Duration, which func(*duties) []platform.Member) {
+	every(ctx, interval, func() {
+		for _, m := range which(k.duties.Load()) {
+			after := time.Duration(xxhash.Sum64String(m.VM) % uint64(interval))
 			k.workers.Add(1)
 			time.AfterFunc(after, func() {
 				defer k.workers.Done()
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -65,9 +65,8 @@
 	var wait backoff
 	for ctx.Err() == nil {
 		if w.listed && !k.duties.Load().reader {
-			// Another process follows; what this one missed it gets from peers,
-			// and it lists again before it ever watches again.
-			w.revision = 0
+			// Another process follows; this one learns from its peers, and goes
+			// on from its own revision if it has to.
 			if !pause(ctx, idlePause) {
 				return
 			}
@@ -82,7 +81,10 @@
 			wait.reset()
 			continue
 		}
-		w.revision = 0
+		if errors.Is(err, platform.ErrCompacted) {
+			w.revision = 0
+			continue
+		}
 		if !pause(ctx, wait.pause()) {
 			return
 		}
@@ -161,16 +163,16 @@
 		if !first && !k.duties.Load().reader {
 			return
 		}
-		list, err := k.parts.Platform.Members(ctx, k.config.FailureDomain)
+		known, _ := k.items.Get(view.MembersKey(k.config.FailureDomain))
+		list, err := k.parts.Platform.Members(ctx, k.config.FailureDomain, known.Version)
 		if ctx.Err() != nil {
 			return
 		}
 		k.notePlatform(err)
-		if err != nil {
-			return
+		first = first && err != nil && !errors.Is(err, platform.ErrUnchanged)
+		if err == nil {
+			k.adoptMembers(list)
 		}
-		first = false
-		k.adoptMembers(list)
 	})
 }
 
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -29,6 +29,7 @@
 		Changed:     wire.Items(changed),
 		Witnesses:   wire.WitnessTable(k.board.Sorted(anyVM), now, m.GetWitnessEpoch()),
 		LiveEntries: uint32(d.liveEntries),
+		AllEntries:  uint32(d.allEntries),
 		TableLoaded: k.loaded.Load(),
 	}
 	for subject, byEntry := range d.shares {
--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -10,8 +10,9 @@
 	"github.com/marbleroad/marbleroad/internal/view"
 )
 
-// divideLimits computes each entry's share of each limited subject: first
-// among failure domains, then among this one's entries. A silent failure
+// divideLimits computes each entry's share of each limited subject that is
+// asked for here: first among failure domains, then among this one's entries.
+// A subject that nobody here asks for has its equal share until then. A silent failure
 // domain is taken to want all it can get, so that a cut leaves each side its
 // fixed share.
 func (s *state) divideLimits(now time.Time, snapshot *view.Snapshot, d *duties) {
@@ -23,9 +24,16 @@
 	for subject, rate := range demand {
 		d.wholeDomain.Teams = append(d.wholeDomain.Teams, &marbleroadv1.TeamDemand{Team: subject, Rate: rate})
 	}
+	d.allEntries = max(len(s.nodes), d.liveEntries)
 	d.shares = make(map[string]map[string]float64)
-	for subject, limit := range limited(snapshot) {
-		own := s.domainShare(now, subject, limit, demand[subject])
+	limits := limited(snapshot)
+	others := s.otherDomains()
+	for subject, rate := range demand {
+		limit := limits[subject]
+		if limit == 0 {
+			continue
+		}
+		own := s.domainShare(now, subject, limit, rate, others)
 		var demands []quota.Demand
 		for _, id := range live {
 			demands = append(demands, quota.Demand{Entry: id, Rate: rateOf(s.entries[id].demand, subject)})
@@ -64,10 +72,14 @@
 	return out
 }
 
+// reports lists the demand of the entries that ask this process.
 func (s *state) reports(now time.Time, live []string) []*marbleroadv1.EntryDemand {
 	var out []*marbleroadv1.EntryDemand
 	for _, id := range live {
 		e := s.entries[id]
+		if !e.own {
+			continue
+		}
 		out = append(out, &marbleroadv1.EntryDemand{
 			EntryId:       id,
 			FailureDomain: e.failureDomain,
@@ -89,9 +101,9 @@
 }
 
 // domainShare is this failure domain's part of a limit.
-func (s *state) domainShare(now time.Time, subject string, limit, own float64) float64 {
+func (s *state) domainShare(now time.Time, subject string, limit, own float64, others []string) float64 {
 	demands := []quota.Demand{{Entry: s.k.config.FailureDomain, Rate: own}}
-	for _, domain := range s.otherDomains() {
+	for _, domain := range others {
 		e, known := s.domains[domain]
 		rate := math.MaxFloat64 / 2
 		if known && now.Sub(e.at) <= demandLease {
@@ -105,7 +117,7 @@
 func (s *state) otherDomains() []string {
 	seen := make(map[string]bool)
 	var out []string
-	for _, rec := range s.nodes() {
+	for _, rec := range s.nodes {
 		if rec.FailureDomain != s.k.config.FailureDomain && !seen[rec.FailureDomain] {
 			seen[rec.FailureDomain] = true
 			out = append(out, rec.FailureDomain)
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"sort"
+	"strings"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -8,7 +10,6 @@
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/groups"
-	"github.com/marbleroad/marbleroad/internal/item"
 	"github.com/marbleroad/marbleroad/internal/node"
 	"github.com/marbleroad/marbleroad/internal/platform"
 	"github.com/marbleroad/marbleroad/internal/transport"
@@ -52,7 +53,9 @@
 	peerLease = 3 * time.Second
 	// demandLease is how long a silent entry's or failure domain's share stays reserved.
 	demandLease = 5 * time.Second
-	// probersPerVM is how many control processes probe each VM.
+	// probersPerVM is how many control processes probe each VM: one at the
+	// probe interval, the others often enough that the VM stays present when
+	// the first fails.
 	probersPerVM = 2
 	// forgetAfter is how long a VM's witness is kept without news.
 	forgetAfter = 10 * time.Minute
@@ -60,8 +63,10 @@
 
 // duties is what this process has to do now. It is never changed once published.
 type duties struct {
-	// probes are the VMs to probe.
-	probes []platform.Member
+	// probes are the VMs to probe at the probe interval, backups those that
+	// another process probes so.
+	probes  []platform.Member
+	backups []platform.Member
 	// peers are the nodes to exchange with.
 	peers []node.Record
 	// reader is true when this process reads the table and the membership list
@@ -71,6 +76,8 @@
 	snapshot *view.Snapshot
 	// liveEntries counts the entries of the failure domain.
 	liveEntries int
+	// allEntries counts the entry VMs of all failure domains.
+	allEntries int
 	// shares are the parts of the limits by subject and entry.
 	shares map[string]map[string]float64
 	// entries is the demand to report to peers.
@@ -91,6 +98,23 @@
 	failureDomain string
 	at            time.Time
 	demand        []*marbleroadv1.TeamDemand
+	// own is true when the entry asked this process itself.
+	own bool
+}
+
+// probeDivision is what the division of the probes follows from.
+type probeDivision struct {
+	live    string
+	members uint64
+}
+
+// domainDivision is what the division of the failure domains follows from. A
+// snapshot's list of nodes is never changed, so its first element's address
+// tells one list from another.
+type domainDivision struct {
+	live  string
+	nodes int
+	first *node.Record
 }
 
 // state is the actor that owns the control state. Every field belongs to it.
@@ -111,6 +135,19 @@
 	planner       map[string]*fabricState
 	ordering      map[string]time.Time
 
+	// division is what probes and backups were last divided by.
+	division probeDivision
+	probes   []platform.Member
+	backups  []platform.Member
+
+	// domainsBy is what neighbours and delegated were last divided by.
+	domainsBy  domainDivision
+	neighbours []node.Record
+	delegated  map[string][]node.Record
+
+	// nodes are the records of all known entry VMs, as of the last tick.
+	nodes []node.Record
+
 	lastTick        time.Time
 	downSince       map[string]time.Time
 	downSeconds     float64
@@ -140,7 +177,7 @@
 	case peerAnswered:
 		s.peerAnswered(m)
 	case entryAsked:
-		s.entries[m.id] = entryState{failureDomain: s.k.config.FailureDomain, at: m.at, demand: m.demand}
+		s.entries[m.id] = entryState{failureDomain: s.k.config.FailureDomain, at: m.at, demand: m.demand, own: true}
 	case planTried:
 		s.planTried(m)
 	case orderTried:
@@ -160,12 +197,15 @@
 	s.account(now, snapshot)
 	s.k.board.Forget(now.Add(-forgetAfter))
 	live := s.liveNodes(now)
+	s.nodes = snapshot.Nodes
+	sort.Strings(live)
 	d := &duties{
-		probes:   s.probes(snapshot, live),
 		peers:    s.exchangePeers(live),
 		reader:   hinted("read/"+s.k.config.FailureDomain, s.readers(live), 1, s.k.config.NodeID),
 		snapshot: snapshot,
 	}
+	s.divideProbes(snapshot, live)
+	d.probes, d.backups = s.probes, s.backups
 	s.divideLimits(now, snapshot, d)
 	s.k.duties.Store(d)
 	s.plan(now, snapshot, live)
@@ -255,36 +295,72 @@
 	}
 }
 
-// probes lists the VMs that this process probes.
-func (s *state) probes(snapshot *view.Snapshot, live []string) []platform.Member {
-	var out []platform.Member
+// divideProbes finds the VMs that this process probes first, and as a backup.
+// It does so anew only when the VMs or the live nodes have changed: at the
+// planned size the hashing would cost more than all the rest of a tick.
+func (s *state) divideProbes(snapshot *view.Snapshot, live []string) {
+	now := probeDivision{live: strings.Join(live, " "), members: s.membersVersion()}
+	if now == s.division {
+		return
+	}
+	s.division = now
+	s.probes, s.backups = nil, nil
 	for _, m := range snapshot.Members {
-		if hinted("probe/"+m.VM, live, probersPerVM, s.k.config.NodeID) {
-			out = append(out, m)
+		for i, id := range hint("probe/"+m.VM, live, probersPerVM) {
+			switch {
+			case id != s.k.config.NodeID:
+			case i == 0:
+				s.probes = append(s.probes, m)
+			default:
+				s.backups = append(s.backups, m)
+			}
 		}
 	}
-	return out
+}
+
+func (s *state) membersVersion() uint64 {
+	it, _ := s.k.items.Get(view.MembersKey(s.k.config.FailureDomain))
+	return it.Version
 }
 
 // exchangePeers lists all nodes of this failure domain, and for each other
 // failure domain one node if that falls to this process.
 func (s *state) exchangePeers(live []string) []node.Record {
-	byDomain := make(map[string][]node.Record)
-	for _, rec := range s.nodes() {
-		if rec.ID != s.k.config.NodeID {
-			byDomain[rec.FailureDomain] = append(byDomain[rec.FailureDomain], rec)
-		}
+	s.divideDomains(live)
+	out := append([]node.Record(nil), s.neighbours...)
+	for _, recs := range s.delegated {
+		out = append(out, s.delegate(recs))
 	}
-	out := byDomain[s.k.config.FailureDomain]
-	for domain, recs := range byDomain {
-		if domain == s.k.config.FailureDomain {
-			continue
+	return out
+}
+
+// divideDomains finds the nodes of this failure domain, and the other failure
+// domains whose delegate this process is; anew only after a change.
+func (s *state) divideDomains(live []string) {
+	now := domainDivision{live: strings.Join(live, " "), nodes: len(s.nodes)}
+	if len(s.nodes) > 0 {
+		now.first = &s.nodes[0]
+	}
+	if now == s.domainsBy {
+		return
+	}
+	s.domainsBy = now
+	s.neighbours = nil
+	s.delegated = make(map[string][]node.Record)
+	for _, rec := range s.nodes {
+		switch {
+		case rec.ID == s.k.config.NodeID:
+		case rec.FailureDomain == s.k.config.FailureDomain:
+			s.neighbours = append(s.neighbours, rec)
+		default:
+			s.delegated[rec.FailureDomain] = append(s.delegated[rec.FailureDomain], rec)
 		}
-		if hinted("delegate/"+domain, live, 1, s.k.config.NodeID) {
-			out = append(out, s.delegate(recs))
+	}
+	for domain := range s.delegated {
+		if !hinted("delegate/"+domain, live, 1, s.k.config.NodeID) {
+			delete(s.delegated, domain)
 		}
 	}
-	return out
 }
 
 // delegate picks the node to ask in another failure domain: one that answers,
@@ -299,18 +375,6 @@
 	return recs[max(turn, 0)]
 }
 
-// nodes lists the records of entry VMs that are not retired.
-func (s *state) nodes() []node.Record {
-	var out []node.Record
-	for _, it := range s.k.items.List(item.NodePrefix) {
-		rec, err := node.Decode(it.Value)
-		if err == nil && !rec.Retired && rec.Control != "" {
-			out = append(out, rec)
-		}
-	}
-	return out
-}
-
 // trackMissing notes since when each VM of the fleet has been absent. The
 // clock starts here, not in the store, so a new planner waits anew.
 func (s *state) trackMissing(now time.Time, snapshot *view.Snapshot) {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -84,7 +84,7 @@
 
 func (s *state) nodeStatus(now time.Time) []*marbleroadv1.NodeStatus {
 	var out []*marbleroadv1.NodeStatus
-	for _, rec := range s.nodes() {
+	for _, rec := range s.nodes {
 		one := &marbleroadv1.NodeStatus{
 			Id:            rec.ID,
 			FailureDomain: rec.FailureDomain,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -172,6 +172,7 @@
 		DialContext:         transport.Metered(transport.Dialer(from).DialContext, meter),
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
 	}
 }
 
--- a/internal/engine/httpapi/httpapi.go
+++ b/internal/engine/httpapi/httpapi.go
@@ -54,6 +54,8 @@
 	if err != nil {
 		return presence.Witness{}, errors.Wrap(err, "probe")
 	}
+	// An empty agent is left out: probes are most of the bytes of control.
+	req.Header.Set("User-Agent", "")
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return presence.Witness{}, errors.Wrap(err, "probe")
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -246,9 +246,8 @@
 // spreads requests over them. A resumed call goes to its run's failure domain.
 func (s *Server) spillTargets(c *call) []node.Record {
 	var out []node.Record
-	for _, it := range s.source.Nodes() {
-		rec, err := node.Decode(it.Value)
-		if err != nil || rec.Retired || rec.EntryPeer == "" || rec.FailureDomain == s.config.FailureDomain {
+	for _, rec := range s.source.Snapshot().Nodes {
+		if rec.EntryPeer == "" || rec.FailureDomain == s.config.FailureDomain {
 			continue
 		}
 		if !c.last.zero() && rec.FailureDomain != c.last.failureDomain {
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -76,7 +76,7 @@
 	if rate, ok := s.Teams[name]; ok {
 		return rate
 	}
-	return limit / float64(s.LiveEntries)
+	return limit / float64(s.AllEntries)
 }
 
 // take charges the call to all its subjects, or to none.
--- a/internal/entry/source.go
+++ b/internal/entry/source.go
@@ -50,6 +50,8 @@
 	Teams map[string]float64
 	// LiveEntries counts the entries of this failure domain; at least 1.
 	LiveEntries int
+	// AllEntries counts the entry VMs of all failure domains; at least 1.
+	AllEntries int
 }
 
 // Source keeps the entry's snapshot up to date from a control process. One
@@ -128,9 +130,6 @@
 // Loaded reports whether the table has been read at least once.
 func (s *Source) Loaded() bool { return s.loaded.Load() }
 
-// Nodes returns the records of all known entry VMs.
-func (s *Source) Nodes() []item.Item { return s.items.List(item.NodePrefix) }
-
 func (s *Source) loop(ctx context.Context) {
 	defer s.done.Done()
 	ticker := time.NewTicker(s.config.Interval)
@@ -164,7 +163,7 @@
 	s.snapshot.Store(snapshot)
 	share := s.share.Load()
 	if share == nil {
-		share = &Share{LiveEntries: 1}
+		share = &Share{LiveEntries: 1, AllEntries: 1}
 	}
 	s.changed(snapshot, share)
 }
@@ -228,6 +227,7 @@
 	share := &Share{
 		Teams:       make(map[string]float64, len(m.GetShares())),
 		LiveEntries: max(int(m.GetLiveEntries()), 1),
+		AllEntries:  max(int(m.GetAllEntries()), 1),
 	}
 	for _, t := range m.GetShares() {
 		share.Teams[t.GetTeam()] = t.GetRate()
--- a/internal/platform/httpapi/httpapi.go
+++ b/internal/platform/httpapi/httpapi.go
@@ -132,9 +132,9 @@
 }
 
 // Members implements platform.Membership.
-func (c *Client) Members(ctx context.Context, failureDomain string) (platform.MemberList, error) {
+func (c *Client) Members(ctx context.Context, failureDomain string, known uint64) (platform.MemberList, error) {
 	var out platform.MemberList
-	path := MembersPath + "?failure_domain=" + url.QueryEscape(failureDomain)
+	path := MembersPath + "?failure_domain=" + url.QueryEscape(failureDomain) + "&known=" + strconv.FormatUint(known, 10)
 	err := c.read(ctx, path, c.timeout, &out)
 	return out, err
 }
@@ -190,6 +190,10 @@
 	switch resp.StatusCode {
 	case http.StatusNotFound:
 		kind = platform.ErrNotFound
+	case http.StatusNotModified:
+		kind = platform.ErrUnchanged
+	case http.StatusGone:
+		kind = platform.ErrCompacted
 	case http.StatusPreconditionFailed:
 		kind = platform.ErrConflict
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -19,6 +19,11 @@
 	// ErrUnavailable means that the call was refused or never sent; a write
 	// did not take effect.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrCompacted means that the store no longer knows the changes since the
+	// revision; the reader lists anew.
+	ErrCompacted = errors.New("revision compacted")
+	// ErrUnchanged means that there is nothing newer than what is known.
+	ErrUnchanged = errors.New("unchanged")
 	// ErrUnknown means that a write may or may not have taken effect.
 	ErrUnknown = errors.New("outcome of write unknown")
 )
@@ -75,8 +80,9 @@
 
 // Membership is the platform's membership list. It lags behind the truth.
 type Membership interface {
-	// Members returns the list of one failure domain.
-	Members(ctx context.Context, failureDomain string) (MemberList, error)
+	// Members returns the list of one failure domain, or ErrUnchanged when its
+	// version is the known one.
+	Members(ctx context.Context, failureDomain string, known uint64) (MemberList, error)
 }
 
 // Platform is all that marbleroad asks of the platform.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -11,6 +11,7 @@
 
 	"github.com/marbleroad/marbleroad/internal/groups"
 	"github.com/marbleroad/marbleroad/internal/item"
+	"github.com/marbleroad/marbleroad/internal/node"
 	"github.com/marbleroad/marbleroad/internal/platform"
 	"github.com/marbleroad/marbleroad/internal/presence"
 	"github.com/marbleroad/marbleroad/internal/table"
@@ -67,6 +68,8 @@
 	Wants []Want
 	// Rows counts the live rows of the table.
 	Rows int
+	// Nodes are the records of entry VMs that are not retired.
+	Nodes []node.Record
 }
 
 // Want is a groups row with its name.
@@ -88,6 +91,7 @@
 	items         *item.Set
 	rows          map[string]decodedRow
 	plans         map[string]decodedPlan
+	nodes         map[string]node.Record
 	// base holds all but the upstreams, as of sequence. It is never changed.
 	base     *Snapshot
 	sequence uint64
@@ -110,6 +114,7 @@
 		items:         items,
 		rows:          make(map[string]decodedRow),
 		plans:         make(map[string]decodedPlan),
+		nodes:         make(map[string]node.Record),
 	}
 }
 
@@ -144,6 +149,7 @@
 	faults = append(faults, b.readMembers(s)...)
 	faults = append(faults, b.readDrains(s)...)
 	faults = append(faults, b.readPlans(s)...)
+	faults = append(faults, b.readNodes(s)...)
 	b.base = s
 	b.sequence = sequence
 	return faults
@@ -263,6 +269,26 @@
 	return faults
 }
 
+func (b *Builder) readNodes(s *Snapshot) []Fault {
+	var faults []Fault
+	for _, it := range b.items.List(item.NodePrefix) {
+		known := b.nodes[it.Key]
+		if known.Version != it.Version {
+			rec, err := node.Decode(it.Value)
+			if err != nil {
+				faults = append(faults, Fault{Key: it.Key, Err: err})
+			}
+			rec.Version = it.Version
+			known = rec
+			b.nodes[it.Key] = rec
+		}
+		if !known.Retired && known.Control != "" {
+			s.Nodes = append(s.Nodes, known)
+		}
+	}
+	return faults
+}
+
 func (b *Builder) addGroups(s *Snapshot, w groups.Witnesses, now time.Time, window time.Duration) {
 	for _, p := range s.Plans {
 		for _, g := range p.Groups {
--- a/test/capacity/measure.go
+++ b/test/capacity/measure.go
@@ -228,6 +228,7 @@
 admin = %s:8081
 peer = %s:8082
 control = %s:7070
+%s
 [control]
 listen = %s:7070
 admin = %s:7071
@@ -235,7 +236,7 @@
 operator_token_sha256 = %s
 %s[log]
 level = warn
-`, i, domain, platformAddr, ip, ip, ip, ip, ip, ip, strings.Join(seeds, ", "), hash(token), os.Getenv("CAPACITY_CONTROL"))
+`, i, domain, platformAddr, ip, ip, ip, ip, os.Getenv("CAPACITY_ENTRY"), ip, ip, strings.Join(seeds, ", "), hash(token), os.Getenv("CAPACITY_CONTROL"))
 	path := filepath.Join(r.dir, fmt.Sprintf("node-%02d.ini", i))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
@@ -250,7 +251,7 @@
 		return err
 	}
 	r.entries = append(r.entries, entry)
-	peers, err := transport.NewPeers(settings.TLS{}, "")
+	peers, err := transport.NewPeers(settings.TLS{}, ip+":0")
 	if err != nil {
 		return err
 	}
@@ -377,6 +378,10 @@
 }
 
 func (r *rig) sample(length time.Duration) (result, error) {
+	for _, view := range r.views {
+		// The whole table once, before the counters are read.
+		hasVersion(context.Background(), view, "", 0)
+	}
 	before := r.read()
 	times := r.change(length)
 	after := r.read()
--- a/test/standin/platform/platform.go
+++ b/test/standin/platform/platform.go
@@ -191,6 +191,10 @@
 		p.mu.Lock()
 		list := p.lists[r.URL.Query().Get("failure_domain")]
 		p.mu.Unlock()
+		if list.Version > 0 && r.URL.Query().Get("known") == strconv.FormatUint(list.Version, 10) {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
 		p.answer(w, list)
 	default:
 		http.NotFound(w, r)
