--- a/test/integration/table_test.go
+++ b/test/integration/table_test.go
@@ -414,3 +414,26 @@
 	}
 	s.history.check()
 }
+
+func TestLostRaceShowsBothValues(t *testing.T) {
+	t.Parallel()
+	s := groupSite(t, 4)
+	if out, code := s.setWeight(s.nodes[0], "agrimet", 5, "--base", "1"); code != 0 {
+		t.Fatal(out)
+	}
+	out, code := s.setWeight(s.nodes[1], "agrimet", 6, "--base", "1")
+	if code != 3 || !strings.Contains(out, `yours "6", now "5"`) {
+		t.Errorf("exit code %d: %s", code, out)
+	}
+	s.inForce("agrimet", 5)
+	if _, code := s.setWeight(s.nodes[1], "agrimet", 6, "--change", "same"); code != 0 {
+		t.Error("a change on the present version was refused")
+	}
+	before := s.storedRow(table.Teams, "agrimet").Version
+	if _, code := s.setWeight(s.nodes[0], "agrimet", 6, "--change", "same", "--base", "2"); code != 0 {
+		t.Error("the same change applied again was refused")
+	}
+	if after := s.storedRow(table.Teams, "agrimet").Version; after != before {
+		t.Errorf("the same change raised the version from %d to %d", before, after)
+	}
+}
