Waiting requests are given up early; groups load one after the other

Cause: a waiting request was refused only at its deadline when the upstreams hang: that is parking it. And a plan that forms several groups ordered all their VMs to load at once, against a rate-limited weight store. Change: the queue judges the pace by the time since a slot was last freed and refuses what even the best course would serve too late; at most control.max_loading VMs of a fabric domain load at once, those that complete a group first.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -102,6 +102,8 @@
 	seq      uint64
 	// serviceTime is the smoothed time that a request holds its slot.
 	serviceTime time.Duration
+	// lastFinish is when a slot was last freed; zero before the first.
+	lastFinish time.Time
 	// nextReturn spreads the come-back times of refused requests, so that
 	// they don't all return at once.
 	nextReturn time.Time
@@ -177,6 +179,7 @@
 	}
 	t.State = Done
 	q.running--
+	q.lastFinish = now
 	q.learn(now.Sub(t.begun))
 	refused = q.expire(now)
 	return q.dispatch(now), refused
@@ -227,8 +230,12 @@
 		ahead += float64(q.levels[p].waiting)
 	}
 	ahead += q.aheadInLevel(r)
-	perSlot := float64(q.serviceTime) / float64(max(q.capacity, 1))
-	return time.Duration((ahead + 1) * perSlot)
+	return time.Duration((ahead + 1) * float64(q.perSlot()))
+}
+
+// perSlot is the expected time between two slots that become free.
+func (q *Queue) perSlot() time.Duration {
+	return q.serviceTime / time.Duration(max(q.capacity, 1))
 }
 
 // aheadInLevel counts, by weights, the requests of the same priority that the
@@ -308,7 +315,7 @@
 // comeBack promises each refused request its own later slot: the work ahead
 // must be done first, and those refused before it return first.
 func (q *Queue) comeBack(now time.Time) time.Duration {
-	perSlot := q.serviceTime / time.Duration(max(q.capacity, 1))
+	perSlot := q.perSlot()
 	earliest := now.Add(time.Duration(q.waiting+1)*perSlot + minRetryAfter)
 	if q.nextReturn.Before(earliest) {
 		q.nextReturn = earliest
@@ -402,22 +409,42 @@
 	return a.waiting[0].seq < b.waiting[0].seq
 }
 
-// expire refuses waiting tickets whose deadline is too near for any service.
+// expire refuses waiting tickets that can no longer make their deadlines, so
+// that none is kept waiting in vain. When no slot has become free for longer
+// than usual, the upstreams hang, and the pace is judged by that.
 func (q *Queue) expire(now time.Time) []*Ticket {
+	pace := q.perSlot()
+	if !q.lastFinish.IsZero() && q.running >= q.capacity {
+		pace = max(pace, now.Sub(q.lastFinish)-q.serviceTime)
+	}
 	var out []*Ticket
-	for p := range q.levels {
-		for _, tq := range q.levels[p].teams {
-			for i := 0; i < len(tq.waiting); {
-				t := tq.waiting[i]
-				if now.Before(t.Request.Deadline) {
-					i++
-					continue
-				}
-				q.remove(t)
-				q.refuse(now, t, DeadlineShort)
-				out = append(out, t)
-			}
+	ahead := 0
+	for p := priorities - 1; p >= 0; p-- {
+		l := &q.levels[p]
+		waiting := l.waiting
+		for _, tq := range l.teams {
+			out = append(out, q.expireTeam(now, tq, ahead, pace)...)
 		}
+		ahead += waiting
+	}
+	return out
+}
+
+// expireTeam looks at one team's tickets; ahead counts those of higher
+// priority. Other teams of the same priority are left out: a ticket is given
+// up only when even the best course is too late.
+func (q *Queue) expireTeam(now time.Time, tq *teamQueue, ahead int, pace time.Duration) []*Ticket {
+	var out []*Ticket
+	for i := 0; i < len(tq.waiting); {
+		t := tq.waiting[i]
+		expected := time.Duration(ahead+i+1) * pace
+		if !now.Add(expected).After(t.Request.Deadline) {
+			i++
+			continue
+		}
+		q.remove(t)
+		q.refuse(now, t, DeadlineShort)
+		out = append(out, t)
 	}
 	return out
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -51,9 +51,11 @@
 	ProbeTimeout        time.Duration
 	ExchangeInterval    time.Duration
 	MembersInterval     time.Duration
-	WatchWait           time.Duration
-	Window              time.Duration
-	Estimates           groups.Estimates
+	// MaxLoading is how many VMs of a fabric domain load at once.
+	MaxLoading int
+	WatchWait  time.Duration
+	Window     time.Duration
+	Estimates  groups.Estimates
 }
 
 // Parts are the daemon's collaborators.
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -18,8 +18,9 @@
 const (
 	// orderTimeout bounds one order to a VM.
 	orderTimeout = 2 * time.Second
-	// orderPause is the least time between two orders to one VM.
-	orderPause = time.Second
+	// orderPause is the least time between two orders to one VM: its next
+	// witness should have come by then.
+	orderPause = 2 * time.Second
 	// planPause is the pause after a plan could not be written.
 	planPause = 2 * time.Second
 )
@@ -44,6 +45,11 @@
 // plan judges each fabric domain that falls to this process.
 func (s *state) plan(now time.Time, snapshot *view.Snapshot, live []string) {
 	s.trackRetiring(now, snapshot)
+	for vm, at := range s.ordering {
+		if now.Sub(at) >= orderPause {
+			delete(s.ordering, vm)
+		}
+	}
 	for fabric := range s.fabrics(snapshot) {
 		f := s.planner[fabric]
 		if f == nil {
@@ -263,29 +269,58 @@
 }
 
 // order sends orders to VMs whose own word differs from the plan. Orders are
-// repeated until the VM's witness fits, so a lost one does no harm.
+// repeated until the VM's witness fits, so a lost one does no harm. Releases
+// go out at once; orders to load wait for their turn.
 func (s *state) order(now time.Time, snapshot *view.Snapshot, fabric string) {
 	plan := planOf(snapshot, s.k.config.FailureDomain, fabric)
 	if plan.Version == 0 {
 		return
 	}
+	var waiting []groups.Loading
+	orders := make(map[string]engine.Order)
 	for name, m := range snapshot.Members {
-		if m.Fabric != fabric || s.ordered(now, name) {
-			continue
-		}
 		w, ok := s.k.board.Get(name)
-		if !ok || !w.Fresh(now, s.k.config.Window) {
+		if m.Fabric != fabric || !ok || !w.Fresh(now, s.k.config.Window) {
 			continue
 		}
 		wanted := orderFor(plan, name, snapshot)
-		if obeyed(wanted, w) || (wanted.Group == "" && !s.pooled(snapshot, m.Pool)) {
-			continue
+		fits := obeyed(wanted, w)
+		switch {
+		case fits && (w.Ready || wanted.Group == ""):
+		case wanted.Group != "":
+			orders[name] = wanted
+			waiting = append(waiting, groups.Loading{VM: name, Group: wanted.Group, Begun: fits || s.ordered(now, name)})
+		case s.pooled(snapshot, m.Pool):
+			s.send(now, name, m.Address, wanted)
 		}
-		s.ordering[name] = now
-		s.k.work(context.Background(), func(ctx context.Context) { s.k.sendOrder(ctx, name, m.Address, wanted) })
+	}
+	for _, name := range groups.NextToLoad(waiting, s.weights(snapshot, plan), s.k.config.MaxLoading) {
+		s.send(now, name, snapshot.Members[name].Address, orders[name])
 	}
 }
 
+// weights maps each group of the plan to its row's downtime weight.
+func (s *state) weights(snapshot *view.Snapshot, p *groups.Plan) map[string]float64 {
+	byRow := make(map[string]float64)
+	for _, w := range snapshot.Wants {
+		byRow[w.Name] = w.DowntimeWeight
+	}
+	out := make(map[string]float64, len(p.Groups))
+	for _, g := range p.Groups {
+		out[g.ID] = byRow[g.Row]
+	}
+	return out
+}
+
+// send sends one order unless one is under way.
+func (s *state) send(now time.Time, name, address string, o engine.Order) {
+	if s.ordered(now, name) {
+		return
+	}
+	s.ordering[name] = now
+	s.k.work(context.Background(), func(ctx context.Context) { s.k.sendOrder(ctx, name, address, o) })
+}
+
 // pooled reports whether a pool's VMs run models; VMs of plain services get no orders.
 func (s *state) pooled(snapshot *view.Snapshot, pool string) bool {
 	for _, w := range snapshot.Wants {
@@ -336,7 +371,5 @@
 	if err != nil {
 		// The VM may have obeyed though its answer was lost; its next witness tells.
 		k.parts.Metrics.Count("orders.failed", 1)
-		return
 	}
-	k.tell(orderTried{vm: vm})
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -42,8 +42,6 @@
 		base   uint64
 		err    error
 	}
-	// orderTried reports the end of an order to a VM.
-	orderTried struct{ vm string }
 	// askStatus is answered with a *marbleroadv1.StatusResponse.
 	askStatus struct{}
 )
@@ -139,7 +137,8 @@
 	// retiringSince is when a group was first seen retiring.
 	retiringSince map[string]time.Time
 	planner       map[string]*fabricState
-	ordering      map[string]time.Time
+	// ordering is when each VM was last sent an order.
+	ordering map[string]time.Time
 
 	// division is what probes and backups were last divided by.
 	division probeDivision
@@ -189,8 +188,6 @@
 		s.entries[m.id] = entryState{failureDomain: s.k.config.FailureDomain, at: m.at, demand: m.demand, own: true}
 	case planTried:
 		s.planTried(m)
-	case orderTried:
-		delete(s.ordering, m.vm)
 	case askStatus:
 		c.Respond(s.status(time.Now()))
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -248,6 +248,7 @@
 		ProbeTimeout:        s.Control.ProbeTimeout,
 		ExchangeInterval:    s.Control.ExchangeInterval,
 		MembersInterval:     s.Control.MembersInterval,
+		MaxLoading:          s.Control.MaxLoading,
 		WatchWait:           s.Platform.WatchWait,
 		Window:              s.Presence.Window,
 		Estimates:           estimates,
--- /dev/null
+++ b/internal/groups/load_test.go
@@ -0,0 +1,27 @@
+package groups
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func TestGroupsAreCompletedOneAfterTheOther(t *testing.T) {
+	var waiting []Loading
+	add := func(group string, vms, begun int) {
+		for i := range vms {
+			waiting = append(waiting, Loading{VM: fmt.Sprintf("%s-%d", group, i), Group: group, Begun: i < begun})
+		}
+	}
+	add("a", 4, 0)
+	add("b", 2, 1)
+	add("c", 4, 0)
+	weight := map[string]float64{"a": 1, "b": 1, "c": 5}
+	got := strings.Join(NextToLoad(waiting, weight, 6), " ")
+	if want := "b-1 c-0 c-1 c-2 c-3"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	if got := NextToLoad(waiting, weight, 1); len(got) != 0 {
+		t.Errorf("one loads already, but %v may begin", got)
+	}
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -102,6 +102,9 @@
 	{"control", "members_interval", "1s", allowedDuration, "Time between two readings of the membership list.", nil,
 		func(s *Settings, t string) error { return duration(t, &s.Control.MembersInterval) }},
 
+	{"control", "max_loading", "16", "a whole number from 1 to 1000", "VMs of one fabric domain that load weights at once; the weight store is rate-limited.", nil,
+		func(s *Settings, t string) error { return count(t, &s.Control.MaxLoading) }},
+
 	{"presence", "window", "3s", allowedDuration, "How long a VM counts as present after a probe was sent; the same on all VMs of a failure domain.", nil,
 		func(s *Settings, t string) error { return duration(t, &s.Presence.Window) }},
 
@@ -203,6 +206,16 @@
 	return nil
 }
 
+func count(text string, into *int) error {
+	const most = 1000
+	v, err := strconv.Atoi(text)
+	if err != nil || v < 1 || v > most {
+		return errors.New("not a count in range")
+	}
+	*into = v
+	return nil
+}
+
 func fraction(text string, into *float64) error {
 	v, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(v >= 0 && v <= 1) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,8 @@
 	ProbeTimeout        time.Duration
 	ExchangeInterval    time.Duration
 	MembersInterval     time.Duration
+	// MaxLoading is how many VMs of a fabric domain load at once.
+	MaxLoading int
 }
 
 // Presence holds what entries and control processes must agree on.
