Bounds on messages between processes; one timeline for the policy drivers

Change: connect handlers and clients refuse messages over 32 MB, peer listeners bound headers and idle time; event 2001 is for rows only; the two drivers in virtual time share one timeline.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -132,8 +132,8 @@
 	}
 	k.state = state
 	mux := http.NewServeMux()
-	mux.Handle(marbleroadv1connect.NewViewServiceHandler(viewHandler{k}, smallPlain))
-	mux.Handle(marbleroadv1connect.NewPeerServiceHandler(peerHandler{k}, smallPlain))
+	mux.Handle(marbleroadv1connect.NewViewServiceHandler(viewHandler{k}, smallPlain, bounded))
+	mux.Handle(marbleroadv1connect.NewPeerServiceHandler(peerHandler{k}, smallPlain, bounded))
 	mux.Handle(k.operatorHandler())
 	k.server, err = k.parts.Peers.Serve(k.config.Listen, mux)
 	if err != nil {
@@ -190,6 +190,9 @@
 // processor time than it saves bytes.
 var smallPlain = connect.WithCompressMinBytes(compressFrom)
 
+// bounded refuses huge messages.
+var bounded = connect.WithReadMaxBytes(transport.MaxMessage)
+
 // compressFrom is the least size of an answer that is compressed, bytes.
 const compressFrom = 2048
 
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -114,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	k := x.k
-	client := marbleroadv1connect.NewPeerServiceClient(k.client, k.parts.Peers.URL(address))
+	client := marbleroadv1connect.NewPeerServiceClient(k.client, k.parts.Peers.URL(address), bounded)
 	asked := time.Now()
 	resp, err := client.Exchange(ctx, connect.NewRequest(&marbleroadv1.ExchangeRequest{
 		NodeId:        k.config.NodeID,
@@ -171,5 +172,8 @@
 		return
 	}
 	k.parts.Metrics.Count("items.adopted", 1)
+	if !strings.HasPrefix(it.Key, item.TablePrefix) {
+		return
+	}
 	k.parts.Log.Emit(event.RowAdopted).Str("key", it.Key).Uint64("version", it.Version).Send()
 }
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -37,7 +37,7 @@
 
 // operatorHandler serves OperatorService behind the operators' token.
 func (k *Control) operatorHandler() (string, http.Handler) {
-	path, handler := marbleroadv1connect.NewOperatorServiceHandler(operatorHandler{k})
+	path, handler := marbleroadv1connect.NewOperatorServiceHandler(operatorHandler{k}, bounded)
 	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !k.operatorAllowed(r.Header) {
 			k.parts.Log.Emit(event.BadOperator).Str("address", r.RemoteAddr).Send()
--- a/internal/entry/source.go
+++ b/internal/entry/source.go
@@ -202,7 +202,7 @@
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
 	address := s.config.Controls[s.current]
-	client := marbleroadv1connect.NewViewServiceClient(s.client, s.peers.URL(address))
+	client := marbleroadv1connect.NewViewServiceClient(s.client, s.peers.URL(address), connect.WithReadMaxBytes(transport.MaxMessage))
 	reader := s.witnesses[address]
 	if reader == nil {
 		reader = &wire.WitnessReader{}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -17,7 +17,12 @@
 	"github.com/marbleroad/marbleroad/internal/settings"
 )
 
+// MaxMessage bounds a message between our processes, bytes: a whole table at
+// the planned size is a few megabytes.
+const MaxMessage = 32 << 20
+
 const (
+	maxHeaderBytes    = 64 << 10
 	dialTimeout       = time.Second
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 90 * time.Second
@@ -114,6 +119,8 @@
 		Handler:           handler,
 		Protocols:         &protocols,
 		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		TLSConfig:         p.tls.Clone(),
 	}
 	go func() {
--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -63,6 +63,7 @@
 	seconds := flag.Int("seconds", 15, "length of each measurement")
 	only := flag.String("only", "", "one load, as NODES,VMS,ROWS,DOMAINS,CHANGES")
 	out := flag.String("out", "", "file for the results as JSON")
+	recovers := flag.Bool("recovery", false, "measure an outage of the platform and a restart of all daemons instead")
 	flag.Parse()
 	loads := defaultLoads
 	if *only != "" {
@@ -73,6 +74,13 @@
 		}
 		loads = []load{l}
 	}
+	if *recovers {
+		if err := recovery(*bin, loads[0]); err != nil {
+			fmt.Fprintln(os.Stderr, "capacity:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	if err := run(*bin, loads, time.Duration(*seconds)*time.Second, *out); err != nil {
 		fmt.Fprintln(os.Stderr, "capacity:", err)
 		os.Exit(1)
--- a/test/capacity/measure.go
+++ b/test/capacity/measure.go
@@ -78,17 +78,30 @@
 }
 
 func measure(bin string, l load, length time.Duration) (result, error) {
-	dir, err := os.MkdirTemp("", "marbleroad-capacity")
+	r, stop, err := newRig(bin, l)
 	if err != nil {
 		return result{}, err
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
+	defer stop()
+	return r.sample(length)
+}
+
+// newRig starts a failure domain and waits until it has settled.
+func newRig(bin string, l load) (*rig, func(), error) {
+	dir, err := os.MkdirTemp("", "marbleroad-capacity")
+	if err != nil {
+		return nil, nil, err
+	}
 	r := &rig{load: l, dir: dir, platform: platform.New()}
-	defer r.stop()
+	stop := func() {
+		r.stop()
+		_ = os.RemoveAll(dir)
+	}
 	if err := r.start(bin); err != nil {
-		return result{}, err
+		stop()
+		return nil, nil, err
 	}
-	return r.sample(length)
+	return r, stop, nil
 }
 
 func (r *rig) stop() {
@@ -278,16 +291,27 @@
 	return &daemonProcess{cmd: cmd, admin: admin}, nil
 }
 
-// settle waits until all nodes have the table and all groups serve.
+// settle waits until everything serves, and past the start's extra work.
 func (r *rig) settle() error {
+	if err := r.ready(context.Background()); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	return nil
+}
+
+const settleTime = 5 * time.Second
+
+// ready waits until all nodes have the table and all groups serve.
+func (r *rig) ready(ctx context.Context) error {
 	want := 0
 	for f := 0; f*vmsPerFabric < r.load.VMs; f++ {
 		want += min(vmsPerFabric, r.load.VMs-f*vmsPerFabric) / vmsPerGroup
 	}
 	end := time.Now().Add(startLimit)
 	for time.Now().Before(end) {
-		time.Sleep(500 * time.Millisecond)
-		status, err := r.operator.Status(context.Background(), connect.NewRequest(&marbleroadv1.StatusRequest{}))
+		time.Sleep(200 * time.Millisecond)
+		status, err := r.operator.Status(ctx, connect.NewRequest(&marbleroadv1.StatusRequest{}))
 		if err != nil {
 			continue
 		}
@@ -303,8 +327,6 @@
 			}
 		}
 		if serving == want && alive == r.load.Nodes {
-			// Past the start's extra work.
-			time.Sleep(5 * time.Second)
 			return nil
 		}
 	}
--- a/test/policy/bench/admission.go
+++ b/test/policy/bench/admission.go
@@ -4,7 +4,6 @@
 package bench
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -128,46 +127,15 @@
 	returns  int
 }
 
-// event is something that happens at a moment: an arrival or a finish.
-type event struct {
-	at     time.Time
-	seq    int
-	job    *job
-	ticket *admission.Ticket
-}
-
-type eventQueue []*event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(*event)) }
-
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // admissionRun is one run of one policy.
 type admissionRun struct {
 	service Service
 	policy  admitter
 	random  *rand.Rand
-	events  eventQueue
-	seq     int
-	jobs    map[*admission.Ticket]*job
-	out     map[string]*Outcome
-	end     time.Time
+	timeline
+	jobs map[*admission.Ticket]*job
+	out  map[string]*Outcome
+	end  time.Time
 }
 
 // Policy names an admission policy.
@@ -195,9 +163,7 @@
 		end:     epoch.Add(length),
 	}
 	r.arrivals(teams)
-	for len(r.events) > 0 {
-		r.step(heap.Pop(&r.events).(*event))
-	}
+	r.run()
 	out := make(map[string]Outcome)
 	for name, o := range r.out {
 		out[name] = *o
@@ -215,7 +181,7 @@
 			if at.After(r.end) {
 				break
 			}
-			r.push(&event{at: at, job: &job{team: t, deadline: at.Add(t.Deadline)}})
+			r.plan(at, &job{team: t, deadline: at.Add(t.Deadline)})
 		}
 	}
 }
@@ -224,38 +190,33 @@
 	return time.Duration(r.random.ExpFloat64() * mean * float64(time.Second))
 }
 
-func (r *admissionRun) push(e *event) {
-	r.seq++
-	e.seq = r.seq
-	heap.Push(&r.events, e)
+// plan lets a request arrive.
+func (r *admissionRun) plan(at time.Time, j *job) {
+	r.at(at, func() { r.arrive(at, j) })
 }
 
-func (r *admissionRun) step(e *event) {
-	if e.ticket != nil {
-		r.finished(e)
-		return
-	}
-	o := r.out[e.job.team.Name]
-	if e.job.returns == 0 {
+func (r *admissionRun) arrive(now time.Time, j *job) {
+	o := r.out[j.team.Name]
+	if j.returns == 0 {
 		o.Arrived++
 	} else {
 		o.Returned++
 	}
-	ticket, displaced := r.policy.offer(e.at, admission.Request{
-		Team:     e.job.team.Name,
-		Weight:   e.job.team.Weight,
-		Priority: e.job.team.Priority,
-		Deadline: e.job.deadline,
+	ticket, displaced := r.policy.offer(now, admission.Request{
+		Team:     j.team.Name,
+		Weight:   j.team.Weight,
+		Priority: j.team.Priority,
+		Deadline: j.deadline,
 	})
-	r.jobs[ticket] = e.job
+	r.jobs[ticket] = j
 	switch ticket.State {
 	case admission.Running:
-		r.begin(e.at, ticket)
+		r.begin(now, ticket)
 	case admission.Refused:
-		r.refused(e.at, ticket)
+		r.refused(now, ticket)
 	}
 	if displaced != nil {
-		r.refused(e.at, displaced)
+		r.refused(now, displaced)
 	}
 }
 
@@ -263,7 +224,8 @@
 	if r.jobs[t].returns > 0 {
 		r.out[r.jobs[t].team.Name].ReturnedServed++
 	}
-	r.push(&event{at: now.Add(r.exponential(r.service.Mean.Seconds())), ticket: t})
+	end := now.Add(r.exponential(r.service.Mean.Seconds()))
+	r.at(end, func() { r.finished(end, t) })
 }
 
 func (r *admissionRun) refused(now time.Time, t *admission.Ticket) {
@@ -274,24 +236,24 @@
 		return
 	}
 	at := now.Add(t.Refusal.RetryAfter)
-	r.push(&event{at: at, job: &job{team: j.team, returns: j.returns + 1, deadline: at.Add(j.team.Deadline)}})
+	r.plan(at, &job{team: j.team, returns: j.returns + 1, deadline: at.Add(j.team.Deadline)})
 }
 
-func (r *admissionRun) finished(e *event) {
-	j := r.jobs[e.ticket]
-	delete(r.jobs, e.ticket)
+func (r *admissionRun) finished(now time.Time, ticket *admission.Ticket) {
+	j := r.jobs[ticket]
+	delete(r.jobs, ticket)
 	o := r.out[j.team.Name]
-	if e.at.After(j.deadline) {
+	if now.After(j.deadline) {
 		o.Late++
 	} else {
 		o.Good++
 	}
-	next, refused := r.policy.finish(e.at, e.ticket)
+	next, refused := r.policy.finish(now, ticket)
 	for _, t := range next {
-		r.begin(e.at, t)
+		r.begin(now, t)
 	}
 	for _, t := range refused {
-		r.refused(e.at, t)
+		r.refused(now, t)
 	}
 }
 
--- a/test/policy/bench/routing.go
+++ b/test/policy/bench/routing.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -134,35 +133,6 @@
 	upstream int
 }
 
-// routingEvent is an arrival, a first token, an end or a load report.
-type routingEvent struct {
-	at   time.Time
-	seq  int
-	what func()
-}
-
-type routingEvents []*routingEvent
-
-func (q routingEvents) Len() int { return len(q) }
-func (q routingEvents) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-func (q routingEvents) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *routingEvents) Push(x any) { *q = append(*q, x.(*routingEvent)) }
-
-// Pop implements heap.Interface.
-func (q *routingEvents) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // routingRun is one run of one policy.
 type routingRun struct {
 	fleet   Fleet
@@ -170,18 +140,17 @@
 	tracker *routing.Tracker
 	random  *rand.Rand
 	ups     []*upstream
-	events  routingEvents
-	seq     int
-	firsts  []time.Duration
-	hits    int
-	served  int
-	failed  int
-	tries   int
+	timeline
+	firsts []time.Duration
+	hits   int
+	served int
+	failed int
+	tries  int
 }
 
 // Routing runs the load over the fleet. Equal seeds give equal arrivals.
 func Routing(r Router, f Fleet, l Load, seed uint64) RoutingResult {
-	run := &routingRun{
+	one := &routingRun{
 		fleet:   f,
 		policy:  policyOf(r, rand.New(rand.NewPCG(seed, 1)), f.Generate),
 		tracker: routing.NewTracker(),
@@ -189,18 +158,11 @@
 	}
 	for i := range f.Upstreams {
 		cache, _ := lru.New[uint64, bool](f.Cache)
-		run.ups = append(run.ups, &upstream{fault: f.Faults[i], cache: cache})
+		one.ups = append(one.ups, &upstream{fault: f.Faults[i], cache: cache})
 	}
-	run.arrivals(l)
-	for len(run.events) > 0 {
-		heap.Pop(&run.events).(*routingEvent).what()
-	}
-	return run.result()
-}
-
-func (r *routingRun) at(t time.Time, what func()) {
-	r.seq++
-	heap.Push(&r.events, &routingEvent{at: t, seq: r.seq, what: what})
+	one.arrivals(l)
+	one.run()
+	return one.result()
 }
 
 func (r *routingRun) arrivals(l Load) {
