--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -63,8 +63,6 @@
 	start float64
 	begun time.Time
 	seq   uint64
-	// booked is true when the request came back at the time it was told.
-	booked bool
 }
 
 // team is one team's place in the fair share of one priority.
@@ -109,13 +107,11 @@
 	// nextReturn spreads the come-back times of refused requests, so that
 	// they don't all return at once.
 	nextReturn time.Time
-	// bookings are the come-back times promised to each team, in order.
-	bookings map[string][]time.Time
 }
 
 // NewQueue returns a queue with no capacity.
 func NewQueue() *Queue {
-	q := &Queue{serviceTime: initialServiceTime, bookings: make(map[string][]time.Time)}
+	q := &Queue{serviceTime: initialServiceTime}
 	for i := range q.levels {
 		q.levels[i].teams = make(map[string]*teamQueue)
 	}
@@ -157,14 +153,13 @@
 		q.run(now, t)
 		return t, nil
 	}
-	t.booked = q.takeBooking(now, r.Team)
 	if q.misses(now, t) {
 		q.refuse(now, t, DeadlineShort)
 		return t, nil
 	}
 	if q.waiting >= q.bound {
-		worst := q.displaceable(t)
-		if worst == nil {
+		worst := q.worst()
+		if worst == nil || !q.worthier(t, worst) {
 			q.refuse(now, t, QueueFull)
 			return t, nil
 		}
@@ -314,53 +309,9 @@
 func (q *Queue) refuse(now time.Time, t *Ticket, reason Reason) {
 	t.State = Refused
 	t.Refusal = Refusal{Reason: reason, RetryAfter: q.comeBack(now)}
-	team := t.Request.Team
-	q.bookings[team] = append(q.bookings[team], now.Add(t.Refusal.RetryAfter))
 	close(t.Ready)
 }
 
-const (
-	// bookingEarly and bookingLate are how far from its time a request may
-	// come back and still have its booking.
-	bookingEarly = 50 * time.Millisecond
-	bookingLate  = 2 * time.Second
-	// bookingSlack keeps the promised returns below what can be served.
-	bookingSlack = 1.25
-)
-
-// takeBooking uses up a booking of the team that is due now.
-func (q *Queue) takeBooking(now time.Time, team string) bool {
-	all := q.bookings[team]
-	for len(all) > 0 && now.Sub(all[0]) > bookingLate {
-		all = all[1:]
-	}
-	due := len(all) > 0 && now.Add(bookingEarly).After(all[0])
-	if due {
-		all = all[1:]
-	}
-	if len(all) == 0 {
-		delete(q.bookings, team)
-		return due
-	}
-	q.bookings[team] = all
-	return due
-}
-
-// displaceable returns the waiting ticket that gives way to t, or nil. One
-// that came back as told gives way only to a worthier one; one that did not
-// also gives way to one that did, of no lower priority.
-func (q *Queue) displaceable(t *Ticket) *Ticket {
-	if worst := q.worst(false); worst != nil {
-		if q.worthier(t, worst) || (t.booked && q.asWorthy(t, worst)) {
-			return worst
-		}
-	}
-	if worst := q.worst(true); worst != nil && q.worthier(t, worst) {
-		return worst
-	}
-	return nil
-}
-
 // comeBack promises each refused request its own later slot: the work ahead
 // must be done first, and those refused before it return first.
 func (q *Queue) comeBack(now time.Time) time.Duration {
@@ -369,43 +320,28 @@
 	if q.nextReturn.Before(earliest) {
 		q.nextReturn = earliest
 	}
-	q.nextReturn = q.nextReturn.Add(time.Duration(bookingSlack * float64(perSlot)))
+	q.nextReturn = q.nextReturn.Add(perSlot)
 	if limit := now.Add(maxRetryAfter); q.nextReturn.After(limit) {
 		q.nextReturn = limit
 	}
 	return q.nextReturn.Sub(now)
 }
 
-// worst returns the waiting ticket of least worth among those that came back
-// as told, or among the others: the lowest priority, there the team with the
-// most waiting for its weight, there the last to come.
-func (q *Queue) worst(booked bool) *Ticket {
+// worst returns the waiting ticket of least worth: the lowest priority, there
+// the team with the most waiting for its weight, there the last to come.
+func (q *Queue) worst() *Ticket {
 	for p := range q.levels {
 		l := &q.levels[p]
 		if l.waiting == 0 {
 			continue
 		}
 		var worst *teamQueue
-		var ticket *Ticket
 		for _, tq := range l.teams {
-			last := tq.last(booked)
-			if last != nil && (worst == nil || tq.heavier(worst)) {
-				worst, ticket = tq, last
+			if len(tq.waiting) > 0 && (worst == nil || tq.heavier(worst)) {
+				worst = tq
 			}
 		}
-		if ticket != nil {
-			return ticket
-		}
-	}
-	return nil
-}
-
-// last returns the team's latest waiting ticket of the kind, or nil.
-func (tq *teamQueue) last(booked bool) *Ticket {
-	for i := len(tq.waiting) - 1; i >= 0; i-- {
-		if tq.waiting[i].booked == booked {
-			return tq.waiting[i]
-		}
+		return worst.waiting[len(worst.waiting)-1]
 	}
 	return nil
 }
@@ -434,20 +370,6 @@
 	return float64(own+1)/float64(t.Request.Weight) < l.teams[w.Request.Team].load()
 }
 
-// asWorthy reports whether t is no less worthy than w: of higher priority, or
-// of the same and of a team with no more waiting for its weight.
-func (q *Queue) asWorthy(t, w *Ticket) bool {
-	if t.Request.Priority != w.Request.Priority {
-		return t.Request.Priority > w.Request.Priority
-	}
-	if t.Request.Team == w.Request.Team {
-		return true
-	}
-	l := &q.levels[t.Request.Priority]
-	own := l.teams[t.Request.Team]
-	return own == nil || own.load() <= l.teams[w.Request.Team].load()
-}
-
 func (q *Queue) dispatch(now time.Time) []*Ticket {
 	var out []*Ticket
 	for q.running < q.capacity && q.waiting > 0 {
