--- /dev/null
+++ b/internal/control/account.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/groups"
+	"github.com/marbleroad/marbleroad/internal/view"
+)
+
+// account adds up group downtime and stranded VMs.
+func (s *state) account(now time.Time, snapshot *view.Snapshot) {
+	elapsed := now.Sub(s.lastTick).Seconds()
+	if s.lastTick.IsZero() {
+		elapsed = 0
+	}
+	down, stranded := 0, 0
+	seen := make(map[string]bool)
+	for _, p := range snapshot.Plans {
+		for _, g := range p.Groups {
+			verdict := groups.Eligible(p, g, s.k.board, snapshot.Leaving, now, s.k.config.Window)
+			seen[g.ID] = true
+			if verdict.Reason == groups.Serving {
+				delete(s.downSince, g.ID)
+				continue
+			}
+			if _, ok := s.downSince[g.ID]; !ok {
+				s.downSince[g.ID] = now
+			}
+			stranded += s.strandedIn(p, g)
+		}
+	}
+	for id := range s.downSince {
+		if !seen[id] {
+			delete(s.downSince, id)
+		}
+	}
+	for _, w := range snapshot.Wants {
+		down += max(w.Replicas-len(servingOf(snapshot, w)), 0)
+	}
+	s.downSeconds += float64(down) * elapsed
+	s.strandedSeconds += float64(stranded) * elapsed
+	s.k.parts.Metrics.Set("groups.down", int64(down))
+	s.k.parts.Metrics.Set("vms.stranded", int64(stranded))
+	s.k.parts.Metrics.Set("groups.down_seconds", int64(s.downSeconds))
+	s.k.parts.Metrics.Set("vms.stranded_seconds", int64(s.strandedSeconds))
+}
+
+// servingOf lists the serving groups of one row.
+func servingOf(snapshot *view.Snapshot, w view.Want) []string {
+	var out []string
+	for _, u := range snapshot.Services[w.Service].Upstreams {
+		for _, p := range snapshot.Plans {
+			if g, ok := p.Group(u.ID); ok && g.Row == w.Name {
+				out = append(out, u.ID)
+			}
+		}
+	}
+	return out
+}
+
+// strandedIn counts the present VMs of a group that does not serve.
+func (s *state) strandedIn(p *groups.Plan, g groups.Group) int {
+	n := 0
+	for _, vm := range p.Members(g) {
+		if _, missing := s.missingSince[vm]; vm != "" && !missing {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -2,14 +2,12 @@
 
 import (
 	"sort"
-	"strings"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/event"
-	"github.com/marbleroad/marbleroad/internal/groups"
 	"github.com/marbleroad/marbleroad/internal/node"
 	"github.com/marbleroad/marbleroad/internal/platform"
 	"github.com/marbleroad/marbleroad/internal/quota"
@@ -301,86 +299,6 @@
 	}
 }
 
-// divideProbes finds the VMs that this process probes first, and as a backup.
-// It does so anew only when the VMs or the live nodes have changed: at the
-// planned size the hashing would cost more than all the rest of a tick.
-func (s *state) divideProbes(snapshot *view.Snapshot, live []string) {
-	now := probeDivision{live: strings.Join(live, " "), members: s.membersVersion()}
-	if now == s.division {
-		return
-	}
-	s.division = now
-	s.probes, s.backups = nil, nil
-	for _, m := range snapshot.Members {
-		for i, id := range hint("probe/"+m.VM, live, probersPerVM) {
-			switch {
-			case id != s.k.config.NodeID:
-			case i == 0:
-				s.probes = append(s.probes, m)
-			default:
-				s.backups = append(s.backups, m)
-			}
-		}
-	}
-}
-
-func (s *state) membersVersion() uint64 {
-	it, _ := s.k.items.Get(view.MembersKey(s.k.config.FailureDomain))
-	return it.Version
-}
-
-// exchangePeers lists all nodes of this failure domain, and for each other
-// failure domain one node if that falls to this process.
-func (s *state) exchangePeers(live []string) []node.Record {
-	s.divideDomains(live)
-	out := append([]node.Record(nil), s.neighbours...)
-	for _, recs := range s.delegated {
-		out = append(out, s.delegate(recs))
-	}
-	return out
-}
-
-// divideDomains finds the nodes of this failure domain, and the other failure
-// domains whose delegate this process is; anew only after a change.
-func (s *state) divideDomains(live []string) {
-	now := domainDivision{live: strings.Join(live, " "), nodes: len(s.nodes)}
-	if len(s.nodes) > 0 {
-		now.first = &s.nodes[0]
-	}
-	if now == s.domainsBy {
-		return
-	}
-	s.domainsBy = now
-	s.neighbours = nil
-	s.delegated = make(map[string][]node.Record)
-	for _, rec := range s.nodes {
-		switch {
-		case rec.ID == s.k.config.NodeID:
-		case rec.FailureDomain == s.k.config.FailureDomain:
-			s.neighbours = append(s.neighbours, rec)
-		default:
-			s.delegated[rec.FailureDomain] = append(s.delegated[rec.FailureDomain], rec)
-		}
-	}
-	for domain := range s.delegated {
-		if !hinted("delegate/"+domain, live, 1, s.k.config.NodeID) {
-			delete(s.delegated, domain)
-		}
-	}
-}
-
-// delegate picks the node to ask in another failure domain: one that answers,
-// else the next one each few seconds.
-func (s *state) delegate(recs []node.Record) node.Record {
-	for _, rec := range recs {
-		if p := s.peers[rec.ID]; p != nil && !p.lost {
-			return rec
-		}
-	}
-	turn := int(s.lastTick.Unix()/int64(peerLease.Seconds())) % len(recs)
-	return recs[max(turn, 0)]
-}
-
 // trackMissing notes since when each VM of the fleet has been absent. The
 // clock starts here, not in the store, so a new planner waits anew.
 func (s *state) trackMissing(now time.Time, snapshot *view.Snapshot) {
@@ -418,65 +336,3 @@
 		}
 	}
 }
-
-// account adds up group downtime and stranded VMs.
-func (s *state) account(now time.Time, snapshot *view.Snapshot) {
-	elapsed := now.Sub(s.lastTick).Seconds()
-	if s.lastTick.IsZero() {
-		elapsed = 0
-	}
-	down, stranded := 0, 0
-	seen := make(map[string]bool)
-	for _, p := range snapshot.Plans {
-		for _, g := range p.Groups {
-			verdict := groups.Eligible(p, g, s.k.board, snapshot.Leaving, now, s.k.config.Window)
-			seen[g.ID] = true
-			if verdict.Reason == groups.Serving {
-				delete(s.downSince, g.ID)
-				continue
-			}
-			if _, ok := s.downSince[g.ID]; !ok {
-				s.downSince[g.ID] = now
-			}
-			stranded += s.strandedIn(p, g)
-		}
-	}
-	for id := range s.downSince {
-		if !seen[id] {
-			delete(s.downSince, id)
-		}
-	}
-	for _, w := range snapshot.Wants {
-		down += max(w.Replicas-len(servingOf(snapshot, w)), 0)
-	}
-	s.downSeconds += float64(down) * elapsed
-	s.strandedSeconds += float64(stranded) * elapsed
-	s.k.parts.Metrics.Set("groups.down", int64(down))
-	s.k.parts.Metrics.Set("vms.stranded", int64(stranded))
-	s.k.parts.Metrics.Set("groups.down_seconds", int64(s.downSeconds))
-	s.k.parts.Metrics.Set("vms.stranded_seconds", int64(s.strandedSeconds))
-}
-
-// servingOf lists the serving groups of one row.
-func servingOf(snapshot *view.Snapshot, w view.Want) []string {
-	var out []string
-	for _, u := range snapshot.Services[w.Service].Upstreams {
-		for _, p := range snapshot.Plans {
-			if g, ok := p.Group(u.ID); ok && g.Row == w.Name {
-				out = append(out, u.ID)
-			}
-		}
-	}
-	return out
-}
-
-// strandedIn counts the present VMs of a group that does not serve.
-func (s *state) strandedIn(p *groups.Plan, g groups.Group) int {
-	n := 0
-	for _, vm := range p.Members(g) {
-		if _, missing := s.missingSince[vm]; vm != "" && !missing {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -147,9 +147,14 @@
 	}
 }
 
-// client connects to the control daemon with the operators' token.
+// client connects to the control daemon that was named.
 func (a *app) client() (marbleroadv1connect.OperatorServiceClient, error) {
-	if a.control == "" {
+	return a.clientOf(a.control)
+}
+
+// clientOf connects to a control daemon with the operators' token.
+func (a *app) clientOf(address string) (marbleroadv1connect.OperatorServiceClient, error) {
+	if address == "" {
 		return nil, errors.Wrapf(errUsage, "no control daemon: give --control or set %s", envControl)
 	}
 	switch format(a.output) {
@@ -166,7 +171,7 @@
 		return nil, err
 	}
 	auth := connect.WithInterceptors(bearer(token))
-	return marbleroadv1connect.NewOperatorServiceClient(peers.Client(), peers.URL(a.control), auth), nil
+	return marbleroadv1connect.NewOperatorServiceClient(peers.Client(), peers.URL(address), auth), nil
 }
 
 func (a *app) token() (string, error) {
--- /dev/null
+++ b/internal/ctl/sheet.go
@@ -0,0 +1,144 @@
+package ctl
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/table"
+)
+
+func (a *app) readSheet(sheet, path string, f *changeFlags) ([]*marbleroadv1.RowEdit, error) {
+	in := a.in
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "read sheet")
+		}
+		defer func() { _ = file.Close() }()
+		in = file
+	}
+	s, err := table.Lookup(table.SheetName(sheet))
+	if err != nil {
+		return nil, errors.Mark(err, errUsage)
+	}
+	return parseSheet(s, in, f.force)
+}
+
+// parseSheet reads the CSV form. Faults name the line and the column; all are
+// reported at once.
+func parseSheet(s *table.Sheet, in io.Reader, force bool) ([]*marbleroadv1.RowEdit, error) {
+	r := csv.NewReader(in)
+	r.Comment = '#'
+	r.TrimLeadingSpace = true
+	header, err := r.Read()
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "read the header line"), errInvalid)
+	}
+	var faults []string
+	faults = append(faults, checkHeader(s, header)...)
+	var edits []*marbleroadv1.RowEdit
+	for {
+		record, err := r.Read()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			faults = append(faults, err.Error())
+			break
+		}
+		line, _ := r.FieldPos(0)
+		edit, found := parseRecord(s, header, record, line, force)
+		faults = append(faults, found...)
+		edits = append(edits, edit)
+	}
+	if len(faults) > 0 {
+		return nil, errors.Mark(errors.Newf("%s", strings.Join(faults, "\n")), errInvalid)
+	}
+	return edits, nil
+}
+
+func checkHeader(s *table.Sheet, header []string) []string {
+	var faults []string
+	hasName := false
+	for _, column := range header {
+		switch {
+		case column == nameColumn:
+			hasName = true
+		case column == versionColumn:
+		case !hasColumn(s, column):
+			faults = append(faults, fmt.Sprintf("line 1, column %s: sheet %s has no such column", column, s.Name))
+		}
+	}
+	if !hasName {
+		faults = append(faults, "line 1: there is no column name")
+	}
+	return faults
+}
+
+func hasColumn(s *table.Sheet, name string) bool {
+	for _, c := range s.Columns {
+		if c.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func parseRecord(s *table.Sheet, header, record []string, line int, force bool) (*marbleroadv1.RowEdit, []string) {
+	edit := &marbleroadv1.RowEdit{Sheet: string(s.Name), Force: force || !contains(header, versionColumn)}
+	row := s.NewRow("")
+	var faults []string
+	fault := func(column string, err error) {
+		faults = append(faults, fmt.Sprintf("line %d, column %s: %v", line, column, err))
+	}
+	for i, column := range header {
+		text := record[i]
+		switch {
+		case column == nameColumn:
+			edit.Name = text
+			if err := table.CheckName(text); err != nil {
+				fault(column, err)
+			}
+		case column == versionColumn:
+			version, err := parseVersion(text)
+			if err != nil {
+				fault(column, err)
+			}
+			edit.BaseVersion = version
+		case hasColumn(s, column):
+			if err := s.Set(row, column, text); err != nil {
+				fault(column, errors.UnwrapAll(err))
+				faults[len(faults)-1] = fmt.Sprintf("line %d, %v", line, err)
+			}
+			edit.Cells = append(edit.Cells, &marbleroadv1.Cell{Column: column, Text: text})
+		}
+	}
+	return edit, faults
+}
+
+func parseVersion(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	v, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, errors.Newf("%q is not a version", text)
+	}
+	return v, nil
+}
+
+func contains(all []string, one string) bool {
+	for _, s := range all {
+		if s == one {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -15,14 +15,18 @@
 
 func (a *app) statusCommand() *cobra.Command {
 	var watch time.Duration
+	var all bool
 	c := &cobra.Command{
-		Use:     "status",
-		Short:   "Show the failure domain of the control daemon: groups, VMs, nodes and the table in force.",
-		Example: "  marbleroadctl status --watch 2s",
+		Use:   "status",
+		Short: "Show groups, VMs, nodes and the table in force.",
+		Long: `Show groups, VMs, nodes and the table in force in the failure domain of the
+control daemon that is asked; with --all, in every failure domain that it knows,
+each asked at one of its own daemons.`,
+		Example: "  marbleroadctl status --all\n  marbleroadctl status --watch 2s",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			for {
-				if err := a.status(c); err != nil || watch <= 0 {
+				if err := a.status(c, all); err != nil || watch <= 0 {
 					return err
 				}
 				time.Sleep(watch)
@@ -30,27 +34,73 @@
 			}
 		},
 	}
+	c.Flags().BoolVar(&all, "all", false, "every failure domain")
 	c.Flags().DurationVar(&watch, "watch", 0, "print again at this interval")
 	c.Flags().Lookup("watch").NoOptDefVal = "2s"
 	return c
 }
 
-func (a *app) status(c *cobra.Command) error {
-	client, err := a.client()
+func (a *app) status(c *cobra.Command, all bool) error {
+	first, err := a.statusOf(c, a.control)
 	if err != nil {
 		return err
 	}
+	found := []*marbleroadv1.StatusResponse{first}
+	if all {
+		found = append(found, a.otherDomains(c, first)...)
+	}
+	for i, m := range found {
+		if i > 0 {
+			_, _ = fmt.Fprintln(a.out)
+		}
+		if err := a.printStatus(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *app) statusOf(c *cobra.Command, address string) (*marbleroadv1.StatusResponse, error) {
+	client, err := a.clientOf(address)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := a.context(c)
 	defer cancel()
 	resp, err := client.Status(ctx, connect.NewRequest(&marbleroadv1.StatusRequest{}))
 	if err != nil {
-		return err
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// otherDomains asks each other failure domain at the first of its daemons that
+// answers; one that does not is said so.
+func (a *app) otherDomains(c *cobra.Command, first *marbleroadv1.StatusResponse) []*marbleroadv1.StatusResponse {
+	var out []*marbleroadv1.StatusResponse
+	answered := map[string]bool{first.GetFailureDomain(): true}
+	for _, n := range first.GetNodes() {
+		domain := n.GetFailureDomain()
+		if answered[domain] {
+			continue
+		}
+		m, err := a.statusOf(c, n.GetAddress())
+		if err != nil {
+			_, _ = fmt.Fprintf(a.out, "failure domain %s: %s does not answer\n", domain, n.GetId())
+			continue
+		}
+		answered[domain] = true
+		out = append(out, m)
 	}
-	m := resp.Msg
-	if format(a.output) == formatTable {
-		a.statusHead(m)
+	return out
+}
+
+func (a *app) printStatus(m *marbleroadv1.StatusResponse) error {
+	if format(a.output) != formatTable {
+		return a.print(groupGrid(m), m)
 	}
-	if err := a.print(groupGrid(m), m); err != nil || format(a.output) != formatTable {
+	a.statusHead(m)
+	if err := a.print(groupGrid(m), m); err != nil {
 		return err
 	}
 	_, _ = fmt.Fprintln(a.out)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -55,9 +55,9 @@
   's/if ok && old\.item\.Version >= it\.Version \{/if false {/' ./internal/item TestNeverReverts
 mutant "a deleted row stays in force" internal/view/view.go \
   's/known\.row != nil && !known\.row\.Deleted/known.row != nil/' ./test/integration TestDeletedTeamStaysDeleted
-mutant "an edit on an old version is accepted" internal/control/operator.go \
+mutant "an edit on an old version is accepted" internal/control/apply.go \
   's/if e\.message\.GetForce\(\) \|\| base == version/if true || base == version/' ./test/integration TestLostRaceShowsBothValues
-mutant "a lost answer of a write counts as a failure" internal/control/operator.go \
+mutant "a lost answer of a write counts as a failure" internal/control/apply.go \
   's/case errors\.Is\(err, platform\.ErrUnknown\):\n\t\treturn k\.resolveEdit\(ctx, m, e\)\n//' ./test/integration TestAcceptedWriteWhoseAnswerIsLost
 mutant "a fresh node is ready with a peer's table though the platform answers" internal/control/exchange.go \
   's/m\.GetTableLoaded\(\) && k\.platformDown\.Load\(\)/m.GetTableLoaded()/; ' ./test/integration TestFreshNodeThatMeetsOnlyAStalePeer
@@ -81,7 +81,7 @@
   's/case found && old\.Stage != Released:/case false:/' ./internal/ledger TestAtMostOnce
 mutant "a leaving VM gets work" internal/view/view.go \
   's/ && !seen\.Leaving && !s\.Leaving\[seen\.VM\]//' ./test/integration TestLeavingUpstreamGetsNoNewWork
-mutant "a drain is not held while the platform is down" internal/control/operator.go \
+mutant "a drain is not held while the platform is down" internal/control/drain.go \
   's/\tk\.holdDrain\(order\)\n\tk\.parts/\tk.parts/' ./test/integration TestLeavingUpstreamWhilePlatformIsDown
 mutant "a stop does not wait for answers in flight" internal/entry/server.go \
   's/case <-done:\n\tcase <-limit\.C:/case <-time.After(0):\n\tcase <-limit.C:/' ./test/integration TestGracefulShutdownCutsNothing
