--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 # docs/CAPACITY.md for the planned size.
 capacity: build
 	go build -o bin/ ./test/capacity
-	CAPACITY_CONTROL="$$(printf 'probe_interval = 1s\n[presence]\nwindow = 6s\n')" \
+	CAPACITY_CONTROL="$$(printf 'probe_interval = 1s\nexchange_interval = 3s\n[presence]\nwindow = 8s\n')" \
 	CAPACITY_ENTRY="$$(printf 'view_interval = 500ms\n')" bin/capacity
 
 plots:
--- a/test/integration/bench_test.go
+++ b/test/integration/bench_test.go
@@ -56,6 +56,7 @@
 	sh := smallShape()
 	sh.nodes = 1
 	sh.plains = 1
+	sh.tune = "log:level = info"
 	s := newSite(b, sh)
 	s.load(sh.domains, 4, 1)
 	direct := "http://" + s.vms["obuda-tiles-1"].member.Address + "/x"
