Leases follow the exchange interval

Cause: found in reading: a peer counted as lost after 3 s without an answer, while with 27 peers each is read every 2.3 s, and every 3 s with the settings for the planned size: peers would be lost and found by turns, and with them probes, hints and shares. Ruled out: a longer constant (it would slow today's small failure domains). Change: the lease of a peer is 2.5 readings and at least 3 s; the lease of a share and the hold of a rise follow it. Before: TestLeasesOutlastTwoReadings fails with the constant (27 peers: lease 3 s for readings each 2.25 s is below two). After: it passes. Conclusion: the capacity figures of the planned settings must be taken again.

--- a/internal/control/divide.go
+++ b/internal/control/divide.go
@@ -83,6 +83,6 @@
 			return rec
 		}
 	}
-	turn := int(s.lastTick.Unix()/int64(peerLease.Seconds())) % len(recs)
+	turn := int(s.lastTick.Unix()/int64(s.leases.peer.Seconds())) % len(recs)
 	return recs[max(turn, 0)]
 }
--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -80,7 +80,7 @@
 			last = p.answeredAt
 		}
 	}
-	return now.Sub(last) <= demandLease
+	return now.Sub(last) <= s.leases.demand
 }
 
 // entryDemands lists the demand of the failure domain's entries for one
@@ -97,7 +97,7 @@
 		if heard[rec.ID] {
 			continue
 		}
-		if level == most && now.Sub(s.heardAt(rec.ID)) > demandLease {
+		if level == most && now.Sub(s.heardAt(rec.ID)) > s.leases.demand {
 			continue
 		}
 		out = append(out, quota.Demand{Entry: rec.ID, Rate: quota.WantsAll})
@@ -117,7 +117,7 @@
 func (s *state) liveEntries(now time.Time) []string {
 	var out []string
 	for id, e := range s.entries {
-		if now.Sub(e.at) <= demandLease {
+		if now.Sub(e.at) <= s.leases.demand {
 			out = append(out, id)
 			continue
 		}
@@ -161,7 +161,7 @@
 	for _, domain := range others {
 		e, known := s.domains[domain]
 		rate := quota.WantsAll
-		if known && now.Sub(e.at) <= demandLease {
+		if known && now.Sub(e.at) <= s.leases.demand {
 			rate = rateOf(e.demand, subject)
 		}
 		demands = append(demands, quota.Demand{Entry: domain, Rate: rate})
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -45,17 +45,10 @@
 )
 
 const (
-	// peerLease is how long a peer counts as alive after it was last asked
-	// with success.
-	peerLease = 3 * time.Second
-	// demandLease is how long a silent entry's or failure domain's share stays reserved.
-	demandLease = 5 * time.Second
 	// probersPerVM is how many control processes probe each VM: one at the
 	// probe interval, the others often enough that the VM stays present when
 	// the first fails.
 	probersPerVM = 2
-	// shareHold is how long a share's rise waits for the others to hear of it.
-	shareHold = 2 * time.Second
 	// forgetAfter is how long a VM's witness is kept without news.
 	forgetAfter = 10 * time.Minute
 )
@@ -127,6 +120,8 @@
 	// domains are other failure domains' summed demands.
 	domains map[string]entryState
 
+	// leases follow from the number of peers, as of the last tick.
+	leases leases
 	// damper keeps the shares of all entries together within the limit.
 	damper quota.Damper
 
@@ -166,7 +161,8 @@
 		peers:         make(map[string]*peerState),
 		entries:       make(map[string]entryState),
 		domains:       make(map[string]entryState),
-		damper:        quota.Damper{Hold: shareHold},
+		leases:        leasesFor(k.config.ExchangeInterval),
+		damper:        quota.Damper{},
 		missingSince:  make(map[string]time.Time),
 		retiringSince: make(map[string]time.Time),
 		planner:       make(map[string]*fabricState),
@@ -202,6 +198,8 @@
 	s.k.board.Forget(now.Add(-forgetAfter))
 	live := s.liveNodes(now)
 	s.nodes = snapshot.Nodes
+	s.leases = leasesFor(exchangeInterval(s.k.config.ExchangeInterval, len(s.neighbours)))
+	s.damper.Hold = s.leases.hold
 	sort.Strings(live)
 	d := &duties{
 		peers:    s.exchangePeers(live),
@@ -232,7 +230,7 @@
 func (s *state) liveNodes(now time.Time) []string {
 	out := []string{s.k.config.NodeID}
 	for id, p := range s.peers {
-		if p.failureDomain == s.k.config.FailureDomain && now.Sub(p.answeredAt) <= peerLease {
+		if p.failureDomain == s.k.config.FailureDomain && now.Sub(p.answeredAt) <= s.leases.peer {
 			out = append(out, id)
 		}
 	}
@@ -292,7 +290,7 @@
 
 func (s *state) loseSilentPeers(now time.Time) {
 	for id, p := range s.peers {
-		if !p.lost && now.Sub(p.answeredAt) > peerLease {
+		if !p.lost && now.Sub(p.answeredAt) > s.leases.peer {
 			p.lost = true
 			s.k.parts.Log.Emit(event.PeerLost).Str("peer", id).Send()
 		}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -91,7 +91,7 @@
 			Address:       rec.Control,
 		}
 		if p := s.peers[rec.ID]; p != nil {
-			one.Alive = now.Sub(p.answeredAt) <= peerLease
+			one.Alive = now.Sub(p.answeredAt) <= s.leases.peer
 			one.TableDigest = p.digest
 		}
 		if rec.ID == s.k.config.NodeID {
