A keyed stream that broke off may have run

Cause: found in reading: the outcome of a stream that ended by an error event was recorded as answered, so a retry heard that it ran. Change: such a call is marked broken; its key stays begun, and its upstream gets the failure counted. Before: TestBrokenKeyedStreamMayHaveRun: retry: 409 ran. After: it passes.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -75,6 +75,8 @@
 	hop    bool
 	last   eventID
 	trail  *trail
+	// broken is true when the stream had to end with an error event.
+	broken bool
 }
 
 // eventID is the caller's name of one streamed event: where its run is, and
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -197,7 +197,7 @@
 		rec.Stage = ledger.Released
 		return rec
 	}
-	if fault != nil {
+	if fault != nil || c.broken {
 		rec.Stage = ledger.Begun
 		return rec
 	}
@@ -245,7 +245,7 @@
 }
 
 func (s *Server) noteEnd(c *call, d *desk, up view.Upstream, fault *verdict.Error) {
-	failed := fault != nil && fault.Code != relay.CodeRefused && fault.Code != relay.CodeDeadline
+	failed := c.broken || (fault != nil && fault.Code != relay.CodeRefused && fault.Code != relay.CodeDeadline)
 	ejected := d.end(time.Now(), up.ID, failed)
 	if fault != nil {
 		c.trail.add("upstream %s: %s (%s)", up.ID, fault.Code, fault.Verdict)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -159,6 +159,7 @@
 		fault.Detail = "the deadline passed or this entry had to stop before the stream ended"
 		s.cancelRun(c, id, address)
 	}
+	c.broken = true
 	c.trail.add("stream ended by an error event: %s", fault.Code)
 	_, _ = w.Write(errorEvent(c.id, fault))
 	_ = control.Flush()
--- a/test/integration/answers_test.go
+++ b/test/integration/answers_test.go
@@ -268,6 +268,28 @@
 	s.history.check()
 }
 
+// TestBrokenKeyedStreamMayHaveRun: a retry of a keyed stream that broke off is
+// not told that it ran.
+func TestBrokenKeyedStreamMayHaveRun(t *testing.T) {
+	t.Parallel()
+	s := slowSite(t, 100*time.Millisecond, "")
+	before := s.begun()
+	q := ask{stream: true, once: true, idem: "stream-1"}
+	got := make(chan answer, 1)
+	go func() { got <- s.call(s.nodes[0], q) }()
+	s.running(before, 1)
+	time.Sleep(150 * time.Millisecond)
+	s.down(s.members("obuda")[0])
+	if first := <-got; first.ended != "error" {
+		t.Errorf("the stream ended %q", first.ended)
+	}
+	second := s.call(s.nodes[1], q)
+	if second.status != http.StatusConflict || second.verdict != verdict.MayHaveRun {
+		t.Errorf("retry: %d %s", second.status, second.verdict)
+	}
+	s.history.check()
+}
+
 // TestShutdownStoresOutcomes: an entry that stops right after its answer has
 // stored it, so that a retry elsewhere gets it at once.
 func TestShutdownStoresOutcomes(t *testing.T) {
