A caller cannot pass as its own first try

Cause: found in reading: the ledger's attempt was the request's ID, and a request that carried Marbleroad-Hop, as entries send it, could name its own ID. The same key with the same ID then counted as the same attempt and ran again. Ruled out: refusing the header from callers alone (a peer listener without certificates would still take it). Change: each attempt has an ID of its own; a request's ID is taken from outside only on the peer listener. Before: TestCallerCannotPassAsItsFirstTry: the key ran 4 times. Conclusion: kept, with a mutant.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -138,6 +138,14 @@
 	return ulid.MustNew(ulid.Now(), rand.Reader).String()
 }
 
+// peerKey marks in a request's context that it came through the peer listener.
+type peerKey struct{}
+
+// fromPeer reports whether another entry sent the request.
+func fromPeer(r *http.Request) bool {
+	return r.Context().Value(peerKey{}) != nil
+}
+
 // readCall reads what all calls have in common. The service comes later.
 func (s *Server) readCall(w http.ResponseWriter, r *http.Request, team view.Team) (*call, *verdict.Error) {
 	c := &call{
@@ -147,7 +155,7 @@
 		header: r.Header,
 		hop:    r.Header.Get(HopHeader) != "",
 	}
-	if given := r.Header.Get(relay.RequestIDHeader); c.hop && table.CheckName(strings.ToLower(given)) == nil {
+	if given := r.Header.Get(relay.RequestIDHeader); fromPeer(r) && table.CheckName(strings.ToLower(given)) == nil {
 		c.id = given
 	}
 	c.trail = s.trails.begin(c.id)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -123,12 +123,15 @@
 	}
 	key := ledger.KeyOf(c.team.Name, c.key)
 	body := ledger.HashBody([]byte(c.service.Name), []byte(c.method), []byte(c.path), c.body)
-	first, rec, err := s.ledger.Begin(ctx, key, c.id, body)
+	// Never the request's ID, which may come from outside: an attempt that
+	// passes for another would run the key again.
+	attempt := newRequestID()
+	first, rec, err := s.ledger.Begin(ctx, key, attempt, body)
 	if err != nil {
 		c.trail.add("ledger: %v", err)
 		// The write may have taken effect though its answer was lost; nothing
 		// was sent, so the key is free again.
-		s.ledger.Finish(key, ledger.Record{Attempt: c.id, Stage: ledger.Released})
+		s.ledger.Finish(key, ledger.Record{Attempt: attempt, Stage: ledger.Released})
 		return ledgerFault(err)
 	}
 	if !first {
@@ -137,7 +140,7 @@
 	}
 	c.trail.add("ledger: key begun")
 	answer, fault := s.run(ctx, w, c, d)
-	s.ledger.Finish(key, outcome(c, answer, fault))
+	s.ledger.Finish(key, outcome(c, attempt, answer, fault))
 	return fault
 }
 
@@ -191,8 +194,8 @@
 	whole       bool
 }
 
-func outcome(c *call, a keptAnswer, fault *verdict.Error) ledger.Record {
-	rec := ledger.Record{Attempt: c.id, Stage: ledger.Answered}
+func outcome(c *call, attempt string, a keptAnswer, fault *verdict.Error) ledger.Record {
+	rec := ledger.Record{Attempt: attempt, Stage: ledger.Answered}
 	if fault != nil && fault.Verdict == verdict.NotRun {
 		rec.Stage = ledger.Released
 		return rec
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -156,7 +156,10 @@
 	go s.serveCallers(listener)
 	mux := http.NewServeMux()
 	mux.Handle(marbleroadv1connect.NewEntryServiceHandler(explainer{s}))
-	mux.Handle("/", s.handler())
+	inner := s.handler()
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		inner.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), peerKey{}, true)))
+	})
 	s.peer, err = s.peers.Serve(s.config.Peer, mux)
 	return err
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -79,6 +79,8 @@
   's/if err != nil \{\n\t\tc\.trail\.add\("ledger: %v", err\)/if false {\n\t\tc.trail.add("ledger: %v", err)/' ./test/integration TestPlatformDownRefusesKeyedRequestsAsNotRun
 mutant "a key that has begun is begun again" internal/ledger/ledger.go \
   's/case found && old\.Stage != Released:/case false:/' ./internal/ledger TestAtMostOnce
+mutant "a caller's request ID names the attempt" internal/entry/dispatch.go \
+  's/attempt := newRequestID\(\)/attempt := "a"/' ./test/integration TestCallerCannotPassAsItsFirstTry
 mutant "a leaving VM gets work" internal/view/view.go \
   's/ && !seen\.Leaving && !s\.Leaving\[seen\.VM\]//' ./test/integration TestLeavingUpstreamGetsNoNewWork
 mutant "a drain is not held while the platform is down" internal/control/drain.go \
--- a/scripts/proof.sh
+++ b/scripts/proof.sh
@@ -39,7 +39,7 @@
   promise "What is refused as not run did not run" \
     'TestVerdicts|TestNoReplay.*|TestReplayIsReal|TestNotRun.*|TestSpill.*' ./internal/relay $int
   promise "A non-idempotent request runs at most once" \
-    'TestAtMostOnce|TestGroupCommit|TestNoReplay.*|TestRetryElsewhere.*|TestEntryKilled.*|TestLedger.*|TestRacingTries|TestBrokenKeyed.*|TestPlatformDown.*' ./internal/ledger ./internal/relay $int
+    'TestAtMostOnce|TestGroupCommit|TestNoReplay.*|TestRetryElsewhere.*|TestEntryKilled.*|TestLedger.*|TestRacingTries|TestBrokenKeyed.*|TestCallerCannot.*|TestPlatformDown.*' ./internal/ledger ./internal/relay $int
   promise "A leaving upstream gets no new work" 'TestLeaving.*' $int
   promise "A graceful shutdown cuts off no request" 'TestGraceful.*|TestShutdown.*|TestRolling.*' $int
   promise "An accepted change is in force everywhere and never reverts" \
--- a/test/integration/answers_test.go
+++ b/test/integration/answers_test.go
@@ -453,3 +453,18 @@
 	stop()
 	s.history.check()
 }
+
+// TestCallerCannotPassAsItsFirstTry: a caller that names its own request ID,
+// as entries do between them, still runs a key once.
+func TestCallerCannotPassAsItsFirstTry(t *testing.T) {
+	t.Parallel()
+	s := groupSite(t, 4)
+	q := warning("forged")
+	q.header = map[string]string{"Marbleroad-Hop": "me", "X-Request-Id": "01jforged"}
+	for i := range 4 {
+		s.call(s.nodes[i%2], q)
+	}
+	if n := s.history.runsByKey("forged"); n != 1 {
+		t.Errorf("the key ran %d times", n)
+	}
+}
