A slow body is refused with 408, by a setting

Cause: a caller that trickles its body was bounded by the server's read time-out of 60 s, without a clear answer; and it was feared that this time-out also cancels requests whose answer outlasts it. Change: entry.body_timeout bounds the reading of the body alone and answers 408. Conclusion: kept for the setting and the clear answer.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -194,6 +194,7 @@
 		FailureDomain: s.Node.FailureDomain,
 		Listen:        s.Entry.Listen,
 		Peer:          s.Entry.Peer,
+		BodyTimeout:   s.Entry.BodyTimeout,
 		MaxBody:       s.Entry.MaxBody,
 		BalancerDelay: s.Entry.BalancerDelay,
 		ShutdownLimit: s.Entry.ShutdownLimit,
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -8,10 +8,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 
 	"github.com/marbleroad/marbleroad/internal/relay"
@@ -182,10 +184,16 @@
 }
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(s.config.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.config.MaxBody))
 	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, badInput(http.StatusRequestTimeout, codeBadRequest, "the body did not come in time")
+	}
 	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
 		return nil, badInput(http.StatusRequestEntityTooLarge, codeTooLarge,
 			"the body is larger than "+strconv.FormatInt(s.config.MaxBody, 10)+" bytes")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -43,7 +43,6 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 60 * time.Second
 	idleTimeout       = 120 * time.Second
 	maxHeaderBytes    = 64 << 10
 	// closeLimit bounds what a stop does after the last answer.
@@ -66,6 +65,7 @@
 	FailureDomain string
 	Listen        string
 	Peer          string
+	BodyTimeout   time.Duration
 	MaxBody       int64
 	BalancerDelay time.Duration
 	ShutdownLimit time.Duration
@@ -148,10 +148,10 @@
 	s.callers = &http.Server{
 		Handler:           s.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		TLSConfig:         s.config.CallerTLS,
+		// No ReadTimeout: it would also cancel requests whose answer outlasts it.
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		TLSConfig:      s.config.CallerTLS,
 	}
 	go s.serveCallers(listener)
 	mux := http.NewServeMux()
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -80,6 +80,8 @@
 		func(s *Settings, t string) error { return duration(t, &s.Entry.BalancerDelay) }},
 	{"entry", "shutdown_limit", "10m", allowedDuration, "How long a stop waits for answers in flight; then streams end with an error event.", nil,
 		func(s *Settings, t string) error { return duration(t, &s.Entry.ShutdownLimit) }},
+	{"entry", "body_timeout", "30s", allowedDuration, "Bound on reading a request's body; a slower caller is refused with 408.", nil,
+		func(s *Settings, t string) error { return duration(t, &s.Entry.BodyTimeout) }},
 	{"entry", "max_body", "1048576", "bytes, 1 to 67108864", "Largest request body; larger ones are refused with 413.", nil,
 		func(s *Settings, t string) error { return byteCount(t, &s.Entry.MaxBody) }},
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,8 @@
 	BalancerDelay time.Duration
 	// ShutdownLimit bounds the wait for work in flight.
 	ShutdownLimit time.Duration
+	// BodyTimeout bounds the reading of a request's body.
+	BodyTimeout time.Duration
 	// MaxBody bounds a request's body, in bytes.
 	MaxBody int64
 }
--- a/test/integration/answers_test.go
+++ b/test/integration/answers_test.go
@@ -1,8 +1,11 @@
 package integration
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -65,6 +68,37 @@
 	return len(s.history.begins)
 }
 
+// TestStreamOutlastsTheBodyTimeout: a bound on reading the request must not end
+// its answer.
+func TestStreamOutlastsTheBodyTimeout(t *testing.T) {
+	t.Parallel()
+	s := slowSite(t, 150*time.Millisecond, "entry:body_timeout = 400ms")
+	if a := s.call(s.nodes[0], ask{stream: true}); a.ended != "done" {
+		t.Errorf("the stream ended %q after %d events: %s", a.ended, len(a.events), a.body)
+	}
+	s.history.check()
+}
+
+// TestSlowBodyIsRefused: a caller that trickles its body is refused in time.
+func TestSlowBodyIsRefused(t *testing.T) {
+	t.Parallel()
+	s := slowSite(t, time.Millisecond, "entry:body_timeout = 300ms")
+	conn, err := net.Dial("tcp", net.JoinHostPort(s.nodes[0].ip, strconv.Itoa(callerPort)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", teamKey)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+}
+
 func TestUpstreamDiesInTheMiddle(t *testing.T) {
 	t.Parallel()
 	s := slowSite(t, 100*time.Millisecond, "")
