--- /dev/null
+++ b/test/integration/shutdown_test.go
@@ -0,0 +1,114 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestShutdownStoresOutcomes: an entry that stops right after its answer has
+// stored it, so that a retry elsewhere gets it at once.
+func TestShutdownStoresOutcomes(t *testing.T) {
+	t.Parallel()
+	s := groupSite(t, 4)
+	s.plainDelay(300 * time.Millisecond)
+	before := s.plainRuns()
+	got := make(chan answer, 1)
+	go func() { got <- s.call(s.nodes[0], warning("last-words")) }()
+	s.eventually("the request runs", func() bool { return s.plainRuns() > before })
+	s.platform.SetDown(true)
+	first := <-got
+	if first.status != http.StatusOK {
+		t.Fatalf("%d %s", first.status, first.body)
+	}
+	s.nodes[0].entry.signal(syscall.SIGTERM)
+	s.eventually("the entry takes no new work", func() bool {
+		return s.call(s.nodes[0], ask{path: "/services/tiles/x", method: "GET"}).status != http.StatusOK
+	})
+	s.platform.SetDown(false)
+	<-s.nodes[0].entry.gone
+	second := s.call(s.nodes[1], warning("last-words"))
+	if second.status != http.StatusOK || second.body != first.body {
+		t.Errorf("retry: %d %s", second.status, second.body)
+	}
+	s.history.check()
+}
+
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	t.Parallel()
+	s := slowSite(t, 100*time.Millisecond, "")
+	const streams = 6
+	before := s.begun()
+	got := make(chan answer, streams)
+	for range streams {
+		go func() { got <- s.call(s.nodes[0], ask{stream: true}) }()
+	}
+	s.running(before, streams)
+	s.nodes[0].control.signal(syscall.SIGTERM)
+	s.nodes[0].entry.signal(syscall.SIGTERM)
+	for range streams {
+		if a := <-got; a.ended != "done" {
+			t.Errorf("a stream ended %q: %v", a.ended, a.err)
+		}
+	}
+	<-s.nodes[0].entry.gone
+	<-s.nodes[0].control.gone
+	for _, p := range []*process{s.nodes[0].entry, s.nodes[0].control} {
+		if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+			t.Errorf("exit code %d", code)
+		}
+	}
+	s.history.check()
+}
+
+func TestShutdownLimitAndSecondSignalEndStreamsExplicitly(t *testing.T) {
+	t.Parallel()
+	for name, tune := range map[string]string{"limit": "entry:shutdown_limit = 200ms", "second signal": ""} {
+		s := slowSite(t, 200*time.Millisecond, tune)
+		before := s.begun()
+		got := make(chan answer, 1)
+		go func() { got <- s.call(s.nodes[0], ask{stream: true}) }()
+		s.running(before, 1)
+		// Past the first token, so that the answer has begun.
+		time.Sleep(300 * time.Millisecond)
+		s.nodes[0].entry.signal(syscall.SIGTERM)
+		if name == "second signal" {
+			s.eventually("the entry stops", func() bool { return !s.ready(s.nodes[0]) })
+			s.nodes[0].entry.signal(syscall.SIGTERM)
+		}
+		if a := <-got; a.ended != "error" {
+			t.Errorf("%s: the stream ended %q", name, a.ended)
+		}
+		<-s.nodes[0].entry.gone
+		s.history.check()
+	}
+}
+
+func (s *site) ready(nd *node) bool {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/readyz", nd.ip, adminPort))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+// TestRollingRestart restarts every daemon under load; each caller that is
+// refused comes back when told, and none is lost.
+func TestRollingRestart(t *testing.T) {
+	t.Parallel()
+	s := groupSite(t, 4)
+	stop := s.pressure()
+	for _, nd := range s.nodes {
+		nd.entry.signal(syscall.SIGTERM)
+		<-nd.entry.gone
+		nd.control.signal(syscall.SIGTERM)
+		<-nd.control.gone
+		s.startNode(nd)
+		s.eventually("the node serves again", func() bool { return s.ready(nd) && s.serves(nd) })
+	}
+	stop()
+	s.history.check()
+}
