--- a/scripts/proof.sh
+++ b/scripts/proof.sh
@@ -46,7 +46,7 @@
     'TestNeverReverts|TestOperatorsRace|TestSheetsRace|TestLostRace.*|TestAcceptedWrite.*|TestReaderKilled|TestDomainCut.*|TestFreshNode.*|TestDeletedTeam.*' ./internal/item $int
   promise "A store outage leaves serving untouched" 'TestStoreOutage.*' $int
   promise "Bad input and callers without credentials get nothing" \
-    'TestBadInput.*|TestWithoutCredentials.*|TestMutualTLS|TestFaults.*|FuzzLoad|FuzzDecode' ./internal/settings ./internal/table $int
+    'TestBadInput.*|TestWithoutCredentials.*|TestMutualTLS|TestFaults.*|TestSlowBody.*|Fuzz.*' ./internal/settings ./internal/table ./internal/groups ./internal/entry ./internal/ctl $int
   promise "All of them under random faults, two at once" 'TestRandomFaults' $int
 done
 [ "$failed" = 0 ]
