Tests are never taken from the cache

Cause: the integration tests build the daemons themselves; that the test cache notices a change of them rests on an import of the command line alone.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	@scripts/demo.sh
 
 test: build
-	go test -parallel 4 ./...
+	go test -count=1 -parallel 4 ./...
 
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "run gofmt"; exit 1; }
