--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -31,14 +31,22 @@
 	return ask{path: "/services/warnings/issue", body: "hail over " + key, once: true, idem: key}
 }
 
+// beginWarning sends a keyed request to the first node, which takes the given
+// time at its upstream, and returns once it runs there.
+func (s *site) beginWarning(key string, takes time.Duration) chan answer {
+	s.t.Helper()
+	s.plainDelay(takes)
+	before := s.plainRuns()
+	got := make(chan answer, 1)
+	go func() { got <- s.call(s.nodes[0], warning(key)) }()
+	s.eventually("the request runs", func() bool { return s.plainRuns() > before })
+	return got
+}
+
 func TestRetryElsewhereWhileTheFirstRuns(t *testing.T) {
 	t.Parallel()
 	s := groupSite(t, 4)
-	s.plainDelay(time.Second)
-	before := s.plainRuns()
-	first := make(chan answer, 1)
-	go func() { first <- s.call(s.nodes[0], warning("storm-1")) }()
-	s.eventually("the first try runs", func() bool { return s.plainRuns() > before })
+	first := s.beginWarning("storm-1", time.Second)
 	second := s.call(s.nodes[1], warning("storm-1"))
 	if second.status != http.StatusConflict || second.verdict != verdict.MayHaveRun {
 		t.Errorf("second try: %d %s", second.status, second.verdict)
@@ -84,11 +92,7 @@
 func TestEntryKilledAfterDispatch(t *testing.T) {
 	t.Parallel()
 	s := groupSite(t, 4)
-	s.plainDelay(500 * time.Millisecond)
-	before := s.plainRuns()
-	first := make(chan answer, 1)
-	go func() { first <- s.call(s.nodes[0], warning("storm-2")) }()
-	s.eventually("the first try runs", func() bool { return s.plainRuns() > before })
+	first := s.beginWarning("storm-2", 500*time.Millisecond)
 	s.nodes[0].entry.kill()
 	<-first
 	second := s.call(s.nodes[1], warning("storm-2"))
--- a/test/integration/shutdown_test.go
+++ b/test/integration/shutdown_test.go
@@ -13,11 +13,7 @@
 func TestShutdownStoresOutcomes(t *testing.T) {
 	t.Parallel()
 	s := groupSite(t, 4)
-	s.plainDelay(300 * time.Millisecond)
-	before := s.plainRuns()
-	got := make(chan answer, 1)
-	go func() { got <- s.call(s.nodes[0], warning("last-words")) }()
-	s.eventually("the request runs", func() bool { return s.plainRuns() > before })
+	got := s.beginWarning("last-words", 300*time.Millisecond)
 	s.platform.SetDown(true)
 	first := <-got
 	if first.status != http.StatusOK {
