A head without entry is asked itself before its members move

Ruled out: late orders (the joins were the first to those VMs), two directors (only front-apapa-1 sent orders). Change: a head whose entry is gone is asked for its report, closed and made to leave; only one that stays silent for the stall bound is taken as gone. Conclusion: the entry says nothing of whether a head serves.

--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -137,11 +137,6 @@
 	delete(s.forms, name)
 	s.d.parts.Log.Emit(event.GroupAbandoned).Str("group", name).Str("reason", why).Strs("members", f.members).Send()
 	w := s.groups[name]
-	if w == nil {
-		w = &watchedGroup{firstSeen: now}
-		s.groups[name] = w
-	}
-	w.head = f.members[0]
 	if !f.openSent && (!f.joined[w.head] || s.snapshot.VMs[w.head] == nil) {
 		s.release(name, w, "it was never opened")
 		return
@@ -152,30 +147,60 @@
 
 // tend looks after the groups of the failure domains that this node manages.
 func (s *state) tend(now time.Time, domains []string) {
-	for name, g := range s.snapshot.Groups {
-		w := s.groups[name]
-		if w.released || s.forms[name] != nil || !s.inDomains(g, domains) {
-			continue
-		}
-		head := s.snapshot.VMs[w.head]
-		if head == nil {
+	for name, w := range s.groups {
+		if w.released || s.forms[name] != nil || !contains(domains, w.domain) {
 			continue
 		}
-		if w.dissolving {
-			s.dissolve(now, name, g, w, head)
-			continue
+		g, head := s.snapshot.Groups[name], s.snapshot.VMs[w.head]
+		switch {
+		case head == nil:
+			s.tendLost(now, name, w)
+		case w.dissolving:
+			s.dissolve(now, name, w, head)
+		case g != nil:
+			s.tendGroup(now, name, g, w, head)
 		}
-		s.tendGroup(now, name, g, w, head)
 	}
 }
 
-func (s *state) inDomains(g *fleet.Group, domains []string) bool {
-	for _, vm := range g.Members {
-		if vm != nil {
-			return contains(domains, vm.FailureDomain)
-		}
+// tendLost takes a group apart whose head's entry is gone. A head that was only
+// cut off from the store still serves, so it is asked itself first. One that
+// stays silent can't serve for longer than the stall bound once its members
+// go, and is then taken as gone.
+func (s *state) tendLost(now time.Time, name string, w *watchedGroup) {
+	if s.cannotServe(now, w) {
+		s.release(name, w, "head is gone")
+		return
+	}
+	if w.headVM == nil {
+		return
+	}
+	if !w.dissolving {
+		s.d.parts.Log.Emit(event.HeadLost).Str("group", name).Str("vm", w.head).Uint64("revision", s.snapshot.Revision).Send()
+		s.takeApart(now, name, w, "head is no longer listed", false)
+		s.vm(w.head).known = false
+	}
+	if !w.headHeard.IsZero() {
+		s.judgeHead(name, w, s.membership(w.headVM))
+	}
+	if !w.released {
+		s.dissolve(now, name, w, w.headVM)
+	}
+}
+
+// cannotServe reports whether a head whose entry is gone has been silent for
+// longer than it can serve once its members go elsewhere.
+func (s *state) cannotServe(now time.Time, w *watchedGroup) bool {
+	hold := s.d.config.StallBound + holdMargin
+	if w.headVM == nil {
+		return now.Sub(w.headLost) > hold
+	}
+	if w.headSilent.IsZero() {
+		return false
 	}
-	return false
+	// The entry outlives the VM, so part of the stall had passed when it went.
+	unheard := w.headHeard.IsZero() && now.Sub(w.headLost) > hold-entryLife
+	return unheard || now.Sub(w.headSilent) > hold
 }
 
 // tendGroup opens a complete group that its former director left ready, and
@@ -244,7 +269,7 @@
 }
 
 // dissolve sends a group's head the next order on its way out of the group.
-func (s *state) dissolve(now time.Time, name string, g *fleet.Group, w *watchedGroup, head *fleet.VM) {
+func (s *state) dissolve(now time.Time, name string, w *watchedGroup, head *fleet.VM) {
 	state := s.membership(head).State
 	serving := state == fleet.Open || state == fleet.Closing
 	late := now.Sub(w.since) > closeLimit
@@ -254,7 +279,7 @@
 	if !s.ready(now, head) {
 		return
 	}
-	o := engine.GroupOrder{Operation: engine.Leave, Group: name, Generation: g.Generation}
+	o := engine.GroupOrder{Operation: engine.Leave, Group: name, Generation: w.generation}
 	if serving && !w.closed {
 		o.Operation = engine.CloseHeadNow
 		if w.graceful {
@@ -270,7 +295,7 @@
 		return
 	}
 	g, w := s.snapshot.Groups[m.group], s.groups[m.group]
-	if g == nil || w == nil || w.dissolving || w.released || now.Sub(w.askedAt) < suspicionPause || !s.inDomains(g, s.d.Directing()) {
+	if g == nil || w == nil || w.dissolving || w.released || now.Sub(w.askedAt) < suspicionPause || !contains(s.d.Directing(), w.domain) {
 		return
 	}
 	w.askedAt = now
@@ -430,7 +455,8 @@
 		deadline:   now.Add(limit),
 	}
 	s.forms[f.name] = f
-	s.groups[f.name] = &watchedGroup{firstSeen: now, head: p.Members[0]}
+	head := s.snapshot.VMs[p.Members[0]]
+	s.groups[f.name] = &watchedGroup{firstSeen: now, head: head.ID, headVM: head, domain: head.FailureDomain, generation: f.generation}
 	s.d.parts.Log.Emit(event.GroupPlanned).Str("group", f.name).Uint64("generation", f.generation).Str("model", model.Name).
 		Strs("members", f.members).Int("loads", f.loads).Uint64("revision", s.snapshot.Revision).Send()
 	s.drive(now, f)
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -73,7 +73,8 @@
 	// holdMargin is added to the stall bound before the members of a silent
 	// head are used again.
 	holdMargin = 500 * time.Millisecond
-	// entryLife is how long a VM's entry outlives it at least: three heartbeats.
+	// entryLife is how long a VM's entry outlives it at least: three heartbeats
+	// (1.2 s each), less the time that one may have been late.
 	entryLife = 3 * time.Second
 	// storeStale is the age of the fleet's snapshot beyond which progress is
 	// asked of the VMs themselves.
@@ -119,10 +120,17 @@
 // watchedGroup is a group that the fleet reports.
 type watchedGroup struct {
 	firstSeen time.Time
-	// head is the VM that was seen at rank 0.
-	head string
-	// headLost is when the head was first found missing; zero while it is there.
-	headLost time.Time
+	// head is the ID of the VM that was seen at rank 0, and headVM its last entry.
+	head       string
+	headVM     *fleet.VM
+	domain     string
+	generation uint64
+	// headLost is when the head's entry was first found missing; zero while it
+	// is there. headHeard is when the head last answered after that.
+	headLost  time.Time
+	headHeard time.Time
+	// headSilent is when the head first failed to answer; zero after an answer.
+	headSilent time.Time
 	// released is true once the group's VMs may go to other groups.
 	released bool
 	// dissolving is true once the group is being taken apart; graceful lets its
@@ -205,8 +213,12 @@
 
 // forget drops VMs and groups that the fleet no longer reports.
 func (s *state) forget() {
+	heads := make(map[string]bool)
+	for _, g := range s.groups {
+		heads[g.head] = true
+	}
 	for id := range s.vms {
-		if s.snapshot.VMs[id] == nil {
+		if s.snapshot.VMs[id] == nil && !heads[id] {
 			delete(s.vms, id)
 		}
 	}
@@ -229,7 +241,7 @@
 // membership is a VM's place by its newest word.
 func (s *state) membership(vm *fleet.VM) fleet.Membership {
 	v := s.vms[vm.ID]
-	if v != nil && v.seenAt.After(s.snapshot.ProvenAt) {
+	if v != nil && (v.seenAt.After(s.snapshot.ProvenAt) || (s.snapshot.VMs[vm.ID] == nil && !v.seenAt.IsZero())) {
 		return v.seen
 	}
 	return vm.Membership
@@ -250,52 +262,59 @@
 			s.groups[name] = w
 		}
 		if head := g.Head(); head != nil {
-			w.head = head.ID
+			w.head, w.headVM = head.ID, head
 		}
+		w.domain, w.generation = domainOf(g), g.Generation
 	}
 	for name, w := range s.groups {
 		s.watchHead(now, name, w)
 	}
 }
 
-// watchHead releases a group whose head is known to be elsewhere or broken, or
-// has been gone for longer than it can serve alone.
+// domainOf is the failure domain of a group's VMs.
+func domainOf(g *fleet.Group) string {
+	for _, vm := range g.Members {
+		if vm != nil {
+			return vm.FailureDomain
+		}
+	}
+	return ""
+}
+
+// watchHead releases a group whose head is known to be elsewhere or broken, and
+// notes since when a head's entry is missing.
 func (s *state) watchHead(now time.Time, name string, w *watchedGroup) {
-	if w.released {
+	head := s.snapshot.VMs[w.head]
+	if w.released || s.forms[name] != nil {
 		return
 	}
-	head := s.snapshot.VMs[w.head]
 	if head == nil {
 		if w.headLost.IsZero() {
 			w.headLost = now
-			if s.forms[name] == nil {
-				s.d.parts.Log.Emit(event.HeadLost).Str("group", name).Str("vm", w.head).Send()
-			}
-		}
-		// The entry outlives the VM, so part of the stall has passed already.
-		hold := s.d.config.StallBound - entryLife + holdMargin
-		if w.head == "" {
-			hold = s.d.config.StallBound + holdMargin
-		}
-		if s.forms[name] == nil && now.Sub(w.headLost) > hold {
-			s.release(name, w, "head is gone")
 		}
 		return
 	}
 	w.headLost = time.Time{}
-	m := s.membership(head)
+	s.judgeHead(name, w, s.membership(head))
+}
+
+// judgeHead releases the group if its head's own word allows it.
+func (s *state) judgeHead(name string, w *watchedGroup, m fleet.Membership) {
 	switch {
-	case m.Group != name && w.head != "" && s.forms[name] == nil:
+	case m.Group != name:
 		s.release(name, w, "head left")
-	case m.Group == name && m.State == fleet.Broken:
+	case m.State == fleet.Broken:
 		s.release(name, w, "head is broken")
-		delete(s.forms, name)
 	}
 }
 
 // release lets the group's VMs go to other groups.
 func (s *state) release(name string, w *watchedGroup, why string) {
 	w.released = true
+	delete(s.forms, name)
+	if !s.claims(w.domain) {
+		return
+	}
 	s.d.parts.Log.Emit(event.GroupReleased).Str("group", name).Str("head", w.head).Str("reason", why).Send()
 }
 
@@ -449,12 +468,18 @@
 	v.lostUntil = time.Time{}
 	v.accepted, v.known = m.report.Accepted, true
 	v.seen, v.seenAt = m.report.Membership, m.asked
+	if w := s.groups[m.vm.Group]; w != nil && w.head == m.vm.ID {
+		w.headHeard, w.headSilent = m.asked, time.Time{}
+	}
 }
 
 // unanswered counts a failed call; after some the VM counts as lost for a while.
 func (s *state) unanswered(now time.Time, vm *fleet.VM, v *vmState, err error) {
 	v.failures++
 	v.notBefore = now.Add(orderPause)
+	if w := s.groups[vm.Group]; w != nil && w.head == vm.ID && w.headSilent.IsZero() {
+		w.headSilent = now
+	}
 	if v.failures < mostFailures && !errors.Is(err, engine.ErrOtherVM) {
 		return
 	}
