Stalls judged by pass time and by peers' findings; store calls gathered

Change: pauses within one pass don't count in the estimate, a peer's finding lets 250 ms of silence count, changes of VMs gather for 200 ms (20 ms where the director is), watches wait longer, node records are read less often. Conclusion: kept; the first event's bound stays at 900 ms.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -39,9 +39,14 @@
 	silentPause = time.Second
 	// registerPause is the pause after a failed registration, doubled by jitter.
 	registerPause = 150 * time.Millisecond
-	// nodesInterval is the time between two readings of the nodes' records. New
-	// nodes call the others themselves, so a slow pace is enough.
-	nodesInterval = 5 * time.Second
+	// firstNodesInterval is the time from the first reading of the nodes'
+	// records to the second, which finds nodes that started at the same time.
+	firstNodesInterval = time.Second
+	// nodesInterval is the time between later readings. New nodes call the
+	// others themselves, so a slow pace is enough.
+	nodesInterval = time.Minute
+	// nodesRetry is the pause after a failed reading.
+	nodesRetry = 500 * time.Millisecond
 	// maxShareBytes bounds one message.
 	maxShareBytes = 1 << 20
 )
@@ -183,11 +188,15 @@
 		c.log.Emit(event.RegisterFailed).Err(err).Send()
 		wait.Sleep(c.ctx, registerPause+rand.N(registerPause))
 	}
+	pause := firstNodesInterval
 	for c.ctx.Err() == nil {
+		next := pause
+		pause = nodesInterval
 		if err := c.readNodes(); err != nil && c.ctx.Err() == nil {
 			c.log.Emit(event.NodesUnread).Err(err).Send()
+			next, pause = nodesRetry, firstNodesInterval
 		}
-		wait.Sleep(c.ctx, nodesInterval)
+		wait.Sleep(c.ctx, next)
 	}
 }
 
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -16,9 +16,18 @@
 )
 
 const (
-	// watchWait is how long one watch of the node waits. An answer without
-	// changes proves that what is known is current, so it bounds that proof's age.
-	watchWait = time.Second
+	// catalogWait is how long one watch of the configuration waits. An answer
+	// without changes proves that the known one is the newest, so it bounds that
+	// proof's age and with it how long keys are honoured without the platform.
+	catalogWait = 1500 * time.Millisecond
+	// fleetWait is how long one watch of the upstream VMs waits. After a cut a
+	// watch may hang for that long and a timeout; with both, news is still in
+	// time for the bound on leaving VMs (2 s, for nodes in touch for 3 s).
+	fleetWait = 3 * time.Second
+	// directorSettle and othersSettle are how long changes of VMs may gather
+	// after one; a director is in a hurry to open what it forms.
+	directorSettle = 20 * time.Millisecond
+	othersSettle   = 200 * time.Millisecond
 	// keyProofMargin is kept of the revocation bound for the time between the
 	// check of a key and the moment at which the upstream begins to run.
 	keyProofMargin = 300 * time.Millisecond
@@ -33,11 +42,15 @@
 func (b base) node() (*kernel.Kernel, error) {
 	s := b.settings
 	store := platform.NewStore(s.Platform.URL, newTransport(s.Cluster.Listen, storeIdle, &b.peers.Traffic.Platform), s.Platform.Timeout)
-	keeper := catalog.NewKeeper(platform.NewConfiguration(store), b.log, watchWait)
-	directory := fleet.NewDirectory(platform.NewDirectory(store, b.log), b.log, watchWait)
-
 	var server *gateway.Server
 	var groups *director.Director
+	keeper := catalog.NewKeeper(platform.NewConfiguration(store), b.log, catalogWait)
+	directory := fleet.NewDirectory(platform.NewDirectory(store, b.log), b.log, fleetWait, func() time.Duration {
+		if len(groups.Directing()) > 0 {
+			return directorSettle
+		}
+		return othersSettle
+	})
 	self := cluster.Record{ID: s.Node.ID, Address: s.Cluster.Listen, FailureDomain: s.Node.FailureDomain}
 	state := func() *marbleroadv1.NodeState {
 		out := &marbleroadv1.NodeState{Node: self.ID, Address: self.Address, FailureDomain: self.FailureDomain, Directing: groups.Directing()}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -99,7 +99,11 @@
 	// staging is the model that the VM's host is copying, until stagingUntil.
 	staging      string
 	stagingUntil time.Time
-	// seen is the VM's own word, newer than the snapshot's when seenAt is.
+	// entry is the VM's newest entry and entryAt when it was first looked at.
+	entry   *fleet.VM
+	entryAt time.Time
+	// seen is the VM's own word, asked for at seenAt; it is newer than the
+	// entry when that had been looked at before.
 	seen   fleet.Membership
 	seenAt time.Time
 }
@@ -241,7 +245,7 @@
 // membership is a VM's place by its newest word.
 func (s *state) membership(vm *fleet.VM) fleet.Membership {
 	v := s.vms[vm.ID]
-	if v != nil && (v.seenAt.After(s.snapshot.ProvenAt) || (s.snapshot.VMs[vm.ID] == nil && !v.seenAt.IsZero())) {
+	if v != nil && v.seenAt.After(v.entryAt) {
 		return v.seen
 	}
 	return vm.Membership
@@ -250,6 +254,9 @@
 // watch notes each VM's model, and each group's head and since when it is missing.
 func (s *state) watch(now time.Time) {
 	for id, vm := range s.snapshot.VMs {
+		if v := s.vm(id); v.entry != vm {
+			v.entry, v.entryAt = vm, now
+		}
 		if vm.Model != "" && vm.Group != "" {
 			s.vm(id).last = vm.Model
 		}
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -50,6 +50,9 @@
 	log    *event.Logger
 	wait   time.Duration
 
+	// settle is how long changes are let gather before the next call.
+	settle func() time.Duration
+
 	snapshot atomic.Pointer[Snapshot]
 	onChange []func(*Snapshot)
 
@@ -71,11 +74,13 @@
 }
 
 // NewDirectory returns a directory whose calls wait that long for changes.
-func NewDirectory(source Source, log *event.Logger, watchWait time.Duration) *Directory {
+// settle says how long changes may gather after one, which saves calls.
+func NewDirectory(source Source, log *event.Logger, watchWait time.Duration, settle func() time.Duration) *Directory {
 	return &Directory{
 		source:  source,
 		log:     log,
 		wait:    watchWait,
+		settle:  settle,
 		vms:     make(map[string]*VM),
 		missing: make(map[string]time.Time),
 	}
@@ -119,6 +124,9 @@
 		d.answered(asked)
 		changed = d.expire(time.Now()) || changed
 		d.publish(asked, changed)
+		if changed {
+			wait.Sleep(ctx, d.settle())
+		}
 	}
 }
 
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -14,18 +14,24 @@
 
 const (
 	// gapSmoothing is the weight of the newest pause between events in the
-	// smoothed one.
-	gapSmoothing = 0.1
-	// stallFactor times the smoothed pause is the silence of all of a head's
-	// streams that counts as a stall, within the two bounds. The least bound
-	// is above the pause that one pass with a long prompt makes (about 270 ms
-	// by the engines' figures).
-	stallFactor = 6
-	stallLeast  = 350 * time.Millisecond
-	stallMost   = 1200 * time.Millisecond
+	// smoothed pause and its deviation, as for TCP's retransmission timer.
+	gapSmoothing = 0.125
+	// stallDeviations is how many deviations above the smoothed pause the
+	// silence of all of a head's streams counts as a stall, within the two
+	// bounds. A pass with one long prompt takes about 100 ms by the engines'
+	// figures.
+	stallDeviations = 5
+	stallLeast      = 350 * time.Millisecond
+	// samePass is the pause below which two events come from one pass of the
+	// engine; only longer ones say how long a pass takes.
+	samePass = 8 * time.Millisecond
+	stallMost       = 900 * time.Millisecond
 	// firstStall is the silence that counts as a stall while none of the
-	// head's streams has begun.
+	// head's streams has begun; the first event usually takes 190 ms.
 	firstStall = 900 * time.Millisecond
+	// echoStall is the silence that counts as a stall once another node has
+	// found the head silent.
+	echoStall = 250 * time.Millisecond
 	// suspectedFor is how long a stalled head is left out, unless it is heard.
 	suspectedFor = 1500 * time.Millisecond
 	// failuresToEject is how many failures in a row leave an upstream out.
@@ -56,7 +62,10 @@
 	begun     int
 	lastByte  time.Time
 	gap       time.Duration
+	deviation time.Duration
 	suspected time.Time
+	// echoed is until when another node's finding counts.
+	echoed time.Time
 
 	took         time.Duration
 	failures     int
@@ -123,7 +132,8 @@
 	peers      map[string]*marbleroadv1.NodeState
 	peersAt    map[string]time.Time
 	peerLoads  map[string]int
-	suspicions []*marbleroadv1.Suspicion
+	// found are the stalls of this node that others are told of.
+	found []stall
 }
 
 func newBoard(domain string, limit retry.Limit, now time.Time) *board {
@@ -326,16 +336,26 @@
 	defer b.mu.Unlock()
 	t := s.t
 	if s.begun {
-		t.gap += time.Duration(gapSmoothing * float64(now.Sub(t.lastByte)-t.gap))
+		t.learnGap(now.Sub(t.lastByte))
 	} else {
 		s.begun = true
 		t.begun++
 	}
 	t.lastByte = now
-	t.suspected = time.Time{}
+	t.suspected, t.echoed = time.Time{}, time.Time{}
 	t.failures = 0
 }
 
+// learnGap takes a pause between two events of any of the target's streams.
+func (t *target) learnGap(gap time.Duration) {
+	if gap < samePass {
+		return
+	}
+	off := gap - t.gap
+	t.gap += time.Duration(gapSmoothing * float64(off))
+	t.deviation += time.Duration(gapSmoothing * float64(off.Abs()-t.deviation))
+}
+
 // succeeded notes a whole answer.
 func (b *board) succeeded(s *send, took time.Duration) {
 	b.mu.Lock()
@@ -369,6 +389,7 @@
 	group      string
 	vm         string
 	generation uint64
+	at         time.Time
 	silent     time.Duration
 	gap        time.Duration
 	requests   int
@@ -385,40 +406,65 @@
 			continue
 		}
 		silent := now.Sub(t.lastByte)
-		if silent < t.stallAfter() {
+		if silent < t.stallAfter(now) {
 			continue
 		}
 		t.suspected = now.Add(suspectedFor)
-		found := stall{group: t.group, vm: t.vm.ID, generation: t.generation, silent: silent, gap: t.gap, requests: t.own}
+		found := stall{at: now, group: t.group, vm: t.vm.ID, generation: t.generation, silent: silent, gap: t.gap, requests: t.own}
 		for s := range t.running {
 			found.sends = append(found.sends, s)
 		}
 		out = append(out, found)
 	}
-	b.noteSuspicions(out)
+	b.found = append(b.found, out...)
+	for len(b.found) > 0 && now.Sub(b.found[0].at) > toldFor {
+		b.found = b.found[1:]
+	}
 	return out
 }
 
-func (t *target) stallAfter() time.Duration {
-	if t.begun == 0 {
+func (t *target) stallAfter(now time.Time) time.Duration {
+	switch {
+	case now.Before(t.echoed):
+		return echoStall
+	case t.begun == 0:
 		return firstStall
 	}
-	return min(max(stallFactor*t.gap, stallLeast), stallMost)
+	return min(max(t.gap+stallDeviations*t.deviation, stallLeast), stallMost)
 }
 
-func (b *board) noteSuspicions(found []stall) {
-	b.suspicions = nil
-	for _, f := range found {
-		b.suspicions = append(b.suspicions, &marbleroadv1.Suspicion{Group: f.group, Generation: f.generation, SilentMs: uint32(f.silent.Milliseconds())})
+// echo takes another node's finding: the head is left out for a while, unless
+// it is heard here.
+func (b *board) echo(now time.Time, group string) {
+	for _, t := range b.targets {
+		if t.group != group || (t.own > 0 && now.Sub(t.lastByte) < echoStall) {
+			continue
+		}
+		t.echoed = now.Add(echoFor)
+		if t.own == 0 {
+			t.suspected = now.Add(echoFor)
+		}
 	}
 }
 
+// echoFor is how long another node's finding counts.
+const echoFor = 600 * time.Millisecond
+
+// toldFor is how long other nodes are told of a stall: as long as an exchange
+// that is under way may take, and the next one.
+const toldFor = 500 * time.Millisecond
+
 // state fills in what this node shares with the others.
 func (b *board) state(now time.Time, into *marbleroadv1.NodeState) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	into.TrafficSeen = b.traffic
-	into.Suspicions = b.suspicions
+	for _, f := range b.found {
+		if now.Sub(f.at) <= toldFor {
+			into.Suspicions = append(into.Suspicions, &marbleroadv1.Suspicion{
+				Group: f.group, Generation: f.generation, SilentMs: uint32(f.silent.Milliseconds())})
+		}
+	}
 	for _, t := range b.targets {
 		if t.group != "" && t.own > 0 {
 			into.Loads = append(into.Loads, &marbleroadv1.GroupLoad{Group: t.group, InFlight: uint32(t.own)})
@@ -455,6 +501,9 @@
 	if state.GetTrafficSeen() {
 		b.traffic = true
 	}
+	for _, suspicion := range state.GetSuspicions() {
+		b.echo(now, suspicion.GetGroup())
+	}
 	clear(b.peerLoads)
 	for id, p := range b.peers {
 		if now.Sub(b.peersAt[id]) > peerLoadFor {
