Groups: plan once the fleet is known, copies for both models, shifts between them

Ruled out: admission (refusals came from too few groups), the store's speed. Change: first plan after 0.7 s without a new VM; boundless loads before traffic; the other model's copy on serving VMs; need by work and by VMs; free VMs kept for the worst-served model; groups given up together for another model; a join only for VMs whose group is none, this one or released; foreign duty after 10 s.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -79,7 +79,8 @@
 	Name string
 	// Size is the number of VMs of a group.
 	Size int
-	// Share is the model's expected part of the service's requests, 0 to 1.
+	// Share is the model's expected part of the service's work, counted in VMs,
+	// 0 to 1.
 	Share float64
 	// Pace is a factor on all times of the group; below 1 is faster.
 	Pace float64
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -42,10 +42,10 @@
 	StallBound time.Duration
 }
 
-// Demand tells the requests per second for each model of a service, over all
-// nodes, and whether any request has come yet.
+// Demand tells the work asked for of each model of a service, over all nodes, in
+// groups that it would keep busy, and whether any request has come yet.
 type Demand interface {
-	ModelDemand(service string) map[string]float64
+	ModelWork(service string) map[string]float64
 	TrafficSeen() bool
 }
 
@@ -159,6 +159,8 @@
 const (
 	reportTimeout = 400 * time.Millisecond
 	orderTimeout  = 700 * time.Millisecond
+	// inquiryTimeout bounds the report of a suspected VM, which gets two tries.
+	inquiryTimeout = 200 * time.Millisecond
 )
 
 // report asks a VM for its report and tells the actor.
@@ -166,7 +168,11 @@
 	d.calls.Add(1)
 	go func() {
 		defer d.calls.Done()
-		ctx, cancel := context.WithTimeout(d.ctx, reportTimeout)
+		limit := reportTimeout
+		if why == forSuspicion {
+			limit = inquiryTimeout
+		}
+		ctx, cancel := context.WithTimeout(d.ctx, limit)
 		defer cancel()
 		asked := time.Now()
 		r, err := d.parts.Engine.Report(ctx, vm)
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"sort"
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/catalog"
@@ -59,9 +60,8 @@
 		case now.Before(s.vm(id).lostUntil):
 			return "a member does not answer"
 		}
-		m := s.membership(vm)
-		if f.joined[id] && m.Group != "" && m.Group != f.name && m.Generation > f.generation {
-			return "a member was sent elsewhere"
+		if m := s.membership(vm); m.Group != "" && m.Group != f.name && !s.released(m.Group) {
+			return "a member is in another group"
 		}
 	}
 	return ""
@@ -328,33 +328,23 @@
 }
 
 func (s *state) placeService(now time.Time, domain, service string, e *catalog.Engine) {
+	before := !s.d.parts.Demand.TrafficSeen()
+	if before && now.Sub(s.arrivedAt) < gatherTime && now.Sub(s.started) < gatherLimit {
+		return
+	}
 	in := placement.Input{
 		Models:       e.Models,
 		Groups:       s.groupCounts(service),
-		Demand:       s.d.parts.Demand.ModelDemand(service),
-		JoinUnstaged: !s.d.parts.Demand.TrafficSeen(),
+		Demand:       s.d.parts.Demand.ModelWork(service),
+		Open:         s.openGroups(service, domain),
+		LoadRoom:     s.loadRoom(now, e, domain, service, before),
+		JoinUnstaged: before,
 	}
-	loading := 0
 	reserved := s.reserved()
 	for id, vm := range s.snapshot.VMs {
-		if vm.Service != service || vm.FailureDomain != domain {
-			continue
+		if vm.Service == service && vm.FailureDomain == domain && s.free(now, vm) && !reserved[id] {
+			in.Free = append(in.Free, s.placeable(vm))
 		}
-		v := s.vm(id)
-		s.endStaging(now, vm, v)
-		if v.staging != "" {
-			loading++
-		}
-		if s.free(now, vm, v) && !reserved[id] {
-			in.Free = append(in.Free, placement.VM{ID: id, Fabric: vm.Fabric, Last: v.last, Staged: vm.Staged, Staging: v.staging})
-		}
-	}
-	for _, f := range s.forms {
-		loading += f.loads
-	}
-	in.LoadRoom = max(s.loadRoom(e, in.JoinUnstaged)-loading, 0)
-	if len(in.Free) == 0 {
-		return
 	}
 	d := placement.Decide(in)
 	for _, f := range d.Formations {
@@ -363,20 +353,78 @@
 	for _, st := range d.Stagings {
 		s.stage(now, e, st)
 	}
+	if len(d.Dissolutions) == 0 || now.Sub(s.shiftedAt) < shiftPause {
+		return
+	}
+	s.shiftedAt = now
+	for _, name := range d.Dissolutions {
+		if w := s.groups[name]; w != nil && !w.dissolving {
+			s.takeApart(now, name, w, "its VMs are worth more to another model", true)
+		}
+	}
 }
 
-// loadRoom is this failure domain's part of the loads that run at full speed.
-// Before traffic a whole group of each failure domain loads at once.
-func (s *state) loadRoom(e *catalog.Engine, before bool) int {
-	domains := 0
-	for range s.domains() {
-		domains++
+func (s *state) placeable(vm *fleet.VM) placement.VM {
+	v := s.vm(vm.ID)
+	return placement.VM{ID: vm.ID, Fabric: vm.Fabric, Last: v.last, Staged: vm.Staged, Staging: v.staging}
+}
+
+// openGroups lists the groups of the failure domain that serve undisturbed.
+func (s *state) openGroups(service, domain string) []placement.Group {
+	var out []placement.Group
+	for name, g := range s.snapshot.Groups {
+		w, head := s.groups[name], g.Head()
+		if g.Service != service || w.domain != domain || w.released || w.dissolving || head == nil ||
+			s.membership(head).State != fleet.Open {
+			continue
+		}
+		one := placement.Group{Name: name, Model: g.Model, Fabric: head.Fabric}
+		for _, vm := range g.Members {
+			if vm != nil {
+				one.Members = append(one.Members, s.placeable(vm))
+			}
+		}
+		out = append(out, one)
 	}
-	part := max(e.LoadsAtOnce/max(domains, 1), 1)
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+const (
+	// shiftPause is the time between two times that groups are given up for
+	// another model, so that the gain of the first is seen before the second.
+	shiftPause = 3 * time.Second
+	// gatherTime is how long no VM must have appeared before the first groups
+	// are planned: a plan for all VMs is better than one for the first few.
+	gatherTime = 700 * time.Millisecond
+	// gatherLimit bounds that wait from the director's start.
+	gatherLimit = 5 * time.Second
+	// boundless is the room for loads before traffic, when they don't slow each
+	// other down.
+	boundless = 1 << 10
+)
+
+// loadRoom is how many loads may begin in the failure domain now: its part of
+// the loads that run at full speed, less those under way.
+func (s *state) loadRoom(now time.Time, e *catalog.Engine, domain, service string, before bool) int {
 	if before {
-		return 2 * part
+		return boundless
 	}
-	return part
+	room := max(e.LoadsAtOnce/max(len(s.domains()), 1), 1)
+	for _, vm := range s.snapshot.VMs {
+		if vm.Service != service || vm.FailureDomain != domain {
+			continue
+		}
+		v := s.vm(vm.ID)
+		s.endStaging(now, vm, v)
+		if v.staging != "" {
+			room--
+		}
+	}
+	for _, f := range s.forms {
+		room -= f.loads
+	}
+	return max(room, 0)
 }
 
 // groupCounts counts the open and forming groups of each model, everywhere.
@@ -409,15 +457,18 @@
 }
 
 // free reports whether the VM may be sent to a group.
-func (s *state) free(now time.Time, vm *fleet.VM, v *vmState) bool {
-	if vm.Draining || now.Before(v.lostUntil) {
+func (s *state) free(now time.Time, vm *fleet.VM) bool {
+	if vm.Draining || now.Before(s.vm(vm.ID).lostUntil) {
 		return false
 	}
 	m := s.membership(vm)
-	if m.Group == "" {
-		return true
-	}
-	w := s.groups[m.Group]
+	return m.Group == "" || s.released(m.Group)
+}
+
+// released reports whether the group's VMs may go to other groups. A group that
+// is not known yet may still serve.
+func (s *state) released(name string) bool {
+	w := s.groups[name]
 	return w != nil && w.released
 }
 
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -59,7 +59,9 @@
 	settleTime = 400 * time.Millisecond
 	// foreignAfter is how long a failure domain must be without a live node
 	// before another's takes its groups over.
-	foreignAfter = 3 * time.Second
+	// It is longer than most cuts between failure domains last: behind a cut the
+	// domain's own nodes go on.
+	foreignAfter = 10 * time.Second
 	// orderPause is the pause before an order is sent again after a failure.
 	orderPause = 300 * time.Millisecond
 	// mostFailures is how many failed calls in a row make a VM count as lost.
@@ -162,6 +164,10 @@
 	groups map[string]*watchedGroup
 
 	lastGeneration uint64
+	// shiftedAt is when a group was last given up for another model.
+	shiftedAt time.Time
+	// arrivedAt is when the newest VM appeared.
+	arrivedAt time.Time
 	// liveAt is when each failure domain last had a live node.
 	liveAt map[string]time.Time
 }
@@ -254,7 +260,11 @@
 // watch notes each VM's model, and each group's head and since when it is missing.
 func (s *state) watch(now time.Time) {
 	for id, vm := range s.snapshot.VMs {
-		if v := s.vm(id); v.entry != vm {
+		v := s.vm(id)
+		if v.entry == nil {
+			s.arrivedAt = now
+		}
+		if v.entry != vm {
 			v.entry, v.entryAt = vm, now
 		}
 		if vm.Model != "" && vm.Group != "" {
@@ -503,7 +513,8 @@
 	switch {
 	case m.err == nil:
 		v.failures = 0
-		if m.begun {
+		// A VM leaves at once and says so, and counts that as accepted too.
+		if m.begun || m.order.Operation == engine.Leave {
 			v.accepted++
 		}
 		s.obeyed(now, m)
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -24,8 +24,8 @@
 	stallLeast      = 350 * time.Millisecond
 	// samePass is the pause below which two events come from one pass of the
 	// engine; only longer ones say how long a pass takes.
-	samePass = 8 * time.Millisecond
-	stallMost       = 900 * time.Millisecond
+	samePass  = 8 * time.Millisecond
+	stallMost = 900 * time.Millisecond
 	// firstStall is the silence that counts as a stall while none of the
 	// head's streams has begun; the first event usually takes 190 ms.
 	firstStall = 900 * time.Millisecond
@@ -41,8 +41,9 @@
 	ejectionMax  = 8 * time.Second
 	// timeSmoothing is the weight of the newest answer time in the smoothed one.
 	timeSmoothing = 0.2
-	// demandSmoothing is the weight of the newest second in the demand.
-	demandSmoothing = 0.3
+	// demandSmoothing is the weight of the newest second in the demand. Single
+	// seconds of one node have some ten requests, whose sizes differ widely.
+	demandSmoothing = 0.1
 	// peerLoadFor is how long another node's word on its load is used.
 	peerLoadFor = 1500 * time.Millisecond
 )
@@ -110,10 +111,12 @@
 
 type demandKey struct{ service, model string }
 
-// demandMeter counts one model's requests.
+// demandMeter sums the work of one model's requests.
 type demandMeter struct {
-	count int
-	rate  float64
+	// work is the seconds of a full group that the requests of the running
+	// interval take, rate the smoothed work per second.
+	work float64
+	rate float64
 }
 
 // board is what this node knows of where requests can go. mu guards all of it.
@@ -126,12 +129,14 @@
 	budgets map[string]*retry.Budget
 	limit   retry.Limit
 
-	demand     map[demandKey]*demandMeter
-	demandAt   time.Time
-	traffic    bool
-	peers      map[string]*marbleroadv1.NodeState
-	peersAt    map[string]time.Time
-	peerLoads  map[string]int
+	demand   map[demandKey]*demandMeter
+	demandAt time.Time
+	// measured counts the intervals since the first request.
+	measured  int
+	traffic   bool
+	peers     map[string]*marbleroadv1.NodeState
+	peersAt   map[string]time.Time
+	peerLoads map[string]int
 	// found are the stalls of this node that others are told of.
 	found []stall
 }
@@ -220,7 +225,30 @@
 	if b.demand[key] == nil {
 		b.demand[key] = &demandMeter{}
 	}
-	b.demand[key].count++
+	b.demand[key].work += b.workOf(c)
+}
+
+// workOf is how long the request keeps a full group busy, in seconds: the reading
+// of its prompt and its part of the steps of a full batch.
+func (b *board) workOf(c *Call) float64 {
+	p := b.pools[c.Service]
+	if p == nil || p.service.Engine == nil || p.service.Engine.ReadPerSecond <= 0 {
+		return 0
+	}
+	e := p.service.Engine
+	prompt, answer := float64(c.PromptTokens), float64(c.ExpectedTokens)
+	if prompt == 0 {
+		prompt = e.UsualPrompt
+	}
+	if answer == 0 {
+		answer = e.UsualAnswer
+	}
+	pace := 1.0
+	if m, ok := e.Model(c.Model); ok {
+		pace = m.Pace
+	}
+	perToken := e.StepTime.Seconds()/float64(max(e.Slots, 1)) + e.PerSequence.Seconds()
+	return pace * (prompt/e.ReadPerSecond + answer*perToken)
 }
 
 func (b *board) budget(service string, now time.Time) *retry.Budget {
@@ -485,10 +513,13 @@
 		return
 	}
 	b.demandAt = now
+	if !b.traffic {
+		return
+	}
+	b.measured++
 	for _, m := range b.demand {
-		newest := float64(m.count) / elapsed.Seconds()
-		m.rate += demandSmoothing * (newest - m.rate)
-		m.count = 0
+		m.rate += demandSmoothing * (m.work/elapsed.Seconds() - m.rate)
+		m.work = 0
 	}
 }
 
@@ -517,8 +548,9 @@
 	}
 }
 
-// modelDemand sums the requests per second for each model over all nodes.
-func (b *board) modelDemand(now time.Time, service string) map[string]float64 {
+// modelWork sums the work per second for each model over all nodes, in groups
+// that it would keep busy; nil while there is too little to go by.
+func (b *board) modelWork(now time.Time, service string) map[string]float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.measure(now)
@@ -539,15 +571,19 @@
 	for _, rate := range out {
 		total += rate
 	}
-	if total < leastDemand {
+	if total < leastWork || b.measured < leastMeasured {
 		return nil
 	}
 	return out
 }
 
-// leastDemand is the requests per second below which the configured shares say
+// leastMeasured is how many intervals must be measured before the demand says
+// more than the configured shares.
+const leastMeasured = 8
+
+// leastWork is the work, in busy groups, below which the configured shares say
 // more than what was counted.
-const leastDemand = 20
+const leastWork = 0.5
 
 func (b *board) trafficSeen() bool {
 	b.mu.Lock()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -240,10 +240,10 @@
 	s.board.state(time.Now(), into)
 }
 
-// ModelDemand is the requests per second for each model, over all nodes; nil
-// while too few have come.
-func (s *Server) ModelDemand(service string) map[string]float64 {
-	return s.board.modelDemand(time.Now(), service)
+// ModelWork is the work asked for of each model, over all nodes, in groups that
+// it would keep busy; nil while too few requests have come.
+func (s *Server) ModelWork(service string) map[string]float64 {
+	return s.board.modelWork(time.Now(), service)
 }
 
 // TrafficSeen reports whether any node has had a request for a model.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -21,13 +21,25 @@
 	Staging string
 }
 
+// Group is an open group of this failure domain.
+type Group struct {
+	Name    string
+	Model   string
+	Fabric  string
+	Members []VM
+}
+
 // Input is what a decision follows from.
 type Input struct {
-	Free   []VM
+	Free []VM
+	// Open are the groups that serve; their VMs may get copies of other models,
+	// and a group may be given up for a model that is served worse.
+	Open   []Group
 	Models []catalog.Model
 	// Groups counts the open and forming groups of each model, everywhere.
 	Groups map[string]int
-	// Demand is the requests per second for each model; empty while unknown.
+	// Demand is the work that is asked for of each model, in groups that it
+	// would keep busy; empty while unknown.
 	Demand map[string]float64
 	// LoadRoom is how many loads from the weight store may begin now.
 	LoadRoom int
@@ -55,11 +67,15 @@
 type Decision struct {
 	Formations []Formation
 	Stagings   []Staging
+	// Dissolutions are open groups whose VMs are worth more to another model.
+	Dissolutions []string
 }
 
 // Decide forms the groups that can be had without loads first, the model that
-// is served worst beside its demand before the others; loads go to the group
-// that needs the fewest.
+// is served worst beside its demand before the others. It gives up a group only
+// when that raises the worst-served model. What loads are left go to free
+// VMs, where the fewest complete a group, and then to serving VMs, so that they
+// can change over to the other model at once.
 func Decide(in Input) Decision {
 	d := &decider{in: in, free: make(map[string]VM, len(in.Free)), groups: make(map[string]int)}
 	for _, v := range in.Free {
@@ -74,9 +90,10 @@
 	for in.JoinUnstaged && room > 0 && d.formOne(room) {
 		room -= d.out.Formations[len(d.out.Formations)-1].Loads
 	}
-	if !in.JoinUnstaged {
-		d.stage(room)
+	if len(d.out.Formations) == 0 {
+		d.dissolve()
 	}
+	d.stage(room)
 	return d.out
 }
 
@@ -92,7 +109,7 @@
 func (d *decider) formOne(loads int) bool {
 	for _, m := range d.byNeed() {
 		f, ok := d.best(m, loads > 0)
-		if !ok {
+		if !ok || d.keepFree(m) {
 			continue
 		}
 		for _, id := range f.Members {
@@ -119,16 +136,30 @@
 	return models
 }
 
+// keepFreeMargin is by how much better than the worst-served model another one
+// is served when free VMs are kept for the worst-served one instead: a VM that
+// joins another model's group may lose its copy.
+const keepFreeMargin = 1.3
+
+// keepFree reports whether free VMs are better kept than put into one more group
+// of the model.
+func (d *decider) keepFree(m catalog.Model) bool {
+	if d.in.JoinUnstaged {
+		return false
+	}
+	return d.supply(m) > keepFreeMargin*d.supply(d.byNeed()[0])
+}
+
 // leastNeed keeps a model without any demand from needing nothing at all.
 const leastNeed = 1e-3
 
-// need is the work that the model's requests ask for, in relative units.
+// need is the work that the model's requests ask for, in groups. While it is
+// unknown, it follows from the model's expected share of the VMs, in relative units.
 func (d *decider) need(m catalog.Model) float64 {
-	asked := m.Share
 	if len(d.in.Demand) > 0 {
-		asked = d.in.Demand[m.Name]
+		return max(d.in.Demand[m.Name], leastNeed)
 	}
-	return max(asked*m.Pace, leastNeed)
+	return max(m.Share/float64(m.Size), leastNeed)
 }
 
 func (d *decider) supply(m catalog.Model) float64 {
@@ -207,7 +238,113 @@
 			loads++
 		}
 	}
-	return members, loads, cost
+	return members, loads, cost + d.splitCost(m, fabric)
+}
+
+// costSplit is added where a group of a smaller model takes the place of a
+// whole group of the largest one.
+const costSplit = 20
+
+func (d *decider) splitCost(m catalog.Model, fabric string) float64 {
+	largest := 1
+	for _, other := range d.in.Models {
+		largest = max(largest, other.Size)
+	}
+	free := 0
+	for _, v := range d.free {
+		if v.Fabric == fabric {
+			free++
+		}
+	}
+	if m.Size < largest && free/largest > (free-m.Size)/largest {
+		return costSplit
+	}
+	return 0
+}
+
+// dissolveMargin is by how much the worst-served model must gain for an open
+// group to be given up.
+const dissolveMargin = 1.3
+
+// dissolve gives up open groups of one fabric domain if their VMs, with the free
+// ones there, make a group of the worst-served model, and if that leaves no model
+// as badly served as it is now.
+func (d *decider) dissolve() {
+	m := d.byNeed()[0]
+	var best []string
+	for _, fabric := range d.openFabrics() {
+		given := d.givenUp(m, fabric)
+		if len(given) > 0 && (best == nil || len(given) < len(best)) {
+			best = given
+		}
+	}
+	d.out.Dissolutions = best
+}
+
+func (d *decider) openFabrics() []string {
+	seen := make(map[string]bool)
+	var out []string
+	for _, g := range d.in.Open {
+		if !seen[g.Fabric] {
+			seen[g.Fabric] = true
+			out = append(out, g.Fabric)
+		}
+	}
+	return out
+}
+
+// givenUp lists the fewest groups of other models in the fabric domain whose
+// VMs complete a group of m; nil when there are none that may be given up.
+func (d *decider) givenUp(m catalog.Model, fabric string) []string {
+	have := 0
+	for _, v := range d.free {
+		if v.Fabric == fabric && v.Staging == "" && joinCost(v, m.Name) < costLoad {
+			have++
+		}
+	}
+	var given []string
+	lost := make(map[string]int)
+	for _, g := range d.in.Open {
+		if g.Fabric != fabric || g.Model == m.Name {
+			continue
+		}
+		usable := countUsable(g, m.Name)
+		if usable == 0 || !d.gains(m, g.Model, lost[g.Model]+1) {
+			continue
+		}
+		given = append(given, g.Name)
+		lost[g.Model]++
+		have += usable
+		if have >= m.Size {
+			return given
+		}
+	}
+	return nil
+}
+
+// gains reports whether one group more of m and so many less of the other model
+// leaves the worse served of the two better off.
+func (d *decider) gains(m catalog.Model, other string, lost int) bool {
+	for _, o := range d.in.Models {
+		if o.Name != other {
+			continue
+		}
+		after := float64(d.groups[other]-lost) / d.need(o)
+		gained := float64(d.groups[m.Name]+1) / d.need(m)
+		return min(after, gained) > d.supply(m)*dissolveMargin
+	}
+	return false
+}
+
+// countUsable counts the VMs of the group that can join the model without a load.
+func countUsable(g Group, model string) int {
+	n := 0
+	for _, v := range g.Members {
+		if joinCost(v, model) < costLoad {
+			n++
+		}
+	}
+	return n
 }
 
 func joinCost(v VM, model string) float64 {
@@ -231,7 +368,7 @@
 	for room > 0 {
 		s, ok := d.nextStaging()
 		if !ok {
-			return
+			break
 		}
 		v := d.free[s.VM]
 		v.Staging = s.Model
@@ -239,6 +376,32 @@
 		d.out.Stagings = append(d.out.Stagings, s)
 		room--
 	}
+	for _, s := range d.changeovers() {
+		if room <= 0 {
+			return
+		}
+		d.out.Stagings = append(d.out.Stagings, s)
+		room--
+	}
+}
+
+// changeovers lists copies for serving VMs of a model that they don't have: the
+// group's own model needs no copy while a VM's last group ran it.
+func (d *decider) changeovers() []Staging {
+	var out []Staging
+	for _, m := range d.byNeed() {
+		for _, g := range d.in.Open {
+			if g.Model == m.Name {
+				continue
+			}
+			for _, v := range g.Members {
+				if v.Staging == "" && joinCost(v, m.Name) >= costLoad {
+					out = append(out, Staging{VM: v.ID, Model: m.Name})
+				}
+			}
+		}
+	}
+	return out
 }
 
 func (d *decider) nextStaging() (Staging, bool) {
