--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -109,6 +109,7 @@
 		case errors.Is(err, platform.ErrCompacted):
 			k.log.Emit(event.HistoryGone).Str("of", "catalog").Uint64("revision", revision).Send()
 			listed = false
+			wait.Sleep(ctx, retryPause)
 		case errors.Is(err, platform.ErrNotFound):
 			wait.Sleep(ctx, firstReadPause)
 		default:
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -254,6 +254,7 @@
 	if errors.Is(err, platform.ErrCompacted) {
 		d.log.Emit(event.HistoryGone).Str("of", "directory").Uint64("revision", d.revision).Send()
 		d.listed = false
+		wait.Sleep(ctx, retryPause)
 		return
 	}
 	if !d.lost {
