--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -205,3 +205,47 @@
 		t.Error("an older word was taken over a newer entry")
 	}
 }
+
+// TestMemberInAnotherGroup: a formation is hopeless once a member is in a group
+// that may still serve, whoever put it there.
+func TestMemberInAnotherGroup(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	n := w.addNode(t, "n1")
+	n.s.snapshot = w.snapshot
+	n.s.watch(w.now)
+	f := &formation{name: "mine", generation: 9, members: []string{vmID(0, 0)}, deadline: w.now.Add(time.Hour)}
+	if why := n.s.hopeless(w.now, f); why != "" {
+		t.Errorf("hopeless: %s", why)
+	}
+	v := n.s.vm(vmID(0, 0))
+	v.seen, v.seenAt = fleet.Membership{Group: "other", Generation: 5}, w.now.Add(time.Second)
+	if n.s.hopeless(w.now, f) == "" {
+		t.Error("a member is in a group that may serve")
+	}
+	n.s.groups["other"] = &watchedGroup{released: true}
+	if why := n.s.hopeless(w.now, f); why != "" {
+		t.Errorf("hopeless though the other group is released: %s", why)
+	}
+}
+
+// TestUnansweredJoinIsDoubtful: a head that may have joined releases its group
+// only by its own later word, since another director may have opened it.
+func TestUnansweredJoinIsDoubtful(t *testing.T) {
+	w := newWorld(t, 1, 8)
+	w.lose = func(e *engineVM, o engine.GroupOrder) fate {
+		if o.Operation == engine.Join {
+			return unanswered
+		}
+		return obeyed
+	}
+	n := w.addNode(t, "n1")
+	w.run(3*time.Second, func() bool { return len(n.s.forms) > 0 })
+	w.step(50 * time.Millisecond)
+	for _, name := range sorted(n.s.forms) {
+		f := n.s.forms[name]
+		n.s.abandon(w.now, name, "for the test")
+		if g := n.s.groups[name]; g.released || !g.doubtful || g.head != f.members[0] {
+			t.Errorf("%s was released though its head may have joined", name)
+		}
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -121,6 +121,9 @@
 // Name implements kernel.Service.
 func (s *Server) Name() string { return ServerName }
 
+// Handler serves callers' requests.
+func (s *Server) Handler() http.Handler { return http.HandlerFunc(s.handle) }
+
 // Start implements kernel.Service.
 func (s *Server) Start(context.Context) error {
 	callers, err := net.Listen("tcp", s.config.Listen)
@@ -133,7 +136,7 @@
 	}
 	faults := log.New(faultWriter{s.log}, "", 0)
 	s.callers = &http.Server{
-		Handler:           http.HandlerFunc(s.handle),
+		Handler:           s.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/marbleroad/marbleroad/internal/catalog"
+	_ "github.com/marbleroad/marbleroad/test/seed"
+)
+
+var models = []catalog.Model{
+	{Name: "big", Size: 4, Share: 0.67, Pace: 1, LoadTime: 16 * time.Second},
+	{Name: "small", Size: 2, Share: 0.33, Pace: 0.6, LoadTime: 12 * time.Second},
+}
+
+func fabric(name string, n int, of VM) []VM {
+	var out []VM
+	for i := range n {
+		v := of
+		v.ID, v.Fabric = fmt.Sprintf("%s-%d", name, i), name
+		out = append(out, v)
+	}
+	return out
+}
+
+func TestFirstPlanServesModelsAlike(t *testing.T) {
+	var free []VM
+	for f := range 6 {
+		free = append(free, fabric(fmt.Sprint(f), 8, VM{})...)
+	}
+	d := Decide(Input{Free: free, Models: models, LoadRoom: 1000, JoinUnstaged: true})
+	count := map[string]int{}
+	vms := 0
+	for _, f := range d.Formations {
+		count[f.Model]++
+		vms += len(f.Members)
+	}
+	if vms != 48 || count["big"] < 7 || count["small"] < 6 {
+		t.Errorf("%d VMs in %v", vms, count)
+	}
+}
+
+func TestLoadsKeepToTheirRoom(t *testing.T) {
+	d := Decide(Input{Free: fabric("a", 8, VM{}), Models: models, LoadRoom: 2})
+	if len(d.Formations) != 0 || len(d.Stagings) != 2 {
+		t.Errorf("%+v", d)
+	}
+}
+
+// TestFreeVMsAreKept: two VMs that could join the small model wait for the big
+// one, which is served far worse.
+func TestFreeVMsAreKept(t *testing.T) {
+	in := Input{Free: fabric("a", 2, VM{Last: "big", Staged: []string{"small"}}), Models: models,
+		Groups: map[string]int{"big": 2, "small": 8}, Demand: map[string]float64{"big": 4, "small": 4}}
+	if d := Decide(in); len(d.Formations) != 0 {
+		t.Errorf("formed %+v", d.Formations)
+	}
+	in.Groups["small"] = 2
+	if d := Decide(in); len(d.Formations) != 1 {
+		t.Errorf("nothing formed when both are served alike")
+	}
+}
+
+// TestGroupsAreGivenUpTogether: two pairs make one group of four.
+func TestGroupsAreGivenUpTogether(t *testing.T) {
+	pair := func(name string) Group {
+		return Group{Name: name, Model: "small", Fabric: "a", Members: fabric(name, 2, VM{Last: "small", Staged: []string{"big"}})}
+	}
+	in := Input{Open: []Group{pair("p"), pair("q"), pair("r")}, Models: models,
+		Groups: map[string]int{"big": 1, "small": 8}, Demand: map[string]float64{"big": 3, "small": 3}}
+	if d := Decide(in); len(d.Dissolutions) != 2 {
+		t.Errorf("given up: %v", d.Dissolutions)
+	}
+	in.Groups["small"] = 2
+	if d := Decide(in); len(d.Dissolutions) != 0 {
+		t.Errorf("given up though the other is then worse off: %v", d.Dissolutions)
+	}
+}
+
+func TestServingVMsGetTheOtherModelsCopy(t *testing.T) {
+	in := Input{Open: []Group{{Name: "g", Model: "big", Fabric: "a", Members: fabric("a", 4, VM{Last: "big", Staged: []string{"big"}})}},
+		Models: models, Groups: map[string]int{"big": 1}, LoadRoom: 3}
+	d := Decide(in)
+	if len(d.Stagings) != 3 || d.Stagings[0].Model != "small" {
+		t.Errorf("%+v", d.Stagings)
+	}
+}
+
+// TestDecisionsAreSound: a VM goes to one place, groups stay in one fabric
+// domain and have their size, and loads stay within their room.
+func TestDecisionsAreSound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"", "big", "small"}
+		var in Input
+		in.Models = models
+		in.JoinUnstaged = rapid.Bool().Draw(t, "before")
+		in.LoadRoom = rapid.IntRange(0, 6).Draw(t, "room")
+		in.Groups = map[string]int{"big": rapid.IntRange(0, 8).Draw(t, "big"), "small": rapid.IntRange(0, 8).Draw(t, "small")}
+		where := map[string]string{}
+		for i := range rapid.IntRange(0, 20).Draw(t, "vms") {
+			v := VM{ID: fmt.Sprint(i), Fabric: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "fabric"), Last: rapid.SampledFrom(names).Draw(t, "last")}
+			if s := rapid.SampledFrom(names).Draw(t, "staged"); s != "" {
+				v.Staged = []string{s}
+			}
+			v.Staging = rapid.SampledFrom([]string{"", "", "big"}).Draw(t, "staging")
+			where[v.ID] = v.Fabric
+			in.Free = append(in.Free, v)
+		}
+		d := Decide(in)
+		used := map[string]bool{}
+		loads := len(d.Stagings)
+		for _, f := range d.Formations {
+			size := map[string]int{"big": 4, "small": 2}[f.Model]
+			if len(f.Members) != size {
+				t.Fatalf("%s with %d members", f.Model, len(f.Members))
+			}
+			for _, id := range f.Members {
+				if used[id] || where[id] != where[f.Members[0]] {
+					t.Fatalf("VM %s is used twice or far from the others", id)
+				}
+				used[id] = true
+			}
+			if !in.JoinUnstaged && f.Loads > 0 {
+				t.Fatal("a group that has to load while there is traffic")
+			}
+		}
+		if !in.JoinUnstaged && loads > in.LoadRoom {
+			t.Fatalf("%d loads with room for %d", loads, in.LoadRoom)
+		}
+		for _, s := range d.Stagings {
+			if used[s.VM] {
+				t.Fatalf("VM %s joins and is staged", s.VM)
+			}
+		}
+	})
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -24,7 +24,7 @@
     return
   fi
   local out
-  if out=$(cd "$copy/tree" && go test -count=1 "$4" -run "^($5)\$" 2>&1); then
+  if out=$(cd "$copy/tree" && go test -count=1 -timeout 150s "$4" -run "^($5)\$" 2>&1); then
     echo "SURVIVED     $1 ($5)"
     survivors=$((survivors + 1))
     return
@@ -98,5 +98,47 @@
 mutant "peers need no certificate" internal/transport/transport.go \
   's/tls\.RequireAndVerifyClientCert/tls.NoClientCert/' ./test/integration TestMutualTLS
 
+# The gateway, the director and the adapter.
+mutant "another request's answer is passed on" platform/upstream.go \
+  's/echoed != requestID && \(echoed != "" \|\| !refused\)/echoed != requestID \&\& false/' ./internal/gateway 'TestNonIdempotentIsSentOnce|TestStreamGoesOnElsewhere'
+mutant "a failed non-idempotent request goes out again" internal/gateway/attempt.go \
+  's/fault\.Verdict != verdict\.NotRun && !j\.c\.Route\.Repeatable\(\)/false/' ./internal/gateway TestNonIdempotentIsSentOnce
+mutant "a request that may have run is answered 503" internal/gateway/attempt.go \
+  's/if j\.ran > 0 && fault\.Verdict == verdict\.NotRun/if false/; s/if fault\.Verdict != verdict\.NotRun \&\& fault\.Status == http\.StatusServiceUnavailable/if false/; s/Verdict: verdict\.MayHaveRun, Status: http\.StatusBadGateway/Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable/; s/j\.failed\(ctx, s, verdict\.As\(err\)\)/j.failed(ctx, s, \&verdict.Error{Verdict: verdict.NotRun, Status: 503, Code: "x"})/' ./internal/gateway TestNonIdempotentIsSentOnce
+mutant "a cut stream ends well" internal/gateway/handle.go \
+  's/if fault\.Code == codeAborted \{/if fault.Code == codeAborted {\n\t\treturn/' ./internal/gateway TestCutStreamNeverLooksWhole
+mutant "a stream goes on with the wrong event" internal/gateway/attempt.go \
+  's/a\.LastEvent = j\.out\.last/a.LastEvent = "5"/' ./internal/gateway TestStreamGoesOnElsewhere
+mutant "a stalled head is waited for" internal/gateway/server.go \
+  's/one\.cancel\(errStalled\)/_ = one/' ./internal/gateway TestStreamGoesOnElsewhere
+mutant "keys are honoured without a proof" internal/gateway/handle.go \
+  's/s\.config\.KeyProof > 0 && c\.CatalogAge > s\.config\.KeyProof/false/' ./internal/gateway TestKeysNeedAProof
+mutant "an older configuration is adopted" internal/catalog/keeper.go \
+  's/c\.version <= old\.version/c.version < 0 \&\& old.version < 0/' ./internal/catalog TestVersionNeverFalls
+mutant "the configuration is watched from its last change" platform/configuration.go \
+  's/return next, revision, err/revision = o.Metadata.Rev\n\t\t\treturn next, revision, err/' ./platform TestWatchAfterForgottenHistory
+mutant "the key is passed on" platform/upstream.go \
+  's/headerKey, headerTeam, headerExpectVM/headerTeam, headerExpectVM/' ./internal/gateway TestTargetAndHeaders
+mutant "a leaving VM is still a target" internal/gateway/board.go \
+  's/ \|\| vm\.Draining//' ./internal/gateway TestLeavingVMGetsNoNewRequests
+mutant "the target is cleaned" internal/relay/sender.go \
+  's/err == nil && u\.RequestURI\(\) == path && u\.Host == address/err == nil/' ./internal/gateway TestTargetAndHeaders
+mutant "VMs of an outage are gone at once" internal/fleet/directory.go \
+  's/if time\.Now\(\)\.Before\(d\.graceUntil\)/if false/' ./internal/fleet TestMissingAfterOutage
+mutant "a VM joins though it is in another group" internal/director/groups.go \
+  's/m\.Group != f\.name && !s\.released\(m\.Group\)/false/' ./internal/director TestMemberInAnotherGroup
+mutant "a head without entry is gone unasked" internal/director/groups.go \
+  's/if w\.headMisses < mostFailures/if false/' ./internal/director 'TestRandomFaults|TestHeadCutOffFromStore'
+mutant "an unanswered join counts as not sent" internal/director/groups.go \
+  's/f\.sent\[id\] = true\n//' ./internal/director TestUnansweredJoinIsDoubtful
+mutant "a head opens before all are ready" internal/director/groups.go \
+  's/allReady = allReady && \(m\.State == fleet\.Ready \|\| m\.State == fleet\.Open\)//' ./internal/director TestRandomFaults
+mutant "a leave does not count as accepted" internal/director/state.go \
+  's/m\.begun \|\| m\.order\.Operation == engine\.Leave/m.begun/' ./internal/director TestLeaveCounts
+mutant "the repeat budget knows no window" internal/retry/budget.go \
+  's/if float64\(repeats\+1\) > allowed/if float64(repeats) > allowed+1/' ./internal/retry TestNoWindowIsOverdrawn
+mutant "free VMs are never kept" internal/placement/placement.go \
+  's/if !ok \|\| d\.keepFree\(m\)/if !ok/' ./internal/placement TestFreeVMsAreKept
+
 echo "$survivors survived or not applied"
 [ "$survivors" = 0 ]
