Unreachable upstreams are given up after 300 ms; silent failure domains last

Ruled out: the stall watch (nothing was sent, so there was no stream to miss). Change: connections to upstreams are bounded by 300 ms, an unreachable one is left out at once, a failure domain whose nodes fell silent is scored last.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -314,7 +314,7 @@
 	cause := context.Cause(ctx)
 	left := errors.Is(cause, context.Canceled)
 	if !left && fault.Code != relay.CodeRefused {
-		j.eject(s)
+		j.eject(s, fault.Code != relay.CodeUnreachable)
 	}
 	if errors.Is(cause, errStalled) || errors.Is(cause, errSlowTry) {
 		fault.Detail = cause.Error()
@@ -333,14 +333,14 @@
 		Detail: "the upstream's answer broke off", Cause: err}
 	cause := context.Cause(ctx)
 	if !errors.Is(cause, context.Canceled) {
-		j.eject(s)
+		j.eject(s, true)
 	}
 	j.logAttempt(s, fault, cause)
 	return fault
 }
 
-func (j *job) eject(s *send) {
-	if j.s.board.failed(time.Now(), s) {
+func (j *job) eject(s *send, reached bool) {
+	if j.s.board.failed(time.Now(), s, reached) {
 		j.s.log.Emit(event.UpstreamEjected).Str("vm", s.t.vm.ID).Str("group", s.t.group).Str("request", j.c.ID).Send()
 	}
 }
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -137,22 +137,25 @@
 	peers     map[string]*marbleroadv1.NodeState
 	peersAt   map[string]time.Time
 	peerLoads map[string]int
+	// domainHeard is when a node of each failure domain was last heard.
+	domainHeard map[string]time.Time
 	// found are the stalls of this node that others are told of.
 	found []stall
 }
 
 func newBoard(domain string, limit retry.Limit, now time.Time) *board {
 	return &board{
-		domain:    domain,
-		pools:     make(map[string]*pool),
-		targets:   make(map[string]*target),
-		budgets:   make(map[string]*retry.Budget),
-		limit:     limit,
-		demand:    make(map[demandKey]*demandMeter),
-		demandAt:  now,
-		peers:     make(map[string]*marbleroadv1.NodeState),
-		peersAt:   make(map[string]time.Time),
-		peerLoads: make(map[string]int),
+		domain:      domain,
+		pools:       make(map[string]*pool),
+		targets:     make(map[string]*target),
+		budgets:     make(map[string]*retry.Budget),
+		limit:       limit,
+		demand:      make(map[demandKey]*demandMeter),
+		demandAt:    now,
+		peers:       make(map[string]*marbleroadv1.NodeState),
+		peersAt:     make(map[string]time.Time),
+		peerLoads:   make(map[string]int),
+		domainHeard: make(map[string]time.Time),
 	}
 }
 
@@ -337,12 +340,30 @@
 	if t.vm.FailureDomain != b.domain {
 		score += foreignPenalty
 	}
+	if b.cutOff(now, t.vm.FailureDomain) {
+		score += cutPenalty
+	}
 	if now.Before(t.suspected) || now.Before(t.ejectedUntil) {
 		score += suspectPenalty
 	}
 	return score + scoreNoise*rand.Float64()
 }
 
+const (
+	// cutAfter is the silence of all nodes of a failure domain after which its
+	// upstreams may not be reachable either: two exchanges and a round trip.
+	cutAfter = 800 * time.Millisecond
+	// cutPenalty is what that adds to the score, in parts of a full batch: such
+	// an upstream is used only when the others are more than full.
+	cutPenalty = 1.5
+)
+
+// cutOff reports whether a failure domain whose nodes were heard has fallen silent.
+func (b *board) cutOff(now time.Time, domain string) bool {
+	heard, known := b.domainHeard[domain]
+	return known && domain != b.domain && now.Sub(heard) > cutAfter
+}
+
 // leastTook is the answer time of a plain upstream that has not answered yet,
 // in seconds.
 const leastTook = 0.02
@@ -397,12 +418,16 @@
 	t.took += time.Duration(timeSmoothing * float64(took-t.took))
 }
 
-// failed notes a failure; it reports whether the target is now left out.
-func (b *board) failed(now time.Time, s *send) bool {
+// failed notes a failure; it reports whether the target is now left out. One that
+// can't be reached is left out at once.
+func (b *board) failed(now time.Time, s *send, reached bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := s.t
 	t.failures++
+	if !reached {
+		t.failures = failuresToEject
+	}
 	if t.failures < failuresToEject || now.Before(t.ejectedUntil) {
 		return false
 	}
@@ -529,6 +554,7 @@
 	defer b.mu.Unlock()
 	b.peers[state.GetNode()] = state
 	b.peersAt[state.GetNode()] = now
+	b.domainHeard[state.GetFailureDomain()] = now
 	if state.GetTrafficSeen() {
 		b.traffic = true
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -37,6 +37,8 @@
 	idleTimeout = 30 * time.Second
 	// stallInterval is the time between two looks for silent heads.
 	stallInterval = 50 * time.Millisecond
+	// connectTimeout bounds a new connection to an upstream.
+	connectTimeout = 300 * time.Millisecond
 	// closeLimit bounds what a stop does after the last answer.
 	closeLimit = 300 * time.Millisecond
 )
@@ -111,13 +113,21 @@
 		keeper:   p.Keeper,
 		caller:   p.Caller,
 		upstream: p.Upstream,
-		sender:   relay.NewSender(transport.Dialer(c.Local), nil),
+		sender:   relay.NewSender(upstreamDialer(c.Local), nil),
 		board:    newBoard(c.FailureDomain, c.Repeats, time.Now()),
 		hard:     hard,
 		end:      end,
 	}
 }
 
+// upstreamDialer gives up on a new connection soon: one takes some milliseconds,
+// and a request that was not sent can go elsewhere, also a non-idempotent one.
+func upstreamDialer(local string) *net.Dialer {
+	d := transport.Dialer(local)
+	d.Timeout = connectTimeout
+	return d
+}
+
 // Name implements kernel.Service.
 func (s *Server) Name() string { return ServerName }
 
