Bounded log lines, metrics catalogue, spans, and the node as a real process in tests

Change: log.rate bounds ordinary lines, losses are events and gauges; timers per service and kind, pauses, first events; docs/METRICS.md from a catalogue that a test compares with the sources; a span per request and per send; five integration tests of marbleroad-node before the stand-ins (forming, resuming, duty taken over, graceful stop, reload).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/marbleroad/marbleroad/internal/settings"
 	"github.com/marbleroad/marbleroad/internal/tracing"
 	"github.com/marbleroad/marbleroad/internal/transport"
+	"github.com/marbleroad/marbleroad/internal/wait"
 )
 
 // Exit codes of the daemons.
@@ -145,6 +146,7 @@
 	if err != nil {
 		return err
 	}
+	log.SetRate(s.Log.Rate)
 	tracer, err := tracing.New(context.Background(), s.Trace.Target, string(program), s.Node.ID, s.Trace.Sample)
 	if err != nil {
 		return err
@@ -168,9 +170,29 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go b.watchLog(ctx, out)
 	return b.runUntilSignal(k)
 }
 
+// logInterval is the time between two looks at what the log has lost.
+const logInterval = 5 * time.Second
+
+// watchLog counts lines that were left out or dropped, and says so.
+func (b base) watchLog(ctx context.Context, out *event.Async) {
+	told := int64(0)
+	for wait.Sleep(ctx, logInterval) {
+		dropped := out.Dropped()
+		b.metrics.Set("log.dropped", dropped)
+		b.metrics.Set("log.skipped", b.log.Skipped())
+		if dropped > told {
+			b.log.Emit(event.LogDropped).Int64("dropped", dropped-told).Send()
+			told = dropped
+		}
+	}
+}
+
 // localAddress is the address that connections to others come from.
 func localAddress(s *settings.Settings, program settings.Program) string {
 	switch program {
@@ -330,6 +352,7 @@
 		s, err := settings.Load(b.path, b.program)
 		if err == nil {
 			err = b.log.SetLevel(s.Log.Level)
+			b.log.SetRate(s.Log.Rate)
 		}
 		b.log.Emit(event.Reloaded).Err(err).Send()
 	}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -62,6 +62,7 @@
 	server = gateway.NewServer(b.gatewayConfig(), gateway.Parts{
 		Log:       b.log,
 		Metrics:   b.metrics,
+		Tracer:    b.tracer,
 		Keeper:    keeper,
 		Directory: directory,
 		Caller:    platform.Caller{},
--- a/internal/event/async_test.go
+++ b/internal/event/async_test.go
@@ -1,8 +1,10 @@
 package event
 
 import (
+	"bytes"
 	"io"
 	"testing"
+	"time"
 )
 
 // TestSlowReaderStopsNobody: a reader that never reads costs lines, not time.
@@ -22,6 +24,26 @@
 	a.Close()
 }
 
+// TestOrdinaryLinesAreBounded: warnings never are.
+func TestOrdinaryLinesAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	l, err := New(&out, "info", "n", "p")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.SetRate(3)
+	now := time.Unix(5, 0)
+	for range 10 {
+		l.rates.take(RequestServed, now)
+	}
+	if l.rates.take(RequestServed, now) || l.Skipped() != 8 {
+		t.Errorf("%d lines left out, want 8", l.Skipped())
+	}
+	if !l.rates.take(RequestSent, now) || !l.rates.take(AttemptFailed, now) || !l.rates.take(RequestServed, now.Add(time.Second)) {
+		t.Error("another event, a warning or the next second was left out")
+	}
+}
+
 // BenchmarkLine is the cost of one line to whoever logs.
 func BenchmarkLine(b *testing.B) {
 	a := NewAsync(io.Discard)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -17,9 +17,9 @@
 	TraceExportFailed = Event{1006, zerolog.WarnLevel, "spans could not be exported",
 		"Check trace.target. Serving is not affected."}
 	Reloaded = Event{1007, zerolog.InfoLevel, "settings file read again",
-		"Keys other than log.level take effect at the next start."}
+		"Keys outside of [log] take effect at the next start."}
 	LogDropped = Event{1008, zerolog.WarnLevel, "log lines were dropped; the reader of standard output is too slow",
-		"Counted in log_dropped; raise log.rate only if the reader keeps up."}
+		"Counted as log.dropped; lower log.rate or speed the reader up."}
 	ListenerFault = Event{1009, zerolog.DebugLevel, "a listener's connection failed",
 		"None; the line says what the HTTP library said."}
 )
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,47 @@
 	out zerolog.Logger
 	// level is the least level that is written.
 	level atomic.Int32
+	rates rates
+}
+
+// rates bounds the lines of ordinary events. Warnings and errors are never left out.
+type rates struct {
+	// most is how many lines a second each event may have; 0 for no bound.
+	most atomic.Int32
+
+	mu      sync.Mutex
+	second  int64
+	lines   map[ID]int32
+	skipped int64
+}
+
+// take reports whether one more line of the event may be written now.
+func (r *rates) take(e Event, now time.Time) bool {
+	most := r.most.Load()
+	if most == 0 || e.Level > zerolog.InfoLevel {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if second := now.Unix(); second != r.second || r.lines == nil {
+		r.second, r.lines = second, make(map[ID]int32)
+	}
+	if r.lines[e.ID] >= most {
+		r.skipped++
+		return false
+	}
+	r.lines[e.ID]++
+	return true
+}
+
+// SetRate bounds the lines a second of each event that is no warning; 0 lifts it.
+func (l *Logger) SetRate(most int) { l.rates.most.Store(int32(most)) }
+
+// Skipped is how many lines the bound has left out.
+func (l *Logger) Skipped() int64 {
+	l.rates.mu.Lock()
+	defer l.rates.mu.Unlock()
+	return l.rates.skipped
 }
 
 // ErrLevel is returned for an unknown log level.
@@ -72,7 +114,11 @@
 
 // Emit starts the log line of an event. The caller adds fields and calls Send.
 func (l *Logger) Emit(e Event) *zerolog.Event {
-	return l.out.WithLevel(l.enabled(e.Level)).Int("event", int(e.ID)).Str("message", e.Message)
+	level := l.enabled(e.Level)
+	if level != zerolog.Disabled && !l.rates.take(e, time.Now()) {
+		level = zerolog.Disabled
+	}
+	return l.out.WithLevel(level).Int("event", int(e.ID)).Str("message", e.Message)
 }
 
 // enabled maps levels below the threshold to Disabled, since WithLevel alone
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/event"
@@ -59,6 +61,8 @@
 	last *verdict.Error
 	// firstByte is how long the first event or the answer took.
 	firstByte time.Duration
+	// lastEvent is when the newest event came.
+	lastEvent time.Time
 }
 
 const (
@@ -144,9 +148,18 @@
 	defer j.s.board.finish(s)
 	j.tried[s.t.key()] = true
 	j.sends++
+	j.s.metrics.Count("attempts", 1)
+	if j.sends > 1 {
+		j.s.metrics.Count("attempts.repeated", 1)
+	}
+	if j.out != nil && j.out.started {
+		j.s.metrics.Count("attempts.resumed", 1)
+	}
 	stop := j.limitTry(cancel)
 	defer stop()
 	j.logSent(now, s, rivals)
+	ctx, span := j.s.parts.Tracer.Start(ctx, "send", trace.SpanKindClient, attribute.String("vm", s.t.vm.ID), attribute.String("group", s.t.group))
+	defer span.End()
 	resp, err := j.s.sender.Send(ctx, j.outgoing(now, s))
 	if err != nil {
 		return j.failed(ctx, s, verdict.As(err))
@@ -235,10 +248,14 @@
 		if err != nil {
 			return err
 		}
-		j.s.board.heard(time.Now(), s)
+		now := time.Now()
+		j.s.board.heard(now, s)
 		if j.firstByte == 0 {
-			j.firstByte = time.Since(j.c.Arrived)
+			j.firstByte = now.Sub(j.c.Arrived)
+		} else {
+			j.s.metrics.Observe("request.pause."+j.c.Service, now.Sub(j.lastEvent))
 		}
+		j.lastEvent = now
 		j.out.start(resp)
 		if err := j.out.write(raw, id); err != nil {
 			return err
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -215,6 +215,22 @@
 	return old
 }
 
+// openGroups counts the heads that take requests, by model, also models with none.
+func (b *board) openGroups() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]int)
+	for _, p := range b.pools {
+		if p.service.Engine == nil {
+			continue
+		}
+		for _, m := range p.service.Engine.Models {
+			out[m.Name] = len(p.heads[m.Name])
+		}
+	}
+	return out
+}
+
 // count notes a caller's request.
 func (b *board) count(now time.Time, c *Call) {
 	b.mu.Lock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"github.com/marbleroad/marbleroad/internal/gateway"
 	"github.com/marbleroad/marbleroad/internal/metrics"
 	"github.com/marbleroad/marbleroad/internal/retry"
+	"github.com/marbleroad/marbleroad/internal/tracing"
 	"github.com/marbleroad/marbleroad/platform"
 	_ "github.com/marbleroad/marbleroad/test/seed"
 	"github.com/marbleroad/marbleroad/test/standin/groupengine"
@@ -68,7 +69,7 @@
 		BalancerDelay: time.Millisecond, ShutdownLimit: waitLimit, KeyProof: o.keyProof,
 		Repeats: retry.Limit{Ratio: 1, Extra: 100, Window: 10 * time.Second},
 	}, gateway.Parts{
-		Log: log, Metrics: metrics.NewRegistry(), Keeper: keeper, Directory: directory,
+		Log: log, Metrics: metrics.NewRegistry(), Tracer: tracing.Off(), Keeper: keeper, Directory: directory,
 		Caller: platform.Caller{}, Upstream: platform.Upstream{}, Nodes: func() int { return 1 },
 		Suspect: func(string, uint64) {}, StepDown: func() {}, Nudge: func() {},
 	})
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/event"
@@ -110,7 +112,10 @@
 // run sends the call on until the caller has its answer or nothing more may be tried.
 func (s *Server) run(w http.ResponseWriter, r *http.Request, c *Call) (*job, *verdict.Error) {
 	s.board.count(c.Arrived, c)
-	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
+	ctx, span := s.parts.Tracer.Start(s.parts.Tracer.Extract(r.Context(), r.Header), "request", trace.SpanKindServer,
+		attribute.String("request", c.ID), attribute.String("route", c.Route.Name))
+	defer span.End()
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	stop := context.AfterFunc(s.hard, cancel)
 	defer stop()
@@ -158,8 +163,9 @@
 }
 
 func (s *Server) served(c *Call, j *job, took time.Duration) {
-	s.metrics.Observe("request."+c.Route.Kind.String(), took)
-	s.metrics.Observe("first."+c.Route.Kind.String(), j.firstByte)
+	s.metrics.Count("requests.served", 1)
+	s.metrics.Observe("request.whole."+c.Service+"."+c.Route.Kind.String(), took)
+	s.metrics.Observe("request.first."+c.Service+"."+c.Route.Kind.String(), j.firstByte)
 	line := s.log.Emit(event.RequestServed).Str("request", c.ID).Str("route", c.Route.Name).Str("team", c.Team).
 		Int("sends", j.sends).Dur("took_ms", took).Dur("first_ms", j.firstByte)
 	if j.out != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -20,6 +20,7 @@
 	"github.com/marbleroad/marbleroad/internal/metrics"
 	"github.com/marbleroad/marbleroad/internal/relay"
 	"github.com/marbleroad/marbleroad/internal/retry"
+	"github.com/marbleroad/marbleroad/internal/tracing"
 	"github.com/marbleroad/marbleroad/internal/transport"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
@@ -67,6 +68,7 @@
 type Parts struct {
 	Log       *event.Logger
 	Metrics   *metrics.Registry
+	Tracer    *tracing.Tracer
 	Keeper    *catalog.Keeper
 	Directory *fleet.Directory
 	Caller    CallerDialect
@@ -194,6 +196,7 @@
 }
 
 func (s *Server) answerReady(w http.ResponseWriter, r *http.Request) {
+	s.metrics.Set("catalog.age_ms", s.keeper.ProvenAge(time.Now()).Milliseconds())
 	if r.URL.Path != s.config.ReadyPath {
 		http.NotFound(w, r)
 		return
@@ -234,8 +237,13 @@
 // Rebuild takes a new catalog or fleet.
 func (s *Server) Rebuild() {
 	c, f := s.keeper.Catalog(), s.parts.Directory.Snapshot()
-	if c != nil && f != nil {
-		s.board.rebuild(c, f)
+	if c == nil || f == nil {
+		return
+	}
+	s.board.rebuild(c, f)
+	s.metrics.Set("catalog.version", int64(c.Version()))
+	for model, open := range s.board.openGroups() {
+		s.metrics.Set("groups.open."+model, int64(open))
 	}
 }
 
@@ -277,6 +285,7 @@
 		}
 		found := s.board.findStalls(time.Now())
 		for _, f := range found {
+			s.metrics.Count("heads.stalled", 1)
 			s.log.Emit(event.HeadStalled).Str("group", f.group).Str("vm", f.vm).Uint64("generation", f.generation).
 				Int64("silent_ms", f.silent.Milliseconds()).Int64("usual_pause_ms", f.gap.Milliseconds()).Int("requests", f.requests).Send()
 			for _, one := range f.sends {
--- /dev/null
+++ b/internal/metrics/catalogue.go
@@ -0,0 +1,33 @@
+package metrics
+
+// Metric is one catalogue entry. Upper-case words in a name stand for what the
+// metric is kept by.
+type Metric struct {
+	Name string
+	// Kind is counter, gauge or timer.
+	Kind string
+	Help string
+}
+
+// Catalogue lists the metrics of marbleroad-node; docs/METRICS.md is made from it.
+var Catalogue = []Metric{
+	{"requests", "counter", "Requests of callers that were read."},
+	{"requests.served", "counter", "Requests that were answered by an upstream, whole."},
+	{"failed.CODE", "counter", "Requests that ended with an answer of the node's own, by its code; see docs/OPERATIONS.md."},
+	{"request.whole.SERVICE.KIND", "timer", "From the arrival of a served request to its end."},
+	{"request.first.SERVICE.KIND", "timer", "From the arrival of a served request to its first event or its answer."},
+	{"request.pause.SERVICE", "timer", "Between two events of a stream."},
+	{"request.failed", "timer", "From the arrival to the node's own answer."},
+	{"attempts", "counter", "Sends of requests to upstreams."},
+	{"attempts.repeated", "counter", "Sends after the first of a request; they draw on the budget for repeats."},
+	{"attempts.resumed", "counter", "Sends that went on with a stream within its answer."},
+	{"attempts.failed.CODE", "counter", "Sends without a whole answer, by what was wrong."},
+	{"heads.stalled", "counter", "Heads whose streams all fell silent at this node."},
+	{"groups.open.MODEL", "gauge", "Groups of the model that take requests."},
+	{"catalog.version", "gauge", "Version of the configuration in force."},
+	{"catalog.age_ms", "gauge", "Age of the proof that it is the newest, as of the balancer's last question."},
+	{"director.reports", "counter", "Reports asked of VMs."},
+	{"director.orders.ORDER", "counter", "Orders sent to VMs, by what they ask for."},
+	{"log.dropped", "gauge", "Log lines lost because the reader of standard output was too slow."},
+	{"log.skipped", "gauge", "Ordinary log lines left out by log.rate."},
+}
--- /dev/null
+++ b/test/integration/node_test.go
@@ -0,0 +1,278 @@
+package integration
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/marbleroad/marbleroad/test/standin/groupengine"
+	"github.com/marbleroad/marbleroad/test/standin/objectstore"
+)
+
+const (
+	nodeListenPort  = 8227
+	nodeReadyPort   = 8220
+	nodeAdminPort   = 7355
+	nodeClusterPort = 7340
+	engineEvents    = 30
+)
+
+// platformSite is the users' platform in small: a store, model engines, a plain
+// service, and nodes that run marbleroad-node.
+type platformSite struct {
+	*site
+	store   *objectstore.Store
+	engines map[string]*groupengine.VM
+	servers map[string]*http.Server
+}
+
+func newPlatformSite(t *testing.T, nodes int) *platformSite {
+	t.Helper()
+	n := siteNumber.Add(1)
+	s := &platformSite{
+		site:    &site{t: t, dir: t.TempDir(), net: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, n)},
+		store:   objectstore.New(),
+		engines: make(map[string]*groupengine.VM),
+		servers: make(map[string]*http.Server),
+	}
+	s.serve(s.ip(1, platPort), s.store)
+	s.store.Put("config", "main", nodeConfiguration(1))
+	for i := range 5 {
+		s.addEngine(fmt.Sprintf("engine-%d", i), "llm", engineEvents, 10+i)
+	}
+	s.addEngine("plain-0", "api", 0, 30)
+	t.Cleanup(s.stop)
+	for i := range nodes {
+		nd := &node{id: fmt.Sprintf("node-%d", i), domain: "a", ip: fmt.Sprintf("%s.%d", s.net, 200+i)}
+		s.nodes = append(s.nodes, nd)
+		s.writeNodeSettings(nd)
+		nd.entry = s.run(nd.id, "marbleroad-node", nd)
+	}
+	for _, nd := range s.nodes {
+		s.eventually(nd.id+" is ready", func() bool { return s.readiness(nd) == http.StatusOK })
+	}
+	return s
+}
+
+func (s *platformSite) addEngine(id, service string, events, host int) {
+	vm := groupengine.New(groupengine.Config{ID: id, Service: service, Address: s.ip(host, 8080), Zone: "a", Domain: "d",
+		Load: 50 * time.Millisecond, Events: events, Pause: 30 * time.Millisecond}, s.store)
+	s.engines[id] = vm
+	s.servers[id] = s.serve(s.ip(host, 8080), vm)
+}
+
+// lose has a VM fall silent for good.
+func (s *platformSite) lose(id string) {
+	_ = s.servers[id].Close()
+	s.store.Delete("servers", id)
+}
+
+func nodeConfiguration(version int) map[string]any {
+	route := func(prefix, kind, service string) map[string]any {
+		return map[string]any{"name": prefix, "host": "h.example", "path-prefix": prefix, "kind": kind, "timeout-ms": 20000, "slo-ms": 1000,
+			"service": service, "attempts": 3, "resumable": kind == "streaming"}
+	}
+	return map[string]any{
+		"version": version,
+		"routes":  []any{route("/stream/", "streaming", "llm"), route("/read/", "idempotent", "api")},
+		"services": []any{
+			map[string]any{"name": "llm", "engine": map[string]any{"slots": 8, "step_ms": 6, "per_seq_ms": 0.2, "read_per_s": 46000, "loads_at_once": 6,
+				"usual": map[string]any{"prompt": 1000, "answer": 100}, "form-ms": 10,
+				"models": []any{map[string]any{"name": "m", "size": 2, "share": 1, "pace": 1, "load-s": 0.05, "warm-s": 0.05}}}},
+			map[string]any{"name": "api"},
+		},
+		"tenants": []any{map[string]any{"name": "team", "api-keys": []string{"key"}}},
+	}
+}
+
+func (s *platformSite) writeNodeSettings(nd *node) {
+	nd.settings = filepath.Join(s.dir, nd.id+".ini")
+	text := fmt.Sprintf(`[node]
+id = %s
+failure_domain = a
+[platform]
+url = http://%s
+[gateway]
+listen = %s:%d
+ready = %s:%d
+admin = %s:%d
+balancer_delay = 200ms
+stop_grace = 20s
+stall_bound = 1s
+[cluster]
+listen = %s:%d
+`, nd.id, s.ip(1, platPort), nd.ip, nodeListenPort, nd.ip, nodeReadyPort, nd.ip, nodeAdminPort, nd.ip, nodeClusterPort)
+	if err := os.WriteFile(nd.settings, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *platformSite) readiness(nd *node) int {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/-/ready", nd.ip, nodeReadyPort))
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (s *platformSite) ask(ctx context.Context, nd *node, path string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d%s", nd.ip, nodeListenPort, path), nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "h.example"
+	for name, value := range map[string]string{"Attempt-Id": "r-" + nd.id, "Api-Key": "key", "Deadline-Ms": "20000", "Model": "m"} {
+		req.Header.Set(name, value)
+	}
+	return http.DefaultTransport.RoundTrip(req)
+}
+
+// wholeStream reads a stream and says whether every event came once, in order.
+func wholeStream(resp *http.Response, err error) error {
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	next := 1
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		id, ok := strings.CutPrefix(lines.Text(), "id: ")
+		if ok && id != fmt.Sprint(next) {
+			return fmt.Errorf("event %s, want %d", id, next)
+		}
+		if ok {
+			next++
+		}
+	}
+	if next != engineEvents+1 {
+		return fmt.Errorf("ended before event %d: %v", next, lines.Err())
+	}
+	return lines.Err()
+}
+
+func (s *platformSite) streams(nd *node) bool {
+	return wholeStream(s.ask(context.Background(), nd, "/stream/x")) == nil
+}
+
+// openHeads counts the heads that take requests.
+func (s *platformSite) openHeads() int {
+	n := 0
+	for _, vm := range s.engines {
+		if vm.State() == "open" {
+			n++
+		}
+	}
+	return n
+}
+
+// TestNodesServeThePlatform: groups are formed out of nothing and both nodes
+// serve streams and plain calls; the whole path with real processes.
+func TestNodesServeThePlatform(t *testing.T) {
+	t.Parallel()
+	s := newPlatformSite(t, 2)
+	for _, nd := range s.nodes {
+		s.eventually(nd.id+" serves a stream", func() bool { return s.streams(nd) })
+		resp, err := s.ask(context.Background(), nd, "/read/x?y")
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if string(body) != "answer of api to /read/x?y" {
+			t.Errorf("%s: %d %q", nd.id, resp.StatusCode, body)
+		}
+	}
+	if n := s.openHeads(); n != 2 {
+		t.Errorf("%d groups of 5 VMs serve, want 2", n)
+	}
+}
+
+// TestStreamOutlivesItsHead: a head that dies in the middle of a stream costs
+// the caller nothing, and the rest of its group serves again.
+func TestStreamOutlivesItsHead(t *testing.T) {
+	t.Parallel()
+	s := newPlatformSite(t, 1)
+	nd := s.nodes[0]
+	s.eventually("both groups serve", func() bool { return s.openHeads() == 2 && s.streams(nd) })
+	resp, err := s.ask(context.Background(), nd, "/stream/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.lose(strings.TrimPrefix(resp.Header.Get("Response-Seal"), "seal-of-"))
+	if err := wholeStream(resp, nil); err != nil {
+		t.Error(err)
+	}
+	s.eventually("two groups serve again", func() bool { return s.openHeads() == 2 })
+}
+
+// TestDirectorKilled: another node takes the duty over and forms groups.
+func TestDirectorKilled(t *testing.T) {
+	t.Parallel()
+	s := newPlatformSite(t, 2)
+	s.eventually("both groups serve", func() bool { return s.openHeads() == 2 })
+	s.nodes[0].entry.kill()
+	for id, vm := range s.engines {
+		if vm.State() == "open" {
+			s.lose(id)
+			delete(s.engines, id)
+			break
+		}
+	}
+	s.eventually("the other node forms groups", func() bool { return s.openHeads() == 2 && s.streams(s.nodes[1]) })
+}
+
+// TestNodeStopsWithoutCutting: a stream that runs when the stop signal comes is
+// answered whole, and the process ends by itself.
+func TestNodeStopsWithoutCutting(t *testing.T) {
+	t.Parallel()
+	s := newPlatformSite(t, 1)
+	nd := s.nodes[0]
+	s.eventually("a stream is served", func() bool { return s.streams(nd) })
+	resp, err := s.ask(context.Background(), nd, "/stream/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nd.entry.signal(syscall.SIGTERM)
+	s.eventually("readiness is withdrawn", func() bool { return s.readiness(nd) != http.StatusOK })
+	if err := wholeStream(resp, nil); err != nil {
+		t.Error(err)
+	}
+	select {
+	case <-nd.entry.gone:
+	case <-time.After(waitLimit):
+		t.Fatal("the process does not end")
+	}
+	if code := nd.entry.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	if c, err := net.Dial("tcp", net.JoinHostPort(nd.ip, fmt.Sprint(nodeListenPort))); err == nil {
+		_ = c.Close()
+		t.Error("the listener is still there")
+	}
+}
+
+// TestNodeReloads: SIGHUP reads the settings again and ends nothing.
+func TestNodeReloads(t *testing.T) {
+	t.Parallel()
+	s := newPlatformSite(t, 1)
+	nd := s.nodes[0]
+	nd.entry.signal(syscall.SIGHUP)
+	s.eventually("the reload is logged", func() bool {
+		data, err := os.ReadFile(nd.entry.log)
+		return err == nil && strings.Contains(string(data), `"event":1007`)
+	})
+	s.eventually("a stream is served", func() bool { return s.streams(nd) })
+}
