--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -117,7 +117,7 @@
 	RequestDone = Event{5001, zerolog.DebugLevel, "request answered",
 		"None."}
 	RequestRefused = Event{5002, zerolog.InfoLevel, "request refused",
-		"See the code in docs/OPERATING.md."}
+		"See the code in docs/OPERATIONS.md."}
 	RequestFailed = Event{5003, zerolog.WarnLevel, "request failed after it may have run",
 		"See marbleroadctl explain with its ID."}
 	BadInput = Event{5004, zerolog.InfoLevel, "request with bad input refused",
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,6 +43,8 @@
 	codeBudget     = "repeat-budget"
 	codeTimeout    = "timeout"
 	codeAborted    = "aborted"
+	// codeUpstreamFailed is an upstream's own failure after it ran the request.
+	codeUpstreamFailed = "upstream-failed"
 )
 
 // job is one call on its way through upstreams. It belongs to one goroutine.
@@ -63,8 +65,16 @@
 	firstByte time.Duration
 	// lastEvent is when the newest event came.
 	lastEvent time.Time
+	// status is the answer's; zero before there is one.
+	status int
 }
 
+// statusError is an upstream's failed answer that is not passed on.
+type statusError int
+
+// Error implements error.
+func (e statusError) Error() string { return fmt.Sprintf("the upstream answered %d", int(e)) }
+
 const (
 	// spareSends is how many sends beyond the route's attempts are tried when
 	// upstreams refuse a request before running it.
@@ -232,12 +242,13 @@
 		return j.relayStream(resp, s)
 	}
 	if j.out != nil && j.out.started {
-		return errors.Newf("the upstream answered %d where a stream should go on", resp.StatusCode)
+		return statusError(resp.StatusCode)
 	}
 	return j.relayWhole(resp, sentAt)
 }
 
 func (j *job) relayStream(resp *http.Response, s *send) error {
+	j.status = resp.StatusCode
 	events := newEventReader(resp.Body)
 	for {
 		raw, id, err := events.next()
@@ -274,9 +285,10 @@
 		return errors.CombineErrors(errCutStream, err)
 	}
 	if resp.StatusCode >= http.StatusInternalServerError && j.worthRepeating() {
-		return errors.Newf("the upstream answered %d", resp.StatusCode)
+		return statusError(resp.StatusCode)
 	}
 	j.firstByte = time.Since(j.c.Arrived)
+	j.status = resp.StatusCode
 	copyHeader(j.w, resp)
 	if len(body) <= maxWhole {
 		j.w.Header().Set("Content-Length", fmt.Sprint(len(body)))
@@ -348,6 +360,10 @@
 	}
 	fault := &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Code: relay.CodeBroken,
 		Detail: "the upstream's answer broke off", Cause: err}
+	var status statusError
+	if errors.As(err, &status) {
+		fault.Code, fault.Detail, fault.Cause = codeUpstreamFailed, status.Error(), nil
+	}
 	cause := context.Cause(ctx)
 	if !errors.Is(cause, context.Canceled) {
 		j.eject(s, true)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -167,7 +167,7 @@
 	s.metrics.Observe("request.whole."+c.Service+"."+c.Route.Kind.String(), took)
 	s.metrics.Observe("request.first."+c.Service+"."+c.Route.Kind.String(), j.firstByte)
 	line := s.log.Emit(event.RequestServed).Str("request", c.ID).Str("route", c.Route.Name).Str("team", c.Team).
-		Int("sends", j.sends).Dur("took_ms", took).Dur("first_ms", j.firstByte)
+		Int("status", j.status).Int("sends", j.sends).Dur("took_ms", took).Dur("first_ms", j.firstByte)
 	if j.out != nil {
 		line = line.Int("events", j.out.events)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -90,9 +90,10 @@
 
 call() { "$bin/caller" -key demo-forecasters "$@"; }
 ask='{"model":"nowcast","stream":true,"messages":[{"role":"user","content":"Will it hail at Csepel?"}]}'
-serving() { [ "$("$bin/marbleroadctl" status -o csv | grep -c ',yes,')" -ge 1 ]; }
-until_ok 30 serving
-until_ok 10 call http://127.0.10.2:18080/services/tiles/manifest
+# A group that serves somewhere is not yet one that this entry has seen, so the
+# wait is for what will be shown: an answer at the very addresses.
+until_ok 40 call -body "$ask" http://127.0.10.1:18080/v1/chat/completions
+until_ok 20 call http://127.0.11.2:18080/services/tiles/manifest
 
 answers=0
 echo
