--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -19,7 +19,7 @@
 	// catalogWait is how long one watch of the configuration waits. An answer
 	// without changes proves that the known one is the newest, so it bounds that
 	// proof's age and with it how long keys are honoured without the platform.
-	catalogWait = 1500 * time.Millisecond
+	catalogWait = time.Second
 	// fleetWait is how long one watch of the upstream VMs waits. After a cut a
 	// watch may hang for that long and a timeout; with both, news is still in
 	// time for the bound on leaving VMs (2 s, for nodes in touch for 3 s).
