--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -374,7 +374,11 @@
 
 func (j *job) eject(s *send, reached bool) {
 	if j.s.board.failed(time.Now(), s, reached) {
-		j.s.log.Emit(event.UpstreamEjected).Str("vm", s.t.vm.ID).Str("group", s.t.group).Str("request", j.c.ID).Send()
+		j.s.log.Emit(event.UpstreamEjected).Str("vm", s.t.vm.ID).Str("group", s.t.group).Str("request", j.c.ID).Bool("reached", reached).Send()
+	}
+	if !reached && s.t.group != "" {
+		j.s.parts.Suspect(s.t.group, s.t.generation)
+		j.s.parts.Nudge()
 	}
 }
 
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -443,6 +443,7 @@
 	t.failures++
 	if !reached {
 		t.failures = failuresToEject
+		b.tellUnreachable(now, t)
 	}
 	if t.failures < failuresToEject || now.Before(t.ejectedUntil) {
 		return false
@@ -465,6 +466,14 @@
 	sends      []*send
 }
 
+// tellUnreachable has the other nodes know of a head that can't be reached.
+func (b *board) tellUnreachable(now time.Time, t *target) {
+	if t.group == "" {
+		return
+	}
+	b.found = append(b.found, stall{at: now, group: t.group, vm: t.vm.ID, generation: t.generation, silent: now.Sub(t.lastByte)})
+}
+
 // findStalls looks for silent heads. The caller cancels their sends.
 func (b *board) findStalls(now time.Time) []stall {
 	b.mu.Lock()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -38,8 +38,8 @@
 	idleTimeout = 30 * time.Second
 	// stallInterval is the time between two looks for silent heads.
 	stallInterval = 50 * time.Millisecond
-	// connectTimeout bounds a new connection to an upstream.
-	connectTimeout = 300 * time.Millisecond
+	// connectTimeout bounds a new connection to an upstream, which takes 2 to 5 ms.
+	connectTimeout = 120 * time.Millisecond
 	// closeLimit bounds what a stop does after the last answer.
 	closeLimit = 300 * time.Millisecond
 )
