Exchanges and watches scale with the number of nodes

Change: above ten nodes the interval grows in proportion, and with it how long a node counts as live; the pause between watches grows up to 1.2 s.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -32,9 +32,13 @@
 	// shareTimeout bounds one exchange; it is well above a round trip between
 	// failure domains (3 ms).
 	shareTimeout = 600 * time.Millisecond
-	// LiveFor is how long a node counts as live after an exchange with it was
-	// sent: three intervals and a timeout.
-	LiveFor = 1500 * time.Millisecond
+	// liveIntervals is how many intervals, beside a timeout, a node counts as live
+	// after an exchange with it was sent.
+	liveIntervals = 3
+	// fewNodes is up to how many nodes each exchanges with every other one at the
+	// set interval; with more, the interval grows in proportion, so that a node's
+	// exchanges a second stay the same.
+	fewNodes = 10
 	// silentPause is the time between two tries to reach a silent node.
 	silentPause = time.Second
 	// registerPause is the pause after a failed registration, doubled by jitter.
@@ -144,13 +148,22 @@
 	return errors.Wrap(c.server.Close(), "close cluster listener")
 }
 
+// Interval is the time between two exchanges with each other node.
+func (c *Cluster) Interval() time.Duration {
+	return c.config.Interval * time.Duration(max(c.Size(), fewNodes)) / fewNodes
+}
+
+// LiveFor is how long a node counts as live after an exchange with it was sent.
+func (c *Cluster) LiveFor() time.Duration { return liveIntervals*c.Interval() + shareTimeout }
+
 // Live returns the nodes heard of lately, by ID.
 func (c *Cluster) Live(now time.Time) []Peer {
+	liveFor := c.LiveFor()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []Peer
 	for _, p := range c.known {
-		if p.State != nil && now.Sub(p.HeardAt) <= LiveFor {
+		if p.State != nil && now.Sub(p.HeardAt) <= liveFor {
 			out = append(out, p.Peer)
 		}
 	}
@@ -256,9 +269,9 @@
 func (c *Cluster) shareLoop(p *peer) {
 	defer c.done.Done()
 	for c.ctx.Err() == nil {
-		pause := c.config.Interval
+		pause := c.Interval()
 		if err := c.shareWith(p); err != nil {
-			pause = silentPause
+			pause = max(pause, silentPause)
 			c.lose(p, err)
 		}
 		timer := time.NewTimer(pause)
@@ -288,9 +301,10 @@
 }
 
 func (c *Cluster) lose(p *peer, err error) {
+	liveFor := c.LiveFor()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p.lost || p.State == nil || c.ctx.Err() != nil || time.Since(p.HeardAt) <= LiveFor {
+	if p.lost || p.State == nil || c.ctx.Err() != nil || time.Since(p.HeardAt) <= liveFor {
 		return
 	}
 	p.lost = true
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -29,6 +29,11 @@
 	// limits the calls; a director is in a hurry while it forms a group.
 	busySettle = 60 * time.Millisecond
 	idleSettle = 500 * time.Millisecond
+	// mostSettle bounds the idle pause, which grows with the nodes as the calls of
+	// all of them do; VMs that leave must be left out within 2 s.
+	mostSettle = 1200 * time.Millisecond
+	// settleNodes is up to how many nodes the idle pause stays the least.
+	settleNodes = 10
 	// keyProofMargin is kept of the revocation bound for the time between the
 	// check of a key and the moment at which the upstream begins to run.
 	keyProofMargin = 300 * time.Millisecond
@@ -45,12 +50,13 @@
 	store := platform.NewStore(s.Platform.URL, newTransport(s.Cluster.Listen, storeIdle, &b.peers.Traffic.Platform), s.Platform.Timeout)
 	var server *gateway.Server
 	var groups *director.Director
+	var nodes *cluster.Cluster
 	keeper := catalog.NewKeeper(platform.NewConfiguration(store), b.log, catalogWait)
 	directory := fleet.NewDirectory(platform.NewDirectory(store, b.log), b.log, fleetWait, func() time.Duration {
 		if groups.Busy() {
 			return busySettle
 		}
-		return idleSettle
+		return min(idleSettle*time.Duration(max(nodes.Size(), settleNodes))/settleNodes, mostSettle)
 	})
 	self := cluster.Record{ID: s.Node.ID, Address: s.Cluster.Listen, FailureDomain: s.Node.FailureDomain}
 	state := func() *marbleroadv1.NodeState {
@@ -58,7 +64,7 @@
 		server.FillState(out)
 		return out
 	}
-	nodes := cluster.New(cluster.Config{Self: self, Interval: s.Cluster.Interval}, b.log, store, b.peers, state)
+	nodes = cluster.New(cluster.Config{Self: self, Interval: s.Cluster.Interval}, b.log, store, b.peers, state)
 	server = gateway.NewServer(b.gatewayConfig(), gateway.Parts{
 		Log:       b.log,
 		Metrics:   b.metrics,
@@ -68,6 +74,7 @@
 		Caller:    platform.Caller{},
 		Upstream:  platform.Upstream{},
 		Nodes:     nodes.Size,
+		LiveFor:   nodes.LiveFor,
 		Suspect:   func(group string, generation uint64) { groups.Suspect(group, generation) },
 		StepDown:  func() { groups.StepDown() },
 		Nudge:     nodes.Nudge,
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -44,8 +44,6 @@
 	// demandSmoothing is the weight of the newest second in the demand. Single
 	// seconds of one node have some ten requests, whose sizes differ widely.
 	demandSmoothing = 0.1
-	// peerLoadFor is how long another node's word on its load is used.
-	peerLoadFor = 1500 * time.Millisecond
 )
 
 // target is one place that a request can go to, with what this node knows of
@@ -139,6 +137,8 @@
 	peerLoads map[string]int
 	// domainHeard is when a node of each failure domain was last heard.
 	domainHeard map[string]time.Time
+	// cutAfter is that silence with as many nodes as there are.
+	cutAfter time.Duration
 	// found are the stalls of this node that others are told of.
 	found []stall
 }
@@ -366,8 +366,8 @@
 }
 
 const (
-	// cutAfter is the silence of all nodes of a failure domain after which its
-	// upstreams may not be reachable either: two exchanges and a round trip.
+	// cutAfter is the least silence of all nodes of a failure domain after which
+	// its upstreams may not be reachable either: two exchanges and a round trip.
 	cutAfter = 800 * time.Millisecond
 	// cutPenalty is what that adds to the score, in parts of a full batch: such
 	// an upstream is used only when the others are more than full.
@@ -377,7 +377,7 @@
 // cutOff reports whether a failure domain whose nodes were heard has fallen silent.
 func (b *board) cutOff(now time.Time, domain string) bool {
 	heard, known := b.domainHeard[domain]
-	return known && domain != b.domain && now.Sub(heard) > cutAfter
+	return known && domain != b.domain && now.Sub(heard) > b.cutAfter
 }
 
 // leastTook is the answer time of a plain upstream that has not answered yet,
@@ -573,13 +573,14 @@
 	}
 }
 
-// hear takes another node's state.
-func (b *board) hear(now time.Time, state *marbleroadv1.NodeState) {
+// hear takes another node's state; liveFor is how long it counts.
+func (b *board) hear(now time.Time, state *marbleroadv1.NodeState, liveFor time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers[state.GetNode()] = state
 	b.peersAt[state.GetNode()] = now
 	b.domainHeard[state.GetFailureDomain()] = now
+	b.cutAfter = max(cutAfter, liveFor/2)
 	if state.GetTrafficSeen() {
 		b.traffic = true
 	}
@@ -588,7 +589,7 @@
 	}
 	clear(b.peerLoads)
 	for id, p := range b.peers {
-		if now.Sub(b.peersAt[id]) > peerLoadFor {
+		if now.Sub(b.peersAt[id]) > liveFor {
 			delete(b.peers, id)
 			delete(b.peersAt, id)
 			continue
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -70,7 +70,7 @@
 		Repeats: retry.Limit{Ratio: 1, Extra: 100, Window: 10 * time.Second},
 	}, gateway.Parts{
 		Log: log, Metrics: metrics.NewRegistry(), Tracer: tracing.Off(), Keeper: keeper, Directory: directory,
-		Caller: platform.Caller{}, Upstream: platform.Upstream{}, Nodes: func() int { return 1 },
+		Caller: platform.Caller{}, Upstream: platform.Upstream{}, Nodes: func() int { return 1 }, LiveFor: func() time.Duration { return time.Second },
 		Suspect: func(string, uint64) {}, StepDown: func() {}, Nudge: func() {},
 	})
 	keeper.OnChange(s.server.Rebuild)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -75,6 +75,8 @@
 	Upstream  UpstreamDialect
 	// Nodes is how many nodes may share the budget for repeats.
 	Nodes func() int
+	// LiveFor is how long another node's state counts.
+	LiveFor func() time.Duration
 	// Suspect is told of heads that fell silent.
 	Suspect func(group string, generation uint64)
 	// StepDown is called when a stop begins.
@@ -249,7 +251,7 @@
 
 // Hear takes another node's state.
 func (s *Server) Hear(state *marbleroadv1.NodeState) {
-	s.board.hear(time.Now(), state)
+	s.board.hear(time.Now(), state, s.parts.LiveFor())
 	for _, suspicion := range state.GetSuspicions() {
 		s.parts.Suspect(suspicion.GetGroup(), suspicion.GetGeneration())
 	}
