Short models form from kept VMs; refused copies are not asked for again

The three first plans were still made alike, since a join is seen only after the idle pause between watches.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -249,3 +249,23 @@
 		}
 	}
 }
+
+// TestRefusedCopyIsNotAskedForAgain (rce-tiles fresh-7c90): a host that copies for
+// a former director refuses another copy; it is left alone for a while.
+func TestRefusedCopyIsNotAskedForAgain(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	n := w.addNode(t, "n1")
+	n.s.snapshot = w.snapshot
+	vm := w.snapshot.VMs[vmID(0, 0)]
+	v := n.s.vm(vm.ID)
+	v.staging, v.stagingUntil = "big", w.now.Add(time.Hour)
+	n.s.ordered(w.now, ordered{vm: vm, order: engine.GroupOrder{Operation: engine.Stage, Model: "big"}, err: engine.ErrDoesNotFit})
+	n.s.watch(w.now.Add(time.Second))
+	if v.staging == "" {
+		t.Error("the host is asked again at once")
+	}
+	n.s.watch(w.now.Add(time.Minute))
+	if v.staging != "" {
+		t.Error("the host is never asked again")
+	}
+}
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -424,8 +424,8 @@
 	// are planned: a plan for all VMs is better than one for the first few.
 	gatherTime = 700 * time.Millisecond
 	// domainStagger is the time between the first plans of two failure domains: a
-	// join takes some 100 ms to be seen everywhere.
-	domainStagger = 300 * time.Millisecond
+	// join is seen everywhere after the idle pause between two watches (500 ms).
+	domainStagger = 700 * time.Millisecond
 	// gatherLimit bounds that wait from the director's start.
 	gatherLimit = 5 * time.Second
 	// boundless is the room for loads before traffic, when they don't slow each
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -66,6 +66,8 @@
 	foreignAfter = 10 * time.Second
 	// orderPause is the pause before an order is sent again after a failure.
 	orderPause = 300 * time.Millisecond
+	// stagePause is how long a host that refuses a copy is left alone.
+	stagePause = 4 * time.Second
 	// mostFailures is how many failed calls in a row make a VM count as lost.
 	mostFailures = 2
 	// lostFor is how long a VM that does not answer gets no orders.
@@ -567,7 +569,8 @@
 		v.known = false
 		v.notBefore = now.Add(orderPause)
 		if m.order.Operation == engine.Stage {
-			v.staging = ""
+			// The host may be copying for a former director.
+			v.stagingUntil = now.Add(stagePause)
 		}
 	case errors.Is(m.err, engine.ErrOldGeneration):
 		s.lastGeneration += generationSkip
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -144,12 +144,16 @@
 // keepFree reports whether free VMs are better kept than put into one more group
 // of the model.
 func (d *decider) keepFree(m catalog.Model) bool {
-	if d.in.JoinUnstaged {
+	if d.in.JoinUnstaged || (len(d.in.Demand) > 0 && d.supply(m) < enough) {
 		return false
 	}
 	return d.supply(m) > keepFreeMargin*d.supply(d.byNeed()[0])
 }
 
+// enough is how many groups for each group's worth of work serve a model well, so
+// that free VMs may wait for another one.
+const enough = 1.5
+
 // leastNeed keeps a model without any demand from needing nothing at all.
 const leastNeed = 1e-3
 
