--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,9 @@
 build:
 	go build -o bin/ ./cmd/... ./test/standin/cmd/...
 
+# PLATFORM=1 shows marbleroad-node before stand-ins of the users' platform.
 demo: build
-	@scripts/demo.sh
+	@scripts/demo$(if $(PLATFORM),-platform).sh
 
 test: build
 	go test -count=1 -parallel 4 ./...
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -179,30 +179,43 @@
 }
 
 func (a *app) explainCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:     "explain REQUEST-ID",
-		Short:   "Show what was decided about one of the latest requests.",
-		Example: "  marbleroadctl explain 01JE3W1S6ZQ0V8M2C7R5T9XKPA",
-		Args:    cobra.ExactArgs(1),
+	var logs []string
+	around := 3 * time.Second
+	c := &cobra.Command{
+		Use:   "explain REQUEST-ID",
+		Short: "Show what was decided about a request: one of an entry's latest, or any from log files.",
+		Example: "  marbleroadctl explain 01JE3W1S6ZQ0V8M2C7R5T9XKPA\n" +
+			"  marbleroadctl explain --log node-1.log --log node-2.log 9e33aa67e537dfd5",
+		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			client, err := a.client()
-			if err != nil {
-				return err
+			if len(logs) > 0 {
+				return explainLogs(a.out, logs, args[0], around)
 			}
-			ctx, cancel := a.context(c)
-			defer cancel()
-			resp, err := client.Explain(ctx, connect.NewRequest(&marbleroadv1.ExplainRequest{RequestId: args[0]}))
-			if err != nil {
-				return err
-			}
-			if !resp.Msg.GetFound() {
-				return errors.Newf("no entry remembers request %s", args[0])
-			}
-			g := grid{header: []string{"step"}}
-			for _, s := range resp.Msg.GetSteps() {
-				g.add(s)
-			}
-			return a.print(g, resp.Msg)
+			return a.explainLive(c, args[0])
 		},
 	}
+	c.Flags().StringArrayVar(&logs, "log", nil, "log file of a node; repeat for more. No daemon is asked")
+	c.Flags().DurationVar(&around, "around", around, "how long before and after the request what is said of its upstreams is shown")
+	return c
+}
+
+func (a *app) explainLive(c *cobra.Command, id string) error {
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := a.context(c)
+	defer cancel()
+	resp, err := client.Explain(ctx, connect.NewRequest(&marbleroadv1.ExplainRequest{RequestId: id}))
+	if err != nil {
+		return err
+	}
+	if !resp.Msg.GetFound() {
+		return errors.Newf("no entry remembers request %s", id)
+	}
+	g := grid{header: []string{"step"}}
+	for _, s := range resp.Msg.GetSteps() {
+		g.add(s)
+	}
+	return a.print(g, resp.Msg)
 }
--- /dev/null
+++ b/scripts/demo-platform.sh
@@ -0,0 +1,96 @@
+#!/usr/bin/env bash
+# The demo on the users' platform: two nodes of marbleroad-node in two failure
+# domains before small stand-ins, on loopback IP numbers. Shows one streamed
+# model request and one plain call, and stays until Ctrl-C. With ONCE=1 it ends
+# after the two answers: exit code 0 if both came, 1 if not.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$PWD/bin
+run=$(mktemp -d)
+pids=()
+
+finish() {
+  trap - EXIT INT TERM
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$run"
+}
+trap 'finish' EXIT
+trap 'exit 0' INT TERM
+
+store=127.0.1.2:19100
+
+start() { # NAME COMMAND...: runs in the background, logs to a file
+  local name=$1
+  shift
+  "$@" >"$run/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+node() { # ID DOMAIN IP
+  cat >"$run/$1.ini" <<INI
+[node]
+id = $1
+failure_domain = $2
+
+[platform]
+url = http://$store
+
+[gateway]
+listen = $3:18227
+ready = $3:18220
+admin = $3:18355
+balancer_delay = 100ms
+
+[cluster]
+listen = $3:18340
+INI
+  start "$1" "$bin/marbleroad-node" run "$run/$1.ini"
+}
+
+start standin "$bin/platformstandin" -store "$store"
+node obuda-1 obuda 127.0.12.1
+node csepel-1 csepel 127.0.13.1
+
+call() { # NUMBER ARGUMENTS...
+  local id=$1
+  shift
+  "$bin/caller" -host demo.example -header "Attempt-Id: demo-$id" -header 'Deadline-Ms: 8000' "$@"
+}
+stream=(-header 'Api-Key: demo-forecasters' -header 'Model: nowcast' -body '{}' http://127.0.12.1:18227/bulletins/hail)
+plain=(http://127.0.13.1:18227/tiles/manifest)
+
+answers=0
+echo "== A streamed model request at 127.0.12.1:18227 (comes back while groups form)"
+for try in $(seq 40); do
+  if call "stream-$try" "${stream[@]}" >"$run/stream" 2>/dev/null; then
+    answers=1
+    break
+  fi
+  sleep 0.5
+done
+cat "$run/stream"
+echo
+echo "== A plain call at 127.0.13.1:18227"
+for try in $(seq 40); do
+  if call "plain-$try" "${plain[@]}" >"$run/plain" 2>/dev/null; then
+    answers=$((answers + 1))
+    break
+  fi
+  sleep 0.5
+done
+cat "$run/plain"
+echo
+echo
+echo "== What was decided about the stream"
+"$bin/marbleroadctl" explain --around 0s --log "$run/obuda-1.log" "$(grep -o '"request":"demo-stream-[0-9]*"' "$run/obuda-1.log" | tail -1 | cut -d'"' -f4)"
+echo
+echo "Callers:  http://127.0.12.1:18227 and http://127.0.13.1:18227, host demo.example"
+echo "Metrics:  http://127.0.12.1:18355/metrics"
+echo "Logs:     $run/*.log"
+if [ -n "${ONCE:-}" ]; then
+  [ "$answers" = 2 ]
+  exit
+fi
+echo "Ctrl-C ends it."
+wait "${pids[0]}"
--- a/test/standin/cmd/caller/main.go
+++ b/test/standin/cmd/caller/main.go
@@ -18,8 +18,19 @@
 	key := flag.String("key", "", "bearer key of the team")
 	body := flag.String("body", "", "JSON body; empty sends a GET")
 	patience := flag.Duration("patience", 10*time.Second, "how long refused requests are sent again, each after the time that the answer names")
+	host := flag.String("host", "", "host that the request names; empty for the address")
+	extra := make(http.Header)
+	flag.Func("header", "further header, NAME: VALUE; repeat for more", func(text string) error {
+		name, value, ok := strings.Cut(text, ":")
+		if !ok {
+			return errors.New("not NAME: VALUE")
+		}
+		extra.Add(strings.TrimSpace(name), strings.TrimSpace(value))
+		return nil
+	})
 	flag.Parse()
-	if err := persist(flag.Arg(0), *key, *body, *patience); err != nil {
+	c := caller{key: *key, body: *body, host: *host, extra: extra}
+	if err := c.persist(flag.Arg(0), *patience); err != nil {
 		fmt.Fprintln(os.Stderr, "caller:", err)
 		os.Exit(1)
 	}
@@ -35,10 +46,10 @@
 func (e refusedError) Error() string { return "answered " + e.status }
 
 // persist comes back after refusals, as they say.
-func persist(url, key, body string, patience time.Duration) error {
+func (c caller) persist(url string, patience time.Duration) error {
 	end := time.Now().Add(patience)
 	for {
-		err := call(url, key, body)
+		err := c.call(url)
 		var refused refusedError
 		if !errors.As(err, &refused) || time.Now().Add(refused.after).After(end) {
 			return err
@@ -47,16 +58,28 @@
 	}
 }
 
-func call(url, key, body string) error {
+// caller is one request to send.
+type caller struct {
+	key, body, host string
+	extra           http.Header
+}
+
+func (c caller) call(url string) error {
 	method := http.MethodGet
-	if body != "" {
+	if c.body != "" {
 		method = http.MethodPost
 	}
-	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	req, err := http.NewRequest(method, url, strings.NewReader(c.body))
 	if err != nil {
 		return err
 	}
-	req.Header.Set("Authorization", "Bearer "+key)
+	req.Host = c.host
+	for name, values := range c.extra {
+		req.Header[name] = values
+	}
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- /dev/null
+++ b/test/standin/cmd/platformstandin/main.go
@@ -0,0 +1,93 @@
+// Command platformstandin runs the stand-ins of the users' platform for the
+// demo: its store with a configuration, model engines and a plain service on
+// loopback IP numbers. It is no part of the product.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/marbleroad/marbleroad/test/standin/groupengine"
+	"github.com/marbleroad/marbleroad/test/standin/objectstore"
+)
+
+func main() {
+	listen := flag.String("store", "127.0.0.1:19100", "address of the store")
+	domains := flag.String("domains", "obuda=127.0.4,csepel=127.0.5", "failure domains with the first three numbers of their upstreams' addresses")
+	engines := flag.Int("engines", 5, "model VMs in each failure domain")
+	port := flag.Int("port", 18200, "port of the upstreams")
+	flag.Parse()
+	if err := run(*listen, *domains, *engines, *port); err != nil {
+		fmt.Fprintln(os.Stderr, "platformstandin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(listen, domains string, engines, port int) error {
+	store := objectstore.New()
+	store.Put("config", "main", configuration())
+	if err := serve(listen, store); err != nil {
+		return err
+	}
+	for _, pair := range strings.Split(domains, ",") {
+		domain, network, ok := strings.Cut(pair, "=")
+		if !ok {
+			return fmt.Errorf("%q is not DOMAIN=NETWORK", pair)
+		}
+		for n := 1; n <= engines; n++ {
+			c := groupengine.Config{ID: fmt.Sprintf("%s-gpu-%d", domain, n), Service: "bulletins", Domain: domain + "-f1",
+				Load: 300 * time.Millisecond, Events: 12, Pause: 40 * time.Millisecond}
+			if err := add(store, c, domain, fmt.Sprintf("%s.%d:%d", network, n, port)); err != nil {
+				return err
+			}
+		}
+		if err := add(store, groupengine.Config{ID: domain + "-tiles-1", Service: "tiles"}, domain, fmt.Sprintf("%s.100:%d", network, port)); err != nil {
+			return err
+		}
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	<-stop
+	return nil
+}
+
+func add(store *objectstore.Store, c groupengine.Config, domain, address string) error {
+	c.Zone, c.Address = domain, address
+	return serve(address, groupengine.New(c, store))
+}
+
+func serve(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	go func() { _ = http.Serve(l, h) }()
+	return nil
+}
+
+// configuration has one streamed model route and one plain route on demo.example.
+func configuration() map[string]any {
+	return map[string]any{
+		"version": 1,
+		"routes": []any{
+			map[string]any{"name": "bulletins", "host": "demo.example", "path-prefix": "/bulletins/", "kind": "streaming", "timeout-ms": 8000,
+				"slo-ms": 1000, "service": "bulletins", "attempts": 2, "resumable": true},
+			map[string]any{"name": "tiles", "host": "demo.example", "path-prefix": "/tiles/", "kind": "idempotent", "timeout-ms": 4000,
+				"slo-ms": 300, "service": "tiles", "attempts": 2, "public": true},
+		},
+		"services": []any{
+			map[string]any{"name": "bulletins", "engine": map[string]any{"slots": 8, "step_ms": 6, "per_seq_ms": 0.2, "read_per_s": 46000,
+				"loads_at_once": 6, "form-ms": 10, "usual": map[string]any{"prompt": 1000, "answer": 100},
+				"models": []any{map[string]any{"name": "nowcast", "size": 2, "share": 1, "pace": 1, "load-s": 0.3, "warm-s": 0.3}}}},
+			map[string]any{"name": "tiles"},
+		},
+		"tenants": []any{map[string]any{"name": "forecasters", "api-keys": []string{"demo-forecasters"}}},
+	}
+}
