--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,9 +48,8 @@
 	provenAt atomic.Pointer[time.Time]
 	onChange []func()
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
-	lost   bool
+	running wait.Loop
+	lost    bool
 }
 
 // NewKeeper returns a keeper that asks the source with the given waiting time.
@@ -68,17 +66,13 @@
 
 // Start implements kernel.Service.
 func (k *Keeper) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	k.cancel = cancel
-	k.done.Add(1)
-	go k.loop(ctx)
+	k.running.Start(k.loop)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (k *Keeper) Stop(context.Context) error {
-	k.cancel()
-	k.done.Wait()
+	k.running.Stop()
 	return nil
 }
 
@@ -96,7 +90,6 @@
 }
 
 func (k *Keeper) loop(ctx context.Context) {
-	defer k.done.Done()
 	var revision uint64
 	listed := false
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/director/answers.go
@@ -0,0 +1,116 @@
+package director
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marbleroad/marbleroad/internal/engine"
+	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/fleet"
+)
+
+// reported takes a VM's word.
+func (s *state) reported(now time.Time, m reported) {
+	v := s.vm(m.vm.ID)
+	v.busy = false
+	if m.err != nil {
+		s.missed(m)
+		s.unanswered(now, m.vm, v, m.err)
+		if m.why == forSuspicion {
+			s.inquire(now, m.vm)
+		}
+		return
+	}
+	v.failures = 0
+	v.lostUntil = time.Time{}
+	v.accepted, v.known = m.report.Accepted, true
+	v.seen, v.seenAt = m.report.Membership, m.asked
+	for _, w := range s.groups {
+		if w.head == m.vm.ID {
+			w.headHeard, w.headSilent, w.headMisses = m.asked, time.Time{}, 0
+		}
+	}
+}
+
+// missed counts a report that a head without entry did not give.
+func (s *state) missed(m reported) {
+	for _, name := range sorted(s.groups) {
+		w := s.groups[name]
+		if w.head != m.vm.ID || w.headLost.IsZero() || m.asked.Before(w.headLost) {
+			continue
+		}
+		if w.headSilent.IsZero() {
+			w.headSilent = m.asked
+		}
+		w.headMisses++
+	}
+}
+
+// unanswered counts a failed call; after some the VM counts as lost for a while.
+func (s *state) unanswered(now time.Time, vm *fleet.VM, v *vmState, err error) {
+	v.failures++
+	v.notBefore = now.Add(orderPause)
+	if v.failures < mostFailures && !errors.Is(err, engine.ErrOtherVM) {
+		return
+	}
+	if now.After(v.lostUntil) {
+		s.d.parts.Log.Emit(event.VMLost).Str("vm", vm.ID).Str("group", vm.Group).Int("failures", v.failures).Err(err).Send()
+	}
+	v.lostUntil = now.Add(lostFor)
+}
+
+// ordered takes the end of an order.
+func (s *state) ordered(now time.Time, m ordered) {
+	v := s.vm(m.vm.ID)
+	v.busy = false
+	switch {
+	case m.err == nil:
+		v.failures = 0
+		// A VM leaves at once and says so, and counts that as accepted too.
+		if m.begun || m.order.Operation == engine.Leave {
+			v.accepted++
+		}
+		s.obeyed(now, m)
+	case errors.Is(m.err, engine.ErrDoesNotFit):
+		// The VM has accepted orders that this director doesn't know of, or is
+		// not ready yet. Reports lag, so ask a little later.
+		v.known = false
+		v.notBefore = now.Add(orderPause)
+		if m.order.Operation == engine.Stage {
+			// The host may be copying for a former director.
+			v.stagingUntil = now.Add(stagePause)
+		}
+	case errors.Is(m.err, engine.ErrOldGeneration):
+		s.lastGeneration += generationSkip
+		s.abandon(now, m.order.Group, "a member has seen a higher generation")
+	default:
+		s.unanswered(now, m.vm, v, m.err)
+		if m.order.Operation == engine.Stage {
+			v.staging = ""
+		}
+	}
+}
+
+// generationSkip is added when a VM has seen a higher generation than any that
+// is reported.
+const generationSkip = 1000
+
+func (s *state) obeyed(now time.Time, m ordered) {
+	switch m.order.Operation {
+	case engine.Join:
+		if f := s.forms[m.order.Group]; f != nil {
+			f.joined[m.vm.ID] = true
+		}
+	case engine.Leave:
+		w := s.groups[m.order.Group]
+		if w != nil && !w.released && m.vm.ID == w.head {
+			s.release(m.order.Group, w, "head left as ordered")
+		}
+		delete(s.forms, m.order.Group)
+	case engine.CloseHead, engine.CloseHeadNow:
+		if w := s.groups[m.order.Group]; w != nil {
+			w.closed = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/director/dissolve.go
@@ -0,0 +1,116 @@
+package director
+
+import (
+	"slices"
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/engine"
+	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/fleet"
+)
+
+// tendLost takes a group apart whose head's entry is gone. A head that was only
+// cut off from the store still serves, so it is asked itself first. One that
+// stays silent can't serve for longer than the stall bound once its members
+// go, and is then taken as gone.
+func (s *state) tendLost(now time.Time, name string, w *watchedGroup) {
+	if s.cannotServe(now, w) {
+		s.release(name, w, "head is gone")
+		return
+	}
+	if w.headVM == nil {
+		return
+	}
+	s.askHead(now, w)
+	if !w.dissolving {
+		s.d.parts.Log.Emit(event.HeadLost).Str("group", name).Str("vm", w.head).Uint64("revision", s.snapshot.Revision).Send()
+		s.takeApart(now, name, w, "head is no longer listed", false)
+	}
+	if !w.headHeard.After(w.headLost) {
+		return
+	}
+	s.judgeHead(name, w, s.membership(w.headVM))
+	if !w.released {
+		s.dissolve(now, name, w, w.headVM)
+	}
+}
+
+// askHead asks a head whose entry is missing for its word, until it gives it.
+func (s *state) askHead(now time.Time, w *watchedGroup) {
+	v := s.vm(w.head)
+	if w.headHeard.After(w.headLost) || v.busy || now.Sub(w.headAsked) < suspicionPause {
+		return
+	}
+	w.headAsked = now
+	v.busy = true
+	s.calls.report(w.headVM, forOrder)
+}
+
+// cannotServe reports whether a head whose entry is gone has been silent for
+// longer than it can serve once its members go elsewhere.
+func (s *state) cannotServe(now time.Time, w *watchedGroup) bool {
+	hold := s.d.config.StallBound + holdMargin
+	if w.headVM == nil {
+		return now.Sub(w.headLost) > hold
+	}
+	if w.headMisses < mostFailures {
+		return false
+	}
+	// The entry outlives the VM, so part of the stall had passed when it went.
+	unheard := w.headHeard.Before(w.headLost) && now.Sub(w.headLost) > hold-entryLife
+	return unheard || now.Sub(w.headSilent) > hold
+}
+
+func (s *state) takeApart(now time.Time, name string, w *watchedGroup, why string, graceful bool) {
+	w.dissolving, w.graceful, w.since = true, graceful, now
+	s.d.parts.Log.Emit(event.GroupDissolving).Str("group", name).Str("head", w.head).Str("reason", why).Bool("graceful", graceful).Send()
+}
+
+// dissolve sends a group's head the next order on its way out of the group.
+func (s *state) dissolve(now time.Time, name string, w *watchedGroup, head *fleet.VM) {
+	state := s.membership(head).State
+	serving := state == fleet.Open || state == fleet.Closing
+	late := now.Sub(w.since) > closeLimit
+	if serving && w.graceful && w.closed && !late {
+		return
+	}
+	if !s.ready(now, head) {
+		return
+	}
+	o := engine.GroupOrder{Operation: engine.Leave, Group: name, Generation: w.generation}
+	if serving && !w.closed {
+		o.Operation = engine.CloseHeadNow
+		if w.graceful {
+			o.Operation = engine.CloseHead
+		}
+	}
+	s.send(head, o)
+}
+
+// suspect asks all members of a silent group for their word.
+func (s *state) suspect(now time.Time, m suspected) {
+	if s.snapshot == nil || len(s.d.Directing()) == 0 {
+		return
+	}
+	g, w := s.snapshot.Groups[m.group], s.groups[m.group]
+	if g == nil || w == nil || w.dissolving || w.released || now.Sub(w.askedAt) < suspicionPause || !slices.Contains(s.d.Directing(), w.domain) {
+		return
+	}
+	w.askedAt = now
+	s.d.parts.Log.Emit(event.GroupSuspected).Str("group", m.group).Uint64("generation", m.generation).Send()
+	for _, vm := range g.Members {
+		if vm != nil {
+			s.inquire(now, vm)
+		}
+	}
+}
+
+// inquire asks a member of a suspected group, and again after a failure.
+func (s *state) inquire(now time.Time, vm *fleet.VM) {
+	v := s.vm(vm.ID)
+	if v.busy || now.Before(v.lostUntil) {
+		return
+	}
+	v.busy = true
+	s.calls.report(vm, forSuspicion)
+}
--- /dev/null
+++ b/internal/director/duty.go
@@ -0,0 +1,121 @@
+package director
+
+import (
+	"slices"
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/event"
+)
+
+// responsible lists the failure domains whose groups this node manages now. A
+// node that manages one keeps it; else it falls to the first live one.
+func (s *state) responsible(now time.Time) []string {
+	if s.d.stopping.Load() || now.Sub(s.started) < settleTime {
+		return nil
+	}
+	claimed, byDomain := s.othersClaims(now)
+	var out []string
+	for _, domain := range sorted(s.domains()) {
+		nodes := byDomain[domain]
+		if domain == s.d.config.FailureDomain {
+			nodes = append(nodes, s.d.config.NodeID)
+		}
+		if len(nodes) > 0 {
+			s.liveAt[domain] = now
+		}
+		if s.mine(now, domain, claimed[domain], nodes, byDomain) {
+			out = append(out, domain)
+		}
+	}
+	return out
+}
+
+// othersClaims returns the lowest live node that claims each failure domain, and
+// all live nodes by their failure domain.
+func (s *state) othersClaims(now time.Time) (claimed map[string]string, byDomain map[string][]string) {
+	claimed, byDomain = make(map[string]string), make(map[string][]string)
+	for _, p := range s.d.parts.Nodes.Live(now) {
+		if p.State.GetStopping() {
+			continue
+		}
+		byDomain[p.FailureDomain] = append(byDomain[p.FailureDomain], p.ID)
+		for _, domain := range p.State.GetDirecting() {
+			if claimed[domain] == "" || p.ID < claimed[domain] {
+				claimed[domain] = p.ID
+			}
+		}
+	}
+	return claimed, byDomain
+}
+
+func (s *state) domains() map[string]bool {
+	out := map[string]bool{s.d.config.FailureDomain: true}
+	for _, vm := range s.snapshot.VMs {
+		out[vm.FailureDomain] = true
+	}
+	return out
+}
+
+// mine decides whether this node manages a failure domain. nodes are the live
+// nodes there.
+func (s *state) mine(now time.Time, domain, claimedBy string, nodes []string, byDomain map[string][]string) bool {
+	local := domain == s.d.config.FailureDomain
+	if s.claims(domain) {
+		return (claimedBy == "" || s.d.config.NodeID < claimedBy) && (local || len(nodes) == 0)
+	}
+	if claimedBy != "" {
+		return false
+	}
+	if len(nodes) > 0 {
+		return local && lowest(nodes) == s.d.config.NodeID
+	}
+	since, seen := s.liveAt[domain]
+	if !seen {
+		s.liveAt[domain] = now
+		return false
+	}
+	all := []string{s.d.config.NodeID}
+	for _, ids := range byDomain {
+		all = append(all, ids...)
+	}
+	return now.Sub(since) > foreignAfter && lowest(all) == s.d.config.NodeID
+}
+
+func lowest(ids []string) string {
+	least := ids[0]
+	for _, id := range ids {
+		least = min(least, id)
+	}
+	return least
+}
+
+func (s *state) claims(domain string) bool {
+	for _, d := range s.d.Directing() {
+		if d == domain {
+			return true
+		}
+	}
+	return false
+}
+
+// claim publishes what this node manages and logs what has changed.
+func (s *state) claim(domains []string) {
+	old := s.d.Directing()
+	changed := len(old) != len(domains)
+	for _, domain := range domains {
+		if !s.claims(domain) {
+			changed = true
+			s.d.parts.Log.Emit(event.DutyTaken).Str("failure_domain", domain).Uint64("revision", s.snapshot.Revision).Send()
+		}
+	}
+	if !changed {
+		return
+	}
+	for _, domain := range old {
+		if !slices.Contains(domains, domain) {
+			s.d.parts.Log.Emit(event.DutyLeft).Str("failure_domain", domain).Send()
+		}
+	}
+	s.d.directing.Store(&domains)
+	s.d.parts.Nodes.Nudge()
+}
--- /dev/null
+++ b/internal/director/place.go
@@ -0,0 +1,226 @@
+package director
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/engine"
+	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/placement"
+)
+
+// place forms new groups out of free VMs and stages models ahead of need.
+func (s *state) place(now time.Time, domain string) {
+	for _, name := range sorted(s.catalog.Services()) {
+		service := s.catalog.Service(name)
+		if service.Engine == nil {
+			continue
+		}
+		s.placeService(now, domain, name, service.Engine)
+	}
+}
+
+func (s *state) placeService(now time.Time, domain, service string, e *catalog.Engine) {
+	before := !s.d.parts.Demand.TrafficSeen()
+	if before && now.Sub(s.arrivedAt) < s.gatherTime(domain) && now.Sub(s.started) < gatherLimit {
+		return
+	}
+	in := placement.Input{
+		Models:       e.Models,
+		Groups:       s.groupCounts(service),
+		Demand:       s.d.parts.Demand.ModelWork(service),
+		Open:         s.openGroups(service, domain),
+		LoadRoom:     s.loadRoom(e, domain, service, before),
+		JoinUnstaged: before,
+	}
+	reserved := s.reserved()
+	for _, id := range sorted(s.snapshot.VMs) {
+		vm := s.snapshot.VMs[id]
+		if vm.Service == service && vm.FailureDomain == domain && s.free(now, vm) && !reserved[id] {
+			in.Free = append(in.Free, s.placeable(vm))
+		}
+	}
+	d := placement.Decide(in)
+	for _, f := range d.Formations {
+		s.form(now, service, e, f)
+	}
+	for _, st := range d.Stagings {
+		s.stage(now, e, st)
+	}
+	if len(d.Dissolutions) == 0 || now.Sub(s.shiftedAt) < shiftPause {
+		return
+	}
+	s.shiftedAt = now
+	for _, name := range d.Dissolutions {
+		if w := s.groups[name]; w != nil && !w.dissolving {
+			s.takeApart(now, name, w, "its VMs are worth more to another model", true)
+		}
+	}
+}
+
+// gatherTime is how long no VM must have appeared before the first groups of the
+// failure domain are planned: one domain after the other, so that each sees what
+// those before it took and all models end up served alike.
+func (s *state) gatherTime(domain string) time.Duration {
+	return gatherTime + time.Duration(slices.Index(sorted(s.domains()), domain))*domainStagger
+}
+
+func (s *state) placeable(vm *fleet.VM) placement.VM {
+	v := s.vm(vm.ID)
+	return placement.VM{ID: vm.ID, Fabric: vm.Fabric, Last: v.last, Staged: vm.Staged, Staging: v.staging}
+}
+
+// openGroups lists the groups of the failure domain that serve undisturbed.
+func (s *state) openGroups(service, domain string) []placement.Group {
+	var out []placement.Group
+	for _, name := range sorted(s.snapshot.Groups) {
+		g := s.snapshot.Groups[name]
+		w, head := s.groups[name], g.Head()
+		if g.Service != service || w.domain != domain || w.released || w.dissolving || head == nil ||
+			s.membership(head).State != fleet.Open {
+			continue
+		}
+		one := placement.Group{Name: name, Model: g.Model, Fabric: head.Fabric}
+		for _, vm := range g.Members {
+			if vm != nil {
+				one.Members = append(one.Members, s.placeable(vm))
+			}
+		}
+		out = append(out, one)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+const (
+	// shiftPause is the time between two times that groups are given up for
+	// another model, so that the gain of the first is seen before the second.
+	shiftPause = 3 * time.Second
+	// gatherTime is how long no VM must have appeared before the first groups
+	// are planned: a plan for all VMs is better than one for the first few.
+	gatherTime = 700 * time.Millisecond
+	// domainStagger is the time between the first plans of two failure domains: a
+	// join is seen everywhere after the idle pause between two watches (500 ms).
+	domainStagger = 700 * time.Millisecond
+	// gatherLimit bounds that wait from the director's start.
+	gatherLimit = 5 * time.Second
+	// boundless is the room for loads before traffic, when they don't slow each
+	// other down.
+	boundless = 1 << 10
+)
+
+// loadRoom is how many loads may begin in the failure domain now: its part of
+// the loads that run at full speed, less those under way.
+func (s *state) loadRoom(e *catalog.Engine, domain, service string, before bool) int {
+	if before {
+		return boundless
+	}
+	room := max(e.LoadsAtOnce/max(len(s.domains()), 1), 1)
+	for _, vm := range s.snapshot.VMs {
+		if vm.Service != service || vm.FailureDomain != domain {
+			continue
+		}
+		if s.vm(vm.ID).staging != "" {
+			room--
+		}
+	}
+	for _, f := range s.forms {
+		room -= f.loads
+	}
+	return max(room, 0)
+}
+
+// groupCounts counts the open and forming groups of each model, everywhere.
+func (s *state) groupCounts(service string) map[string]int {
+	out := make(map[string]int)
+	for name, g := range s.snapshot.Groups {
+		w := s.groups[name]
+		if g.Service != service || w.released || w.dissolving || s.forms[name] != nil {
+			continue
+		}
+		out[g.Model]++
+	}
+	for _, f := range s.forms {
+		if f.service == service {
+			out[f.model.Name]++
+		}
+	}
+	return out
+}
+
+// reserved holds the VMs of groups that are being formed.
+func (s *state) reserved() map[string]bool {
+	out := make(map[string]bool)
+	for _, f := range s.forms {
+		for _, id := range f.members {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// free reports whether the VM may be sent to a group.
+func (s *state) free(now time.Time, vm *fleet.VM) bool {
+	if vm.Draining || now.Before(s.vm(vm.ID).lostUntil) {
+		return false
+	}
+	m := s.membership(vm)
+	return m.Group == "" || s.released(m.Group)
+}
+
+// released reports whether the group's VMs may go to other groups. A group that
+// is not known yet may still serve.
+func (s *state) released(name string) bool {
+	w := s.groups[name]
+	return w != nil && w.released
+}
+
+const (
+	// joinSlack is added to the expected time of a formation before it is
+	// given up.
+	joinSlack = 3 * time.Second
+	// loadStretch is how much longer than alone a load may take among others.
+	loadStretch = 3
+)
+
+func (s *state) form(now time.Time, service string, e *catalog.Engine, p placement.Formation) {
+	model, ok := e.Model(p.Model)
+	if !ok {
+		return
+	}
+	limit := model.WarmTime + e.FormTime + joinSlack
+	if p.Loads > 0 {
+		limit += loadStretch * model.LoadTime
+	}
+	f := &formation{
+		name:       s.nextName(),
+		generation: s.nextGeneration(),
+		service:    service,
+		model:      model,
+		members:    p.Members,
+		joined:     make(map[string]bool),
+		sent:       make(map[string]bool),
+		loads:      p.Loads,
+		deadline:   now.Add(limit),
+	}
+	s.forms[f.name] = f
+	head := s.snapshot.VMs[p.Members[0]]
+	s.groups[f.name] = &watchedGroup{firstSeen: now, head: head.ID, headVM: head, domain: head.FailureDomain, generation: f.generation}
+	s.d.parts.Log.Emit(event.GroupPlanned).Str("group", f.name).Uint64("generation", f.generation).Str("model", model.Name).
+		Strs("members", f.members).Int("loads", f.loads).Uint64("revision", s.snapshot.Revision).Send()
+	s.drive(now, f)
+}
+
+func (s *state) stage(now time.Time, e *catalog.Engine, p placement.Staging) {
+	vm := s.snapshot.VMs[p.VM]
+	model, ok := e.Model(p.Model)
+	if !ok || !s.ready(now, vm) {
+		return
+	}
+	v := s.vm(p.VM)
+	v.staging, v.stagingUntil = p.Model, now.Add(loadStretch*model.LoadTime)
+	s.send(vm, engine.GroupOrder{Operation: engine.Stage, Model: p.Model})
+}
--- /dev/null
+++ b/internal/director/watch.go
@@ -0,0 +1,122 @@
+package director
+
+import (
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/fleet"
+)
+
+// forget drops VMs and groups that the fleet no longer reports.
+func (s *state) forget() {
+	heads := make(map[string]bool)
+	for _, g := range s.groups {
+		heads[g.head] = true
+	}
+	for id := range s.vms {
+		if s.snapshot.VMs[id] == nil && !heads[id] {
+			delete(s.vms, id)
+		}
+	}
+	for _, name := range sorted(s.groups) {
+		g := s.groups[name]
+		if s.snapshot.Groups[name] == nil && s.forms[name] == nil && g.released {
+			delete(s.groups, name)
+		}
+	}
+}
+
+// membership is a VM's place by its newest word.
+func (s *state) membership(vm *fleet.VM) fleet.Membership {
+	v := s.vms[vm.ID]
+	if v != nil && v.seenAt.After(v.entryAt) {
+		return v.seen
+	}
+	return vm.Membership
+}
+
+// watch notes each VM's model, and each group's head and since when it is missing.
+func (s *state) watch(now time.Time) {
+	for _, id := range sorted(s.snapshot.VMs) {
+		vm := s.snapshot.VMs[id]
+		v := s.vm(id)
+		if v.entry == nil {
+			s.arrivedAt = now
+		}
+		if v.entry != vm {
+			v.entry, v.entryAt = vm, now
+		}
+		if v.staging != "" && (vm.HasStaged(v.staging) || now.After(v.stagingUntil)) {
+			v.staging = ""
+		}
+		if vm.Model != "" && vm.Group != "" {
+			s.vm(id).last = vm.Model
+		}
+		s.lastGeneration = max(s.lastGeneration, vm.Generation)
+	}
+	for name, g := range s.snapshot.Groups {
+		w := s.groups[name]
+		if w == nil {
+			w = &watchedGroup{firstSeen: now}
+			s.groups[name] = w
+		}
+		if head := g.Head(); head != nil {
+			w.head, w.headVM = head.ID, head
+		}
+		w.domain, w.generation = domainOf(g), g.Generation
+	}
+	for _, name := range sorted(s.groups) {
+		w := s.groups[name]
+		s.watchHead(now, name, w)
+	}
+}
+
+// domainOf is the failure domain of a group's VMs.
+func domainOf(g *fleet.Group) string {
+	for _, vm := range g.Members {
+		if vm != nil {
+			return vm.FailureDomain
+		}
+	}
+	return ""
+}
+
+// watchHead releases a group whose head is known to be elsewhere or broken, and
+// notes since when a head's entry is missing.
+func (s *state) watchHead(now time.Time, name string, w *watchedGroup) {
+	head := s.snapshot.VMs[w.head]
+	if w.released || s.forms[name] != nil {
+		return
+	}
+	if head == nil {
+		if w.headLost.IsZero() {
+			w.headLost = now
+		}
+		return
+	}
+	w.headLost = time.Time{}
+	if w.doubtful && !s.vm(w.head).seenAt.After(w.since) {
+		return
+	}
+	s.judgeHead(name, w, s.membership(head))
+}
+
+// judgeHead releases the group if its head's own word allows it.
+func (s *state) judgeHead(name string, w *watchedGroup, m fleet.Membership) {
+	switch {
+	case m.Group != name:
+		s.release(name, w, "head left")
+	case m.State == fleet.Broken:
+		s.release(name, w, "head is broken")
+	}
+}
+
+// release lets the group's VMs go to other groups.
+func (s *state) release(name string, w *watchedGroup, why string) {
+	w.released = true
+	delete(s.forms, name)
+	if !s.claims(w.domain) {
+		return
+	}
+	s.d.parts.Log.Emit(event.GroupReleased).Str("group", name).Str("head", w.head).Str("reason", why).Send()
+}
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"reflect"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,8 +57,7 @@
 	snapshot atomic.Pointer[Snapshot]
 	onChange []func(*Snapshot)
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	running wait.Loop
 
 	// The rest belongs to the loop.
 	vms map[string]*VM
@@ -97,17 +95,13 @@
 
 // Start implements kernel.Service.
 func (d *Directory) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	d.cancel = cancel
-	d.done.Add(1)
-	go d.loop(ctx)
+	d.running.Start(d.loop)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (d *Directory) Stop(context.Context) error {
-	d.cancel()
-	d.done.Wait()
+	d.running.Stop()
 	return nil
 }
 
@@ -115,7 +109,6 @@
 func (d *Directory) Snapshot() *Snapshot { return d.snapshot.Load() }
 
 func (d *Directory) loop(ctx context.Context) {
-	defer d.done.Done()
 	for ctx.Err() == nil {
 		asked := time.Now()
 		changed, err := d.ask(ctx, asked)
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -13,27 +13,6 @@
 )
 
 const (
-	// gapSmoothing is the weight of the newest pause between events in the
-	// smoothed pause and its deviation, as for TCP's retransmission timer.
-	gapSmoothing = 0.125
-	// stallDeviations is how many deviations above the smoothed pause the
-	// silence of all of a head's streams counts as a stall, within the two
-	// bounds. A pass with one long prompt takes about 100 ms by the engines'
-	// figures.
-	stallDeviations = 5
-	stallLeast      = 350 * time.Millisecond
-	// samePass is the pause below which two events come from one pass of the
-	// engine; only longer ones say how long a pass takes.
-	samePass  = 8 * time.Millisecond
-	stallMost = 900 * time.Millisecond
-	// firstStall is the silence that counts as a stall while none of the
-	// head's streams has begun; the first event usually takes 190 ms.
-	firstStall = 900 * time.Millisecond
-	// echoStall is the silence that counts as a stall once another node has
-	// found the head silent.
-	echoStall = 250 * time.Millisecond
-	// suspectedFor is how long a stalled head is left out, unless it is heard.
-	suspectedFor = 1500 * time.Millisecond
 	// failuresToEject is how many failures in a row leave an upstream out.
 	failuresToEject = 2
 	// ejectionBase is the length of the first ejection; it doubles each time.
@@ -41,9 +20,6 @@
 	ejectionMax  = 8 * time.Second
 	// timeSmoothing is the weight of the newest answer time in the smoothed one.
 	timeSmoothing = 0.2
-	// demandSmoothing is the weight of the newest second in the demand. Single
-	// seconds of one node have some ten requests, whose sizes differ widely.
-	demandSmoothing = 0.1
 )
 
 // target is one place that a request can go to, with what this node knows of
@@ -107,16 +83,6 @@
 	return all
 }
 
-type demandKey struct{ service, model string }
-
-// demandMeter sums the work of one model's requests.
-type demandMeter struct {
-	// work is the seconds of a full group that the requests of the running
-	// interval take, rate the smoothed work per second.
-	work float64
-	rate float64
-}
-
 // board is what this node knows of where requests can go. mu guards all of it.
 type board struct {
 	mu      sync.Mutex
@@ -215,78 +181,6 @@
 	return old
 }
 
-// openGroups counts the heads that take requests, by model, also models with none.
-func (b *board) openGroups() map[string]int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := make(map[string]int)
-	for _, p := range b.pools {
-		if p.service.Engine == nil {
-			continue
-		}
-		for _, m := range p.service.Engine.Models {
-			out[m.Name] = len(p.heads[m.Name])
-		}
-	}
-	return out
-}
-
-// count notes a caller's request.
-func (b *board) count(now time.Time, c *Call) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.budget(c.Service, now).Request(now)
-	if c.Model == "" {
-		return
-	}
-	b.traffic = true
-	key := demandKey{c.Service, c.Model}
-	if b.demand[key] == nil {
-		b.demand[key] = &demandMeter{}
-	}
-	b.demand[key].work += b.workOf(c)
-}
-
-// workOf is how long the request keeps a full group busy, in seconds: the reading
-// of its prompt and its part of the steps of a full batch.
-func (b *board) workOf(c *Call) float64 {
-	p := b.pools[c.Service]
-	if p == nil || p.service.Engine == nil || p.service.Engine.ReadPerSecond <= 0 {
-		return 0
-	}
-	e := p.service.Engine
-	prompt, answer := float64(c.PromptTokens), float64(c.ExpectedTokens)
-	if prompt == 0 {
-		prompt = e.UsualPrompt
-	}
-	if answer == 0 {
-		answer = e.UsualAnswer
-	}
-	pace := 1.0
-	if m, ok := e.Model(c.Model); ok {
-		pace = m.Pace
-	}
-	perToken := e.StepTime.Seconds()/float64(max(e.Slots, 1)) + e.PerSequence.Seconds()
-	return pace * (prompt/e.ReadPerSecond + answer*perToken)
-}
-
-func (b *board) budget(service string, now time.Time) *retry.Budget {
-	if b.budgets[service] == nil {
-		b.budgets[service] = retry.NewBudget(b.limit, now)
-	}
-	return b.budgets[service]
-}
-
-// takeRepeat reports whether a request may be sent once more.
-func (b *board) takeRepeat(now time.Time, service string, nodes int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.budget(service, now).Take(now, nodes)
-}
-
-// load is the requests at a target, from all nodes as far as known.
-func (b *board) load(t *target) int { return t.own + b.peerLoads[t.group] }
-
 // rival is a candidate with its score, for the log.
 type rival struct {
 	t     *target
@@ -374,12 +268,6 @@
 	cutPenalty = 1.5
 )
 
-// cutOff reports whether a failure domain whose nodes were heard has fallen silent.
-func (b *board) cutOff(now time.Time, domain string) bool {
-	heard, known := b.domainHeard[domain]
-	return known && domain != b.domain && now.Sub(heard) > b.cutAfter
-}
-
 // leastTook is the answer time of a plain upstream that has not answered yet,
 // in seconds.
 const leastTook = 0.02
@@ -395,32 +283,6 @@
 	delete(s.t.running, s)
 }
 
-// heard notes bytes of a stream.
-func (b *board) heard(now time.Time, s *send) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	t := s.t
-	if s.begun {
-		t.learnGap(now.Sub(t.lastByte))
-	} else {
-		s.begun = true
-		t.begun++
-	}
-	t.lastByte = now
-	t.suspected, t.echoed = time.Time{}, time.Time{}
-	t.failures = 0
-}
-
-// learnGap takes a pause between two events of any of the target's streams.
-func (t *target) learnGap(gap time.Duration) {
-	if gap < samePass {
-		return
-	}
-	off := gap - t.gap
-	t.gap += time.Duration(gapSmoothing * float64(off))
-	t.deviation += time.Duration(gapSmoothing * float64(off.Abs()-t.deviation))
-}
-
 // succeeded notes a whole answer.
 func (b *board) succeeded(s *send, took time.Duration) {
 	b.mu.Lock()
@@ -453,192 +315,3 @@
 	t.failures = 0
 	return true
 }
-
-// stall is a head whose streams have all fallen silent.
-type stall struct {
-	group      string
-	vm         string
-	generation uint64
-	at         time.Time
-	silent     time.Duration
-	gap        time.Duration
-	requests   int
-	sends      []*send
-}
-
-// tellUnreachable has the other nodes know of a head that can't be reached.
-func (b *board) tellUnreachable(now time.Time, t *target) {
-	if t.group == "" {
-		return
-	}
-	b.found = append(b.found, stall{at: now, group: t.group, vm: t.vm.ID, generation: t.generation, silent: now.Sub(t.lastByte)})
-}
-
-// findStalls looks for silent heads. The caller cancels their sends.
-func (b *board) findStalls(now time.Time) []stall {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var out []stall
-	for _, t := range b.targets {
-		if t.group == "" || t.own == 0 || now.Before(t.suspected) {
-			continue
-		}
-		silent := now.Sub(t.lastByte)
-		if silent < t.stallAfter(now) {
-			continue
-		}
-		t.suspected = now.Add(suspectedFor)
-		found := stall{at: now, group: t.group, vm: t.vm.ID, generation: t.generation, silent: silent, gap: t.gap, requests: t.own}
-		for s := range t.running {
-			found.sends = append(found.sends, s)
-		}
-		out = append(out, found)
-	}
-	b.found = append(b.found, out...)
-	for len(b.found) > 0 && now.Sub(b.found[0].at) > toldFor {
-		b.found = b.found[1:]
-	}
-	return out
-}
-
-func (t *target) stallAfter(now time.Time) time.Duration {
-	switch {
-	case now.Before(t.echoed):
-		return echoStall
-	case t.begun == 0:
-		return firstStall
-	}
-	return min(max(t.gap+stallDeviations*t.deviation, stallLeast), stallMost)
-}
-
-// echo takes another node's finding: the head is left out for a while, unless
-// it is heard here.
-func (b *board) echo(now time.Time, group string) {
-	for _, t := range b.targets {
-		if t.group != group || (t.own > 0 && now.Sub(t.lastByte) < echoStall) {
-			continue
-		}
-		t.echoed = now.Add(echoFor)
-		if t.own == 0 {
-			t.suspected = now.Add(echoFor)
-		}
-	}
-}
-
-// echoFor is how long another node's finding counts.
-const echoFor = 600 * time.Millisecond
-
-// toldFor is how long other nodes are told of a stall: as long as an exchange
-// that is under way may take, and the next one.
-const toldFor = 500 * time.Millisecond
-
-// state fills in what this node shares with the others.
-func (b *board) state(now time.Time, into *marbleroadv1.NodeState) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	into.TrafficSeen = b.traffic
-	for _, f := range b.found {
-		if now.Sub(f.at) <= toldFor {
-			into.Suspicions = append(into.Suspicions, &marbleroadv1.Suspicion{
-				Group: f.group, Generation: f.generation, SilentMs: uint32(f.silent.Milliseconds())})
-		}
-	}
-	for _, t := range b.targets {
-		if t.group != "" && t.own > 0 {
-			into.Loads = append(into.Loads, &marbleroadv1.GroupLoad{Group: t.group, InFlight: uint32(t.own)})
-		}
-	}
-	b.measure(now)
-	for key, m := range b.demand {
-		into.Demand = append(into.Demand, &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: m.rate})
-	}
-}
-
-// demandInterval is the time over which demand is counted.
-const demandInterval = time.Second
-
-func (b *board) measure(now time.Time) {
-	elapsed := now.Sub(b.demandAt)
-	if elapsed < demandInterval {
-		return
-	}
-	b.demandAt = now
-	if !b.traffic {
-		return
-	}
-	b.measured++
-	for _, m := range b.demand {
-		m.rate += demandSmoothing * (m.work/elapsed.Seconds() - m.rate)
-		m.work = 0
-	}
-}
-
-// hear takes another node's state; liveFor is how long it counts.
-func (b *board) hear(now time.Time, state *marbleroadv1.NodeState, liveFor time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.peers[state.GetNode()] = state
-	b.peersAt[state.GetNode()] = now
-	b.domainHeard[state.GetFailureDomain()] = now
-	b.cutAfter = max(cutAfter, liveFor/2)
-	if state.GetTrafficSeen() {
-		b.traffic = true
-	}
-	for _, suspicion := range state.GetSuspicions() {
-		b.echo(now, suspicion.GetGroup())
-	}
-	clear(b.peerLoads)
-	for id, p := range b.peers {
-		if now.Sub(b.peersAt[id]) > liveFor {
-			delete(b.peers, id)
-			delete(b.peersAt, id)
-			continue
-		}
-		for _, l := range p.GetLoads() {
-			b.peerLoads[l.GetGroup()] += int(l.GetInFlight())
-		}
-	}
-}
-
-// modelWork sums the work per second for each model over all nodes, in groups
-// that it would keep busy; nil while there is too little to go by.
-func (b *board) modelWork(now time.Time, service string) map[string]float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.measure(now)
-	out := make(map[string]float64)
-	for key, m := range b.demand {
-		if key.service == service {
-			out[key.model] += m.rate
-		}
-	}
-	for _, p := range b.peers {
-		for _, d := range p.GetDemand() {
-			if d.GetService() == service {
-				out[d.GetModel()] += d.GetRate()
-			}
-		}
-	}
-	total := 0.0
-	for _, rate := range out {
-		total += rate
-	}
-	if total < leastWork || b.measured < leastMeasured {
-		return nil
-	}
-	return out
-}
-
-// leastMeasured is how many intervals must be measured before the demand says
-// more than the configured shares.
-const leastMeasured = 8
-
-// leastWork is the work, in busy groups, below which the configured shares say
-// more than what was counted.
-const leastWork = 0.5
-
-func (b *board) trafficSeen() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.traffic
-}
--- /dev/null
+++ b/internal/gateway/share.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"time"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+)
+
+// openGroups counts the heads that take requests, by model, also models with none.
+func (b *board) openGroups() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]int)
+	for _, p := range b.pools {
+		if p.service.Engine == nil {
+			continue
+		}
+		for _, m := range p.service.Engine.Models {
+			out[m.Name] = len(p.heads[m.Name])
+		}
+	}
+	return out
+}
+
+// load is the requests at a target, from all nodes as far as known.
+func (b *board) load(t *target) int { return t.own + b.peerLoads[t.group] }
+
+// cutOff reports whether a failure domain whose nodes were heard has fallen silent.
+func (b *board) cutOff(now time.Time, domain string) bool {
+	heard, known := b.domainHeard[domain]
+	return known && domain != b.domain && now.Sub(heard) > b.cutAfter
+}
+
+// state fills in what this node shares with the others.
+func (b *board) state(now time.Time, into *marbleroadv1.NodeState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	into.TrafficSeen = b.traffic
+	for _, f := range b.found {
+		if now.Sub(f.at) <= toldFor {
+			into.Suspicions = append(into.Suspicions, &marbleroadv1.Suspicion{
+				Group: f.group, Generation: f.generation, SilentMs: uint32(f.silent.Milliseconds())})
+		}
+	}
+	for _, t := range b.targets {
+		if t.group != "" && t.own > 0 {
+			into.Loads = append(into.Loads, &marbleroadv1.GroupLoad{Group: t.group, InFlight: uint32(t.own)})
+		}
+	}
+	b.measure(now)
+	for key, m := range b.demand {
+		into.Demand = append(into.Demand, &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: m.rate})
+	}
+}
+
+// hear takes another node's state; liveFor is how long it counts.
+func (b *board) hear(now time.Time, state *marbleroadv1.NodeState, liveFor time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers[state.GetNode()] = state
+	b.peersAt[state.GetNode()] = now
+	b.domainHeard[state.GetFailureDomain()] = now
+	b.cutAfter = max(cutAfter, liveFor/2)
+	if state.GetTrafficSeen() {
+		b.traffic = true
+	}
+	for _, suspicion := range state.GetSuspicions() {
+		b.echo(now, suspicion.GetGroup())
+	}
+	clear(b.peerLoads)
+	for id, p := range b.peers {
+		if now.Sub(b.peersAt[id]) > liveFor {
+			delete(b.peers, id)
+			delete(b.peersAt, id)
+			continue
+		}
+		for _, l := range p.GetLoads() {
+			b.peerLoads[l.GetGroup()] += int(l.GetInFlight())
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/stalls.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"time"
+)
+
+const (
+	// gapSmoothing is the weight of the newest pause between events in the
+	// smoothed pause and its deviation, as for TCP's retransmission timer.
+	gapSmoothing = 0.125
+	// stallDeviations is how many deviations above the smoothed pause the
+	// silence of all of a head's streams counts as a stall, within the two
+	// bounds. A pass with one long prompt takes about 100 ms by the engines'
+	// figures.
+	stallDeviations = 5
+	stallLeast      = 350 * time.Millisecond
+	// samePass is the pause below which two events come from one pass of the
+	// engine; only longer ones say how long a pass takes.
+	samePass  = 8 * time.Millisecond
+	stallMost = 900 * time.Millisecond
+	// firstStall is the silence that counts as a stall while none of the
+	// head's streams has begun; the first event usually takes 190 ms.
+	firstStall = 900 * time.Millisecond
+	// echoStall is the silence that counts as a stall once another node has
+	// found the head silent.
+	echoStall = 250 * time.Millisecond
+	// suspectedFor is how long a stalled head is left out, unless it is heard.
+	suspectedFor = 1500 * time.Millisecond
+)
+
+// heard notes bytes of a stream.
+func (b *board) heard(now time.Time, s *send) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := s.t
+	if s.begun {
+		t.learnGap(now.Sub(t.lastByte))
+	} else {
+		s.begun = true
+		t.begun++
+	}
+	t.lastByte = now
+	t.suspected, t.echoed = time.Time{}, time.Time{}
+	t.failures = 0
+}
+
+// learnGap takes a pause between two events of any of the target's streams.
+func (t *target) learnGap(gap time.Duration) {
+	if gap < samePass {
+		return
+	}
+	off := gap - t.gap
+	t.gap += time.Duration(gapSmoothing * float64(off))
+	t.deviation += time.Duration(gapSmoothing * float64(off.Abs()-t.deviation))
+}
+
+// stall is a head whose streams have all fallen silent.
+type stall struct {
+	group      string
+	vm         string
+	generation uint64
+	at         time.Time
+	silent     time.Duration
+	gap        time.Duration
+	requests   int
+	sends      []*send
+}
+
+// tellUnreachable has the other nodes know of a head that can't be reached.
+func (b *board) tellUnreachable(now time.Time, t *target) {
+	if t.group == "" {
+		return
+	}
+	b.found = append(b.found, stall{at: now, group: t.group, vm: t.vm.ID, generation: t.generation, silent: now.Sub(t.lastByte)})
+}
+
+// findStalls looks for silent heads. The caller cancels their sends.
+func (b *board) findStalls(now time.Time) []stall {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []stall
+	for _, t := range b.targets {
+		if t.group == "" || t.own == 0 || now.Before(t.suspected) {
+			continue
+		}
+		silent := now.Sub(t.lastByte)
+		if silent < t.stallAfter(now) {
+			continue
+		}
+		t.suspected = now.Add(suspectedFor)
+		found := stall{at: now, group: t.group, vm: t.vm.ID, generation: t.generation, silent: silent, gap: t.gap, requests: t.own}
+		for s := range t.running {
+			found.sends = append(found.sends, s)
+		}
+		out = append(out, found)
+	}
+	b.found = append(b.found, out...)
+	for len(b.found) > 0 && now.Sub(b.found[0].at) > toldFor {
+		b.found = b.found[1:]
+	}
+	return out
+}
+
+func (t *target) stallAfter(now time.Time) time.Duration {
+	switch {
+	case now.Before(t.echoed):
+		return echoStall
+	case t.begun == 0:
+		return firstStall
+	}
+	return min(max(t.gap+stallDeviations*t.deviation, stallLeast), stallMost)
+}
+
+// echo takes another node's finding: the head is left out for a while, unless
+// it is heard here.
+func (b *board) echo(now time.Time, group string) {
+	for _, t := range b.targets {
+		if t.group != group || (t.own > 0 && now.Sub(t.lastByte) < echoStall) {
+			continue
+		}
+		t.echoed = now.Add(echoFor)
+		if t.own == 0 {
+			t.suspected = now.Add(echoFor)
+		}
+	}
+}
+
+// echoFor is how long another node's finding counts.
+const echoFor = 600 * time.Millisecond
+
+// toldFor is how long other nodes are told of a stall: as long as an exchange
+// that is under way may take, and the next one.
+const toldFor = 500 * time.Millisecond
--- a/internal/platform/httpapi/httpapi.go
+++ b/internal/platform/httpapi/httpapi.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -16,17 +15,17 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/jsonbody"
 	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
 // Wire paths and headers of the platform's protocol.
 const (
-	ObjectsPath    = "/v1/objects/"
-	ListPath       = "/v1/list"
-	WatchPath      = "/v1/watch"
-	MembersPath    = "/v1/members"
-	BaseHeader     = "If-Version"
-	maxAnswerBytes = 64 << 20
+	ObjectsPath = "/v1/objects/"
+	ListPath    = "/v1/list"
+	WatchPath   = "/v1/watch"
+	MembersPath = "/v1/members"
+	BaseHeader  = "If-Version"
 )
 
 // Object is the wire form of one object.
@@ -162,12 +161,12 @@
 	if err != nil {
 		return platform.Object{}, errors.Mark(err, platform.ErrUnknown)
 	}
-	defer drain(resp.Body)
+	defer jsonbody.Drain(resp.Body)
 	if resp.StatusCode != http.StatusOK {
 		return platform.Object{}, statusError(resp, platform.ErrUnknown)
 	}
 	var out Object
-	if err := decode(resp.Body, &out); err != nil {
+	if err := jsonbody.Decode(resp.Body, &out); err != nil {
 		return platform.Object{}, errors.Mark(err, platform.ErrUnknown)
 	}
 	return out.domain(), nil
@@ -184,11 +183,11 @@
 	if err != nil {
 		return errors.Mark(err, platform.ErrUnavailable)
 	}
-	defer drain(resp.Body)
+	defer jsonbody.Drain(resp.Body)
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp, platform.ErrUnavailable)
 	}
-	return errors.Mark(decode(resp.Body, into), platform.ErrUnavailable)
+	return errors.Mark(jsonbody.Decode(resp.Body, into), platform.ErrUnavailable)
 }
 
 // statusError maps a status to a sentinel. Only statuses that the protocol
@@ -210,19 +209,6 @@
 	return errors.Wrapf(kind, "platform answered %d", resp.StatusCode)
 }
 
-func decode(body io.Reader, into any) error {
-	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
-	if err != nil {
-		return errors.Wrap(err, "read platform answer")
-	}
-	return errors.Wrap(json.Unmarshal(data, into), "decode platform answer")
-}
-
-func drain(body io.ReadCloser) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxAnswerBytes))
-	_ = body.Close()
-}
-
 func (o Object) domain() platform.Object {
 	return platform.Object{Key: o.Key, Version: o.Version, Revision: o.Revision, Value: o.Value}
 }
--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -5,28 +5,10 @@
 # after the two answers: exit code 0 if both came, 1 if not.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bin=$PWD/bin
-run=$(mktemp -d)
-pids=()
-
-finish() {
-  trap - EXIT INT TERM
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$run"
-}
-trap 'finish' EXIT
-trap 'exit 0' INT TERM
+. scripts/processes.sh
 
 store=127.0.1.2:19100
 
-start() { # NAME COMMAND...: runs in the background, logs to a file
-  local name=$1
-  shift
-  "$@" >"$run/$name.log" 2>&1 &
-  pids+=($!)
-}
-
 node() { # ID DOMAIN IP
   cat >"$run/$1.ini" <<INI
 [node]
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,31 +4,13 @@
 # two answers: exit code 0 if both came, 1 if not.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bin=$PWD/bin
-run=$(mktemp -d)
-pids=()
-
-finish() {
-  trap - EXIT INT TERM
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$run"
-}
-trap 'finish' EXIT
-trap 'exit 0' INT TERM
+. scripts/processes.sh
 
 token=demo-operator
 token_hash=$(printf %s "$token" | sha256sum | cut -d' ' -f1)
 platform=127.0.1.1:19000
 seeds="127.0.10.1:18070, 127.0.10.2:18070, 127.0.11.1:18070, 127.0.11.2:18070"
 
-start() { # NAME COMMAND...: runs in the background, logs to a file
-  local name=$1
-  shift
-  "$@" >"$run/$name.log" 2>&1 &
-  pids+=($!)
-}
-
 settings() { # ID DOMAIN IP OTHER-IP
   cat >"$run/$1.ini" <<INI
 [node]
