Lost VMs must answer before they are used; what was given up for a model is kept for it

A dead VM counted as free again two seconds after it was found lost, and the group formed with it was given up; two pairs given up for a group of four were formed again as pairs, since the first was free 0.15 s before the second. Ruled out: loads (copies were there for most idle VMs).

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -289,3 +289,25 @@
 		t.Error("the host is never asked again")
 	}
 }
+
+// TestLostVMMustAnswerFirst (ovh-qlog fresh-fc96): a VM that was found lost is not
+// put into a group because time has passed.
+func TestLostVMMustAnswerFirst(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	n := w.addNode(t, "n1")
+	n.s.snapshot = w.snapshot
+	n.s.watch(w.now)
+	vm := w.snapshot.VMs[vmID(0, 0)]
+	w.vms[vm.ID].dead = true
+	for range mostFailures {
+		n.s.reported(w.now, reported{vm: vm, err: engine.ErrNoAnswer, asked: w.now})
+	}
+	later := w.now.Add(time.Minute)
+	if n.s.free(later, vm) || len(w.pending) != 1 {
+		t.Errorf("a lost VM is free, or is not asked (%d calls)", len(w.pending))
+	}
+	n.s.reported(later, reported{vm: vm, asked: later})
+	if !n.s.free(later, vm) {
+		t.Error("a VM that answers again is not free")
+	}
+}
--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -35,6 +35,7 @@
 		Open:         s.openGroups(service, domain),
 		LoadRoom:     s.loadRoom(e, domain, service, before),
 		JoinUnstaged: before,
+		KeptFor:      s.keptFor(now),
 	}
 	reserved := s.reserved()
 	for _, id := range sorted(s.snapshot.VMs) {
@@ -46,6 +47,7 @@
 	d := placement.Decide(in)
 	for _, f := range d.Formations {
 		s.form(now, service, e, f)
+		delete(s.kept, s.snapshot.VMs[f.Members[0]].Fabric)
 	}
 	for _, st := range d.Stagings {
 		s.stage(now, e, st)
@@ -54,6 +56,7 @@
 		return
 	}
 	s.shiftedAt = now
+	s.kept[d.DissolvedIn] = keptFabric{model: d.DissolvedFor, until: now.Add(keepLimit)}
 	for _, name := range d.Dissolutions {
 		if w := s.groups[name]; w != nil && !w.dissolving {
 			s.takeApart(now, name, w, "its VMs are worth more to another model", true)
@@ -68,6 +71,18 @@
 	return gatherTime + time.Duration(slices.Index(sorted(s.domains()), domain))*domainStagger
 }
 
+// keptFor lists the fabric domains whose free VMs wait for the rest of what was
+// given up for a model.
+func (s *state) keptFor(now time.Time) map[string]string {
+	out := make(map[string]string)
+	for fabric, k := range s.kept {
+		if now.Before(k.until) {
+			out[fabric] = k.model
+		}
+	}
+	return out
+}
+
 func (s *state) placeable(vm *fleet.VM) placement.VM {
 	v := s.vm(vm.ID)
 	return placement.VM{ID: vm.ID, Fabric: vm.Fabric, Last: v.last, Staged: vm.Staged, Staging: v.staging}
@@ -99,6 +114,9 @@
 	// shiftPause is the time between two times that groups are given up for
 	// another model, so that the gain of the first is seen before the second.
 	shiftPause = 3 * time.Second
+	// keepLimit bounds how long free VMs wait for the rest of what was given up:
+	// a closing head may take closeLimit to finish its work.
+	keepLimit = closeLimit + time.Second
 	// gatherTime is how long no VM must have appeared before the first groups
 	// are planned: a plan for all VMs is better than one for the first few.
 	gatherTime = 700 * time.Millisecond
@@ -164,13 +182,27 @@
 
 // free reports whether the VM may be sent to a group.
 func (s *state) free(now time.Time, vm *fleet.VM) bool {
-	if vm.Draining || now.Before(s.vm(vm.ID).lostUntil) {
+	if vm.Draining || !s.answers(now, vm) {
 		return false
 	}
 	m := s.membership(vm)
 	return m.Group == "" || s.released(m.Group)
 }
 
+// answers reports whether the VM may be counted on. One that was lost must answer
+// first, and is asked now and then.
+func (s *state) answers(now time.Time, vm *fleet.VM) bool {
+	v := s.vm(vm.ID)
+	if v.failures < mostFailures {
+		return !now.Before(v.lostUntil)
+	}
+	if !now.Before(v.lostUntil) && !v.busy {
+		v.busy = true
+		s.calls.report(vm, forOrder)
+	}
+	return false
+}
+
 // released reports whether the group's VMs may go to other groups. A group that
 // is not known yet may still serve.
 func (s *state) released(name string) bool {
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -127,6 +127,12 @@
 	deadline time.Time
 }
 
+// keptFabric is a fabric domain whose free VMs are kept for a model.
+type keptFabric struct {
+	model string
+	until time.Time
+}
+
 // watchedGroup is a group that the fleet reports.
 type watchedGroup struct {
 	firstSeen time.Time
@@ -175,6 +181,8 @@
 	groups map[string]*watchedGroup
 
 	lastGeneration uint64
+	// kept holds, by fabric domain, the model that groups there were given up for.
+	kept map[string]keptFabric
 	// shiftedAt is when a group was last given up for another model.
 	shiftedAt time.Time
 	// arrivedAt is when the newest VM appeared.
@@ -193,6 +201,7 @@
 		forms:   make(map[string]*formation),
 		groups:  make(map[string]*watchedGroup),
 		liveAt:  make(map[string]time.Time),
+		kept:    make(map[string]keptFabric),
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,6 +43,9 @@
 	Demand map[string]float64
 	// LoadRoom is how many loads from the weight store may begin now.
 	LoadRoom int
+	// KeptFor names, by fabric domain, the model that groups there were given up
+	// for; free VMs are kept for it.
+	KeptFor map[string]string
 	// JoinUnstaged allows groups of VMs that still have to load. It is meant
 	// for the time before traffic, when loads are fast.
 	JoinUnstaged bool
@@ -67,8 +70,11 @@
 type Decision struct {
 	Formations []Formation
 	Stagings   []Staging
-	// Dissolutions are open groups whose VMs are worth more to another model.
+	// Dissolutions are open groups whose VMs are worth more to another model,
+	// DissolvedFor; all are in the fabric domain DissolvedIn.
 	Dissolutions []string
+	DissolvedFor string
+	DissolvedIn  string
 }
 
 // Decide forms the groups that can be had without loads first, the model that
@@ -211,6 +217,9 @@
 // cheapest picks the model's size of VMs of a fabric domain; nil when there are
 // too few.
 func (d *decider) cheapest(m catalog.Model, fabric string, withLoads bool) (members []string, loads int, cost float64) {
+	if kept := d.in.KeptFor[fabric]; kept != "" && kept != m.Name {
+		return nil, 0, 0
+	}
 	type candidate struct {
 		id   string
 		cost float64
@@ -275,14 +284,13 @@
 // as badly served as it is now.
 func (d *decider) dissolve() {
 	m := d.byNeed()[0]
-	var best []string
 	for _, fabric := range d.openFabrics() {
 		given := d.givenUp(m, fabric)
-		if len(given) > 0 && (best == nil || len(given) < len(best)) {
-			best = given
+		if len(given) == 0 || (d.out.Dissolutions != nil && len(given) >= len(d.out.Dissolutions)) {
+			continue
 		}
+		d.out.Dissolutions, d.out.DissolvedFor, d.out.DissolvedIn = given, m.Name, fabric
 	}
-	d.out.Dissolutions = best
 }
 
 func (d *decider) openFabrics() []string {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -80,6 +80,20 @@
 	}
 }
 
+// TestFreedVMsAreKept (ovh-qlog fresh-fc96): what was given up for one model does
+// not go back to the other before all of it is free.
+func TestFreedVMsAreKept(t *testing.T) {
+	in := Input{Free: fabric("a", 2, VM{Last: "small", Staged: []string{"big"}}), Models: models, KeptFor: map[string]string{"a": "big"},
+		Groups: map[string]int{"big": 1, "small": 1}, Demand: map[string]float64{"big": 3, "small": 3}}
+	if d := Decide(in); len(d.Formations) != 0 {
+		t.Errorf("formed %+v", d.Formations)
+	}
+	in.Free = fabric("a", 4, VM{Last: "small", Staged: []string{"big"}})
+	if d := Decide(in); len(d.Formations) != 1 || d.Formations[0].Model != "big" {
+		t.Errorf("formed %+v", d.Formations)
+	}
+}
+
 func TestServingVMsGetTheOtherModelsCopy(t *testing.T) {
 	in := Input{Open: []Group{{Name: "g", Model: "big", Fabric: "a", Members: fabric("a", 4, VM{Last: "big", Staged: []string{"big"}})}},
 		Models: models, Groups: map[string]int{"big": 1}, LoadRoom: 3}
