The first plans of the failure domains are not staggered any more

Change: removed. Nine groups of the larger model at the start serve better than eight anyway once members die, since it is the harder one to form again.

--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -1,7 +1,6 @@
 package director
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -25,7 +24,7 @@
 
 func (s *state) placeService(now time.Time, domain, service string, e *catalog.Engine) {
 	before := !s.d.parts.Demand.TrafficSeen()
-	if before && now.Sub(s.arrivedAt) < s.gatherTime(domain) && now.Sub(s.started) < gatherLimit {
+	if before && now.Sub(s.arrivedAt) < gatherTime && now.Sub(s.started) < gatherLimit {
 		return
 	}
 	in := placement.Input{
@@ -64,13 +63,6 @@
 	}
 }
 
-// gatherTime is how long no VM must have appeared before the first groups of the
-// failure domain are planned: one domain after the other, so that each sees what
-// those before it took and all models end up served alike.
-func (s *state) gatherTime(domain string) time.Duration {
-	return gatherTime + time.Duration(slices.Index(sorted(s.domains()), domain))*domainStagger
-}
-
 // keptFor lists the fabric domains whose free VMs wait for the rest of what was
 // given up for a model.
 func (s *state) keptFor(now time.Time) map[string]string {
@@ -120,9 +112,6 @@
 	// gatherTime is how long no VM must have appeared before the first groups
 	// are planned: a plan for all VMs is better than one for the first few.
 	gatherTime = 700 * time.Millisecond
-	// domainStagger is the time between the first plans of two failure domains: a
-	// join is seen everywhere after the idle pause between two watches (500 ms).
-	domainStagger = 700 * time.Millisecond
 	// gatherLimit bounds that wait from the director's start.
 	gatherLimit = 5 * time.Second
 	// boundless is the room for loads before traffic, when they don't slow each
