--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -15,7 +15,7 @@
 	var b strings.Builder
 	b.WriteString(`# Events
 
-The daemons write JSON lines to standard error. Each line has ` + "`event`" + `, the
+The daemons write JSON lines to standard output. Each line has ` + "`event`" + `, the
 number below, ` + "`level`, `message`, `node`, `program` and `time`" + `, and fields of
 its own. Numbers are never reused. This page is made from the code
 (` + "`go test ./internal/event -update`" + `).
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,7 +40,6 @@
 	codeBadBody    = "bad-body"
 	codeNoUpstream = "no-upstream"
 	codeOverload   = "overload"
-	codeBudget     = "repeat-budget"
 	codeTimeout    = "timeout"
 	codeAborted    = "aborted"
 	// codeUpstreamFailed is an upstream's own failure after it ran the request.
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -149,7 +149,7 @@
 	{"tls", "peer_ca", "", allowedFile, "Authority that our own processes' certificates must come from.", nil,
 		func(s *Settings, t string) error { return file(t, &s.TLS.PeerCA) }},
 
-	{"log", "level", "info", "debug, info, warn or error", "Least level of events that are written, as JSON lines to standard error.", nil,
+	{"log", "level", "info", "debug, info, warn or error", "Least level of events that are written, as JSON lines to standard output.", nil,
 		func(s *Settings, t string) error { return choice(t, &s.Log.Level, "debug", "info", "warn", "error") }},
 
 	{"log", "rate", "0", "a whole number from 0 to 1000", "Lines a second that each event may have in marbleroad-node; 0 for no bound. What is left out is counted.", nil,
