--- /dev/null
+++ b/internal/gateway/bench_test.go
@@ -0,0 +1,47 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"sort"
+	"testing"
+	"time"
+)
+
+// BenchmarkAddedLatency sends plain calls in turn to a stand-in VM itself and
+// through the gateway, one at a time, and reports both medians and their ratio.
+func BenchmarkAddedLatency(b *testing.B) {
+	s := newSite(b, options{})
+	direct := s.addresses["plain-0"]
+	var through, alone []float64
+	for b.Loop() {
+		alone = append(alone, timeCall(b, direct))
+		through = append(through, timeCall(b, s.url))
+	}
+	sort.Float64s(alone)
+	sort.Float64s(through)
+	mid := len(alone) / 2
+	b.ReportMetric(alone[mid], "direct-us")
+	b.ReportMetric(through[mid], "gateway-us")
+	b.ReportMetric(through[mid]/alone[mid], "ratio")
+}
+
+func timeCall(b *testing.B, url string) float64 {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.URL.Opaque = "/read/x"
+	req.Host = "h.example"
+	for name, value := range map[string]string{"Attempt-Id": "r1", "Api-Key": "key", "Deadline-Ms": "8000"} {
+		req.Header.Set(name, value)
+	}
+	began := time.Now()
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return float64(time.Since(began).Microseconds())
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -37,6 +37,8 @@
 	plain  []*groupengine.VM
 	url    string
 	server *gateway.Server
+	// addresses are the VMs' own URLs.
+	addresses map[string]string
 }
 
 type options struct {
@@ -45,9 +47,9 @@
 	empty bool
 }
 
-func newSite(t *testing.T, o options) *site {
+func newSite(t testing.TB, o options) *site {
 	t.Helper()
-	s := &site{store: objectstore.New()}
+	s := &site{store: objectstore.New(), addresses: make(map[string]string)}
 	storeServer := httptest.NewServer(s.store)
 	t.Cleanup(storeServer.Close)
 	if !o.empty {
@@ -94,7 +96,7 @@
 	return s
 }
 
-func waitFor(t *testing.T, what string, done func() bool) {
+func waitFor(t testing.TB, what string, done func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
 		if done() {
@@ -105,13 +107,14 @@
 }
 
 // addVM starts a VM; a model engine is the open head of a group of one.
-func (s *site) addVM(t *testing.T, id, service string, events int) *groupengine.VM {
+func (s *site) addVM(t testing.TB, id, service string, events int) *groupengine.VM {
 	t.Helper()
 	var vm *groupengine.VM
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { vm.ServeHTTP(w, r) }))
 	vm = groupengine.New(groupengine.Config{ID: id, Service: service, Address: server.Listener.Addr().String(), Zone: "a", Domain: "d",
 		Events: events, Pause: time.Millisecond}, s.store)
 	server.Start()
+	s.addresses[id] = server.URL
 	t.Cleanup(server.CloseClientConnections)
 	t.Cleanup(server.Close)
 	if events == 0 {
