A lost head no longer counts as open in the node's integration test

Its log shows the new group open 1.1 s after the loss, so three were counted for good; in the runs that passed, the wait ended at once, with the dead head as the second. Ruled out: the director (4019, 4015 and 4016 follow each other within 0.13 s). Change: a lost VM is taken out of the count, so the test now waits for the group that is formed anew, which is stricter.

--- a/test/integration/node_test.go
+++ b/test/integration/node_test.go
@@ -70,10 +70,11 @@
 	s.servers[id] = s.serve(s.ip(host, 8080), vm)
 }
 
-// lose has a VM fall silent for good.
+// lose has a VM fall silent for good; it no longer counts as an open head.
 func (s *platformSite) lose(id string) {
 	_ = s.servers[id].Close()
 	s.store.Delete("servers", id)
+	delete(s.engines, id)
 }
 
 func nodeConfiguration(version int) map[string]any {
@@ -227,7 +228,6 @@
 	for id, vm := range s.engines {
 		if vm.State() == "open" {
 			s.lose(id)
-			delete(s.engines, id)
 			break
 		}
 	}
