Two data races: a target's VM read without the lock, the director told before its start

Change: a send and a log line's candidates take the VM and the name under the lock; the actor's ID is an atomic pointer. Before: both tests failed with -race. After: gateway, catalog, fleet, event, retry, platform, director and the node's integration tests are clean with race-built daemons.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -77,8 +77,9 @@
 	config Config
 	parts  Parts
 
-	system  *actor.ActorSystem
-	state   *actor.PID
+	system *actor.ActorSystem
+	// state is nil until Start.
+	state   atomic.Pointer[actor.PID]
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -122,7 +123,7 @@
 	if err != nil {
 		return errors.Wrap(err, "spawn director")
 	}
-	d.state = pid
+	d.state.Store(pid)
 	d.running.Add(1)
 	go d.tickLoop()
 	return nil
@@ -139,7 +140,7 @@
 	d.stopping.Store(true)
 	d.cancel()
 	d.running.Wait()
-	err := d.system.Root.StopFuture(d.state).Wait()
+	err := d.system.Root.StopFuture(d.state.Load()).Wait()
 	d.system.Shutdown()
 	return errors.Wrap(err, "stop director")
 }
@@ -153,8 +154,8 @@
 }
 
 func (d *Director) tell(message any) {
-	if d.state != nil {
-		d.system.Root.Send(d.state, message)
+	if state := d.state.Load(); state != nil {
+		d.system.Root.Send(state, message)
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -155,7 +155,7 @@
 		return j.refused(why, rivals)
 	}
 	defer j.s.board.finish(s)
-	j.tried[s.t.key()] = true
+	j.tried[s.key()] = true
 	j.sends++
 	j.s.metrics.Count("attempts", 1)
 	if j.sends > 1 {
@@ -167,7 +167,7 @@
 	stop := j.limitTry(cancel)
 	defer stop()
 	j.logSent(now, s, rivals)
-	ctx, span := j.s.parts.Tracer.Start(ctx, "send", trace.SpanKindClient, attribute.String("vm", s.t.vm.ID), attribute.String("group", s.t.group))
+	ctx, span := j.s.parts.Tracer.Start(ctx, "send", trace.SpanKindClient, attribute.String("vm", s.vm.ID), attribute.String("group", s.t.group))
 	defer span.End()
 	resp, err := j.s.sender.Send(ctx, j.outgoing(now, s))
 	if err != nil {
@@ -217,12 +217,12 @@
 )
 
 func (j *job) outgoing(now time.Time, s *send) relay.Outgoing {
-	a := Attempt{VM: s.t.vm.ID, Left: j.c.Deadline.Sub(now)}
+	a := Attempt{VM: s.vm.ID, Left: j.c.Deadline.Sub(now)}
 	if j.out != nil {
 		a.LastEvent = j.out.last
 	}
 	return relay.Outgoing{
-		Address:   s.t.vm.Address,
+		Address:   s.vm.Address,
 		Method:    j.c.Method,
 		Path:      j.c.Path + j.c.Query,
 		Host:      j.c.Host,
@@ -373,7 +373,7 @@
 
 func (j *job) eject(s *send, reached bool) {
 	if j.s.board.failed(time.Now(), s, reached) {
-		j.s.log.Emit(event.UpstreamEjected).Str("vm", s.t.vm.ID).Str("group", s.t.group).Str("request", j.c.ID).Bool("reached", reached).Send()
+		j.s.log.Emit(event.UpstreamEjected).Str("vm", s.vm.ID).Str("group", s.t.group).Str("request", j.c.ID).Bool("reached", reached).Send()
 	}
 	if !reached && s.t.group != "" {
 		j.s.parts.Suspect(s.t.group, s.t.generation)
@@ -393,11 +393,7 @@
 		if i == shownRivals {
 			break
 		}
-		name := r.t.group
-		if name == "" {
-			name = r.t.vm.ID
-		}
-		_, _ = fmt.Fprintf(&b, "%s=%.2f ", name, r.score)
+		_, _ = fmt.Fprintf(&b, "%s=%.2f ", r.name, r.score)
 	}
 	if b.Len() == 0 {
 		return "none"
@@ -407,7 +403,7 @@
 
 func (j *job) logSent(now time.Time, s *send, rivals []rival) {
 	line := j.s.log.Emit(event.RequestSent).Str("request", j.c.ID).Str("route", j.c.Route.Name).Str("team", j.c.Team).
-		Str("service", j.c.Service).Str("model", j.c.Model).Int("send", j.sends).Str("vm", s.t.vm.ID).
+		Str("service", j.c.Service).Str("model", j.c.Model).Int("send", j.sends).Str("vm", s.vm.ID).
 		Str("group", s.t.group).Uint64("generation", s.t.generation).Int64("left_ms", j.c.Deadline.Sub(now).Milliseconds()).
 		Uint64("catalog", j.c.CatalogVersion).Int64("catalog_age_ms", j.c.CatalogAge.Milliseconds()).
 		Str("candidates", describe(rivals))
@@ -419,7 +415,7 @@
 
 func (j *job) logAttempt(s *send, fault *verdict.Error, cause error) {
 	j.s.metrics.Count("attempts.failed."+fault.Code, 1)
-	j.s.log.Emit(event.AttemptFailed).Str("request", j.c.ID).Int("send", j.sends).Str("vm", s.t.vm.ID).Str("group", s.t.group).
+	j.s.log.Emit(event.AttemptFailed).Str("request", j.c.ID).Int("send", j.sends).Str("vm", s.vm.ID).Str("group", s.t.group).
 		Str("code", fault.Code).Stringer("verdict", fault.Verdict).Str("detail", fault.Detail).
 		AnErr("ended_by", cause).AnErr("cause", fault.Cause).Send()
 }
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -50,17 +50,31 @@
 	running map[*send]struct{}
 }
 
+// name is the group's, or the VM's ID for a plain upstream.
+func (t *target) name() string {
+	if t.group != "" {
+		return t.group
+	}
+	return t.vm.ID
+}
+
 // key names a target over changes of the view.
 func (t *target) key() string { return t.vm.ID + "/" + t.group }
 
 // send is one request under way at a target.
 type send struct {
 	t *target
+	// vm is the target's VM as of the choice; the target's own may be replaced by
+	// a newer entry meanwhile.
+	vm *fleet.VM
 	// cancel ends the send; called with errStalled when the target is silent.
 	cancel context.CancelCauseFunc
 	begun  bool
 }
 
+// key names the send's target; as target.key.
+func (s *send) key() string { return s.vm.ID + "/" + s.t.group }
+
 // pool is the targets of one service: plain ones, or heads by model.
 type pool struct {
 	service *catalog.Service
@@ -186,6 +200,7 @@
 // rival is a candidate with its score, for the log.
 type rival struct {
 	t     *target
+	name  string
 	score float64
 }
 
@@ -215,7 +230,7 @@
 		if tried[t.key()] {
 			continue
 		}
-		rivals = append(rivals, rival{t, b.score(now, t)})
+		rivals = append(rivals, rival{t: t, name: t.name(), score: b.score(now, t)})
 	}
 	best := -1
 	full := len(rivals) > 0
@@ -247,7 +262,7 @@
 		t.lastByte = now
 	}
 	t.own++
-	s := &send{t: t, cancel: cancel}
+	s := &send{t: t, vm: t.vm, cancel: cancel}
 	t.running[s] = struct{}{}
 	return s, rivals, admitted
 }
