Callers' idle and header times follow the configuration; a slow body gets 408

Cause: idle (30 s) and header time (5 s) were constants of the gateway, so a configuration with other limits was not kept to (docs/PLATFORM.md, 'Not taken over'); a body that never came held its request for ever. Ruled out: net/http's own settings, which are fixed at the server's start. Change: a listener whose connections know their phase and close at its limit; bodies are read until the request's deadline, then refused with 408 as not run. Conclusion: all of the configuration's limits are kept to.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,6 +38,7 @@
 	codeStaleKeys  = "keys-not-proven"
 	codeTooLarge   = "too-large"
 	codeBadBody    = "bad-body"
+	codeSlowBody   = "slow-body"
 	codeNoUpstream = "no-upstream"
 	codeOverload   = "overload"
 	codeTimeout    = "timeout"
--- /dev/null
+++ b/internal/gateway/conns.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/catalog"
+)
+
+// phase is what a caller's connection is doing.
+type phase uint8
+
+const (
+	// awaiting means that no byte of the next request has come.
+	awaiting phase = iota
+	// readingHeader means that a part of a request's header has come.
+	readingHeader
+	// handling means that a request is being answered.
+	handling
+)
+
+// limitedListener closes callers' connections that stay idle, or take over a
+// header, longer than the configuration in force allows. net/http's own limits
+// are fixed when its server starts.
+type limitedListener struct {
+	net.Listener
+	limits func() catalog.Limits
+}
+
+// Accept implements net.Listener.
+func (l limitedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	limited := &limitedConn{Conn: c, limits: l.limits}
+	limited.enter(awaiting)
+	return limited, nil
+}
+
+// limitedConn is one caller's connection.
+type limitedConn struct {
+	net.Conn
+	limits func() catalog.Limits
+
+	mu    sync.Mutex
+	phase phase
+	// expiry closes the connection at the end of the phase's limit; nil while
+	// there is none.
+	expiry *time.Timer
+}
+
+// Read implements net.Conn.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.began()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.mu.Lock()
+	c.disarm()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// began notes the first byte of a request.
+func (c *limitedConn) began() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == awaiting {
+		c.arm(readingHeader)
+	}
+}
+
+// enter begins a phase, and with it the time that it may take.
+func (c *limitedConn) enter(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arm(p)
+}
+
+// arm is called with mu held.
+func (c *limitedConn) arm(p phase) {
+	c.disarm()
+	c.phase = p
+	if limit := c.limitOf(p); limit > 0 {
+		c.expiry = time.AfterFunc(limit, func() { _ = c.Conn.Close() })
+	}
+}
+
+// disarm is called with mu held.
+func (c *limitedConn) disarm() {
+	if c.expiry != nil {
+		c.expiry.Stop()
+		c.expiry = nil
+	}
+}
+
+// limitOf is how long a phase may take; zero for no limit.
+func (c *limitedConn) limitOf(p phase) time.Duration {
+	switch p {
+	case awaiting:
+		return c.limits().IdleTimeout
+	case readingHeader:
+		return c.limits().HeaderTimeout
+	}
+	return 0
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// withConn keeps the connection where its requests find it; for http.Server.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// headerRead notes that a request's header is complete.
+func headerRead(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*limitedConn); ok {
+		c.enter(handling)
+	}
+}
+
+// connState begins the idle time after an answer; for http.Server.
+func connState(c net.Conn, state http.ConnState) {
+	if limited, ok := c.(*limitedConn); ok && state == http.StateIdle {
+		limited.enter(awaiting)
+	}
+}
+
+// limits are those of the configuration in force; none before the first.
+func (s *Server) limits() catalog.Limits {
+	if current := s.keeper.Catalog(); current != nil {
+		return current.Limits()
+	}
+	return catalog.Limits{}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -437,3 +438,26 @@
 		t.Errorf("status %d", resp.StatusCode)
 	}
 }
+
+// TestSlowBodyIsRefused: a body that does not come is refused within the time for
+// the request, as not run.
+func TestSlowBodyIsRefused(t *testing.T) {
+	s := newSite(t, options{})
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(waitLimit))
+	_, err = io.WriteString(c, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: r1\r\nApi-Key: key\r\nDeadline-Ms: 150\r\nContent-Length: 9\r\n\r\nhalf")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusRequestTimeout || total(s.plain, asked) != 0 {
+		t.Errorf("status %d after %d sends", resp.StatusCode, total(s.plain, asked))
+	}
+}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,7 @@
 // handle serves one request of a caller.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	headerRead(r)
 	s.metrics.Count("requests", 1)
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -97,11 +99,14 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	data, err := io.ReadAll(body)
+	data, err := s.readAll(w, body, c.Deadline)
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return tooLarge()
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusRequestTimeout, Code: codeSlowBody, Detail: "the body was not complete within the time for the request", Cause: err}
+	}
 	if err != nil {
 		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusBadRequest, Code: codeBadBody, Detail: "the body broke off", Cause: err}
 	}
@@ -109,6 +114,24 @@
 	return nil
 }
 
+// readAll reads a body until the deadline. Once the body is whole, the connection's
+// own read deadline is taken back, since net/http goes on reading there to notice
+// that a caller leaves. After a failure it stays, or net/http would wait for the rest.
+func (s *Server) readAll(w http.ResponseWriter, body io.Reader, deadline time.Time) ([]byte, error) {
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, errors.Wrap(err, "limit the reading of the body")
+	}
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return nil, err
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, errors.Wrap(err, "lift the limit on the body")
+	}
+	return data, nil
+}
+
 // headerBytes is about the size of the request's head on the wire.
 func headerBytes(r *http.Request) int {
 	const separators = 4
@@ -142,6 +165,12 @@
 	return j, j.run(ctx)
 }
 
+// callerLeft reports whether nobody waits for the answer any more. net/http ends
+// the request's context also when the time for its body is up.
+func callerLeft(r *http.Request, fault *verdict.Error) bool {
+	return errors.Is(r.Context().Err(), context.Canceled) && fault.Code != codeSlowBody
+}
+
 // finish logs the outcome and, if the caller has no answer yet, gives it.
 func (s *Server) finish(w http.ResponseWriter, r *http.Request, c *Call, j *job, fault *verdict.Error) {
 	took := time.Since(c.Arrived)
@@ -155,7 +184,7 @@
 	}
 	s.metrics.Count("failed."+fault.Code, 1)
 	s.metrics.Observe("request.failed", took)
-	if errors.Is(r.Context().Err(), context.Canceled) {
+	if callerLeft(r, fault) {
 		s.log.Emit(event.CallerLeft).Str("request", c.ID).Str("route", name).Dur("took_ms", took).Send()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -29,13 +29,12 @@
 const ServerName = "gateway"
 
 const (
-	// maxHeaderBytes and readHeaderTimeout bound requests before the catalog's
-	// own limits are known; they are wider than any site's.
+	// maxHeaderBytes, readHeaderTimeout and idleTimeout bound requests before the
+	// catalog's own limits are known, and those limits themselves; they are wider
+	// than any site's (16 KiB, 3 s, 15 s).
 	maxHeaderBytes    = 64 << 10
-	readHeaderTimeout = 5 * time.Second
-	// idleTimeout is how long a caller's connection may stay idle. It is above
-	// the longest limit of today's sites (15 s), up to which callers use them.
-	idleTimeout = 30 * time.Second
+	readHeaderTimeout = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
 	// stallInterval is the time between two looks for silent heads.
 	stallInterval = 50 * time.Millisecond
 	// connectTimeout bounds a new connection to an upstream, which takes 2 to 5 ms.
@@ -155,6 +154,8 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          faults,
+		ConnContext:       withConn,
+		ConnState:         connState,
 	}
 	s.ready = &http.Server{
 		Handler:           http.HandlerFunc(s.answerReady),
@@ -164,7 +165,7 @@
 	}
 	s.done.Add(1)
 	go s.watchStalls()
-	go s.serve(s.callers, callers)
+	go s.serve(s.callers, limitedListener{Listener: callers, limits: s.limits})
 	go s.serve(s.ready, ready)
 	return nil
 }
