Members of a head that can't be asked are used only after their group was broken up

Change: silence proves nothing. A member is made to leave first; the head then breaks within the stall bound, and only then are the others free. It starts before the entry lapses when the head neither answers nor renews its entry for two heartbeats (new setting gateway.heartbeat), so a dead head holds its members about as long as before. A head that was not known to be open may be opened by a late order: 12 s more (found by TestRandomFaults). A state that the adapter does not know counts as closing, not as broken. Tests, seen failing: TestUnheardHeadServesOn, TestUnknownHeadServesOn, TestRandomFaults with deaf heads, TestSilentHeadIsBrokenUp.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -83,6 +83,7 @@
 		NodeID:        s.Node.ID,
 		FailureDomain: s.Node.FailureDomain,
 		StallBound:    s.Gateway.StallBound,
+		Heartbeat:     s.Gateway.Heartbeat,
 	}, director.Parts{
 		Log:      b.log,
 		Metrics:  b.metrics,
--- a/internal/director/answers.go
+++ b/internal/director/answers.go
@@ -15,7 +15,6 @@
 	v := s.vm(m.vm.ID)
 	v.busy = false
 	if m.err != nil {
-		s.missed(m)
 		s.unanswered(now, m.vm, v, m.err)
 		if m.why == forSuspicion {
 			s.inquire(now, m.vm)
@@ -28,25 +27,11 @@
 	v.seen, v.seenAt = m.report.Membership, m.asked
 	for _, w := range s.groups {
 		if w.head == m.vm.ID {
-			w.headHeard, w.headSilent, w.headMisses = m.asked, time.Time{}, 0
+			w.headHeard = m.asked
 		}
 	}
 }
 
-// missed counts a report that a head without entry did not give.
-func (s *state) missed(m reported) {
-	for _, name := range sorted(s.groups) {
-		w := s.groups[name]
-		if w.head != m.vm.ID || w.headLost.IsZero() || m.asked.Before(w.headLost) {
-			continue
-		}
-		if w.headSilent.IsZero() {
-			w.headSilent = m.asked
-		}
-		w.headMisses++
-	}
-}
-
 // unanswered counts a failed call; after some the VM counts as lost for a while.
 func (s *state) unanswered(now time.Time, vm *fleet.VM, v *vmState, err error) {
 	v.failures++
@@ -105,14 +90,24 @@
 			f.joined[m.vm.ID] = true
 		}
 	case engine.Leave:
-		w := s.groups[m.order.Group]
-		if w != nil && !w.released && m.vm.ID == w.head {
-			s.release(m.order.Group, w, "head left as ordered")
-		}
-		delete(s.forms, m.order.Group)
+		s.left(now, m)
 	case engine.CloseHead, engine.CloseHeadNow:
 		if w := s.groups[m.order.Group]; w != nil {
 			w.closed = true
 		}
 	}
 }
+
+// left takes the word of a VM that left a group as ordered: the head's frees the
+// group, another member's breaks it.
+func (s *state) left(now time.Time, m ordered) {
+	w := s.groups[m.order.Group]
+	switch {
+	case w == nil || w.released:
+	case m.vm.ID == w.head:
+		s.release(m.order.Group, w, "head left as ordered")
+	case w.shortAt.IsZero():
+		w.shortAt = now
+	}
+	delete(s.forms, m.order.Group)
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -40,6 +40,8 @@
 	// StallBound is how long a head may go on without one of its members
 	// before it counts itself as broken.
 	StallBound time.Duration
+	// Heartbeat is how often a VM renews its entry in the list.
+	Heartbeat time.Duration
 }
 
 // Demand tells the work asked for of each model of a service, over all nodes, in
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -90,6 +90,55 @@
 	w.check(t)
 }
 
+// TestSilentHeadIsBrokenUp: a head that neither answers nor renews its entry loses a
+// member before its entry lapses, so that the others are used again sooner.
+func TestSilentHeadIsBrokenUp(t *testing.T) {
+	w := newWorld(t, 1, 5)
+	w.entryLife = 20 * time.Second
+	n := w.addNode(t, "n1")
+	w.withSpare(n)
+	head := w.headsOpen()[0]
+	head.dead = true
+	n.s.suspect(w.now, suspected{group: head.Group, generation: head.Generation})
+	group := head.Group
+	if !w.run(9*time.Second, func() bool { return n.s.released(group) }) {
+		t.Error("its members wait for the entry to lapse")
+	}
+	w.check(t)
+}
+
+// TestUnheardHeadServesOn is rce-tiles scale-1 with seed 625651074792: a head that
+// left the list and doesn't answer may still have an open group, for as long as its
+// members stay. They are used again all the same.
+func TestUnheardHeadServesOn(t *testing.T) {
+	w := newWorld(t, 1, 5)
+	n := w.addNode(t, "n1")
+	w.withSpare(n)
+	head := w.headsOpen()[0]
+	head.cut, head.deaf = true, true
+	if !w.run(15*time.Second, func() bool { return w.open() == 1 && w.headsOpen()[0] != head }) {
+		t.Error("its members are never used again")
+	}
+	w.check(t)
+}
+
+// TestUnknownHeadServesOn: the same for a director that never saw the head, as after
+// a restart of all nodes.
+func TestUnknownHeadServesOn(t *testing.T) {
+	w := newWorld(t, 1, 5)
+	first := w.addNode(t, "n1")
+	w.withSpare(first)
+	first.down = true
+	head := w.headsOpen()[0]
+	head.cut = true
+	w.step(time.Second)
+	w.addNode(t, "n2").traffic = true
+	if !w.run(25*time.Second, func() bool { return w.open() == 1 && w.headsOpen()[0] != head }) {
+		t.Error("its members are never used again")
+	}
+	w.check(t)
+}
+
 // TestHeadDiesWhileItIsTakenApart: a head without entry that answered once and
 // then falls silent is gone too, in the end.
 func TestHeadDiesWhileItIsTakenApart(t *testing.T) {
@@ -143,6 +192,7 @@
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, 2, 8)
+		w.entryLife = time.Duration(rapid.IntRange(0, 3).Draw(t, "entry life")) * time.Second
 		for _, id := range []string{"n1", "n2"} {
 			w.addNode(t, id)
 		}
@@ -173,7 +223,7 @@
 	}
 	e := w.vms[rapid.SampledFrom(ids).Draw(t, "vm")]
 	n := w.nodes[rapid.IntRange(0, 1).Draw(t, "node")]
-	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	switch rapid.IntRange(0, 6).Draw(t, "kind") {
 	case 0:
 		e.dead = true
 	case 1:
@@ -190,6 +240,9 @@
 		}
 	case 5:
 		e.Draining = true
+	case 6:
+		e.deaf = !e.deaf
+		e.cut = e.deaf
 	}
 }
 
--- a/internal/director/dissolve.go
+++ b/internal/director/dissolve.go
@@ -10,15 +10,15 @@
 )
 
 // tendLost takes a group apart whose head's entry is gone. A head that was only
-// cut off from the store still serves, so it is asked itself first. One that
-// stays silent can't serve for longer than the stall bound once its members
-// go, and is then taken as gone.
+// cut off from the store still serves, so it is asked itself first. One that stays
+// silent may still have an open group, for callers or for streams that it finishes.
 func (s *state) tendLost(now time.Time, name string, w *watchedGroup) {
-	if s.cannotServe(now, w) {
-		s.release(name, w, "head is gone")
+	switch {
+	case s.snapshot.Groups[name] == nil:
+		s.release(name, w, "nobody is left in it")
 		return
-	}
-	if w.headVM == nil {
+	case w.headVM == nil:
+		s.breakUp(now, name, w)
 		return
 	}
 	s.askHead(now, w)
@@ -26,6 +26,10 @@
 		s.d.parts.Log.Emit(event.HeadLost).Str("group", name).Str("vm", w.head).Uint64("revision", s.snapshot.Revision).Send()
 		s.takeApart(now, name, w, "head is no longer listed", false)
 	}
+	if s.vm(w.head).failures >= mostFailures {
+		s.breakUp(now, name, w)
+		return
+	}
 	if !w.headHeard.After(w.headLost) {
 		return
 	}
@@ -35,6 +39,45 @@
 	}
 }
 
+// unheard reports whether a head that is still listed neither answers nor renews
+// its entry.
+func (s *state) unheard(head *fleet.VM) bool {
+	return s.vm(head.ID).failures >= mostFailures && s.snapshot.Silent(head.ID) > missedHeartbeats*s.d.config.Heartbeat
+}
+
+// surelyBroken reports whether the group has been without a member for so long
+// that its head, if it lives, has found out. A head that was not known to be open
+// may still be opened by an order that is carried out late.
+func (s *state) surelyBroken(now time.Time, w *watchedGroup) bool {
+	hold := s.d.config.StallBound + holdMargin
+	if w.headVM == nil || (w.headVM.State != fleet.Open && w.headVM.State != fleet.Closing) {
+		hold += lateOrder
+	}
+	return !w.shortAt.IsZero() && now.Sub(w.shortAt) > hold
+}
+
+// breakUp has one member leave a group whose head can't be asked. The head can't be
+// closed, but it breaks within the stall bound once a member has left.
+func (s *state) breakUp(now time.Time, name string, w *watchedGroup) {
+	g := s.snapshot.Groups[name]
+	if g == nil || !w.shortAt.IsZero() {
+		return
+	}
+	for _, vm := range g.Members {
+		if vm == nil || vm.ID == w.head {
+			continue
+		}
+		if s.membership(vm).Group != name {
+			w.shortAt = now
+			return
+		}
+		if s.ready(now, vm) {
+			s.send(vm, engine.GroupOrder{Operation: engine.Leave, Group: name, Generation: w.generation})
+			return
+		}
+	}
+}
+
 // askHead asks a head whose entry is missing for its word, until it gives it.
 func (s *state) askHead(now time.Time, w *watchedGroup) {
 	v := s.vm(w.head)
@@ -46,21 +89,6 @@
 	s.calls.report(w.headVM, forOrder)
 }
 
-// cannotServe reports whether a head whose entry is gone has been silent for
-// longer than it can serve once its members go elsewhere.
-func (s *state) cannotServe(now time.Time, w *watchedGroup) bool {
-	hold := s.d.config.StallBound + holdMargin
-	if w.headVM == nil {
-		return now.Sub(w.headLost) > hold
-	}
-	if w.headMisses < mostFailures {
-		return false
-	}
-	// The entry outlives the VM, so part of the stall had passed when it went.
-	unheard := w.headHeard.Before(w.headLost) && now.Sub(w.headLost) > hold-entryLife
-	return unheard || now.Sub(w.headSilent) > hold
-}
-
 func (s *state) takeApart(now time.Time, name string, w *watchedGroup, why string, graceful bool) {
 	w.dissolving, w.graceful, w.since = true, graceful, now
 	s.d.parts.Log.Emit(event.GroupDissolving).Str("group", name).Str("head", w.head).Str("reason", why).Bool("graceful", graceful).Send()
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -155,8 +155,12 @@
 		}
 		g, head := s.snapshot.Groups[name], s.snapshot.VMs[w.head]
 		switch {
+		case s.surelyBroken(now, w):
+			s.release(name, w, "head is broken or gone")
 		case head == nil:
 			s.tendLost(now, name, w)
+		case w.dissolving && s.unheard(head):
+			s.breakUp(now, name, w)
 		case w.dissolving:
 			s.dissolve(now, name, w, head)
 		case g != nil:
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -74,12 +74,15 @@
 	orphanAfter = 2500 * time.Millisecond
 	// suspicionPause is the time between two inquiries into one group.
 	suspicionPause = 700 * time.Millisecond
-	// holdMargin is added to the stall bound before the members of a silent
-	// head are used again.
+	// holdMargin is added to the stall bound before the members of a head that
+	// can't be asked are used again.
 	holdMargin = 500 * time.Millisecond
-	// entryLife is how long a VM's entry outlives it at least: three heartbeats
-	// (1.2 s each), less the time that one may have been late.
-	entryLife = 3 * time.Second
+	// lateOrder is how long after it was sent an order without an answer may still
+	// be carried out, by the platform's word.
+	lateOrder = 12 * time.Second
+	// missedHeartbeats is how many heartbeats a VM that does not answer must have
+	// missed before its group is broken up; entries lapse after three.
+	missedHeartbeats = 2
 	// storeStale is the age of the fleet's snapshot beyond which progress is
 	// asked of the VMs themselves.
 	storeStale = 1500 * time.Millisecond
@@ -145,11 +148,10 @@
 	// is there. headHeard is when the head last answered after that.
 	headLost  time.Time
 	headHeard time.Time
-	// headSilent is when the head first failed to answer since its entry is
-	// missing, and headMisses how often; both are zero after an answer.
-	headSilent time.Time
-	headMisses int
-	headAsked  time.Time
+	headAsked time.Time
+	// shortAt is when a member other than the head was first known to be out of
+	// the group by its own word; a head breaks within the stall bound of that.
+	shortAt time.Time
 	// released is true once the group's VMs may go to other groups.
 	released bool
 	// dissolving is true once the group is being taken apart; graceful lets its
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -28,10 +28,12 @@
 	sizes    map[string]int
 	heads    map[string]string
 	revision uint64
-	snapshot *fleet.Snapshot
-	faults   []string
-	nodes    []*node
-	pending  []func()
+	// entryLife is how long a VM's entry outlives its last renewal.
+	entryLife time.Duration
+	snapshot  *fleet.Snapshot
+	faults    []string
+	nodes     []*node
+	pending   []func()
 	// lose decides what becomes of an order; nil carries all out.
 	lose func(vm *engineVM, o engine.GroupOrder) fate
 }
@@ -53,8 +55,11 @@
 	accepted uint64
 	last     string
 	dead     bool
-	// cut VMs have no entry but go on.
-	cut     bool
+	// cut VMs have no entry but go on; deaf ones don't answer directors.
+	cut bool
+	// heard is when the VM last renewed its entry.
+	heard   time.Time
+	deaf    bool
 	due     time.Time
 	next    fleet.State
 	broken  time.Time
@@ -115,7 +120,7 @@
 		t.Fatal(err)
 	}
 	n := &node{w: w}
-	n.d = New(Config{NodeID: id, FailureDomain: "a", StallBound: 5 * time.Second}, Parts{
+	n.d = New(Config{NodeID: id, FailureDomain: "a", StallBound: 5 * time.Second, Heartbeat: time.Second}, Parts{
 		Log: log, Metrics: metrics.NewRegistry(), Catalogs: n, Fleet: n, Nodes: n, Demand: n,
 	})
 	n.s = newState(n.d, n, w.now)
@@ -146,7 +151,7 @@
 	asked := n.w.now
 	n.w.pending = append(n.w.pending, func() {
 		m := reported{vm: vm, asked: asked, why: why}
-		if e == nil || e.dead {
+		if e == nil || e.dead || e.deaf {
 			m.err = engine.ErrNoAnswer
 		} else {
 			m.report = engine.Report{Accepted: e.accepted, Membership: e.Membership}
@@ -167,7 +172,7 @@
 	w.pending = append(w.pending, func() {
 		m := ordered{vm: vm, order: o}
 		switch {
-		case e == nil || e.dead:
+		case e == nil || e.dead || e.deaf:
 			m.err = engine.ErrNoAnswer
 		case f == late:
 			due := w.now.Add(2 * time.Second)
@@ -313,6 +318,9 @@
 }
 
 func (w *world) advance(e *engineVM) {
+	if e.dead {
+		return
+	}
 	if e.State == fleet.Joining && !w.now.Before(e.due) {
 		e.State = fleet.Ready
 		if w.ready[e.Group] == nil {
@@ -350,15 +358,21 @@
 func (w *world) publish() {
 	w.revision++
 	vms := make(map[string]*fleet.VM)
+	heard := make(map[string]time.Time)
 	for id, e := range w.vms {
-		if e.dead || e.cut {
+		if !e.dead && !e.cut {
+			e.heard = w.now
+		}
+		if w.now.Sub(e.heard) > w.entryLife {
 			continue
 		}
 		vm := e.VM
 		vm.Staged = append([]string(nil), e.Staged...)
 		vms[id] = &vm
+		heard[id] = e.heard
 	}
 	w.snapshot = fleet.NewSnapshot(vms, w.revision, w.now)
+	w.snapshot.Heard = heard
 }
 
 // open counts the groups that serve whole.
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"reflect"
 	"sync/atomic"
@@ -63,7 +64,9 @@
 	vms map[string]*VM
 	// missing holds VMs whose entry was gone after an outage, and when they
 	// are taken as gone.
-	missing  map[string]time.Time
+	missing map[string]time.Time
+	// heard is when each VM last renewed or changed its entry.
+	heard    map[string]time.Time
 	revision uint64
 	listed   bool
 	lost     bool
@@ -83,6 +86,7 @@
 		settle:  settle,
 		vms:     make(map[string]*VM),
 		missing: make(map[string]time.Time),
+		heard:   make(map[string]time.Time),
 	}
 }
 
@@ -178,6 +182,7 @@
 		return true
 	}
 	vm := c.VM
+	d.heard[vm.ID] = time.Now()
 	return d.put(&vm)
 }
 
@@ -216,6 +221,7 @@
 	}
 	delete(d.vms, id)
 	delete(d.missing, id)
+	delete(d.heard, id)
 	d.log.Emit(event.UpstreamGone).Str("vm", id).Str("group", vm.Group).Uint64("revision", d.revision).Send()
 }
 
@@ -261,7 +267,7 @@
 	old := d.snapshot.Load()
 	if !changed && old != nil {
 		next := *old
-		next.Revision, next.ProvenAt = d.revision, asked
+		next.Revision, next.ProvenAt, next.Heard = d.revision, asked, maps.Clone(d.heard)
 		d.snapshot.Store(&next)
 		return
 	}
@@ -270,6 +276,7 @@
 		vms[id] = vm
 	}
 	next := NewSnapshot(vms, d.revision, asked)
+	next.Heard = maps.Clone(d.heard)
 	d.snapshot.Store(next)
 	for _, f := range d.onChange {
 		f(next)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -98,6 +98,24 @@
 	Revision uint64
 	// ProvenAt is when the call that proved the snapshot was sent.
 	ProvenAt time.Time
+	// Heard is when each VM last renewed or changed its entry, as far as seen.
+	Heard map[string]time.Time
+}
+
+// Silent is how much longer ago than the newest news of any VM the VM's own last
+// news is. While nothing is heard of anyone, nobody falls silent.
+func (s *Snapshot) Silent(id string) time.Duration {
+	own, known := s.Heard[id]
+	if !known {
+		return 0
+	}
+	newest := own
+	for _, at := range s.Heard {
+		if at.After(newest) {
+			newest = at
+		}
+	}
+	return newest.Sub(own)
 }
 
 // NewSnapshot indexes the VMs. Members that report different generations of one
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -127,6 +127,8 @@
 		func(s *Settings, t string) error { return amount(t, &s.Gateway.RepeatExtra) }},
 	{"gateway", "repeat_window", "10s", allowedDuration, "Length of the sliding window of that budget.", nil,
 		func(s *Settings, t string) error { return duration(t, &s.Gateway.RepeatWindow) }},
+	{"gateway", "heartbeat", "1200ms", allowedDuration, "How often an upstream VM renews its entry in the platform's list.", nil,
+		func(s *Settings, t string) error { return duration(t, &s.Gateway.Heartbeat) }},
 	{"gateway", "stall_bound", "5s", allowedDuration, "Time after which the head of a group that lost a member counts itself as broken.", nil,
 		func(s *Settings, t string) error { return duration(t, &s.Gateway.StallBound) }},
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,6 +85,8 @@
 	RepeatRatio  float64
 	RepeatExtra  float64
 	RepeatWindow time.Duration
+	// Heartbeat is how often an upstream VM renews its entry in the list.
+	Heartbeat time.Duration
 	// StallBound is how long a group's head may go on without a member before
 	// it counts itself as broken.
 	StallBound time.Duration
