A member without entry is asked before its group is taken apart; copies don't hold up a VM's last model

Change: a member that is no longer listed is asked once a second and believed until two questions in a row fail. In placement, a VM whose host copies another model may join the model of its last group, which needs no copy; found by TestLostMember, which failed when the loss was seen 100 ms later. Tests, seen failing: TestMemberCutOffFromStore, TestLostMember.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -73,6 +73,32 @@
 	}
 }
 
+// TestMemberCutOffFromStore is rce-tiles trouble-1: a member whose entry lapsed is
+// asked itself; while it stands by its group, the group serves on.
+func TestMemberCutOffFromStore(t *testing.T) {
+	w := newWorld(t, 1, 5)
+	n := w.addNode(t, "n1")
+	w.withSpare(n)
+	head := w.headsOpen()[0]
+	group := head.Group
+	var member *engineVM
+	for _, e := range w.vms {
+		if e.Group == group && e.Rank == 2 {
+			member = e
+		}
+	}
+	member.cut = true
+	w.run(8*time.Second, func() bool { return false })
+	if head.Group != group || head.State != fleet.Open || member.Group != group {
+		t.Error("a group that was whole did not serve on")
+	}
+	member.dead = true
+	if !w.run(8*time.Second, func() bool { return w.open() == 1 }) {
+		t.Error("the rest is not used again once the member is dead")
+	}
+	w.check(t)
+}
+
 // TestDeadHead: the members of a head that is gone are used again, but only
 // after it could not have served any more.
 func TestDeadHead(t *testing.T) {
--- a/internal/director/dissolve.go
+++ b/internal/director/dissolve.go
@@ -126,8 +126,8 @@
 	}
 	w.askedAt = now
 	s.d.parts.Log.Emit(event.GroupSuspected).Str("group", m.group).Uint64("generation", m.generation).Send()
-	for _, vm := range g.Members {
-		if vm != nil {
+	for rank := range len(w.members) {
+		if vm := w.members[rank]; vm != nil {
 			s.inquire(now, vm)
 		}
 	}
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -177,7 +178,7 @@
 		return
 	}
 	state := s.membership(head).State
-	missing, leaving := s.condition(now, g, model.Size)
+	missing, leaving := s.condition(now, w, name, model.Size)
 	switch {
 	case state == fleet.Open && missing != "":
 		s.takeApart(now, name, w, "member "+missing+" is lost", false)
@@ -187,7 +188,7 @@
 		s.takeApart(now, name, w, "it was left closing", false)
 	case state == fleet.Open || state == fleet.Closing:
 		return
-	case missing == "" && leaving == "" && s.allReady(g):
+	case missing == "" && leaving == "" && s.allReady(w):
 		s.open(now, head, name, g.Generation)
 	case now.Sub(w.firstSeen) > orphanAfter && (missing != "" || leaving != ""):
 		s.takeApart(now, name, w, "it was left incomplete", false)
@@ -203,16 +204,17 @@
 }
 
 // condition names a member that is lost and one that is leaving, if any.
-func (s *state) condition(now time.Time, g *fleet.Group, size int) (missing, leaving string) {
-	if len(g.Members) < size {
-		missing = "of the last rank"
-	}
-	for _, vm := range g.Members {
+func (s *state) condition(now time.Time, w *watchedGroup, name string, size int) (missing, leaving string) {
+	for rank := range size {
+		known := w.members[rank]
+		if known == nil {
+			return fmt.Sprintf("of rank %d", rank), leaving
+		}
+		vm := s.snapshot.VMs[known.ID]
 		switch {
-		case vm == nil:
-			missing = "without entry"
-		case s.membership(vm).Group != g.Name || now.Before(s.vm(vm.ID).lostUntil):
-			missing = vm.ID
+		case vm == nil && s.vouched(now, known, name):
+		case vm == nil || s.membership(vm).Group != name || now.Before(s.vm(vm.ID).lostUntil):
+			missing = known.ID
 		case vm.Draining:
 			leaving = vm.ID
 		}
@@ -220,8 +222,22 @@
 	return missing, leaving
 }
 
-func (s *state) allReady(g *fleet.Group) bool {
-	for _, vm := range g.Members {
+// vouched reports whether a member without entry stands by its group: it may only
+// be cut off from the store. It is asked now and again, and believed until it fails
+// to answer.
+func (s *state) vouched(now time.Time, known *fleet.VM, name string) bool {
+	v := s.vm(known.ID)
+	if s.membership(known).Group != name || v.failures >= mostFailures {
+		return false
+	}
+	if !v.seenAt.After(v.entryAt) || now.Sub(v.seenAt) > vouchPause {
+		s.inquire(now, known)
+	}
+	return true
+}
+
+func (s *state) allReady(w *watchedGroup) bool {
+	for _, vm := range w.members {
 		if s.membership(vm).State != fleet.Ready {
 			return false
 		}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -80,6 +80,8 @@
 	// lateOrder is how long after it was sent an order without an answer may still
 	// be carried out, by the platform's word.
 	lateOrder = 12 * time.Second
+	// vouchPause is the time between two questions to a member without entry.
+	vouchPause = time.Second
 	// missedHeartbeats is how many heartbeats a VM that does not answer must have
 	// missed before its group is broken up; entries lapse after three.
 	missedHeartbeats = 2
@@ -139,6 +141,8 @@
 // watchedGroup is a group that the fleet reports.
 type watchedGroup struct {
 	firstSeen time.Time
+	// members are the last entries of its VMs, by rank.
+	members map[int]*fleet.VM
 	// head is the ID of the VM that was seen at rank 0, and headVM its last entry.
 	head       string
 	headVM     *fleet.VM
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -9,12 +9,15 @@
 
 // forget drops VMs and groups that the fleet no longer reports.
 func (s *state) forget() {
-	heads := make(map[string]bool)
+	watched := make(map[string]bool)
 	for _, g := range s.groups {
-		heads[g.head] = true
+		watched[g.head] = true
+		for _, vm := range g.members {
+			watched[vm.ID] = true
+		}
 	}
 	for id := range s.vms {
-		if s.snapshot.VMs[id] == nil && !heads[id] {
+		if s.snapshot.VMs[id] == nil && !watched[id] {
 			delete(s.vms, id)
 		}
 	}
@@ -60,9 +63,7 @@
 			w = &watchedGroup{firstSeen: now}
 			s.groups[name] = w
 		}
-		if head := g.Head(); head != nil {
-			w.head, w.headVM = head.ID, head
-		}
+		w.note(g)
 		w.domain, w.generation = domainOf(g), g.Generation
 	}
 	for _, name := range sorted(s.groups) {
@@ -71,6 +72,21 @@
 	}
 }
 
+// note keeps the entries of the group's members.
+func (w *watchedGroup) note(g *fleet.Group) {
+	if head := g.Head(); head != nil {
+		w.head, w.headVM = head.ID, head
+	}
+	if w.members == nil || w.generation != g.Generation {
+		w.members = make(map[int]*fleet.VM)
+	}
+	for rank, vm := range g.Members {
+		if vm != nil {
+			w.members[rank] = vm
+		}
+	}
+}
+
 // domainOf is the failure domain of a group's VMs.
 func domainOf(g *fleet.Group) string {
 	for _, vm := range g.Members {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,7 +17,8 @@
 	Last string
 	// Staged are the models of which the host holds a copy.
 	Staged []string
-	// Staging is the model that is being copied; such a VM is not moved.
+	// Staging is the model that is being copied. Meanwhile the VM can only join the
+	// model of its last group, which needs no copy.
 	Staging string
 }
 
@@ -212,6 +213,8 @@
 	costStaged = 1
 	costLoad   = 100
 	costLose   = 10
+	// costBusy is that of a VM which waits for a copy.
+	costBusy = 1000
 )
 
 // cheapest picks the model's size of VMs of a fabric domain; nil when there are
@@ -226,11 +229,11 @@
 	}
 	var all []candidate
 	for _, v := range d.free {
-		if v.Fabric != fabric || v.Staging != "" {
+		if v.Fabric != fabric {
 			continue
 		}
 		c := joinCost(v, m.Name)
-		if c >= costLoad && !withLoads {
+		if c >= costBusy || (c >= costLoad && !withLoads) {
 			continue
 		}
 		all = append(all, candidate{v.ID, c})
@@ -310,7 +313,7 @@
 func (d *decider) givenUp(m catalog.Model, fabric string) []string {
 	have := 0
 	for _, v := range d.free {
-		if v.Fabric == fabric && v.Staging == "" && joinCost(v, m.Name) < costLoad {
+		if v.Fabric == fabric && joinCost(v, m.Name) < costLoad {
 			have++
 		}
 	}
@@ -363,6 +366,9 @@
 	if v.Last == model {
 		return costLast
 	}
+	if v.Staging != "" {
+		return costBusy
+	}
 	for _, s := range v.Staged {
 		if s == model {
 			return costStaged
@@ -407,7 +413,7 @@
 				continue
 			}
 			for _, v := range g.Members {
-				if v.Staging == "" && joinCost(v, m.Name) >= costLoad {
+				if c := joinCost(v, m.Name); c >= costLoad && c < costBusy {
 					out = append(out, Staging{VM: v.ID, Model: m.Name})
 				}
 			}
@@ -442,11 +448,11 @@
 		if v.Fabric != fabric {
 			continue
 		}
-		if v.Staging == m.Name || (v.Staging == "" && joinCost(v, m.Name) < costLoad) {
+		if v.Staging == m.Name || joinCost(v, m.Name) < costLoad {
 			missing--
 			continue
 		}
-		if v.Staging == "" && joinCost(v, m.Name) == costLoad && (id == "" || v.ID < id) {
+		if joinCost(v, m.Name) == costLoad && (id == "" || v.ID < id) {
 			id = v.ID
 		}
 	}
