What is left of another failure domain's group does not count as serving

Each director counted groups by their name in the list, also those whose head was dead and whose other members waited to be freed by another failure domain's director: 3 open groups counted as 6. Change: a group counts if its head is open, or if it is whole and being formed. The event of a planned group (4015) names the counts and the demand that decided. Test, seen failing: TestRemainsAreNoSupply.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -390,3 +390,24 @@
 		t.Error("a VM that answers again is not free")
 	}
 }
+
+// TestRemainsAreNoSupply is rce-tiles scale-1: what is left of a group of another
+// failure domain, whose director has not freed it yet, does not count as serving.
+func TestRemainsAreNoSupply(t *testing.T) {
+	w := newWorld(t, 1, 8)
+	n := w.addNode(t, "n1")
+	w.run(6*time.Second, func() bool { return w.open() >= 2 })
+	before := n.s.groupCounts("llm")
+	head := w.headsOpen()[0]
+	for _, e := range w.vms {
+		e.FailureDomain = "b"
+	}
+	n.d.directing.Store(&[]string{})
+	n.d.stopping.Store(true)
+	head.dead = true
+	w.step(50 * time.Millisecond)
+	after := n.s.groupCounts("llm")
+	if after[head.Model] != before[head.Model]-1 {
+		t.Errorf("%d groups of %s before its head died, %d after", before[head.Model], head.Model, after[head.Model])
+	}
+}
--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -45,7 +46,7 @@
 	}
 	d := placement.Decide(in)
 	for _, f := range d.Formations {
-		s.form(now, service, e, f)
+		s.form(now, service, e, f, in)
 		delete(s.kept, s.snapshot.VMs[f.Members[0]].Fabric)
 	}
 	for _, st := range d.Stagings {
@@ -140,15 +141,14 @@
 	return max(room, 0)
 }
 
-// groupCounts counts the open and forming groups of each model, everywhere.
+// groupCounts counts the groups of each model that serve or soon will, everywhere.
 func (s *state) groupCounts(service string) map[string]int {
 	out := make(map[string]int)
 	for name, g := range s.snapshot.Groups {
 		w := s.groups[name]
-		if g.Service != service || w.released || w.dissolving || s.forms[name] != nil {
-			continue
+		if g.Service == service && !w.released && !w.dissolving && s.forms[name] == nil && s.promising(g) {
+			out[g.Model]++
 		}
-		out[g.Model]++
 	}
 	for _, f := range s.forms {
 		if f.service == service {
@@ -158,6 +158,23 @@
 	return out
 }
 
+// promising reports whether a group serves, or is whole and on its way there. The
+// rest of a group that another failure domain's director has yet to free is neither.
+func (s *state) promising(g *fleet.Group) bool {
+	head := g.Head()
+	if head == nil {
+		return false
+	}
+	switch s.membership(head).State {
+	case fleet.Open:
+		return true
+	case fleet.Joining, fleet.Ready:
+		model, ok := s.model(g)
+		return ok && g.Whole(model.Size)
+	}
+	return false
+}
+
 // reserved holds the VMs of groups that are being formed.
 func (s *state) reserved() map[string]bool {
 	out := make(map[string]bool)
@@ -207,7 +224,7 @@
 	loadStretch = 3
 )
 
-func (s *state) form(now time.Time, service string, e *catalog.Engine, p placement.Formation) {
+func (s *state) form(now time.Time, service string, e *catalog.Engine, p placement.Formation, in placement.Input) {
 	model, ok := e.Model(p.Model)
 	if !ok {
 		return
@@ -231,7 +248,8 @@
 	head := s.snapshot.VMs[p.Members[0]]
 	s.groups[f.name] = &watchedGroup{firstSeen: now, head: head.ID, headVM: head, domain: head.FailureDomain, generation: f.generation}
 	s.d.parts.Log.Emit(event.GroupPlanned).Str("group", f.name).Uint64("generation", f.generation).Str("model", model.Name).
-		Strs("members", f.members).Int("loads", f.loads).Uint64("revision", s.snapshot.Revision).Send()
+		Strs("members", f.members).Int("loads", f.loads).Uint64("revision", s.snapshot.Revision).
+		Str("groups", fmt.Sprint(in.Groups)).Str("demand", fmt.Sprintf("%.2f", in.Demand)).Send()
 	s.drive(now, f)
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,6 +89,19 @@
 	return g.Members[0]
 }
 
+// Whole reports whether as many members as the model needs are listed.
+func (g *Group) Whole(size int) bool {
+	if len(g.Members) < size {
+		return false
+	}
+	for _, vm := range g.Members {
+		if vm == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // Snapshot is the fleet at one moment. It is never changed once built.
 type Snapshot struct {
 	VMs map[string]*VM
