A served stream's line tells its longest pause; demand in the log of planned groups

Cause: a stream that was late for a pause between its events could not be told in the log from one that was late for its first event. Change: 5009 has longest_pause_ms; 4015's demand passes vet.

--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/catalog"
@@ -249,10 +250,19 @@
 	s.groups[f.name] = &watchedGroup{firstSeen: now, head: head.ID, headVM: head, domain: head.FailureDomain, generation: f.generation}
 	s.d.parts.Log.Emit(event.GroupPlanned).Str("group", f.name).Uint64("generation", f.generation).Str("model", model.Name).
 		Strs("members", f.members).Int("loads", f.loads).Uint64("revision", s.snapshot.Revision).
-		Str("groups", fmt.Sprint(in.Groups)).Str("demand", fmt.Sprintf("%.2f", in.Demand)).Send()
+		Str("groups", fmt.Sprint(in.Groups)).Str("demand", workText(in.Demand)).Send()
 	s.drive(now, f)
 }
 
+// workText writes the work asked for of each model, for the log.
+func workText(work map[string]float64) string {
+	var b strings.Builder
+	for _, model := range sorted(work) {
+		_, _ = fmt.Fprintf(&b, "%s=%.2f ", model, work[model])
+	}
+	return strings.TrimSpace(b.String())
+}
+
 func (s *state) stage(now time.Time, e *catalog.Engine, p placement.Staging) {
 	vm := s.snapshot.VMs[p.VM]
 	model, ok := e.Model(p.Model)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,8 +63,9 @@
 	last *verdict.Error
 	// firstByte is how long the first event or the answer took.
 	firstByte time.Duration
-	// lastEvent is when the newest event came.
+	// lastEvent is when the newest event came, pause the longest time between two.
 	lastEvent time.Time
+	pause     time.Duration
 	// status is the answer's; zero before there is one.
 	status int
 }
@@ -264,7 +265,9 @@
 		if j.firstByte == 0 {
 			j.firstByte = now.Sub(j.c.Arrived)
 		} else {
-			j.s.metrics.Observe("request.pause."+j.c.Service, now.Sub(j.lastEvent))
+			pause := now.Sub(j.lastEvent)
+			j.pause = max(j.pause, pause)
+			j.s.metrics.Observe("request.pause."+j.c.Service, pause)
 		}
 		j.lastEvent = now
 		j.out.start(resp)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -214,7 +214,7 @@
 	line := s.log.Emit(event.RequestServed).Str("request", c.ID).Str("route", c.Route.Name).Str("team", c.Team).
 		Int("status", j.status).Int("sends", j.sends).Dur("took_ms", took).Dur("first_ms", j.firstByte)
 	if j.out != nil {
-		line = line.Int("events", j.out.events)
+		line = line.Int("events", j.out.events).Dur("longest_pause_ms", j.pause)
 	}
 	line.Send()
 }
