Groups being taken apart are told to all nodes; a doubted head gets one request at a time

Change: nodes share which groups a director takes apart without letting their work end; they get nothing more, and a stream that waits there goes on elsewhere after 120 ms. A head that stalled or could not be reached since it was last heard gets one request at a time, and an unreachable one is tried every second, not after up to 8 s. Tests, seen failing without it: TestDissolvingGroupGetsNoRequests, TestDissolvingGroupIsNotWaitedFor, TestDoubtedHeadGetsOneRequest.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -60,24 +60,25 @@
 	})
 	self := cluster.Record{ID: s.Node.ID, Address: s.Cluster.Listen, FailureDomain: s.Node.FailureDomain}
 	state := func() *marbleroadv1.NodeState {
-		out := &marbleroadv1.NodeState{Node: self.ID, Address: self.Address, FailureDomain: self.FailureDomain, Directing: groups.Directing()}
+		out := &marbleroadv1.NodeState{Node: self.ID, Address: self.Address, FailureDomain: self.FailureDomain, Directing: groups.Directing(), Dissolving: groups.Dissolving()}
 		server.FillState(out)
 		return out
 	}
 	nodes = cluster.New(cluster.Config{Self: self, Interval: s.Cluster.Interval}, b.log, store, b.peers, state)
 	server = gateway.NewServer(b.gatewayConfig(), gateway.Parts{
-		Log:       b.log,
-		Metrics:   b.metrics,
-		Tracer:    b.tracer,
-		Keeper:    keeper,
-		Directory: directory,
-		Caller:    platform.Caller{},
-		Upstream:  platform.Upstream{},
-		Nodes:     nodes.Size,
-		LiveFor:   nodes.LiveFor,
-		Suspect:   func(group string, generation uint64) { groups.Suspect(group, generation) },
-		StepDown:  func() { groups.StepDown() },
-		Nudge:     nodes.Nudge,
+		Log:        b.log,
+		Metrics:    b.metrics,
+		Tracer:     b.tracer,
+		Keeper:     keeper,
+		Directory:  directory,
+		Caller:     platform.Caller{},
+		Upstream:   platform.Upstream{},
+		Nodes:      nodes.Size,
+		LiveFor:    nodes.LiveFor,
+		Suspect:    func(group string, generation uint64) { groups.Suspect(group, generation) },
+		StepDown:   func() { groups.StepDown() },
+		Dissolving: func() []string { return groups.Dissolving() },
+		Nudge:      nodes.Nudge,
 	})
 	groups = director.New(director.Config{
 		NodeID:        s.Node.ID,
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -88,6 +88,8 @@
 
 	// directing lists the failure domains whose groups this node manages.
 	directing atomic.Pointer[[]string]
+	// dissolving lists the groups that this node is taking apart at once.
+	dissolving atomic.Pointer[[]string]
 	// busy is true while groups are being formed or taken apart here.
 	busy     atomic.Bool
 	stopping atomic.Bool
@@ -97,6 +99,7 @@
 func New(c Config, p Parts) *Director {
 	d := &Director{config: c, parts: p}
 	d.directing.Store(&[]string{})
+	d.dissolving.Store(&[]string{})
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
@@ -104,6 +107,10 @@
 // Directing returns the failure domains whose groups this node manages.
 func (d *Director) Directing() []string { return *d.directing.Load() }
 
+// Dissolving returns the groups that this node is taking apart without letting
+// their work end.
+func (d *Director) Dissolving() []string { return *d.dissolving.Load() }
+
 // Busy reports whether groups are being formed or taken apart here, so that news
 // of their VMs is wanted soon.
 func (d *Director) Busy() bool { return d.busy.Load() }
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -245,6 +245,7 @@
 	for _, domain := range domains {
 		s.place(now, domain)
 	}
+	s.tellDissolving()
 	s.d.busy.Store(s.busy())
 }
 
@@ -260,6 +261,22 @@
 	return false
 }
 
+// tellDissolving publishes which groups are being taken apart without letting their
+// work end, so that no node sends them requests or waits for them any more.
+func (s *state) tellDissolving() {
+	var names []string
+	for _, name := range sorted(s.groups) {
+		if w := s.groups[name]; w.dissolving && !w.graceful && !w.released && s.claims(w.domain) {
+			names = append(names, name)
+		}
+	}
+	if slices.Equal(names, s.d.Dissolving()) {
+		return
+	}
+	s.d.dissolving.Store(&names)
+	s.d.parts.Nodes.Nudge()
+}
+
 func (s *state) vm(id string) *vmState {
 	v := s.vms[id]
 	if v == nil {
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -15,7 +15,8 @@
 const (
 	// failuresToEject is how many failures in a row leave an upstream out.
 	failuresToEject = 2
-	// ejectionBase is the length of the first ejection; it doubles each time.
+	// ejectionBase is the length of the first ejection; it doubles each time, but
+	// for an upstream that can't be reached, where a try costs one request little.
 	ejectionBase = time.Second
 	ejectionMax  = 8 * time.Second
 	// timeSmoothing is the weight of the newest answer time in the smoothed one.
@@ -39,6 +40,9 @@
 	gap       time.Duration
 	deviation time.Duration
 	suspected time.Time
+	// doubts counts the stalls and failed connections since the target was last
+	// heard. A doubted target gets one request at a time.
+	doubts int
 	// echoed is until when another node's finding counts.
 	echoed time.Time
 
@@ -117,6 +121,10 @@
 	peers     map[string]*marbleroadv1.NodeState
 	peersAt   map[string]time.Time
 	peerLoads map[string]int
+	// ownDissolving lists the groups that this node's director is taking apart,
+	// dissolving those of any node.
+	ownDissolving func() []string
+	dissolving    map[string]bool
 	// domainHeard is when a node of each failure domain was last heard.
 	domainHeard map[string]time.Time
 	// cutAfter is that silence with as many nodes as there are.
@@ -125,19 +133,21 @@
 	found []stall
 }
 
-func newBoard(domain string, limit retry.Limit, now time.Time) *board {
+func newBoard(domain string, limit retry.Limit, dissolving func() []string, now time.Time) *board {
 	return &board{
-		domain:      domain,
-		pools:       make(map[string]*pool),
-		targets:     make(map[string]*target),
-		budgets:     make(map[string]*retry.Budget),
-		limit:       limit,
-		demand:      make(map[demandKey]*demandMeter),
-		demandAt:    now,
-		peers:       make(map[string]*marbleroadv1.NodeState),
-		peersAt:     make(map[string]time.Time),
-		peerLoads:   make(map[string]int),
-		domainHeard: make(map[string]time.Time),
+		ownDissolving: dissolving,
+		dissolving:    make(map[string]bool),
+		domain:        domain,
+		pools:         make(map[string]*pool),
+		targets:       make(map[string]*target),
+		budgets:       make(map[string]*retry.Budget),
+		limit:         limit,
+		demand:        make(map[demandKey]*demandMeter),
+		demandAt:      now,
+		peers:         make(map[string]*marbleroadv1.NodeState),
+		peersAt:       make(map[string]time.Time),
+		peerLoads:     make(map[string]int),
+		domainHeard:   make(map[string]time.Time),
 	}
 }
 
@@ -237,7 +247,7 @@
 	seen := 0
 	for _, i := range rand.Perm(len(rivals)) {
 		r := rivals[i]
-		if float64(b.load(r.t)) >= float64(r.t.slots)+room {
+		if float64(b.load(r.t)) >= float64(r.t.slots)+room || (r.t.doubts > 0 && r.t.own > 0) {
 			continue
 		}
 		full = false
@@ -278,7 +288,7 @@
 	if b.cutOff(now, t.vm.FailureDomain) {
 		score += cutPenalty
 	}
-	if now.Before(t.suspected) || now.Before(t.ejectedUntil) {
+	if now.Before(t.suspected) || now.Before(t.ejectedUntil) || b.dissolving[t.group] {
 		score += suspectPenalty
 	}
 	return score + scoreNoise*rand.Float64()
@@ -313,8 +323,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := s.t
-	t.failures = 0
-	t.ejections = 0
+	t.failures, t.ejections, t.doubts = 0, 0, 0
 	if t.took == 0 {
 		t.took = took
 	}
@@ -330,11 +339,17 @@
 	t.failures++
 	if !reached {
 		t.failures = failuresToEject
+		t.doubts++
 		b.tellUnreachable(now, t)
 	}
 	if t.failures < failuresToEject || now.Before(t.ejectedUntil) {
 		return false
 	}
+	if !reached {
+		t.ejectedUntil = now.Add(ejectionBase)
+		t.failures = 0
+		return true
+	}
 	t.ejectedUntil = now.Add(min(ejectionBase<<min(t.ejections, 3), ejectionMax))
 	t.ejections++
 	t.failures = 0
--- /dev/null
+++ b/internal/gateway/board_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/retry"
+)
+
+func noneDissolving() []string { return nil }
+
+// testBoard has two open heads of one model; dissolving tells what this node's
+// director takes apart.
+func testBoard(t *testing.T, now time.Time, dissolving func() []string) (*board, *Call) {
+	t.Helper()
+	c, err := catalog.New(catalog.Content{Version: 1, Services: []catalog.Service{{
+		Name:   "llm",
+		Engine: &catalog.Engine{Slots: 8, Models: []catalog.Model{{Name: "m", Size: 1, Pace: 1}}},
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	vms := make(map[string]*fleet.VM)
+	for _, id := range []string{"a", "b"} {
+		vms[id] = &fleet.VM{ID: id, Service: "llm", FailureDomain: "x",
+			Membership: fleet.Membership{Group: "g" + id, Generation: 1, State: fleet.Open, Model: "m"}}
+	}
+	b := newBoard("x", retry.Limit{Window: time.Second}, dissolving, now)
+	b.rebuild(c, fleet.NewSnapshot(vms, 1, now))
+	return b, &Call{Service: "llm", Model: "m"}
+}
+
+// sendTo chooses until the named target is taken; nil when it never is.
+func sendTo(b *board, now time.Time, c *Call, vm string) *send {
+	const tries = 20
+	for range tries {
+		s, _, why := b.choose(now, c, nil, 0, func(error) {})
+		if why != admitted {
+			return nil
+		}
+		if s.vm.ID == vm {
+			return s
+		}
+	}
+	return nil
+}
+
+func TestDissolvingGroupGetsNoRequests(t *testing.T) {
+	now := time.Now()
+	own := []string{"ga"}
+	b, c := testBoard(t, now, func() []string { return own })
+	b.findStalls(now)
+	if sendTo(b, now, c, "a") != nil {
+		t.Error("a group that this node takes apart got a request")
+	}
+	own = nil
+	b.hear(now, &marbleroadv1.NodeState{Node: "n2", Dissolving: []string{"gb"}}, time.Second)
+	if sendTo(b, now, c, "b") != nil {
+		t.Error("a group that another node takes apart got a request")
+	}
+}
+
+// TestDissolvingGroupIsNotWaitedFor: a stream there goes on elsewhere after about
+// one pass of silence.
+func TestDissolvingGroupIsNotWaitedFor(t *testing.T) {
+	now := time.Now()
+	b, c := testBoard(t, now, func() []string { return []string{"ga"} })
+	_, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	s := sendTo(b, now, c, "a")
+	if s == nil {
+		t.Fatal("no request before the first look")
+	}
+	b.heard(now, s)
+	if found := b.findStalls(now.Add(dissolvingStall + time.Millisecond)); len(found) != 1 || len(found[0].sends) != 1 {
+		t.Errorf("found %v", found)
+	}
+}
+
+// TestDoubtedHeadGetsOneRequest is rce-tiles trouble-2: a dead head looked empty and
+// drew all requests each time that its suspicion ran out.
+func TestDoubtedHeadGetsOneRequest(t *testing.T) {
+	now := time.Now()
+	b, c := testBoard(t, now, noneDissolving)
+	s := sendTo(b, now, c, "a")
+	now = now.Add(firstStall)
+	if len(b.findStalls(now)) != 1 {
+		t.Fatal("no stall")
+	}
+	b.finish(s)
+	now = now.Add(suspectedFor)
+	s = sendTo(b, now, c, "a")
+	if s == nil {
+		t.Fatal("a suspicion never ends")
+	}
+	if sendTo(b, now, c, "a") != nil {
+		t.Error("a doubted head got a second request")
+	}
+	b.heard(now, s)
+	if sendTo(b, now, c, "a") == nil {
+		t.Error("a head that was heard is still doubted")
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -74,7 +74,7 @@
 	}, gateway.Parts{
 		Log: log, Metrics: metrics.NewRegistry(), Tracer: tracing.Off(), Keeper: keeper, Directory: directory,
 		Caller: platform.Caller{}, Upstream: platform.Upstream{}, Nodes: func() int { return 1 }, LiveFor: func() time.Duration { return time.Second },
-		Suspect: func(string, uint64) {}, StepDown: func() {}, Nudge: func() {},
+		Suspect: func(string, uint64) {}, Dissolving: func() []string { return nil }, StepDown: func() {}, Nudge: func() {},
 	})
 	keeper.OnChange(s.server.Rebuild)
 	directory.OnChange(func(*fleet.Snapshot) { s.server.Rebuild() })
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -45,7 +45,7 @@
 	defer func() { _ = keeper.Stop(context.Background()) }()
 	<-adopted
 	now := time.Now()
-	s := &Server{keeper: keeper, board: newBoard("a", retry.Limit{Window: time.Second}, now)}
+	s := &Server{keeper: keeper, board: newBoard("a", retry.Limit{Window: time.Second}, noneDissolving, now)}
 	s.board.rebuild(c, fleet.NewSnapshot(map[string]*fleet.VM{"head": {ID: "head", Service: "s", FailureDomain: "a",
 		Membership: fleet.Membership{Group: "g", Generation: 1, State: fleet.Open, Model: "m"}}}, 1, now))
 	call := func(priority int) refusal {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -78,6 +78,8 @@
 	LiveFor func() time.Duration
 	// Suspect is told of heads that fell silent.
 	Suspect func(group string, generation uint64)
+	// Dissolving lists the groups that this node is taking apart.
+	Dissolving func() []string
 	// StepDown is called when a stop begins.
 	StepDown func()
 	// Nudge shares this node's state at once.
@@ -117,7 +119,7 @@
 		caller:   p.Caller,
 		upstream: p.Upstream,
 		sender:   relay.NewSender(upstreamDialer(c.Local), nil),
-		board:    newBoard(c.FailureDomain, c.Repeats, time.Now()),
+		board:    newBoard(c.FailureDomain, c.Repeats, p.Dissolving, time.Now()),
 		hard:     hard,
 		end:      end,
 	}
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -71,6 +71,7 @@
 	for _, suspicion := range state.GetSuspicions() {
 		b.echo(now, suspicion.GetGroup())
 	}
+	b.noteDissolving()
 	clear(b.peerLoads)
 	for id, p := range b.peers {
 		if now.Sub(b.peersAt[id]) > liveFor {
--- a/internal/gateway/stalls.go
+++ b/internal/gateway/stalls.go
@@ -24,6 +24,9 @@
 	// echoStall is the silence that counts as a stall once another node has
 	// found the head silent.
 	echoStall = 250 * time.Millisecond
+	// dissolvingStall is the silence that counts as a stall once a director takes
+	// the group apart: about one pass.
+	dissolvingStall = 120 * time.Millisecond
 	// suspectedFor is how long a stalled head is left out, unless it is heard.
 	suspectedFor = 1500 * time.Millisecond
 )
@@ -41,7 +44,7 @@
 	}
 	t.lastByte = now
 	t.suspected, t.echoed = time.Time{}, time.Time{}
-	t.failures = 0
+	t.failures, t.doubts = 0, 0
 }
 
 // learnGap takes a pause between two events of any of the target's streams.
@@ -78,16 +81,18 @@
 func (b *board) findStalls(now time.Time) []stall {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.noteDissolving()
 	var out []stall
 	for _, t := range b.targets {
 		if t.group == "" || t.own == 0 || now.Before(t.suspected) {
 			continue
 		}
 		silent := now.Sub(t.lastByte)
-		if silent < t.stallAfter(now) {
+		if silent < b.stallAfter(now, t) {
 			continue
 		}
 		t.suspected = now.Add(suspectedFor)
+		t.doubts++
 		found := stall{at: now, group: t.group, vm: t.vm.ID, generation: t.generation, silent: silent, gap: t.gap, requests: t.own}
 		for s := range t.running {
 			found.sends = append(found.sends, s)
@@ -101,8 +106,23 @@
 	return out
 }
 
-func (t *target) stallAfter(now time.Time) time.Duration {
+// noteDissolving gathers the groups that any node is taking apart.
+func (b *board) noteDissolving() {
+	clear(b.dissolving)
+	for _, group := range b.ownDissolving() {
+		b.dissolving[group] = true
+	}
+	for _, p := range b.peers {
+		for _, group := range p.GetDissolving() {
+			b.dissolving[group] = true
+		}
+	}
+}
+
+func (b *board) stallAfter(now time.Time, t *target) time.Duration {
 	switch {
+	case b.dissolving[t.group]:
+		return dissolvingStall
 	case now.Before(t.echoed):
 		return echoStall
 	case t.begun == 0:
