marbleroadctl node: what one marbleroad-node knows, with the age of each fact

Change: the admin listener serves a view (internal/inspect, without keys); marbleroadctl node status, groups, upstreams and configuration print it as table, CSV or JSON; the message for a missing control daemon names them. Tests: TestNodeViews (golden), TestNodeFaults, TestNodesServeThePlatform asks a real node.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -27,6 +27,7 @@
 // Server is the admin listener.
 type Server struct {
 	address  string
+	mux      *http.ServeMux
 	http     *http.Server
 	subject  string
 	reporter Reporter
@@ -38,6 +39,7 @@
 	mux := http.NewServeMux()
 	s := &Server{
 		address: address,
+		mux:     mux,
 		subject: subject,
 		http:    &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout},
 	}
@@ -62,6 +64,9 @@
 	return s
 }
 
+// Serve adds what only some daemons show. It must be called before Start.
+func (s *Server) Serve(path string, h http.Handler) { s.mux.Handle("GET "+path, h) }
+
 // Name implements kernel.Service.
 func (s *Server) Name() string { return ServiceName }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,9 @@
 package catalog
 
 import (
+	"maps"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -247,6 +250,32 @@
 // RouteCount is the number of routes.
 func (c *Catalog) RouteCount() int { return c.routes }
 
+// Routes lists all routes, by host and prefix. They must not be changed.
+func (c *Catalog) Routes() []*Route {
+	out := make([]*Route, 0, c.routes)
+	for _, byPrefix := range c.hosts {
+		for _, r := range byPrefix {
+			out = append(out, r)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool {
+		if out[i].Host != out[k].Host {
+			return out[i].Host < out[k].Host
+		}
+		return out[i].Prefix < out[k].Prefix
+	})
+	return out
+}
+
+// Teams lists the names of the teams that hold keys.
+func (c *Catalog) Teams() []string {
+	names := make(map[string]bool)
+	for _, t := range c.keys {
+		names[t.Name] = true
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
 // KeysAsked reports whether routes that are not public need a key.
 func (c *Catalog) KeysAsked() bool { return c.keys != nil }
 
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -34,6 +34,7 @@
 const (
 	envControl = "MARBLEROAD_CONTROL"
 	envToken   = "MARBLEROAD_TOKEN"
+	envNode    = "MARBLEROAD_NODE"
 )
 
 // Sentinel errors that select the exit code.
@@ -58,6 +59,7 @@
 	out io.Writer
 
 	control   string
+	node      string
 	tokenFile string
 	output    string
 	author    string
@@ -124,7 +126,7 @@
 	flags.StringVar(&a.tls.PeerCert, "cert", "", "client certificate, when our processes use mutual TLS")
 	flags.StringVar(&a.tls.PeerKey, "key", "", "key of --cert")
 	flags.StringVar(&a.tls.PeerCA, "ca", "", "authority of the control daemons' certificates")
-	root.AddCommand(a.tableCommand(), a.statusCommand(), a.drainCommand(true), a.drainCommand(false), a.explainCommand(), versionCommand())
+	root.AddCommand(a.tableCommand(), a.statusCommand(), a.drainCommand(true), a.drainCommand(false), a.explainCommand(), a.nodeCommand(), versionCommand())
 	return root
 }
 
@@ -155,7 +157,8 @@
 // clientOf connects to a control daemon with the operators' token.
 func (a *app) clientOf(address string) (marbleroadv1connect.OperatorServiceClient, error) {
 	if address == "" {
-		return nil, errors.Wrapf(errUsage, "no control daemon: give --control or set %s", envControl)
+		return nil, errors.Wrapf(errUsage, "no control daemon: give --control or set %s; "+
+			"for marbleroad-node, whose configuration the platform keeps, see marbleroadctl node", envControl)
 	}
 	switch format(a.output) {
 	case formatTable, formatJSON, formatCSV:
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -15,8 +15,9 @@
 func TestHelp(t *testing.T) {
 	t.Setenv(envControl, "")
 	t.Setenv(envToken, "")
+	t.Setenv(envNode, "")
 	var out bytes.Buffer
-	for _, args := range [][]string{{}, {"table"}, {"table", "set"}, {"table", "apply"}, {"status"}, {"drain"}, {"explain"}} {
+	for _, args := range [][]string{{}, {"table"}, {"table", "set"}, {"table", "apply"}, {"status"}, {"drain"}, {"explain"}, {"node"}, {"node", "groups"}} {
 		if code := Main(append(args, "--help"), strings.NewReader(""), &out, &out); code != exitOK {
 			t.Errorf("%v --help: exit code %d", args, code)
 		}
--- /dev/null
+++ b/internal/ctl/node_test.go
@@ -0,0 +1,60 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/marbleroad/marbleroad/internal/inspect"
+)
+
+func testView() inspect.View {
+	return inspect.View{
+		Node: "front-a-1", FailureDomain: "a", Ready: true, ListAge: 420 * time.Millisecond, ListRevision: 812, Directing: []string{"a"},
+		Configuration: inspect.Configuration{Version: 46, ProvenAge: 800 * time.Millisecond, Services: []string{"llm"}, Teams: []string{"ops"},
+			Routes: []inspect.Route{{Name: "r-1", Host: "h.example", Prefix: "/a/", Kind: "stream", Priority: 1, Timeout: 8 * time.Second, Services: []string{"llm"}}}},
+		Nodes: []inspect.Node{{ID: "front-b-1", FailureDomain: "b", Age: 210 * time.Millisecond, Directing: []string{"b"}, Stopping: true}},
+		Groups: []inspect.Group{
+			{Name: "g-1", Generation: 66, Service: "llm", Model: "big", Size: 2, Members: []string{"v1", "v2"}, State: "open", Running: 7},
+			{Name: "g-2", Generation: 70, Service: "llm", Model: "big", Size: 2, Members: []string{"v3"}, State: "open", Running: 1, Shunned: "its streams fell silent"},
+		},
+		Upstreams: []inspect.VM{
+			{ID: "v1", Address: "10.0.0.1:80", Service: "llm", FailureDomain: "a", Fabric: "a-d0", Group: "g-1", State: "open", Staged: []string{"small"}},
+			{ID: "v9", Address: "10.0.0.9:80", Service: "api", FailureDomain: "a", Draining: true, State: "unassigned"},
+		},
+	}
+}
+
+func TestNodeViews(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(testView()) }))
+	defer server.Close()
+	var out bytes.Buffer
+	for _, verb := range []string{"status", "groups", "upstreams", "configuration"} {
+		args := []string{"node", verb, "--node", strings.TrimPrefix(server.URL, "http://")}
+		if code := Main(args, strings.NewReader(""), &out, &out); code != exitOK {
+			t.Errorf("%s: exit code %d", verb, code)
+		}
+		out.WriteString("----\n")
+	}
+	goldie.New(t).Assert(t, "node", out.Bytes())
+}
+
+func TestNodeFaults(t *testing.T) {
+	other := httptest.NewServer(http.NotFoundHandler())
+	defer other.Close()
+	var out bytes.Buffer
+	if code := Main([]string{"node", "status", "--node", ""}, strings.NewReader(""), &out, &out); code != exitUsage {
+		t.Errorf("without a node: exit code %d", code)
+	}
+	out.Reset()
+	code := Main([]string{"node", "status", "--node", strings.TrimPrefix(other.URL, "http://")}, strings.NewReader(""), &out, &out)
+	if code != exitFailure || !strings.Contains(out.String(), "gateway.admin") {
+		t.Errorf("another server: exit code %d, %s", code, out.String())
+	}
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -11,6 +11,7 @@
 	"github.com/marbleroad/marbleroad/internal/feed"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/gateway"
+	"github.com/marbleroad/marbleroad/internal/inspect"
 	"github.com/marbleroad/marbleroad/internal/kernel"
 	"github.com/marbleroad/marbleroad/internal/retry"
 	"github.com/marbleroad/marbleroad/platform"
@@ -108,8 +109,19 @@
 	keeper.OnChange(server.Rebuild)
 	directory.OnChange(func(*fleet.Snapshot) { server.Rebuild() })
 	directory.OnChange(groups.Refresh)
+	operators := admin.New(s.Gateway.Admin, b.metrics, gateway.ServerName, s.Debug.Pprof)
+	operators.Serve(inspect.Path, inspect.Handler(inspect.Sources{
+		Node:          self.ID,
+		FailureDomain: self.FailureDomain,
+		Ready:         server.Ready,
+		Keeper:        keeper,
+		Directory:     directory,
+		Cluster:       nodes,
+		Directing:     groups.Directing,
+		Load:          server.Load,
+	}))
 	return assemble(
-		admin.New(s.Gateway.Admin, b.metrics, gateway.ServerName, s.Debug.Pprof),
+		operators,
 		keeper,
 		directory,
 		nodes,
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -4,6 +4,7 @@
 	"time"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/fleet"
 )
 
 // openGroups counts the heads that take requests, by model, also models with none.
@@ -22,6 +23,27 @@
 	return out
 }
 
+// Load tells the requests at a group's head, from all nodes as far as known, and why
+// this node sends none there; for operators.
+func (s *Server) Load(vm, group string) (running int, shunned string) {
+	b := s.board
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.targets[(&target{vm: &fleet.VM{ID: vm}, group: group}).key()]
+	switch {
+	case t == nil:
+		return 0, "its head is not open"
+	case b.dissolving[group]:
+		shunned = "it is being taken apart"
+	case now.Before(t.suspected):
+		shunned = "its streams fell silent"
+	case now.Before(t.ejectedUntil):
+		shunned = "requests there failed"
+	}
+	return b.load(t), shunned
+}
+
 // load is the requests at a target, from all nodes as far as known.
 func (b *board) load(t *target) int { return t.own + b.peerLoads[t.group] }
 
--- a/test/integration/node_test.go
+++ b/test/integration/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/marbleroad/marbleroad/internal/inspect"
 	"github.com/marbleroad/marbleroad/test/standin/groupengine"
 	"github.com/marbleroad/marbleroad/test/standin/objectstore"
 )
@@ -199,6 +201,30 @@
 	if n := s.openHeads(); n != 2 {
 		t.Errorf("%d groups of 5 VMs serve, want 2", n)
 	}
+	s.checkView(s.nodes[0])
+}
+
+// checkView asks a node what it shows operators.
+func (s *platformSite) checkView(nd *node) {
+	s.t.Helper()
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d%s", nd.ip, nodeAdminPort, inspect.Path))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var v inspect.View
+	if err := json.NewDecoder(resp.Body).Decode(&v); err != nil {
+		s.t.Fatal(err)
+	}
+	open := 0
+	for _, g := range v.Groups {
+		if g.State == "open" && len(g.Members) == 2 && g.Size == 2 && g.Shunned == "" {
+			open++
+		}
+	}
+	if !v.Ready || v.Node != nd.id || open != 2 || len(v.Nodes) != 1 || len(v.Configuration.Routes) != 2 || len(v.Configuration.Teams) != 1 {
+		s.t.Errorf("view: %+v", v)
+	}
 }
 
 // TestStreamOutlivesItsHead: a head that dies in the middle of a stream costs
