--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -33,7 +33,7 @@
 	busySettle = 60 * time.Millisecond
 	mostBusy   = 180 * time.Millisecond
 	// busyNodes is up to how many nodes the busy pause stays the least.
-	busyNodes = 10
+	busyNodes  = 10
 	idleSettle = 500 * time.Millisecond
 	// keyProofMargin is kept of the revocation bound for the time between the
 	// check of a key and the moment at which the upstream begins to run.
