Spare hosts get copies of each model, the one with the largest groups first

All 27 spares had copies of the smaller model, so a group of eight that lost a member could not be completed: its rest became a group of four, lost the larger model by that, and 9 groups of eight fell to 4 by 27 s while 36 VMs idled. Ruled out: loads (21 at once, in use throughout), the feed (same fall without it). Change: a free host gets a copy of the model for which the fewest free VMs of its fabric domain are ready; of equals, of the one with the larger groups. Test, seen failing: TestSparesForEachModel.

--- a/internal/placement/copies.go
+++ b/internal/placement/copies.go
@@ -162,8 +162,9 @@
 }
 
 // ahead lists copies ahead of need: for free hosts that would lose nothing by them,
-// the model that is served worst first, and then for serving VMs the model that they
-// don't have.
+// the model for which the fewest free VMs of the fabric domain are ready, so that a
+// lost member of either's groups can be replaced, and then for serving VMs the model
+// that they don't have.
 func (d *decider) ahead() []Staging {
 	var out []Staging
 	taken := make(map[string]bool)
@@ -175,9 +176,19 @@
 		out = append(out, Staging{VM: v.ID, Model: model})
 	}
 	models := d.byNeed()
-	for _, m := range models {
-		for _, fabric := range d.fabrics() {
-			for _, v := range d.freeIn(fabric) {
+	for _, fabric := range d.fabrics() {
+		free := d.freeIn(fabric)
+		spares := make(map[string]int)
+		for _, v := range free {
+			for _, m := range models {
+				if d.staging(v) == m.Name || joinCost(v, m.Name) < costLoad {
+					spares[m.Name]++
+				}
+			}
+		}
+		for _, v := range free {
+			if m := scarcest(models, spares); joinCost(v, m.Name) == costLoad && d.staging(v) == "" {
+				spares[m.Name]++
 				add(v, m.Name)
 			}
 		}
@@ -194,3 +205,15 @@
 	}
 	return out
 }
+
+// scarcest is the model with the fewest spares; of equals the one with the largest
+// groups, which are the hardest to complete.
+func scarcest(models []catalog.Model, spares map[string]int) catalog.Model {
+	best := models[0]
+	for _, m := range models[1:] {
+		if spares[m.Name] < spares[best.Name] || (spares[m.Name] == spares[best.Name] && m.Size > best.Size) {
+			best = m
+		}
+	}
+	return best
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -226,3 +226,19 @@
 		t.Error("a copy that can be spared is kept")
 	}
 }
+
+// TestSparesForEachModel: the VMs that are left over beside the first groups get
+// copies of both models, the larger one's first.
+func TestSparesForEachModel(t *testing.T) {
+	in := Input{Models: models, LoadRoom: 100}
+	for i := range 3 {
+		in.Free = append(in.Free, VM{ID: fmt.Sprint(i), Fabric: "a"})
+	}
+	got := map[string]int{}
+	for _, s := range Decide(in).Stagings {
+		got[s.Model]++
+	}
+	if got["big"] != 2 || got["small"] != 1 {
+		t.Errorf("copies %v", got)
+	}
+}
