A stream that falls silent while its head goes on is continued elsewhere

Change: each send has its own last event; 900 ms of silence once it has begun, 1.2 s before at a head with places, end it while another try is left. Metric streams.lost.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -152,7 +152,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	now := time.Now()
-	s, rivals, why := j.s.board.choose(now, j.c, j.tried, j.room(), cancel)
+	last := !j.c.Route.Repeatable() || j.sends+1 >= j.c.Route.Attempts
+	s, rivals, why := j.s.board.choose(now, j.c, j.tried, j.room(), last, cancel)
 	if why != admitted {
 		return j.refused(why, rivals)
 	}
@@ -348,7 +349,7 @@
 	if !left && fault.Code != relay.CodeRefused {
 		j.eject(s, fault.Code != relay.CodeUnreachable)
 	}
-	if errors.Is(cause, errStalled) || errors.Is(cause, errSlowTry) {
+	if errors.Is(cause, errStalled) || errors.Is(cause, errSlowTry) || errors.Is(cause, errLostAnswer) {
 		fault.Detail = cause.Error()
 		fault.Status = http.StatusBadGateway
 	}
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -74,6 +74,10 @@
 	// cancel ends the send; called with errStalled when the target is silent.
 	cancel context.CancelCauseFunc
 	begun  bool
+	// lastByte is when the send began or last had an event.
+	lastByte time.Time
+	// last is true when nothing may be sent after this one, so that it is waited for.
+	last bool
 }
 
 // key names the send's target; as target.key.
@@ -227,8 +231,8 @@
 
 // choose picks the target with the lowest score: its load beside its slots,
 // scaled by how slow it is. room says how much load beyond the slots may be
-// taken; a negative index means that nobody has room.
-func (b *board) choose(now time.Time, c *Call, tried map[string]bool, room float64, cancel context.CancelCauseFunc) (*send, []rival, refusal) {
+// taken; last says that nothing may be sent after this.
+func (b *board) choose(now time.Time, c *Call, tried map[string]bool, room float64, last bool, cancel context.CancelCauseFunc) (*send, []rival, refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pools[c.Service]
@@ -272,7 +276,7 @@
 		t.lastByte = now
 	}
 	t.own++
-	s := &send{t: t, vm: t.vm, cancel: cancel}
+	s := &send{t: t, vm: t.vm, cancel: cancel, lastByte: now, last: last}
 	t.running[s] = struct{}{}
 	return s, rivals, admitted
 }
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -38,7 +38,7 @@
 func sendTo(b *board, now time.Time, c *Call, vm string) *send {
 	const tries = 20
 	for range tries {
-		s, _, why := b.choose(now, c, nil, 0, func(error) {})
+		s, _, why := b.choose(now, c, nil, 0, false, func(error) {})
 		if why != admitted {
 			return nil
 		}
@@ -109,3 +109,56 @@
 		t.Error("a head that was heard is still doubted")
 	}
 }
+
+// TestLostAnswerAtALivelyHead is inc-73ac of rce-tiles: the answer to one request was
+// lost while its head went on, and the request waited until its caller gave up.
+func TestLostAnswerAtALivelyHead(t *testing.T) {
+	now := time.Now()
+	b, c := testBoard(t, now, noneDissolving)
+	begun, lively := sendTo(b, now, c, "a"), sendTo(b, now, c, "a")
+	b.heard(now, begun)
+	last, _, _ := b.choose(now, c, nil, 0, true, func(error) {})
+	for range 12 {
+		now = now.Add(100 * time.Millisecond)
+		b.heard(now, lively)
+	}
+	now = now.Add(time.Millisecond)
+	lost := make(map[*send]bool)
+	for _, s := range b.findLost(now) {
+		lost[s] = true
+	}
+	if !lost[begun] || lost[lively] || lost[last] {
+		t.Errorf("begun %v, lively %v, last try %v", lost[begun], lost[lively], lost[last])
+	}
+	if len(b.findLost(now)) != 0 {
+		t.Error("a lost answer is found twice")
+	}
+}
+
+// TestWaitingForAPlaceIsNoLoss: before its first event a request at a full head waits.
+func TestWaitingForAPlaceIsNoLoss(t *testing.T) {
+	now := time.Now()
+	b, c := testBoard(t, now, noneDissolving)
+	const room = 8
+	var waiting *send
+	for range 2 * 10 {
+		s, _, why := b.choose(now, c, nil, room, false, func(error) {})
+		if why != admitted {
+			t.Fatal("no place")
+		}
+		if waiting == nil {
+			waiting = s
+		}
+	}
+	if found := b.findLost(now.Add(lostUnbegun + time.Millisecond)); len(found) != 0 {
+		t.Errorf("%d of those who wait counted as lost", len(found))
+	}
+	for s := range waiting.t.running {
+		if s != waiting {
+			b.finish(s)
+		}
+	}
+	if found := b.findLost(now.Add(lostUnbegun + time.Millisecond)); len(found) != 1 {
+		t.Errorf("%d lost answers at a head with places", len(found))
+	}
+}
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -50,7 +50,7 @@
 		Membership: fleet.Membership{Group: "g", Generation: 1, State: fleet.Open, Model: "m"}}}, 1, now))
 	call := func(priority int) refusal {
 		one := &Call{Service: "s", Model: "m", Priority: priority, Route: &route}
-		_, _, why := s.board.choose(now, one, nil, s.room(one), func(error) {})
+		_, _, why := s.board.choose(now, one, nil, s.room(one), false, func(error) {})
 		return why
 	}
 	admittedLow := 0
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -288,7 +288,12 @@
 			return
 		case <-ticker.C:
 		}
-		found := s.board.findStalls(time.Now())
+		now := time.Now()
+		for _, lost := range s.board.findLost(now) {
+			s.metrics.Count("streams.lost", 1)
+			lost.cancel(errLostAnswer)
+		}
+		found := s.board.findStalls(now)
 		for _, f := range found {
 			s.metrics.Count("heads.stalled", 1)
 			s.log.Emit(event.HeadStalled).Str("group", f.group).Str("vm", f.vm).Uint64("generation", f.generation).
--- a/internal/gateway/stalls.go
+++ b/internal/gateway/stalls.go
@@ -42,11 +42,53 @@
 		s.begun = true
 		t.begun++
 	}
-	t.lastByte = now
+	t.lastByte, s.lastByte = now, now
 	t.suspected, t.echoed = time.Time{}, time.Time{}
 	t.failures, t.doubts = 0, 0
 }
 
+// findLost looks for single streams that are silent while their head goes on: their
+// answers were lost. The caller cancels them.
+func (b *board) findLost(now time.Time) []*send {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []*send
+	for _, t := range b.targets {
+		if t.group == "" || now.Before(t.suspected) {
+			continue
+		}
+		for s := range t.running {
+			if !s.last && now.Sub(s.lastByte) > b.lostAfter(s) {
+				s.last = true
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
+
+// lostAfter is the silence of a single stream that counts as a lost answer. Before its
+// first event it may wait for a place, so it counts only at a head with places.
+func (b *board) lostAfter(s *send) time.Duration {
+	if s.begun {
+		return lostBegun
+	}
+	if b.load(s.t) <= s.t.slots {
+		return lostUnbegun
+	}
+	return lostNever
+}
+
+const (
+	// lostBegun and lostUnbegun are well above the pauses and first events of whole
+	// answers (95 in 100 within 0.3 s and 0.5 s), and leave a caller that gives up
+	// after 2 s the time for another try.
+	lostBegun   = 900 * time.Millisecond
+	lostUnbegun = 1200 * time.Millisecond
+	// lostNever is longer than any request.
+	lostNever = time.Hour
+)
+
 // learnGap takes a pause between two events of any of the target's streams.
 func (t *target) learnGap(gap time.Duration) {
 	if gap < samePass {
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -22,6 +22,7 @@
 	{"attempts.repeated", "counter", "Sends after the first of a request; they draw on the budget for repeats."},
 	{"attempts.resumed", "counter", "Sends that went on with a stream within its answer."},
 	{"attempts.failed.CODE", "counter", "Sends without a whole answer, by what was wrong."},
+	{"streams.lost", "counter", "Streams that fell silent while their head went on; they went on elsewhere."},
 	{"heads.stalled", "counter", "Heads whose streams all fell silent at this node."},
 	{"groups.open.MODEL", "gauge", "Groups of the model that take requests."},
 	{"catalog.version", "gauge", "Version of the configuration in force."},
