A request that is given up before its answer began is taken back with a reset

Suspected: a link that was cut holds up a request that was written to it; its caller leaves, the node closes the connection in order, and the system still delivers what it holds when the link is back. Ruled out: net/http's own notice of callers that leave (it ends the send at once). Change: a connection with a request under way and no byte of its answer is closed with a reset; all others close in order as before.

--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -129,19 +129,44 @@
 	return &Sender{shared: base.Clone(), single: single, peerScheme: scheme}
 }
 
-// countingConn counts the bytes written.
+// countingConn counts the bytes written, and takes back a request that is given up
+// before any byte of its answer came.
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	// unanswered is true from a write until the next byte is read.
+	unanswered atomic.Bool
 }
 
 // Write implements net.Conn. Bytes count before they are handed over, since a
 // failed write may have sent a part.
 func (c *countingConn) Write(p []byte) (int, error) {
 	c.written.Add(int64(len(p)))
+	c.unanswered.Store(true)
 	return c.Conn.Write(p)
 }
 
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.unanswered.Store(false)
+	}
+	return n, err
+}
+
+// Close implements net.Conn. With a request under way it resets the connection:
+// after an orderly close the system would still deliver a request that a broken link
+// holds up, seconds after its caller left.
+func (c *countingConn) Close() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.unanswered.Load() {
+		if err := tcp.SetLinger(0); err != nil && !errors.Is(err, net.ErrClosed) {
+			return errors.CombineErrors(err, c.Conn.Close())
+		}
+	}
+	return c.Conn.Close()
+}
+
 // wireWatch sees whether any byte of one request reached a connection.
 type wireWatch struct {
 	conns []*countingConn
