Heads are filled by when they would answer first, not by counted requests

Change: internal/batch predicts a first event from the engine's published figures, the requests there, this node's unread prompts and the passes it saw; an offset learned as a quantile of what first events take beyond it. A request that is expected to be late is refused at once; one that is late in any case (its caller has less patience left than is usual on its route) is taken only where it keeps none from being in time. The time to come back grows with the share that is turned away.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -389,7 +389,8 @@
 // shownRivals is how many candidates a log line names.
 const shownRivals = 4
 
-// describe lists the candidates with the lowest scores.
+// describe lists the candidates with the lowest scores, and when each is expected to
+// answer first.
 func describe(rivals []rival) string {
 	sorted := append([]rival(nil), rivals...)
 	sort.Slice(sorted, func(i, k int) bool { return sorted[i].score < sorted[k].score })
@@ -398,7 +399,11 @@
 		if i == shownRivals {
 			break
 		}
-		_, _ = fmt.Fprintf(&b, "%s=%.2f ", r.name, r.score)
+		_, _ = fmt.Fprintf(&b, "%s=%.2f", r.name, r.score)
+		if r.first > 0 {
+			_, _ = fmt.Fprintf(&b, "(%dms)", r.first.Milliseconds())
+		}
+		b.WriteByte(' ')
 	}
 	if b.Len() == 0 {
 		return "none"
@@ -411,7 +416,7 @@
 		Str("service", j.c.Service).Str("model", j.c.Model).Int("send", j.sends).Str("vm", s.vm.ID).
 		Str("group", s.t.group).Uint64("generation", s.t.generation).Int64("left_ms", j.c.Deadline.Sub(now).Milliseconds()).
 		Uint64("catalog", j.c.CatalogVersion).Int64("catalog_age_ms", j.c.CatalogAge.Milliseconds()).
-		Str("candidates", describe(rivals))
+		Int64("waited_ms", j.c.Waited.Milliseconds()).Str("candidates", describe(rivals))
 	if j.out != nil && j.out.last != "" {
 		line = line.Str("after_event", j.out.last)
 	}
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -7,6 +7,7 @@
 	"time"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/batch"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/retry"
@@ -31,9 +32,12 @@
 	group      string
 	generation uint64
 	slots      int
-	pace       float64
+	// engine predicts a head's first events; unset for a plain upstream.
+	engine batch.Engine
 
 	own int
+	// unread is the prompt tokens of this node's requests without an event yet.
+	unread float64
 	// begun counts the streams that have had an event and go on.
 	begun     int
 	lastByte  time.Time
@@ -74,8 +78,14 @@
 	// cancel ends the send; called with errStalled when the target is silent.
 	cancel context.CancelCauseFunc
 	begun  bool
-	// lastByte is when the send began or last had an event.
+	// sentAt is when the send began, lastByte when it last had an event or began.
+	sentAt   time.Time
 	lastByte time.Time
+	// prompt is the prompt tokens that count as unread, predicted the time to the
+	// first event that was expected without the offset; zero when nothing is learned.
+	prompt    float64
+	predicted time.Duration
+	model     demandKey
 	// last is true when nothing may be sent after this one, so that it is waited for.
 	last bool
 }
@@ -108,6 +118,8 @@
 // board is what this node knows of where requests can go. mu guards all of it.
 type board struct {
 	mu sync.Mutex
+	// random spreads the choices; tests seed it.
+	random *rand.Rand
 	// sample is how many candidates a choice is made among, 0 for all.
 	sample  int
 	domain  string
@@ -117,6 +129,13 @@
 	budgets map[string]*retry.Budget
 	limit   retry.Limit
 
+	// offsets are what first events of each model take beyond their prediction,
+	// pressures how many of its requests are turned away.
+	offsets   map[demandKey]*batch.Offset
+	pressures map[demandKey]*batch.Pressure
+	// patience is how long each route's callers usually wait.
+	patience map[string]*patienceMeter
+
 	demand   map[demandKey]*demandMeter
 	demandAt time.Time
 	// measured counts the intervals since the first request.
@@ -139,12 +158,16 @@
 
 func newBoard(domain string, limit retry.Limit, dissolving func() []string, now time.Time) *board {
 	return &board{
+		random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		ownDissolving: dissolving,
 		dissolving:    make(map[string]bool),
 		domain:        domain,
 		pools:         make(map[string]*pool),
 		targets:       make(map[string]*target),
 		budgets:       make(map[string]*retry.Budget),
+		offsets:       make(map[demandKey]*batch.Offset),
+		pressures:     make(map[demandKey]*batch.Pressure),
+		patience:      make(map[string]*patienceMeter),
 		limit:         limit,
 		demand:        make(map[demandKey]*demandMeter),
 		demandAt:      now,
@@ -189,7 +212,7 @@
 // service, or the open head of a group whose members are all there.
 func candidate(service *catalog.Service, s *fleet.Snapshot, vm *fleet.VM) (*target, string, bool) {
 	if service.Engine == nil {
-		return &target{vm: vm, slots: max(vm.Slots, 1), pace: 1}, "", true
+		return &target{vm: vm, slots: max(vm.Slots, 1)}, "", true
 	}
 	if vm.Rank != 0 || vm.State != fleet.Open {
 		return nil, "", false
@@ -198,7 +221,21 @@
 	if !ok {
 		return nil, "", false
 	}
-	return &target{vm: vm, group: vm.Group, generation: vm.Generation, slots: max(service.Engine.Slots, 1), pace: model.Pace}, model.Name, true
+	return &target{vm: vm, group: vm.Group, generation: vm.Generation, slots: max(service.Engine.Slots, 1), engine: engineOf(service.Engine, model)}, model.Name, true
+}
+
+// engineOf is what is published of one model's engine.
+func engineOf(e *catalog.Engine, m catalog.Model) batch.Engine {
+	return batch.Engine{
+		Slots:         e.Slots,
+		Stride:        e.Stride,
+		StepTime:      e.StepTime,
+		PerSequence:   e.PerSequence,
+		ReadPerSecond: e.ReadPerSecond,
+		UsualPrompt:   e.UsualPrompt,
+		UsualAnswer:   e.UsualAnswer,
+		Pace:          m.Pace,
+	}
 }
 
 func (b *board) keep(next *target) *target {
@@ -207,7 +244,7 @@
 		next.running = make(map[*send]struct{})
 		return next
 	}
-	old.vm, old.slots, old.pace = next.vm, next.slots, next.pace
+	old.vm, old.slots, old.engine = next.vm, next.slots, next.engine
 	return old
 }
 
@@ -216,6 +253,8 @@
 	t     *target
 	name  string
 	score float64
+	// first is when a head is expected to answer first; zero when not known.
+	first time.Duration
 }
 
 const (
@@ -239,21 +278,28 @@
 	if p == nil {
 		return nil, nil, noUpstream
 	}
+	key := demandKey{c.Service, c.Model}
+	asked := b.request(now, c, len(tried) > 0)
 	var rivals []rival
 	for _, t := range p.of(c.Model) {
 		if tried[t.key()] {
 			continue
 		}
-		rivals = append(rivals, rival{t: t, name: t.name(), score: b.score(now, t)})
+		rivals = append(rivals, b.rate(now, t, asked.Prompt, b.offset(key).Value()))
 	}
 	best := -1
+	predictedLate := false
 	full := len(rivals) > 0
 	seen := 0
-	for _, i := range rand.Perm(len(rivals)) {
+	for _, i := range b.random.Perm(len(rivals)) {
 		r := rivals[i]
 		if float64(b.load(r.t)) >= float64(r.t.slots)+room || (r.t.doubts > 0 && r.t.own > 0) {
 			continue
 		}
+		if !r.t.engine.Admit(b.work(now, r.t), asked, b.offset(key).Value()) {
+			predictedLate = true
+			continue
+		}
 		full = false
 		if best < 0 || r.score < rivals[best].score {
 			best = i
@@ -265,6 +311,10 @@
 			break
 		}
 	}
+	b.pressure(key).Note(full)
+	if predictedLate && full {
+		b.offset(key).Ease()
+	}
 	if full {
 		return nil, rivals, allFull
 	}
@@ -275,14 +325,32 @@
 	if t.own == 0 {
 		t.lastByte = now
 	}
+	s := &send{t: t, vm: t.vm, cancel: cancel, sentAt: now, lastByte: now, last: last}
+	if t.engine.Known() {
+		s.prompt, s.model = asked.Prompt, key
+		s.predicted = rivals[best].first - b.offset(key).Value()
+		t.unread += s.prompt
+	}
 	t.own++
-	s := &send{t: t, vm: t.vm, cancel: cancel, lastByte: now, last: last}
 	t.running[s] = struct{}{}
 	return s, rivals, admitted
 }
 
-func (b *board) score(now time.Time, t *target) float64 {
-	score := float64(b.load(t)+1) / float64(t.slots)
+// rate ranks a target: by its load beside its slots or, where that is known, by the
+// predicted first event in passes of a full batch; and by what speaks against it.
+func (b *board) rate(now time.Time, t *target, prompt float64, offset time.Duration) rival {
+	r := rival{t: t, name: t.name(), score: float64(b.load(t)+1) / float64(t.slots)}
+	if t.engine.Known() {
+		first := t.engine.First(b.work(now, t), prompt)
+		r.first = first + offset
+		r.score = float64(first) / float64(t.engine.Decode(t.slots))
+	}
+	r.score = b.adjust(now, t, r.score)
+	return r
+}
+
+// adjust adds to a score what speaks against its target, and spreads it.
+func (b *board) adjust(now time.Time, t *target, score float64) float64 {
 	if t.group == "" {
 		score *= max(t.took.Seconds(), leastTook)
 	}
@@ -295,7 +363,7 @@
 	if now.Before(t.suspected) || now.Before(t.ejectedUntil) || b.dissolving[t.group] {
 		score += suspectPenalty
 	}
-	return score + scoreNoise*rand.Float64()
+	return score + scoreNoise*b.random.Float64()
 }
 
 const (
@@ -318,6 +386,8 @@
 	s.t.own--
 	if s.begun {
 		s.t.begun--
+	} else {
+		s.t.unread -= s.prompt
 	}
 	delete(s.t.running, s)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -50,6 +50,8 @@
 	Team     string
 	Priority int
 	Service  string
+	// Waited is how long the caller has probably waited on earlier tries.
+	Waited time.Duration
 	// CatalogVersion and CatalogAge say by which configuration the call is
 	// handled and how long ago that was last known to be the newest.
 	CatalogVersion uint64
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -151,6 +151,7 @@
 // run sends the call on until the caller has its answer or nothing more may be tried.
 func (s *Server) run(w http.ResponseWriter, r *http.Request, c *Call) (*job, *verdict.Error) {
 	s.board.count(c.Arrived, c)
+	c.Waited = s.board.waited(c)
 	ctx, span := s.parts.Tracer.Start(s.parts.Tracer.Extract(r.Context(), r.Header), "request", trace.SpanKindServer,
 		attribute.String("request", c.ID), attribute.String("route", c.Route.Name))
 	defer span.End()
@@ -195,7 +196,7 @@
 	line := s.log.Emit(kind).Str("request", c.ID).Str("route", name).Str("team", c.Team).Str("service", c.Service).Str("model", c.Model).
 		Int("status", fault.Status).Str("code", fault.Code).Stringer("verdict", fault.Verdict).Str("detail", fault.Detail).
 		Dur("retry_after_ms", fault.RetryAfter).Dur("took_ms", took).
-		Uint64("catalog", c.CatalogVersion).Int64("catalog_age_ms", c.CatalogAge.Milliseconds()).AnErr("cause", fault.Cause)
+		Int64("waited_ms", c.Waited.Milliseconds()).Uint64("catalog", c.CatalogVersion).Int64("catalog_age_ms", c.CatalogAge.Milliseconds()).AnErr("cause", fault.Cause)
 	if j != nil {
 		line = line.Int("sends", j.sends).Int("may_have_run", j.ran)
 	}
--- /dev/null
+++ b/internal/gateway/predict.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/batch"
+	"github.com/marbleroad/marbleroad/internal/catalog"
+)
+
+// passSeenFor is how long the passes that this node saw at a head say something of
+// the next one: some passes.
+const passSeenFor = time.Second
+
+// work is what this node knows of a head's load: the requests of all nodes, the
+// prompts of its own, and the passes that it saw, in which other nodes' prompts show.
+func (b *board) work(now time.Time, t *target) batch.Work {
+	w := batch.Work{InFlight: b.load(t), Unread: t.unread}
+	if t.begun > 0 && now.Sub(t.lastByte) < passSeenFor {
+		w.Pass = t.gap
+	}
+	return w
+}
+
+// request is what is known of a call when it is placed. A call that was sent before
+// has no objective any more: it is not given up for lack of room.
+func (b *board) request(now time.Time, c *Call, again bool) batch.Request {
+	r := batch.Request{Prompt: b.promptOf(c)}
+	if c.Route == nil || again || c.LastEvent != "" {
+		return r
+	}
+	r.Objective = c.Route.Objective
+	r.Spent = now.Sub(c.Arrived) + c.Waited
+	r.Kept = reserve(b.pools[c.Service].service, c)
+	return r
+}
+
+// reserve is the part of an upstream's slots, and of the objective, that is kept for
+// more urgent requests than the call.
+func reserve(service *catalog.Service, c *Call) float64 {
+	ranks := max(c.Priority-service.TopPriority, 0)
+	return min(rankReserve*float64(ranks), mostReserve)
+}
+
+// promptOf is the prompt tokens of a call, the usual ones when it does not say.
+func (b *board) promptOf(c *Call) float64 {
+	if c.PromptTokens > 0 {
+		return float64(c.PromptTokens)
+	}
+	if p := b.pools[c.Service]; p != nil && p.service.Engine != nil {
+		return p.service.Engine.UsualPrompt
+	}
+	return 0
+}
+
+// learnFirst corrects the model's offset by a send's first event.
+func (b *board) learnFirst(now time.Time, s *send) {
+	if s.predicted > 0 {
+		b.offset(s.model).Learn(now.Sub(s.sentAt), s.predicted)
+	}
+}
+
+func (b *board) offset(key demandKey) *batch.Offset {
+	if b.offsets[key] == nil {
+		b.offsets[key] = &batch.Offset{}
+	}
+	return b.offsets[key]
+}
+
+func (b *board) pressure(key demandKey) *batch.Pressure {
+	if b.pressures[key] == nil {
+		b.pressures[key] = &batch.Pressure{}
+	}
+	return b.pressures[key]
+}
+
+// refusedShare is the share of a call's kind that is turned away lately.
+func (b *board) refusedShare(c *Call) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pressure(demandKey{c.Service, c.Model}).Refused()
+}
+
+// jitter is a random part of a time, so that callers don't return at once.
+func (b *board) jitter(most time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Duration(b.random.Int64N(int64(most)))
+}
+
+// waited is how long the caller has probably waited on earlier tries.
+func (b *board) waited(c *Call) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.patience[c.Route.Name]
+	if m == nil {
+		m = &patienceMeter{}
+		b.patience[c.Route.Name] = m
+	}
+	spent := m.spent(c.Patience)
+	m.note(c.Patience)
+	return spent
+}
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -49,7 +49,7 @@
 	s.board.rebuild(c, fleet.NewSnapshot(map[string]*fleet.VM{"head": {ID: "head", Service: "s", FailureDomain: "a",
 		Membership: fleet.Membership{Group: "g", Generation: 1, State: fleet.Open, Model: "m"}}}, 1, now))
 	call := func(priority int) refusal {
-		one := &Call{Service: "s", Model: "m", Priority: priority, Route: &route}
+		one := &Call{Service: "s", Model: "m", Priority: priority, Route: &route, Arrived: now}
 		_, _, why := s.board.choose(now, one, nil, s.room(one), false, func(error) {})
 		return why
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -150,15 +149,7 @@
 		return errors.Wrap(err, "listen for the balancer")
 	}
 	faults := log.New(faultWriter{s.log}, "", 0)
-	s.callers = &http.Server{
-		Handler:           s.Handler(),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          faults,
-		ConnContext:       withConn,
-		ConnState:         connState,
-	}
+	s.callers = s.newCallerServer(faults)
 	s.ready = &http.Server{
 		Handler:           http.HandlerFunc(s.answerReady),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -172,6 +163,19 @@
 	return nil
 }
 
+// newCallerServer serves callers on connections of a limitedListener.
+func (s *Server) newCallerServer(faults *log.Logger) *http.Server {
+	return &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          faults,
+		ConnContext:       withConn,
+		ConnState:         connState,
+	}
+}
+
 func (s *Server) serve(server *http.Server, l net.Listener) {
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		s.log.Emit(event.ServiceFailed).Str("service", ServerName).Err(err).Send()
@@ -331,10 +335,9 @@
 	if service == nil {
 		return 0
 	}
-	ranks := max(c.Priority-service.TopPriority, 0)
-	reserve := min(rankReserve*float64(ranks), mostReserve)
+	kept := reserve(service, c)
 	if service.Engine == nil {
-		return plainRoomSlots * (1 - reserve)
+		return plainRoomSlots * (1 - kept)
 	}
 	e := service.Engine
 	pace := 1.0
@@ -346,7 +349,7 @@
 	if perPlace <= 0 {
 		return 0
 	}
-	return waitShare*c.Route.Objective.Seconds()/perPlace - reserve*float64(e.Slots)
+	return waitShare*c.Route.Objective.Seconds()/perPlace - kept*float64(e.Slots)
 }
 
 // plainRoomSlots is the load beyond its slots that a plain upstream takes.
@@ -365,19 +368,28 @@
 )
 
 // comeBack is the time to come back for a refused call, spread so that refused
-// callers don't return at once.
+// callers don't return at once. The more are turned away, the later: a caller that
+// comes back into the same crowd is turned away again, and takes the place of another
+// if it is not.
 func (s *Server) comeBack(c *Call, why refusal) time.Duration {
 	base := fullBack
 	if why == noUpstream {
 		base = noUpstreamBack
 	}
-	base += rand.N(base)
-	if c != nil && c.Patience > 0 {
-		base = min(base, c.Patience/backShare)
+	if c == nil || c.Patience <= 0 {
+		return base + s.board.jitter(base)
 	}
-	return base
+	most := c.Patience / backShare
+	if why == allFull {
+		base += time.Duration(min(crowdFactor*s.board.refusedShare(c), 1) * float64(most) / 2)
+	}
+	return min(base+s.board.jitter(base), most)
 }
 
+// crowdFactor times the share of requests that are turned away is how much of the
+// longest time to come back is used: with half of them turned away, all of it.
+const crowdFactor = 2
+
 // notReady is the answer before the first configuration is known.
 func (s *Server) notReady() *verdict.Error {
 	return &verdict.Error{
--- a/internal/gateway/stalls.go
+++ b/internal/gateway/stalls.go
@@ -41,6 +41,8 @@
 	} else {
 		s.begun = true
 		t.begun++
+		t.unread -= s.prompt
+		b.learnFirst(now, s)
 	}
 	t.lastByte, s.lastByte = now, now
 	t.suspected, t.echoed = time.Time{}, time.Time{}
