A caller's closed connection is seen before its request is sent on

Change: before each send the connection is looked at for a close, beside net/http's reader. Test: TestCallersThatLeftWhileTheNodeWasHeldBack has 40 requests and their closes wait in the system's queue: 1 or 2 of them reached upstreams without the look, in three of three runs.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,6 +43,8 @@
 	codeOverload   = "overload"
 	codeTimeout    = "timeout"
 	codeAborted    = "aborted"
+	// codeCallerLeft ends a call whose caller closed its connection.
+	codeCallerLeft = "caller-left"
 	// codeUpstreamFailed is an upstream's own failure after it ran the request.
 	codeUpstreamFailed = "upstream-failed"
 )
@@ -51,6 +53,7 @@
 type job struct {
 	s *Server
 	c *Call
+	r *http.Request
 	w http.ResponseWriter
 	// out is the caller's side of a stream; nil for plain calls.
 	out *streamOut
@@ -89,6 +92,9 @@
 // A nil result means that the caller has its answer.
 func (j *job) run(ctx context.Context) *verdict.Error {
 	for {
+		if closedByCaller(j.r) {
+			return j.final(callerGone())
+		}
 		fault := j.try(ctx)
 		if fault == nil {
 			return nil
@@ -119,6 +125,12 @@
 	return nil
 }
 
+// callerGone is the failure of a call that nobody waits for any more.
+func callerGone() *verdict.Error {
+	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: codeCallerLeft,
+		Detail: "the caller closed its connection"}
+}
+
 // timeout is the failure of a call whose time is up or whose caller left.
 func (j *job) timeout(ctx context.Context) *verdict.Error {
 	v := verdict.NotRun
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -5,8 +5,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/marbleroad/marbleroad/internal/catalog"
 )
 
@@ -114,6 +117,35 @@
 	return 0
 }
 
+// closedByCaller reports whether the caller has closed its side, as far as the system
+// knows. net/http notices that too, but only when its reader gets the processor: a
+// node that is behind reads requests whose callers have long left. The reader may be
+// waiting meanwhile, so the connection is looked at beside it.
+func (c *limitedConn) closedByCaller() bool {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		// The connection is closed on this side.
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var next [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = (err == nil && n == 0) || errors.Is(err, syscall.ECONNRESET)
+	})
+	return closed || err != nil
+}
+
+// closedByCaller reports whether the caller of a request has closed its connection.
+func closedByCaller(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*limitedConn)
+	return ok && c.closedByCaller()
+}
+
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -159,7 +159,7 @@
 	defer cancel()
 	stop := context.AfterFunc(s.hard, cancel)
 	defer stop()
-	j := &job{s: s, c: c, w: w, tried: make(map[string]bool)}
+	j := &job{s: s, c: c, r: r, w: w, tried: make(map[string]bool)}
 	if c.Route.Kind == catalog.Stream {
 		j.out = &streamOut{w: w, flush: http.NewResponseController(w), last: c.LastEvent}
 	}
@@ -169,6 +169,9 @@
 // callerLeft reports whether nobody waits for the answer any more. net/http ends
 // the request's context also when the time for its body is up.
 func callerLeft(r *http.Request, fault *verdict.Error) bool {
+	if fault.Code == codeCallerLeft {
+		return true
+	}
 	return errors.Is(r.Context().Err(), context.Canceled) && fault.Code != codeSlowBody
 }
 
