Another failure domain's heads are half a pass farther; full heads beside suspected ones are overload

Change: for heads the cost of another failure domain is half a pass of a full batch; a refusal is overload while a sound head is full. The choice is split into small functions. Test: TestFullHeadsBesideASuspectedOneAreOverload.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -257,10 +257,17 @@
 	first time.Duration
 }
 
+// sound reports whether nothing speaks against the candidate but its load.
+func (r rival) sound() bool { return r.score < suspectPenalty }
+
 const (
 	// foreignPenalty is what another failure domain adds to the score, in parts
 	// of a full batch: its bytes are priced, but little.
 	foreignPenalty = 0.1
+	// foreignPasses is what it adds to the predicted first event, in passes of a full
+	// batch: links between failure domains are narrow, and half a pass sooner is
+	// seldom what makes an answer be in time.
+	foreignPasses = 0.5
 	// scoreNoise spreads choices of several nodes that see the same figures,
 	// which are up to one exchange old.
 	scoreNoise = 0.08
@@ -268,9 +275,8 @@
 	suspectPenalty = 100
 )
 
-// choose picks the target with the lowest score: its load beside its slots,
-// scaled by how slow it is. room says how much load beyond the slots may be
-// taken; last says that nothing may be sent after this.
+// choose picks the target with the lowest score. room says how much load beyond the
+// slots may be taken; last says that nothing may be sent after this.
 func (b *board) choose(now time.Time, c *Call, tried map[string]bool, room float64, last bool, cancel context.CancelCauseFunc) (*send, []rival, refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -282,58 +288,93 @@
 	asked := b.request(now, c, len(tried) > 0)
 	var rivals []rival
 	for _, t := range p.of(c.Model) {
-		if tried[t.key()] {
-			continue
+		if !tried[t.key()] {
+			rivals = append(rivals, b.rate(now, t, asked.Prompt, b.offset(key).Value()))
 		}
-		rivals = append(rivals, b.rate(now, t, asked.Prompt, b.offset(key).Value()))
 	}
-	best := -1
-	predictedLate := false
-	full := len(rivals) > 0
+	found := b.pick(now, rivals, asked, room, b.offset(key).Value())
+	why := found.refusal(rivals, p.service.Engine != nil)
+	b.pressure(key).Note(why == allFull)
+	if found.predictedLate && why == allFull {
+		b.offset(key).Ease()
+	}
+	if why != admitted {
+		return nil, rivals, why
+	}
+	r := rivals[found.best]
+	s := &send{t: r.t, vm: r.t.vm, cancel: cancel, sentAt: now, lastByte: now, last: last}
+	if r.t.engine.Known() {
+		s.prompt, s.model = asked.Prompt, key
+		s.predicted = r.first - b.offset(key).Value()
+	}
+	b.begin(now, s)
+	return s, rivals, admitted
+}
+
+// begin counts a send at its target.
+func (b *board) begin(now time.Time, s *send) {
+	t := s.t
+	if t.own == 0 {
+		t.lastByte = now
+	}
+	t.own++
+	t.unread += s.prompt
+	t.running[s] = struct{}{}
+}
+
+// picked is what was found among the candidates.
+type picked struct {
+	// best is the index of the best one that takes the request; -1 for none.
+	best int
+	// full is true when a sound candidate has too much to do, predictedLate when
+	// that is by the prediction.
+	full          bool
+	predictedLate bool
+}
+
+// pick finds the candidate with the lowest score among those that take the request.
+// With many nodes the first few that do are enough.
+func (b *board) pick(now time.Time, rivals []rival, asked batch.Request, room float64, offset time.Duration) picked {
+	out := picked{best: -1}
 	seen := 0
 	for _, i := range b.random.Perm(len(rivals)) {
 		r := rivals[i]
-		if float64(b.load(r.t)) >= float64(r.t.slots)+room || (r.t.doubts > 0 && r.t.own > 0) {
+		if r.t.doubts > 0 && r.t.own > 0 {
 			continue
 		}
-		if !r.t.engine.Admit(b.work(now, r.t), asked, b.offset(key).Value()) {
-			predictedLate = true
+		if float64(b.load(r.t)) >= float64(r.t.slots)+room {
+			out.full = out.full || r.sound()
 			continue
 		}
-		full = false
-		if best < 0 || r.score < rivals[best].score {
-			best = i
+		if !r.t.engine.Admit(b.work(now, r.t), asked, offset) {
+			out.full = out.full || r.sound()
+			out.predictedLate = true
+			continue
 		}
-		if r.score < suspectPenalty {
+		if out.best < 0 || r.score < rivals[out.best].score {
+			out.best = i
+		}
+		if r.sound() {
 			seen++
 		}
 		if b.sample > 0 && seen >= b.sample {
 			break
 		}
 	}
-	b.pressure(key).Note(full)
-	if predictedLate && full {
-		b.offset(key).Ease()
-	}
-	if full {
-		return nil, rivals, allFull
-	}
-	if best < 0 || (rivals[best].score >= suspectPenalty && p.service.Engine != nil) {
-		return nil, rivals, noUpstream
-	}
-	t := rivals[best].t
-	if t.own == 0 {
-		t.lastByte = now
-	}
-	s := &send{t: t, vm: t.vm, cancel: cancel, sentAt: now, lastByte: now, last: last}
-	if t.engine.Known() {
-		s.prompt, s.model = asked.Prompt, key
-		s.predicted = rivals[best].first - b.offset(key).Value()
-		t.unread += s.prompt
+	return out
+}
+
+// refusal says why nothing was chosen, if so. A suspected head is no choice: while
+// sound ones are full the load is the reason, and else that nothing serves.
+func (p picked) refusal(rivals []rival, heads bool) refusal {
+	usable := p.best >= 0 && (rivals[p.best].sound() || !heads)
+	switch {
+	case usable:
+		return admitted
+	case p.full:
+		return allFull
 	}
-	t.own++
-	t.running[s] = struct{}{}
-	return s, rivals, admitted
+	return noUpstream
 }
 
 // rate ranks a target: by its load beside its slots or, where that is known, by the
@@ -354,7 +395,11 @@
 	if t.group == "" {
 		score *= max(t.took.Seconds(), leastTook)
 	}
-	if t.vm.FailureDomain != b.domain {
+	switch {
+	case t.vm.FailureDomain == b.domain:
+	case t.engine.Known():
+		score += foreignPasses
+	default:
 		score += foreignPenalty
 	}
 	if b.cutOff(now, t.vm.FailureDomain) {
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -162,3 +162,34 @@
 		t.Errorf("%d lost answers at a head with places", len(found))
 	}
 }
+
+// TestFullHeadsBesideASuspectedOneAreOverload: while a sound head is full, callers are
+// told that there is too much to do, not that nothing serves.
+func TestFullHeadsBesideASuspectedOneAreOverload(t *testing.T) {
+	now := time.Now()
+	b, c := testBoard(t, now, noneDissolving)
+	for range 8 {
+		if sendTo(b, now, c, "a") == nil {
+			t.Fatal("a head with free slots took no request")
+		}
+	}
+	b.mu.Lock()
+	b.pools["llm"].heads["m"][0].suspected = now.Add(time.Second)
+	b.pools["llm"].heads["m"][1].suspected = now.Add(time.Second)
+	b.mu.Unlock()
+	if _, _, why := b.choose(now, c, nil, 0, false, func(error) {}); why != noUpstream {
+		t.Errorf("with suspected heads only: %v", why)
+	}
+	b.mu.Lock()
+	for _, head := range b.pools["llm"].heads["m"] {
+		if head.vm.ID == "a" {
+			head.suspected = time.Time{}
+		}
+	}
+	b.mu.Unlock()
+	for range 8 {
+		if _, _, why := b.choose(now, c, nil, 0, false, func(error) {}); why != allFull {
+			t.Errorf("a full head beside a suspected one: %v, not overload", why)
+		}
+	}
+}
--- a/internal/gateway/predict.go
+++ b/internal/gateway/predict.go
@@ -15,12 +15,17 @@
 // prompts of its own, and the passes that it saw, in which other nodes' prompts show.
 func (b *board) work(now time.Time, t *target) batch.Work {
 	w := batch.Work{InFlight: b.load(t), Unread: t.unread}
-	if t.begun > 0 && now.Sub(t.lastByte) < passSeenFor {
+	if t.passSeen(now) {
 		w.Pass = t.gap
 	}
 	return w
 }
 
+// passSeen reports whether this node lately saw a pass of the head.
+func (t *target) passSeen(now time.Time) bool {
+	return t.begun > 0 && now.Sub(t.lastByte) < passSeenFor
+}
+
 // request is what is known of a call when it is placed. A call that was sent before
 // has no objective any more: it is not given up for lack of room.
 func (b *board) request(now time.Time, c *Call, again bool) batch.Request {
