--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -173,19 +173,25 @@
 	return connect.NewResponse(&marbleroadv1.ShareStateResponse{}), nil
 }
 
-// pair is a leader that reads its own list, and a follower. silent has the leader's
-// server not answer.
-func pair(t *testing.T) (leader, follower *node, silent *atomic.Bool) {
+// silence has the leader's server not answer, and counts the questions that it holds.
+type silence struct {
+	on   atomic.Bool
+	held atomic.Int64
+}
+
+// pair is a leader that reads its own list, and a follower.
+func pair(t *testing.T) (leader, follower *node, silent *silence) {
 	t.Helper()
 	s := &store{vms: make(map[string]fleet.VM), version: 1}
 	leader = start(t, s, func(l *list) (fleet.Source, func(func() uint64) catalog.Source) {
 		return l, func(func() uint64) catalog.Source { return versions{l} }
 	})
-	silent = new(atomic.Bool)
+	silent = new(silence)
 	answers := http.NewServeMux()
 	answers.Handle(marbleroadv1connect.NewClusterServiceHandler(handler{&Server{Directory: leader.directory, Keeper: leader.keeper}}))
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if silent.Load() {
+		if silent.on.Load() {
+			silent.held.Add(1)
 			_, _ = io.Copy(io.Discard, r.Body) // else the server never notices that the caller gave up
 			<-r.Context().Done()
 			return
@@ -266,7 +272,10 @@
 // TestSilentLeader: the follower reads for itself.
 func TestSilentLeader(t *testing.T) {
 	_, follower, silent := pair(t)
-	silent.Store(true)
+	silent.on.Store(true)
+	// The questions that were under way are answered first; news that came with those
+	// would be no reading of the follower's own.
+	waitFor(t, "both questions to be held", func() bool { return silent.held.Load() >= 2 })
 	follower.platform.put(fleet.VM{ID: "own"})
 	follower.platform.set(3)
 	waitFor(t, "its own reading", func() bool { return follower.lists("own") && follower.keeper.Version() == 3 })
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,6 +87,8 @@
 	prompt    float64
 	predicted time.Duration
 	model     demandKey
+	// objective and pauseObjective are the call's, to the first event and between two.
+	objective, pauseObjective time.Duration
 	// last is true when nothing may be sent after this one, so that it is waited for.
 	last bool
 }
@@ -303,6 +306,7 @@
 	}
 	r := rivals[found.best]
 	s := &send{t: r.t, vm: r.t.vm, cancel: cancel, sentAt: now, lastByte: now, last: last}
+	s.objective, s.pauseObjective = objectives(c)
 	if r.t.engine.Known() {
 		s.prompt, s.model = asked.Prompt, key
 		s.predicted = r.first - b.offset(key).Value()
@@ -337,12 +341,12 @@
 func (b *board) pick(now time.Time, rivals []rival, asked batch.Request, room float64, offset time.Duration) picked {
 	out := picked{best: -1}
 	seen := 0
-	for _, i := range b.random.Perm(len(rivals)) {
+	for _, i := range b.order(rivals) {
 		r := rivals[i]
 		if r.t.doubts > 0 && r.t.own > 0 {
 			continue
 		}
-		if float64(b.load(r.t)) >= float64(r.t.slots)+room {
+		if float64(b.load(r.t)) >= float64(r.t.slots)+r.t.roomFor(asked, room) {
 			out.full = out.full || r.sound()
 			continue
 		}
@@ -364,6 +368,25 @@
 	return out
 }
 
+// order is the order in which candidates are looked at: a random one, and when only a
+// few are looked at, some of this failure domain first and then one of another.
+func (b *board) order(rivals []rival) []int {
+	all := b.random.Perm(len(rivals))
+	if b.sample == 0 {
+		return all
+	}
+	var near, far []int
+	for _, i := range all {
+		if rivals[i].t.vm.FailureDomain == b.domain {
+			near = append(near, i)
+		} else {
+			far = append(far, i)
+		}
+	}
+	n, f := min(len(near), b.sample-1), min(len(far), 1)
+	return slices.Concat(near[:n], far[:f], near[n:], far[f:])
+}
+
 // refusal says why nothing was chosen, if so. A suspected head is no choice: while
 // sound ones are full the load is the reason, and else that nothing serves.
 func (p picked) refusal(rivals []rival, heads bool) refusal {
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -150,7 +152,7 @@
 			waiting = s
 		}
 	}
-	if found := b.findLost(now.Add(lostUnbegun + time.Millisecond)); len(found) != 0 {
+	if found := b.findLost(now.Add(lostFactor*usualObjective + time.Millisecond)); len(found) != 0 {
 		t.Errorf("%d of those who wait counted as lost", len(found))
 	}
 	for s := range waiting.t.running {
@@ -158,7 +160,7 @@
 			b.finish(s)
 		}
 	}
-	if found := b.findLost(now.Add(lostUnbegun + time.Millisecond)); len(found) != 1 {
+	if found := b.findLost(now.Add(lostFactor*usualObjective + time.Millisecond)); len(found) != 1 {
 		t.Errorf("%d lost answers at a head with places", len(found))
 	}
 }
@@ -193,3 +195,44 @@
 		}
 	}
 }
+
+// TestSampledHeadsAreMostlyNear: with many nodes, requests stay in their failure domain
+// while its heads are no worse, and leave it when they are full.
+func TestSampledHeadsAreMostlyNear(t *testing.T) {
+	const heads, requests = 12, 400
+	now := time.Now()
+	b := newBoard("x", retry.Limit{Window: time.Second}, noneDissolving, now)
+	c, err := catalog.New(catalog.Content{Version: 1, Services: []catalog.Service{{Name: "s", Engine: crowdEngine()}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	vms := make(map[string]*fleet.VM)
+	for i := range heads {
+		id := fmt.Sprint(i)
+		vms[id] = &fleet.VM{ID: id, Service: "s", FailureDomain: []string{"x", "y", "z"}[i%3],
+			Membership: fleet.Membership{Group: "g" + id, Generation: 1, State: fleet.Open, Model: "m"}}
+	}
+	b.rebuild(c, fleet.NewSnapshot(vms, 1, now))
+	b.random = rand.New(rand.NewPCG(1, 2))
+	b.sample = sampleSize
+	call := &Call{Service: "s", Model: "m", PromptTokens: 1000}
+	near := 0
+	for range requests {
+		s, _, why := b.choose(now, call, nil, 0, false, func(error) {})
+		if why != admitted {
+			t.Fatal("idle heads refused a request")
+		}
+		if s.vm.FailureDomain == "x" {
+			near++
+		}
+		b.finish(s)
+	}
+	if near < requests*95/100 {
+		t.Errorf("%d of %d requests stayed in their failure domain", near, requests)
+	}
+	for i := range (heads - 2) * crowdSlots {
+		if _, _, why := b.choose(now, call, nil, 0, false, func(error) {}); why != admitted {
+			t.Fatalf("request %d was refused while other failure domains had room", i)
+		}
+	}
+}
--- a/internal/gateway/predict.go
+++ b/internal/gateway/predict.go
@@ -39,6 +39,17 @@
 	return r
 }
 
+// roomFor is how far beyond its slots a target may be loaded with a request. A plain
+// upstream that is known takes as many as it answers within a part of the objective, so
+// a slow one that is healthy gets less; given is the room of all others.
+func (t *target) roomFor(asked batch.Request, given float64) float64 {
+	if t.group != "" || asked.Objective <= 0 || t.took <= 0 {
+		return given
+	}
+	took := max(t.took.Seconds(), leastTook)
+	return float64(t.slots) * waitShare * (1 - asked.Kept) * asked.Objective.Seconds() / took
+}
+
 // reserve is the part of an upstream's slots, and of the objective, that is kept for
 // more urgent requests than the call.
 func reserve(service *catalog.Service, c *Call) float64 {
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/marbleroad/marbleroad/internal/batch"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
@@ -67,3 +68,22 @@
 		t.Errorf("only %d of 20 slots for the less urgent", admittedLow)
 	}
 }
+
+// TestSlowPlainUpstreamTakesLess: of two plain upstreams that are both healthy, the one
+// that takes five times as long is full five times as soon.
+func TestSlowPlainUpstreamTakesLess(t *testing.T) {
+	asked := batch.Request{Objective: 100 * time.Millisecond}
+	vm := &fleet.VM{}
+	quick := &target{vm: vm, slots: 6, took: 25 * time.Millisecond}
+	slow := &target{vm: vm, slots: 6, took: 125 * time.Millisecond}
+	if a, b := quick.roomFor(asked, 0), slow.roomFor(asked, 0); a < 4.9*b || a > 5.1*b || b <= 0 {
+		t.Errorf("room for %.1f and %.1f", a, b)
+	}
+	if got := (&target{vm: vm, slots: 6}).roomFor(asked, 12); got != 12 {
+		t.Errorf("room for %.1f while nothing is known", got)
+	}
+	asked.Kept = 0.5
+	if a := quick.roomFor(asked, 0); a < 7.1 || a > 7.3 {
+		t.Errorf("room for %.2f for a less urgent request, expected half of 14.4", a)
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -352,18 +352,19 @@
 	return waitShare*c.Route.Objective.Seconds()/perPlace - kept*float64(e.Slots)
 }
 
-// plainRoomSlots is the load beyond its slots that a plain upstream takes.
+// plainRoomSlots is the load beyond its slots that a plain upstream takes while it is
+// not known how long it takes to answer.
 const plainRoomSlots = 12
 
 const (
-	// noUpstreamBack is when to come back while nothing serves: about the time
-	// in which a group of staged VMs is formed.
+	// noUpstreamBack is when to come back while nothing serves, at the earliest: a
+	// group whose VMs have copies joins in one to two seconds.
 	noUpstreamBack = 900 * time.Millisecond
 	// fullBack is when to come back to full upstreams at the earliest; places
 	// are freed all the time, so a part of a request's time is enough.
 	fullBack = 150 * time.Millisecond
-	// backShare is the part of the caller's patience that a time to come back
-	// takes at most; callers follow it up to a third.
+	// backShare is the part of the caller's patience that a time to come back takes
+	// at most: three quarters are left for the tries that follow.
 	backShare = 4
 )
 
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -112,7 +112,8 @@
 	// candidates: what is known of the others' loads is then seconds old, and all
 	// nodes would send to the same head.
 	sampleNodes = 14
-	// sampleSize is how many; two already avoid most of the crowding (power of two
-	// choices).
-	sampleSize = 2
+	// sampleSize is how many, all but one of them of this failure domain while it has
+	// so many; two already avoid most of the crowding (power of two choices), and the
+	// third takes what a failure domain with few heads can't.
+	sampleSize = 3
 )
--- a/internal/gateway/stalls.go
+++ b/internal/gateway/stalls.go
@@ -18,9 +18,10 @@
 	// engine; only longer ones say how long a pass takes.
 	samePass  = 8 * time.Millisecond
 	stallMost = 900 * time.Millisecond
-	// firstStall is the silence that counts as a stall while none of the
-	// head's streams has begun; the first event usually takes 190 ms.
-	firstStall = 900 * time.Millisecond
+	// firstStall is the silence that counts as a stall while none of the head's
+	// streams has begun: a first event waits for a pass or two and for its prompt, so
+	// it may take as long as the longest silence between two events.
+	firstStall = stallMost
 	// echoStall is the silence that counts as a stall once another node has
 	// found the head silent.
 	echoStall = 250 * time.Millisecond
@@ -73,24 +74,38 @@
 // first event it may wait for a place, so it counts only at a head with places.
 func (b *board) lostAfter(s *send) time.Duration {
 	if s.begun {
-		return lostBegun
+		return lostFactor * s.pauseObjective
 	}
 	if b.load(s.t) <= s.t.slots {
-		return lostUnbegun
+		return lostFactor * s.objective
 	}
 	return lostNever
 }
 
 const (
-	// lostBegun and lostUnbegun are well above the pauses and first events of whole
-	// answers (95 in 100 within 0.3 s and 0.5 s), and leave a caller that gives up
-	// after 2 s the time for another try.
-	lostBegun   = 900 * time.Millisecond
-	lostUnbegun = 1200 * time.Millisecond
+	// lostFactor times its objective is the silence after which an answer counts as
+	// lost while its head goes on with others: it is late by far whatever happens, and
+	// its caller may soon give up.
+	lostFactor = 3
+	// usualObjective and usualPause stand for objectives that a route does not set.
+	usualObjective = 400 * time.Millisecond
+	usualPause     = 300 * time.Millisecond
 	// lostNever is longer than any request.
 	lostNever = time.Hour
 )
 
+// objectives are a call's, or the usual ones where its route sets none.
+func objectives(c *Call) (first, pause time.Duration) {
+	first, pause = usualObjective, usualPause
+	if c.Route != nil && c.Route.Objective > 0 {
+		first = c.Route.Objective
+	}
+	if c.Route != nil && c.Route.PauseObjective > 0 {
+		pause = c.Route.PauseObjective
+	}
+	return first, pause
+}
+
 // learnGap takes a pause between two events of any of the target's streams.
 func (t *target) learnGap(gap time.Duration) {
 	if gap < samePass {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -138,11 +138,11 @@
 mutant "a group that is taken apart gets requests" internal/gateway/board.go \
   's/ \|\| b\.dissolving\[t\.group\]//' ./internal/gateway TestDissolvingGroupGetsNoRequests
 mutant "a doubted head gets all requests" internal/gateway/board.go \
-  's/ \|\| \(r\.t\.doubts > 0 \&\& r\.t\.own > 0\)//' ./internal/gateway TestDoubtedHeadGetsOneRequest
+  's/r\.t\.doubts > 0 \&\& r\.t\.own > 0/false/' ./internal/gateway TestDoubtedHeadGetsOneRequest
 mutant "a lost answer is waited for" internal/gateway/stalls.go \
   's/now\.Sub\(s\.lastByte\) > b\.lostAfter\(s\)/false/' ./internal/gateway TestLostAnswerAtALivelyHead
 mutant "a silent leader is followed on" internal/feed/feed.go \
-  's/l\.ownUntil = now\.Add\(ownFor\)//; s/q\.wait\+answerTime/time.Hour/' ./internal/feed TestSilentLeader
+  's/l\.failedUntil\[leader\.ID\] = now\.Add\(failedFor\)//; s/q\.wait\+answerTime/time.Hour/' ./internal/feed TestSilentLeader
 mutant "a leader out of touch is followed" internal/feed/feed.go \
   's/err == nil \&\& age > q\.mostAge/false/' ./internal/feed TestLeaderOutOfTouch
 mutant "idle connections stay" internal/gateway/conns.go \
@@ -158,5 +158,32 @@
 mutant "free VMs are never kept" internal/placement/placement.go \
   's/if !ok \|\| d\.keepFree\(m\)/if !ok/' ./internal/placement TestFreeVMsAreKept
 
+mutant "a first event is not predicted" internal/batch/batch.go \
+  's/return e\.Slots > 0/return false \&\& e.Slots > 0/' ./internal/gateway TestCrowdGetsItsAnswersInTime
+mutant "the offset is not learned" internal/batch/offset.go \
+  's/if took > predicted\+o\.value/if false/' ./internal/batch TestOffsetFollowsLateFirstEvents
+mutant "late requests are taken like others" internal/batch/admit.go \
+  's/return w\.InFlight < e\.Slots \&\& e\.First/return true || e.First/' ./internal/batch TestAdmit
+mutant "less urgent requests are taken like others" internal/batch/admit.go \
+  's/\(1-r\.Kept\)/1/' ./internal/batch TestAdmit
+mutant "callers that come back are taken for new ones" internal/gateway/patience.go \
+  's/return m\.usual - patience/return 0/' ./internal/gateway TestReturningCallersAreKnownByTheirPatience
+mutant "a request is sent for a caller that left" internal/gateway/attempt.go \
+  's/if closedByCaller\(j\.r\)/if false/' ./internal/gateway TestCallersThatLeftWhileTheNodeWasHeldBack
+mutant "a request that is given up is delivered later" internal/relay/sender.go \
+  's/c\.unanswered\.Store\(true\)//' ./internal/relay TestGivenUpRequestIsTakenBack
+mutant "overload is told as nothing that serves" internal/gateway/board.go \
+  's/case p\.full:/case false:/' ./internal/gateway TestFullHeadsBesideASuspectedOneAreOverload
+mutant "sampled heads are of any failure domain" internal/gateway/board.go \
+  's/if b\.sample == 0 \{\n\t\treturn all/if true {\n\t\treturn all/' ./internal/gateway TestSampledHeadsAreMostlyNear
+mutant "a slow plain upstream gets as much as others" internal/gateway/predict.go \
+  's/if t\.group != "" \|\|/if true ||/' ./internal/gateway TestSlowPlainUpstreamTakesLess
+mutant "a failed leader leaves no other" internal/feed/feed.go \
+  's/mostLeaders = 3/mostLeaders = 1/' ./internal/feed TestNextLeaderIsFollowed
+mutant "a follower reads new configurations itself" internal/feed/catalog.go \
+  's/case next\.GetVersion\(\) == known:/case next.GetVersion() != known:\n\t\treturn c.read(ctx)\n\tcase next.GetVersion() == known:/' ./internal/feed TestFollowerTakesNewConfiguration
+mutant "tries after a failure don't slow down" internal/wait/backoff.go \
+  's/b\.failures\+\+//' ./internal/wait TestBackoffGrowsToItsBound
+
 echo "$survivors survived or not applied"
 [ "$survivors" = 0 ]
