--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sort"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -397,47 +395,3 @@
 		j.s.parts.Nudge()
 	}
 }
-
-// shownRivals is how many candidates a log line names.
-const shownRivals = 4
-
-// describe lists the candidates with the lowest scores, and when each is expected to
-// answer first.
-func describe(rivals []rival) string {
-	sorted := append([]rival(nil), rivals...)
-	sort.Slice(sorted, func(i, k int) bool { return sorted[i].score < sorted[k].score })
-	var b strings.Builder
-	for i, r := range sorted {
-		if i == shownRivals {
-			break
-		}
-		_, _ = fmt.Fprintf(&b, "%s=%.2f", r.name, r.score)
-		if r.first > 0 {
-			_, _ = fmt.Fprintf(&b, "(%dms)", r.first.Milliseconds())
-		}
-		b.WriteByte(' ')
-	}
-	if b.Len() == 0 {
-		return "none"
-	}
-	return strings.TrimSpace(b.String())
-}
-
-func (j *job) logSent(now time.Time, s *send, rivals []rival) {
-	line := j.s.log.Emit(event.RequestSent).Str("request", j.c.ID).Str("route", j.c.Route.Name).Str("team", j.c.Team).
-		Str("service", j.c.Service).Str("model", j.c.Model).Int("send", j.sends).Str("vm", s.vm.ID).
-		Str("group", s.t.group).Uint64("generation", s.t.generation).Int64("left_ms", j.c.Deadline.Sub(now).Milliseconds()).
-		Uint64("catalog", j.c.CatalogVersion).Int64("catalog_age_ms", j.c.CatalogAge.Milliseconds()).
-		Int64("waited_ms", j.c.Waited.Milliseconds()).Str("candidates", describe(rivals))
-	if j.out != nil && j.out.last != "" {
-		line = line.Str("after_event", j.out.last)
-	}
-	line.Send()
-}
-
-func (j *job) logAttempt(s *send, fault *verdict.Error, cause error) {
-	j.s.metrics.Count("attempts.failed."+fault.Code, 1)
-	j.s.log.Emit(event.AttemptFailed).Str("request", j.c.ID).Int("send", j.sends).Str("vm", s.vm.ID).Str("group", s.t.group).
-		Str("code", fault.Code).Stringer("verdict", fault.Verdict).Str("detail", fault.Detail).
-		AnErr("ended_by", cause).AnErr("cause", fault.Cause).Send()
-}
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/batch"
+)
+
+// rival is a candidate with its score, for the log.
+type rival struct {
+	t     *target
+	name  string
+	score float64
+	// first is when a head is expected to answer first; zero when not known.
+	first time.Duration
+}
+
+// sound reports whether nothing speaks against the candidate but its load.
+func (r rival) sound() bool { return r.score < suspectPenalty }
+
+const (
+	// foreignPenalty is what another failure domain adds to the score, in parts
+	// of a full batch: its bytes are priced, but little.
+	foreignPenalty = 0.1
+	// foreignPasses is what it adds to the predicted first event, in passes of a full
+	// batch: links between failure domains are narrow, and half a pass sooner is
+	// seldom what makes an answer be in time.
+	foreignPasses = 0.5
+	// scoreNoise spreads choices of several nodes that see the same figures,
+	// which are up to one exchange old.
+	scoreNoise = 0.08
+	// suspectPenalty keeps a suspected or ejected target behind all others.
+	suspectPenalty = 100
+)
+
+// choose picks the target with the lowest score. room says how much load beyond the
+// slots may be taken; last says that nothing may be sent after this.
+func (b *board) choose(now time.Time, c *Call, tried map[string]bool, room float64, last bool, cancel context.CancelCauseFunc) (*send, []rival, refusal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[c.Service]
+	if p == nil {
+		return nil, nil, noUpstream
+	}
+	key := demandKey{c.Service, c.Model}
+	asked := b.request(now, c, len(tried) > 0)
+	var rivals []rival
+	for _, t := range p.of(c.Model) {
+		if !tried[t.key()] {
+			rivals = append(rivals, b.rate(now, t, asked.Prompt, b.offset(key).Value()))
+		}
+	}
+	found := b.pick(now, rivals, asked, room, b.offset(key).Value())
+	why := found.refusal(rivals, p.service.Engine != nil)
+	b.pressure(key).Note(why == allFull)
+	if found.predictedLate && why == allFull {
+		b.offset(key).Ease()
+	}
+	if why != admitted {
+		return nil, rivals, why
+	}
+	r := rivals[found.best]
+	s := &send{t: r.t, vm: r.t.vm, cancel: cancel, sentAt: now, lastByte: now, last: last}
+	s.objective, s.pauseObjective = objectives(c)
+	if r.t.engine.Known() {
+		s.prompt, s.model = asked.Prompt, key
+		s.predicted = r.first - b.offset(key).Value()
+	}
+	b.begin(now, s)
+	return s, rivals, admitted
+}
+
+// begin counts a send at its target.
+func (b *board) begin(now time.Time, s *send) {
+	t := s.t
+	if t.own == 0 {
+		t.lastByte = now
+	}
+	t.own++
+	t.unread += s.prompt
+	t.running[s] = struct{}{}
+}
+
+// picked is what was found among the candidates.
+type picked struct {
+	// best is the index of the best one that takes the request; -1 for none.
+	best int
+	// full is true when a sound candidate has too much to do, predictedLate when
+	// that is by the prediction.
+	full          bool
+	predictedLate bool
+}
+
+// pick finds the candidate with the lowest score among those that take the request.
+// With many nodes the first few that do are enough.
+func (b *board) pick(now time.Time, rivals []rival, asked batch.Request, room float64, offset time.Duration) picked {
+	out := picked{best: -1}
+	seen := 0
+	for _, i := range b.order(rivals) {
+		r := rivals[i]
+		if r.t.doubts > 0 && r.t.own > 0 {
+			continue
+		}
+		if float64(b.load(r.t)) >= float64(r.t.slots)+r.t.roomFor(asked, room) {
+			out.full = out.full || r.sound()
+			continue
+		}
+		if !r.t.engine.Admit(b.work(now, r.t), asked, offset) {
+			out.full = out.full || r.sound()
+			out.predictedLate = true
+			continue
+		}
+		if out.best < 0 || r.score < rivals[out.best].score {
+			out.best = i
+		}
+		if r.sound() {
+			seen++
+		}
+		if b.sample > 0 && seen >= b.sample {
+			break
+		}
+	}
+	return out
+}
+
+// order is the order in which candidates are looked at: a random one, and when only a
+// few are looked at, some of this failure domain first and then one of another.
+func (b *board) order(rivals []rival) []int {
+	all := b.random.Perm(len(rivals))
+	if b.sample == 0 {
+		return all
+	}
+	var near, far []int
+	for _, i := range all {
+		if rivals[i].t.vm.FailureDomain == b.domain {
+			near = append(near, i)
+		} else {
+			far = append(far, i)
+		}
+	}
+	n, f := min(len(near), b.sample-1), min(len(far), 1)
+	return slices.Concat(near[:n], far[:f], near[n:], far[f:])
+}
+
+// refusal says why nothing was chosen, if so. A suspected head is no choice: while
+// sound ones are full the load is the reason, and else that nothing serves.
+func (p picked) refusal(rivals []rival, heads bool) refusal {
+	usable := p.best >= 0 && (rivals[p.best].sound() || !heads)
+	switch {
+	case usable:
+		return admitted
+	case p.full:
+		return allFull
+	}
+	return noUpstream
+}
+
+// rate ranks a target: by its load beside its slots or, where that is known, by the
+// predicted first event in passes of a full batch; and by what speaks against it.
+func (b *board) rate(now time.Time, t *target, prompt float64, offset time.Duration) rival {
+	r := rival{t: t, name: t.name(), score: float64(b.load(t)+1) / float64(t.slots)}
+	if t.engine.Known() {
+		first := t.engine.First(b.work(now, t), prompt)
+		r.first = first + offset
+		r.score = float64(first) / float64(t.engine.Decode(t.slots))
+	}
+	r.score = b.adjust(now, t, r.score)
+	return r
+}
+
+// adjust adds to a score what speaks against its target, and spreads it.
+func (b *board) adjust(now time.Time, t *target, score float64) float64 {
+	if t.group == "" {
+		score *= max(t.took.Seconds(), leastTook)
+	}
+	switch {
+	case t.vm.FailureDomain == b.domain:
+	case t.engine.Known():
+		score += foreignPasses
+	default:
+		score += foreignPenalty
+	}
+	if b.cutOff(now, t.vm.FailureDomain) {
+		score += cutPenalty
+	}
+	if now.Before(t.suspected) || now.Before(t.ejectedUntil) || b.dissolving[t.group] {
+		score += suspectPenalty
+	}
+	return score + scoreNoise*b.random.Float64()
+}
+
+const (
+	// cutAfter is the least silence of all nodes of a failure domain after which
+	// its upstreams may not be reachable either: two exchanges and a round trip.
+	cutAfter = 800 * time.Millisecond
+	// cutPenalty is what that adds to the score, in parts of a full batch: such
+	// an upstream is used only when the others are more than full.
+	cutPenalty = 1.5
+)
+
+// leastTook is the answer time of a plain upstream that has not answered yet,
+// in seconds.
+const leastTook = 0.02
--- a/internal/relay/sender_test.go
+++ b/internal/relay/sender_test.go
@@ -150,23 +150,12 @@
 
 func oneAnswer(t *testing.T, text string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
+	return serveOne(t, func(c net.Conn) {
 		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 			_, _ = io.Copy(io.Discard, req.Body)
 			_, _ = io.WriteString(c, text)
 		}
-		_ = c.Close()
-	}()
-	return l.Addr().String()
+	})
 }
 
 func copyStream(in string, last uint64) (string, bool, error) {
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -15,15 +15,15 @@
 prediction|internal/batch/batch.go|s/return e.Slots > 0 \&\& e.StepTime/return false \&\& e.Slots > 0 \&\& e.StepTime/
 passes-seen|internal/gateway/predict.go|s/if t.passSeen(now) {/if false \&\& t.passSeen(now) {/
 returning-callers-last|internal/gateway/predict.go|s/spent := m.spent(c.Patience)/spent := 0 * m.spent(c.Patience)/
-later-return-in-a-crowd|internal/gateway/server.go|s/crowdFactor = 2/crowdFactor = 0/
-own-failure-domain-first|internal/gateway/board.go|s/foreignPasses = 0.5/foreignPasses = 0.0/
-rank-reserve|internal/gateway/server.go|s/rankReserve = 0.1/rankReserve = 0.0/
+later-return-in-a-crowd|internal/gateway/room.go|s/crowdFactor = 2/crowdFactor = 0/
+own-failure-domain-first|internal/gateway/choose.go|s/foreignPasses = 0.5/foreignPasses = 0.0/
+rank-reserve|internal/gateway/room.go|s/rankReserve = 0.1/rankReserve = 0.0/
 stall-watch|internal/gateway/stalls.go|s/if silent < b.stallAfter(now, t) {/if silent < time.Hour || silent < b.stallAfter(now, t) {/
 stalls-of-other-nodes|internal/gateway/stalls.go|s/if t.group != group || (t.own/if true || t.group != group || (t.own/
 lost-answers|internal/gateway/stalls.go|s/if !s.last \&\& now.Sub/if false \&\& !s.last \&\& now.Sub/
 ejection|internal/gateway/board.go|s/if t.failures < failuresToEject ||/if true || t.failures < failuresToEject ||/
-doubted-heads|internal/gateway/board.go|s/if r.t.doubts > 0 \&\& r.t.own > 0 {/if false \&\& r.t.own > 0 {/
-cut-off-domains|internal/gateway/board.go|s/cutPenalty = 1.5/cutPenalty = 0.0/
+doubted-heads|internal/gateway/choose.go|s/if r.t.doubts > 0 \&\& r.t.own > 0 {/if false \&\& r.t.own > 0 {/
+cut-off-domains|internal/gateway/choose.go|s/cutPenalty = 1.5/cutPenalty = 0.0/
 slow-plain-tries|internal/gateway/attempt.go|s/if j.out != nil || j.c.Route.Kind/if true || j.out != nil || j.c.Route.Kind/
 groups-given-up|internal/placement/placement.go|s/if len(d.out.Formations) == 0 {/if false \&\& len(d.out.Formations) == 0 {/
 free-vms-kept|internal/placement/placement.go|s/if !ok || d.keepFree(m) {/if !ok {/
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -135,9 +135,9 @@
   's/case vm == nil \&\& s\.vouched\(now, known, name\):\n//' ./internal/director TestMemberCutOffFromStore
 mutant "remains of groups count as supply" internal/director/place.go \
   's/ \&\& s\.promising\(g\)//' ./internal/director TestRemainsAreNoSupply
-mutant "a group that is taken apart gets requests" internal/gateway/board.go \
+mutant "a group that is taken apart gets requests" internal/gateway/choose.go \
   's/ \|\| b\.dissolving\[t\.group\]//' ./internal/gateway TestDissolvingGroupGetsNoRequests
-mutant "a doubted head gets all requests" internal/gateway/board.go \
+mutant "a doubted head gets all requests" internal/gateway/choose.go \
   's/r\.t\.doubts > 0 \&\& r\.t\.own > 0/false/' ./internal/gateway TestDoubtedHeadGetsOneRequest
 mutant "a lost answer is waited for" internal/gateway/stalls.go \
   's/now\.Sub\(s\.lastByte\) > b\.lostAfter\(s\)/false/' ./internal/gateway TestLostAnswerAtALivelyHead
@@ -172,9 +172,9 @@
   's/if closedByCaller\(j\.r\)/if false/' ./internal/gateway TestCallersThatLeftWhileTheNodeWasHeldBack
 mutant "a request that is given up is delivered later" internal/relay/sender.go \
   's/c\.unanswered\.Store\(true\)//' ./internal/relay TestGivenUpRequestIsTakenBack
-mutant "overload is told as nothing that serves" internal/gateway/board.go \
+mutant "overload is told as nothing that serves" internal/gateway/choose.go \
   's/case p\.full:/case false:/' ./internal/gateway TestFullHeadsBesideASuspectedOneAreOverload
-mutant "sampled heads are of any failure domain" internal/gateway/board.go \
+mutant "sampled heads are of any failure domain" internal/gateway/choose.go \
   's/if b\.sample == 0 \{\n\t\treturn all/if true {\n\t\treturn all/' ./internal/gateway TestSampledHeadsAreMostlyNear
 mutant "a slow plain upstream gets as much as others" internal/gateway/predict.go \
   's/if t\.group != "" \|\|/if true ||/' ./internal/gateway TestSlowPlainUpstreamTakesLess
