What is kept for more urgent requests is a part of the room, not of the whole objective

Cause, by reading: the part kept was taken off the whole objective, most of which the network and an idle engine use. A team three ranks below the highest (0.3 of 300 ms) could then be in time nowhere once its model's offset is 140 ms, and was turned away wherever a prompt waited, also from heads with room. Change: the part is taken off what an idle engine leaves of the objective.

--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -11,8 +11,9 @@
 	Objective time.Duration
 	// Spent is how much of it is over.
 	Spent time.Duration
-	// Kept is the part of the objective, 0 to 1, that is kept for more urgent
-	// requests: less urgent ones are turned away first.
+	// Kept is the part, 0 to 1, of the time that an idle engine leaves of the
+	// objective that is kept for more urgent requests: less urgent ones wait less, and
+	// are turned away first.
 	Kept float64
 }
 
@@ -44,8 +45,10 @@
 		return w.InFlight < e.Slots
 	}
 	prompt := min(r.Prompt, e.UsualPrompt)
-	left := time.Duration((1-r.Kept)*float64(r.Objective)) - r.Spent
-	if e.First(Work{}, prompt)+offset <= left {
+	soonest := e.First(Work{}, prompt) + offset
+	kept := time.Duration(r.Kept * float64(max(r.Objective-soonest, 0)))
+	left := r.Objective - kept - r.Spent
+	if soonest <= left {
 		return e.First(w, prompt)+offset <= left
 	}
 	after := Work{InFlight: w.InFlight + 1, Unread: w.Unread + r.Prompt, Pass: w.Pass}
