Followers follow the node that manages their failure domain's groups

Cause: that node reads the list and the configuration for itself in any case; after restarts it is seldom the one with the lowest ID, so two nodes of a failure domain read. Ruled out: that the director follows another node: it needs the newest word at once. Change: it is the first to be followed, then those with the lowest IDs. Test: TestNextLeaderIsFollowed (managed).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -100,15 +100,29 @@
 	return cluster.Record{}
 }
 
-// leaders are the live nodes of the failure domain with the lowest IDs, in order.
+// leaders are the first live nodes of the failure domain: the one that manages its
+// groups, which reads for itself in any case, and then those with the lowest IDs.
 func (l *Leader) leaders(now time.Time) []cluster.Record {
 	all := []cluster.Record{l.self}
+	manager := ""
 	for _, p := range l.nodes.Live(now) {
-		if p.FailureDomain == l.self.FailureDomain && !p.State.GetStopping() {
-			all = append(all, p.Record)
+		if p.FailureDomain != l.self.FailureDomain || p.State.GetStopping() {
+			continue
+		}
+		all = append(all, p.Record)
+		if slices.Contains(p.State.GetDirecting(), l.self.FailureDomain) {
+			manager = p.ID
 		}
 	}
-	slices.SortFunc(all, func(a, b cluster.Record) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b cluster.Record) int {
+		switch {
+		case a.ID == manager:
+			return -1
+		case b.ID == manager:
+			return 1
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
 	return all[:min(len(all), mostLeaders)]
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -314,14 +314,20 @@
 
 func (few) Size() int { return followNodes }
 
-// domainOf lists live nodes of the failure domain x by ID.
+// domainOf lists live nodes of the failure domain x by ID; one with a star manages its
+// groups.
 type domainOf []string
 
 func (d domainOf) Size() int { return followNodes + len(d) }
 func (d domainOf) Live(now time.Time) []cluster.Peer {
 	var out []cluster.Peer
 	for _, id := range d {
-		out = append(out, cluster.Peer{Record: cluster.Record{ID: id, FailureDomain: "x"}, State: &marbleroadv1.NodeState{}, HeardAt: now})
+		state := &marbleroadv1.NodeState{}
+		id, manages := strings.CutSuffix(id, "*")
+		if manages {
+			state.Directing = []string{"x"}
+		}
+		out = append(out, cluster.Peer{Record: cluster.Record{ID: id, FailureDomain: "x"}, State: state, HeardAt: now})
 	}
 	return out
 }
@@ -344,6 +350,10 @@
 	if got, ok := l.pick(now.Add(failedFor)); !ok || got.ID != "a" {
 		t.Errorf("follows %q after a while", got.ID)
 	}
+	managed := NewLeader(cluster.Record{ID: "n", FailureDomain: "x"}, domainOf{"a", "m*", "b"}, func() bool { return false }, testLog(t), nil, nil)
+	if got, ok := managed.pick(now); !ok || got.ID != "m" {
+		t.Errorf("follows %q and not the node that manages the groups", got.ID)
+	}
 	second := NewLeader(cluster.Record{ID: "b", FailureDomain: "x"}, domainOf{"c", "a"}, func() bool { return false }, testLog(t), nil, nil)
 	second.failed(now, cluster.Record{ID: "a"}, errLeader)
 	if got, ok := second.pick(now); ok {
