The time to come back no longer grows with the share that is turned away

Change: it goes, with internal/batch's Pressure and its test. Conclusion: removed; TestPressureFollowsRefusals goes with what it tested.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -121,19 +121,3 @@
 		t.Errorf("offset %v", o.Value())
 	}
 }
-
-func TestPressureFollowsRefusals(t *testing.T) {
-	var p Pressure
-	for range 200 {
-		p.Note(true)
-	}
-	if p.Refused() < 0.95 {
-		t.Errorf("%.2f after refusals only", p.Refused())
-	}
-	for range 200 {
-		p.Note(false)
-	}
-	if p.Refused() > 0.05 {
-		t.Errorf("%.2f after none", p.Refused())
-	}
-}
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -131,10 +131,8 @@
 	budgets map[string]*retry.Budget
 	limit   retry.Limit
 
-	// offsets are what first events of each model take beyond their prediction,
-	// pressures how many of its requests are turned away.
-	offsets   map[demandKey]*batch.Offset
-	pressures map[demandKey]*batch.Pressure
+	// offsets are what first events of each model take beyond their prediction.
+	offsets map[demandKey]*batch.Offset
 	// patience is how long each route's callers usually wait.
 	patience map[string]*patienceMeter
 
@@ -168,7 +166,6 @@
 		targets:       make(map[string]*target),
 		budgets:       make(map[string]*retry.Budget),
 		offsets:       make(map[demandKey]*batch.Offset),
-		pressures:     make(map[demandKey]*batch.Pressure),
 		patience:      make(map[string]*patienceMeter),
 		limit:         limit,
 		demand:        make(map[demandKey]*demandMeter),
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -54,7 +54,6 @@
 	}
 	found := b.pick(now, rivals, asked, room, b.offset(key).Value())
 	why := found.refusal(rivals, p.service.Engine != nil)
-	b.pressure(key).Note(why == allFull)
 	if found.predictedLate && why == allFull {
 		b.offset(key).Ease()
 	}
--- a/internal/gateway/predict.go
+++ b/internal/gateway/predict.go
@@ -82,20 +82,6 @@
 	return b.offsets[key]
 }
 
-func (b *board) pressure(key demandKey) *batch.Pressure {
-	if b.pressures[key] == nil {
-		b.pressures[key] = &batch.Pressure{}
-	}
-	return b.pressures[key]
-}
-
-// refusedShare is the share of a call's kind that is turned away lately.
-func (b *board) refusedShare(c *Call) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.pressure(demandKey{c.Service, c.Model}).Refused()
-}
-
 // jitter is a random part of a time, so that callers don't return at once.
 func (b *board) jitter(most time.Duration) time.Duration {
 	b.mu.Lock()
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -57,25 +57,17 @@
 	backShare = 4
 )
 
-// comeBack is the time to come back for a refused call, spread so that refused
-// callers don't return at once. The more are turned away, the later: a caller that
-// comes back into the same crowd is turned away again, and takes the place of another
-// if it is not.
+// comeBack is the time to come back for a refused call, spread so that refused callers
+// don't return at once. It does not grow with the share that is turned away: that was
+// tried and served nobody better (docs/LOAD.md).
 func (s *Server) comeBack(c *Call, why refusal) time.Duration {
 	base := fullBack
 	if why == noUpstream {
 		base = noUpstreamBack
 	}
-	if c == nil || c.Patience <= 0 {
-		return base + s.board.jitter(base)
+	base += s.board.jitter(base)
+	if c != nil && c.Patience > 0 {
+		base = min(base, c.Patience/backShare)
 	}
-	most := c.Patience / backShare
-	if why == allFull {
-		base += time.Duration(min(crowdFactor*s.board.refusedShare(c), 1) * float64(most) / 2)
-	}
-	return min(base+s.board.jitter(base), most)
+	return base
 }
-
-// crowdFactor times the share of requests that are turned away is how much of the
-// longest time to come back is used: with half of them turned away, all of it.
-const crowdFactor = 2
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -15,7 +15,6 @@
 prediction|internal/batch/batch.go|s/return e.Slots > 0 \&\& e.StepTime/return false \&\& e.Slots > 0 \&\& e.StepTime/
 passes-seen|internal/gateway/predict.go|s/if t.passSeen(now) {/if false \&\& t.passSeen(now) {/
 returning-callers-last|internal/gateway/predict.go|s/spent := m.spent(c.Patience)/spent := 0 * m.spent(c.Patience)/
-later-return-in-a-crowd|internal/gateway/room.go|s/crowdFactor = 2/crowdFactor = 0/
 own-failure-domain-first|internal/gateway/choose.go|s/foreignPasses = 0.5/foreignPasses = 0.0/
 rank-reserve|internal/gateway/room.go|s/rankReserve = 0.1/rankReserve = 0.0/
 stall-watch|internal/gateway/stalls.go|s/if silent < b.stallAfter(now, t) {/if silent < time.Hour || silent < b.stallAfter(now, t) {/
