Only the heads that are looked at are rated

Ruled out: the lock (one goroutine), the log line's candidates. Change: a candidate is rated when it is looked at; the check of one candidate is a function of its own.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -46,14 +46,15 @@
 	}
 	key := demandKey{c.Service, c.Model}
 	asked := b.request(now, c, len(tried) > 0)
-	var rivals []rival
+	var candidates []*target
 	for _, t := range p.of(c.Model) {
 		if !tried[t.key()] {
-			rivals = append(rivals, b.rate(now, t, asked.Prompt, b.offset(key).Value()))
+			candidates = append(candidates, t)
 		}
 	}
-	found := b.pick(now, rivals, asked, room, b.offset(key).Value())
-	why := found.refusal(rivals, p.service.Engine != nil)
+	found := b.pick(now, candidates, asked, room, b.offset(key).Value())
+	rivals := found.rivals
+	why := found.refusal(p.service.Engine != nil)
 	if found.predictedLate && why == allFull {
 		b.offset(key).Ease()
 	}
@@ -84,8 +85,10 @@
 
 // picked is what was found among the candidates.
 type picked struct {
-	// best is the index of the best one that takes the request; -1 for none.
-	best int
+	// rivals are the candidates that were looked at, best is the index of the best one
+	// that takes the request; -1 for none.
+	rivals []rival
+	best   int
 	// full is true when a sound candidate has too much to do, predictedLate when
 	// that is by the prediction.
 	full          bool
@@ -94,25 +97,17 @@
 
 // pick finds the candidate with the lowest score among those that take the request.
 // With many nodes the first few that do are enough.
-func (b *board) pick(now time.Time, rivals []rival, asked batch.Request, room float64, offset time.Duration) picked {
+func (b *board) pick(now time.Time, candidates []*target, asked batch.Request, room float64, offset time.Duration) picked {
 	out := picked{best: -1}
 	seen := 0
-	for _, i := range b.order(rivals) {
-		r := rivals[i]
-		if r.t.doubts > 0 && r.t.own > 0 {
+	for _, i := range b.order(candidates) {
+		r := b.rate(now, candidates[i], asked.Prompt, offset)
+		out.rivals = append(out.rivals, r)
+		if !b.takes(now, r, asked, room, offset, &out) {
 			continue
 		}
-		if float64(b.load(r.t)) >= float64(r.t.slots)+r.t.roomFor(asked, room) {
-			out.full = out.full || r.sound()
-			continue
-		}
-		if !r.t.engine.Admit(b.work(now, r.t), asked, offset) {
-			out.full = out.full || r.sound()
-			out.predictedLate = true
-			continue
-		}
-		if out.best < 0 || r.score < rivals[out.best].score {
-			out.best = i
+		if out.best < 0 || r.score < out.rivals[out.best].score {
+			out.best = len(out.rivals) - 1
 		}
 		if r.sound() {
 			seen++
@@ -124,16 +119,33 @@
 	return out
 }
 
+// takes reports whether a candidate takes the request, and notes in out why it does not.
+func (b *board) takes(now time.Time, r rival, asked batch.Request, room float64, offset time.Duration, out *picked) bool {
+	if r.t.doubts > 0 && r.t.own > 0 {
+		return false
+	}
+	if float64(b.load(r.t)) >= float64(r.t.slots)+r.t.roomFor(asked, room) {
+		out.full = out.full || r.sound()
+		return false
+	}
+	if !r.t.engine.Admit(b.work(now, r.t), asked, offset) {
+		out.full = out.full || r.sound()
+		out.predictedLate = true
+		return false
+	}
+	return true
+}
+
 // order is the order in which candidates are looked at: a random one, and when only a
 // few are looked at, some of this failure domain first and then one of another.
-func (b *board) order(rivals []rival) []int {
-	all := b.random.Perm(len(rivals))
+func (b *board) order(candidates []*target) []int {
+	all := b.random.Perm(len(candidates))
 	if b.sample == 0 {
 		return all
 	}
 	var near, far []int
 	for _, i := range all {
-		if rivals[i].t.vm.FailureDomain == b.domain {
+		if candidates[i].vm.FailureDomain == b.domain {
 			near = append(near, i)
 		} else {
 			far = append(far, i)
@@ -145,8 +157,8 @@
 
 // refusal says why nothing was chosen, if so. A suspected head is no choice: while
 // sound ones are full the load is the reason, and else that nothing serves.
-func (p picked) refusal(rivals []rival, heads bool) refusal {
-	usable := p.best >= 0 && (rivals[p.best].sound() || !heads)
+func (p picked) refusal(heads bool) refusal {
+	usable := p.best >= 0 && (p.rivals[p.best].sound() || !heads)
 	switch {
 	case usable:
 		return admitted
