Names that callers make up leave nothing behind

Cause, by reading the diff: the learned offsets, and the demand for models before them, were kept by the model that a caller names, and demand is told to all nodes; the patience of callers was kept by route for ever, while routes come and go with each configuration. Ruled out: services (they come from the configuration); groups and VMs (rebuilt with the list). Change: only models that the service has are counted and learned; 4,096 routes' meters at most. Test: TestMadeUpNamesLeaveNothingBehind (seen failing: 8,192 offsets, 8,192 demands, 8,192 told).

--- a/internal/batch/offset.go
+++ b/internal/batch/offset.go
@@ -11,7 +11,7 @@
 	onTimeShare = 0.9
 	// offsetStep is how far one first event moves the offset. Some ten first
 	// events a second and node then follow a change of 100 ms in about two
-	// seconds, and a single late one moves it by 6 ms.
+	// seconds, and a single late one moves it by 9 ms.
 	offsetStep = 10 * time.Millisecond
 	// offsetMost bounds the offset, so that one bad time is soon forgotten.
 	offsetMost = 2 * time.Second
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -236,3 +236,23 @@
 		}
 	}
 }
+
+// TestMadeUpNamesLeaveNothingBehind: callers that name models which nobody serves, and
+// routes that come and go, don't grow what a node keeps and tells the others.
+func TestMadeUpNamesLeaveNothingBehind(t *testing.T) {
+	now := time.Now()
+	b, _ := testBoard(t, now, noneDissolving)
+	for i := range 2 * mostMeters {
+		call := &Call{Service: "llm", Model: fmt.Sprint("made-up-", i), Patience: time.Second, Route: &catalog.Route{Name: fmt.Sprint(i)}}
+		b.count(now, call)
+		b.waited(call)
+		if _, _, why := b.choose(now, call, nil, 0, false, func(error) {}); why != noUpstream {
+			t.Fatalf("a model that nobody serves: %v", why)
+		}
+	}
+	state := &marbleroadv1.NodeState{}
+	b.state(now, state)
+	if len(b.offsets) > 0 || len(b.demand) > 0 || len(state.GetDemand()) > 0 || len(b.patience) > mostMeters {
+		t.Errorf("%d offsets, %d demands, %d told, %d meters", len(b.offsets), len(b.demand), len(state.GetDemand()), len(b.patience))
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -52,6 +52,10 @@
 			candidates = append(candidates, t)
 		}
 	}
+	if len(candidates) == 0 {
+		// Nothing is learned of a model that callers made up.
+		return nil, nil, noUpstream
+	}
 	found := b.pick(now, candidates, asked, room, b.offset(key).Value())
 	rivals := found.rivals
 	why := found.refusal(p.service.Engine != nil)
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -27,7 +27,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.budget(c.Service, now).Request(now)
-	if c.Model == "" {
+	if !b.serves(c) {
 		return
 	}
 	b.traffic = true
@@ -38,6 +38,17 @@
 	b.demand[key].work += b.workOf(c)
 }
 
+// serves reports whether the call's model is one of its service's. Callers may name
+// any, and what they make up must leave nothing behind.
+func (b *board) serves(c *Call) bool {
+	p := b.pools[c.Service]
+	if p == nil || p.service.Engine == nil {
+		return false
+	}
+	_, ok := p.service.Engine.Model(c.Model)
+	return ok
+}
+
 // workOf is how long the request keeps a full group busy, in seconds: the reading
 // of its prompt and its part of the steps of a full batch.
 func (b *board) workOf(c *Call) float64 {
--- a/internal/gateway/predict.go
+++ b/internal/gateway/predict.go
@@ -89,12 +89,20 @@
 	return time.Duration(b.random.Int64N(int64(most)))
 }
 
+// mostMeters bounds the routes whose callers' patience is known, some 2 MB of them.
+// Routes come and go with each configuration; beyond it all are learned anew, which
+// takes some dozens of callers each.
+const mostMeters = 4096
+
 // waited is how long the caller has probably waited on earlier tries.
 func (b *board) waited(c *Call) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m := b.patience[c.Route.Name]
 	if m == nil {
+		if len(b.patience) >= mostMeters {
+			clear(b.patience)
+		}
 		m = &patienceMeter{}
 		b.patience[c.Route.Name] = m
 	}
