--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -185,5 +185,8 @@
 mutant "tries after a failure don't slow down" internal/wait/backoff.go \
   's/b\.failures\+\+//' ./internal/wait TestBackoffGrowsToItsBound
 
+mutant "made-up models are counted" internal/gateway/demand.go \
+  's/if !b\.serves\(c\)/if false/' ./internal/gateway TestMadeUpNamesLeaveNothingBehind
+
 echo "$survivors survived or not applied"
 [ "$survivors" = 0 ]
