--- a/test/standin/faultproxy/faultproxy.go
+++ b/test/standin/faultproxy/faultproxy.go
@@ -36,8 +36,16 @@
 	from  map[string]Mode
 	delay time.Duration
 	freed chan struct{}
-	// conns maps each connection to its caller's IP number.
-	conns map[net.Conn]string
+	// links maps each connection to the link that it is an end of.
+	links map[net.Conn]*link
+}
+
+// link is a caller's connection and the one to the target. The proxy's mutex guards it.
+type link struct {
+	// ip is the caller's IP number.
+	ip string
+	// silent drops all bytes, both ways, while the connections stay open.
+	silent bool
 }
 
 // New listens on the address and forwards to the target.
@@ -46,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, conns: make(map[net.Conn]string), from: make(map[string]Mode), freed: make(chan struct{})}
+	p := &Proxy{target: target, listener: l, links: make(map[net.Conn]*link), from: make(map[string]Mode), freed: make(chan struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -88,6 +96,16 @@
 	p.delay = d
 }
 
+// Silence has the present connections fall silent for good, without a reset; new ones
+// are not touched.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.silent = true
+	}
+}
+
 // Break breaks the present connections once.
 func (p *Proxy) Break() {
 	p.mu.Lock()
@@ -96,8 +114,8 @@
 }
 
 func (p *Proxy) breakAll(ip string) {
-	for c, from := range p.conns {
-		if ip == "" || ip == from {
+	for c, l := range p.links {
+		if ip == "" || ip == l.ip {
 			_ = c.Close()
 		}
 	}
@@ -119,31 +137,42 @@
 	}
 }
 
-func (p *Proxy) state(ip string) (Mode, time.Duration, chan struct{}) {
+// fault is what happens to the bytes of one link now.
+type fault struct {
+	mode  Mode
+	delay time.Duration
+	// freed is closed when the mode changes.
+	freed  chan struct{}
+	silent bool
+}
+
+func (p *Proxy) fault(l *link) fault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m := p.from[ip]; m != Pass {
-		return m, p.delay, p.freed
+	f := fault{mode: p.mode, delay: p.delay, freed: p.freed, silent: l.silent}
+	if m := p.from[l.ip]; m != Pass {
+		f.mode = m
 	}
-	return p.mode, p.delay, p.freed
+	return f
 }
 
-func (p *Proxy) track(c net.Conn, ip string) {
+func (p *Proxy) track(c net.Conn, l *link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conns[c] = ip
+	p.links[c] = l
 }
 
 func (p *Proxy) untrack(c net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.conns, c)
+	delete(p.links, c)
 }
 
 func (p *Proxy) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	ip, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-	if mode, _, _ := p.state(ip); mode == Refuse {
+	l := &link{ip: ip}
+	if p.fault(l).mode == Refuse {
 		return
 	}
 	up, err := net.Dial("tcp", p.target)
@@ -151,31 +180,31 @@
 		return
 	}
 	defer func() { _ = up.Close() }()
-	p.track(c, ip)
-	p.track(up, ip)
+	p.track(c, l)
+	p.track(up, l)
 	defer p.untrack(c)
 	defer p.untrack(up)
 	done := make(chan struct{}, 2)
-	go func() { p.copy(up, c, ip, LoseRequests); done <- struct{}{} }()
-	go func() { p.copy(c, up, ip, LoseAnswers); done <- struct{}{} }()
+	go func() { p.copy(up, c, l, LoseRequests); done <- struct{}{} }()
+	go func() { p.copy(c, up, l, LoseAnswers); done <- struct{}{} }()
 	<-done
 }
 
 // copy moves bytes one way; lost is the mode in which they are dropped.
-func (p *Proxy) copy(into io.Writer, from io.Reader, ip string, lost Mode) {
+func (p *Proxy) copy(into io.Writer, from io.Reader, l *link, lost Mode) {
 	const size = 32 << 10
 	buf := make([]byte, size)
 	for {
 		n, err := from.Read(buf)
-		mode, delay, freed := p.state(ip)
-		for mode == Freeze {
-			<-freed
-			mode, delay, freed = p.state(ip)
+		f := p.fault(l)
+		for f.mode == Freeze {
+			<-f.freed
+			f = p.fault(l)
 		}
-		if delay > 0 {
-			time.Sleep(delay)
+		if f.delay > 0 {
+			time.Sleep(f.delay)
 		}
-		if n > 0 && mode != lost {
+		if n > 0 && f.mode != lost && !f.silent {
 			if _, err := into.Write(buf[:n]); err != nil {
 				return
 			}
