Repeats are paid by credits that each request earns once

Cause: a node counted its repeats in its own memory, so a new life began with a full part of the budget beside what the old one had used; the halved fixed part covered two lives, the part for requests none. Class: a limit over all nodes that rests on what a process remembers. Ruled out: peers that remember for a node (they hear of it an exchange late, in which a whole part can be used); a new life without credit for requests (a window of streams that are not resumed after each restart). Change: a request earns half of the ratio in the life that received it, for one window; time earns the node's share of the fixed part, from nothing on; a repeat takes a whole credit. So the repeats of any window are bounded by the requests of it and of the one before, over any number of lives, by construction.

--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -55,7 +55,7 @@
 
 // budgetFields are what a repeat was decided by.
 func budgetFields(u retry.Use) *zerolog.Event {
-	return zerolog.Dict().Int("requests", u.Requests).Int("repeats", u.Repeats).Float64("most", u.Most).Int("nodes", u.Nodes)
+	return zerolog.Dict().Float64("earned", u.Earned).Float64("fixed", u.Fixed).Int("nodes", u.Nodes)
 }
 
 func (j *job) logRepeatRefused() {
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -128,8 +128,10 @@
 	pools   map[string]*pool
 	targets map[string]*target
 
-	budgets map[string]*retry.Budget
-	limit   retry.Limit
+	// budgets earn with time since startedAt.
+	budgets   map[string]*retry.Budget
+	limit     retry.Limit
+	startedAt time.Time
 
 	// offsets are what first events of each model take beyond their prediction.
 	offsets map[demandKey]*batch.Offset
@@ -168,6 +170,7 @@
 		offsets:       make(map[demandKey]*batch.Offset),
 		patience:      make(map[string]*patienceMeter),
 		limit:         limit,
+		startedAt:     now,
 		demand:        make(map[demandKey]*demandMeter),
 		demandAt:      now,
 		peers:         make(map[string]*marbleroadv1.NodeState),
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -26,7 +26,7 @@
 func (b *board) count(now time.Time, c *Call) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget(c.Service, now).Request(now)
+	b.budget(c.Service).Request(now)
 	if !b.serves(c) {
 		return
 	}
@@ -72,9 +72,9 @@
 	return pace * (prompt/e.ReadPerSecond + answer*perToken)
 }
 
-func (b *board) budget(service string, now time.Time) *retry.Budget {
+func (b *board) budget(service string) *retry.Budget {
 	if b.budgets[service] == nil {
-		b.budgets[service] = retry.NewBudget(b.limit, now)
+		b.budgets[service] = retry.NewBudget(b.limit, b.startedAt)
 	}
 	return b.budgets[service]
 }
@@ -83,7 +83,7 @@
 func (b *board) takeRepeat(now time.Time, service string, nodes int) retry.Use {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget(service, now).Take(now, nodes)
+	return b.budget(service).Take(now, nodes)
 }
 
 // demandInterval is the time over which demand is counted.
--- a/internal/retry/lives_test.go
+++ b/internal/retry/lives_test.go
@@ -69,3 +69,13 @@
 	}
 	return l.Ratio*float64(most) + l.Extra
 }
+
+func within(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(from) && !at.After(to) {
+			n++
+		}
+	}
+	return n
+}
