A request that may be repeated is sent again only by the gateway, never by net/http

Cause: on a reused connection that breaks, net/http sends idempotent requests again by itself, up to once for each idle connection; the budget does not count these. Class: repeats that are made below the place that counts them. Ruled out as a mend: counting them when they happen (they can't be refused then), a connection for each request (new connections are dear). Change: requests are made so that net/http takes none for idempotent; one that met a stale idle connection, of which no byte was written, goes out once more on a new one.

--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -103,6 +104,8 @@
 // a reused connection breaks (idempotent methods, and any request with an
 // Idempotency-Key), which would run a non-idempotent request twice. It never
 // replays on a connection that is not reused, so the single transport keeps none.
+// Requests that may be repeated keep connections, and are made so that they look
+// like none of these: each Send arrives once at most.
 func NewSender(dialer *net.Dialer, peerTLS *tls.Config) *Sender {
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
@@ -171,9 +174,12 @@
 type wireWatch struct {
 	conns []*countingConn
 	base  []int64
+	// reused is true when the newest connection had carried another request.
+	reused bool
 }
 
 func (w *wireWatch) gotConn(info httptrace.GotConnInfo) {
+	w.reused = info.Reused
 	inner := info.Conn
 	if secure, ok := inner.(*tls.Conn); ok {
 		inner = secure.NetConn()
@@ -198,16 +204,14 @@
 // Send sends the request and returns the upstream's answer with its header
 // read. The caller closes the body. Every error is a *verdict.Error.
 func (s *Sender) Send(ctx context.Context, o Outgoing) (*http.Response, error) {
-	watch := &wireWatch{}
-	req, err := s.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: watch.gotConn}), o)
-	if err != nil {
-		return nil, failure(verdict.NotRun, CodeUnreachable, "the request cannot be sent", err)
-	}
 	transport := s.shared
 	if o.Once {
 		transport = s.single
 	}
-	resp, err := transport.RoundTrip(req)
+	resp, watch, err := s.roundTrip(ctx, transport, o)
+	if err != nil && watch.stale(ctx) {
+		resp, watch, err = s.roundTrip(ctx, s.single, o)
+	}
 	if err != nil {
 		return nil, classify(ctx, watch, err)
 	}
@@ -218,6 +222,22 @@
 	return resp, nil
 }
 
+func (s *Sender) roundTrip(ctx context.Context, transport *http.Transport, o Outgoing) (*http.Response, *wireWatch, error) {
+	watch := &wireWatch{}
+	req, err := s.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: watch.gotConn}), o)
+	if err != nil {
+		return nil, watch, errors.Wrap(err, "the request cannot be sent")
+	}
+	resp, err := transport.RoundTrip(req)
+	return resp, watch, err
+}
+
+// stale reports whether a request failed only because the upstream had closed the idle
+// connection that it was about to be written to: no byte was, so it goes out anew.
+func (w *wireWatch) stale(ctx context.Context) bool {
+	return w.reused && !w.touched() && ctx.Err() == nil
+}
+
 func (o Outgoing) judge(resp *http.Response) error {
 	if o.Dialect != nil {
 		return o.Dialect.Judge(resp, o.RequestID)
@@ -263,12 +283,34 @@
 		req.Header = make(http.Header)
 	}
 	o.mark(req.Header)
-	if o.Once {
-		req.GetBody = nil
-	}
+	neverReplayed(req)
 	return req, nil
 }
 
+// replayHeaders are those that have net/http take any request for idempotent.
+var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
+
+// neverReplayed has net/http not send the request again by itself. It would, on a reused
+// connection, if it could get the body anew and the method or a header says idempotent; such
+// sends are in no budget (33 of 112 repeats at a plain service). Names of headers are the same in
+// lower case, where net/http does not look for them.
+func neverReplayed(req *http.Request) {
+	req.GetBody = nil
+	for _, name := range replayHeaders {
+		if values := req.Header[name]; values != nil {
+			delete(req.Header, name)
+			req.Header[strings.ToLower(name)] = values
+		}
+	}
+	if req.Body != nil {
+		return
+	}
+	switch req.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		req.Body = io.NopCloser(strings.NewReader(""))
+	}
+}
+
 func (o Outgoing) mark(h http.Header) {
 	if o.Dialect != nil {
 		o.Dialect.Mark(h, o.RequestID)
