--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -188,6 +188,9 @@
 	return len(c.known) + 1
 }
 
+// Counted is by how many nodes a limit over all of them is shared.
+func (c *Cluster) Counted() int { return c.Size() }
+
 // Nudge shares this node's state with all nodes now.
 func (c *Cluster) Nudge() {
 	c.mu.Lock()
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -79,7 +79,7 @@
 		Directory:  directory,
 		Caller:     platform.Caller{},
 		Upstream:   platform.Upstream{},
-		Nodes:      nodes.Size,
+		Nodes:      nodes.Counted,
 		LiveFor:    nodes.LiveFor,
 		Suspect:    func(group string, generation uint64) { groups.Suspect(group, generation) },
 		StepDown:   func() { groups.StepDown() },
