The fixed part of the budget is shared only once the nodes are known

Cause: a node counted itself as the only one until it had read the others' records. Change: it counts none until then, and the fixed part earns nothing; what requests earn is not touched. Ruled out: a guess from the nodes that called (a cut hides them).

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -97,6 +98,9 @@
 	onPeer []func(*marbleroadv1.NodeState)
 	feed   Feed
 
+	// recordsRead is true once the nodes' records have been read.
+	recordsRead atomic.Bool
+
 	mu    sync.Mutex
 	known map[string]*peer
 
@@ -188,8 +192,14 @@
 	return len(c.known) + 1
 }
 
-// Counted is by how many nodes a limit over all of them is shared.
-func (c *Cluster) Counted() int { return c.Size() }
+// Counted is by how many nodes a limit over all of them is shared; 0 until the others'
+// records were read, when a node that takes itself for the only one would use the whole of it.
+func (c *Cluster) Counted() int {
+	if !c.recordsRead.Load() {
+		return 0
+	}
+	return c.Size()
+}
 
 // Nudge shares this node's state with all nodes now.
 func (c *Cluster) Nudge() {
@@ -259,6 +269,7 @@
 		}
 		c.add(r)
 	}
+	c.recordsRead.Store(true)
 	return nil
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -71,7 +71,7 @@
 	Directory *fleet.Directory
 	Caller    CallerDialect
 	Upstream  UpstreamDialect
-	// Nodes is how many nodes may share the budget for repeats.
+	// Nodes is how many nodes may share the budget for repeats; 0 while that is not known.
 	Nodes func() int
 	// LiveFor is how long another node's state counts.
 	LiveFor func() time.Duration
