What silent nodes told ends to count when its time is over, not when the next node is heard

Loads and groups being taken apart that other nodes told of counted until some node was heard; a node that is cut off from all others hears none, took heads for full and refused its callers. Ruled out: the same in duty (Live asks the clock) and for the director's deadlines (looked at every 100 ms). Change: a choice looks at the clock.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -141,11 +141,14 @@
 	demand   map[demandKey]*demandMeter
 	demandAt time.Time
 	// measured counts the intervals since the first request.
-	measured  int
-	traffic   bool
-	peers     map[string]*marbleroadv1.NodeState
-	peersAt   map[string]time.Time
-	peerLoads map[string]int
+	measured int
+	traffic  bool
+	peers    map[string]*marbleroadv1.NodeState
+	peersAt  map[string]time.Time
+	// liveFor is how long a node's state counts, peersUntil until when all of peers do.
+	liveFor    time.Duration
+	peersUntil time.Time
+	peerLoads  map[string]int
 	// ownDissolving lists the groups that this node's director is taking apart,
 	// dissolving those of any node.
 	ownDissolving func() []string
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -256,3 +256,23 @@
 		t.Errorf("%d offsets, %d demands, %d told, %d meters", len(b.offsets), len(b.demand), len(state.GetDemand()), len(b.patience))
 	}
 }
+
+// TestNodesThatFellSilentDontFillHeads: what other nodes tell of their requests counts while they
+// are live, but the end of that time was looked at only when some node was heard. A node that
+// was cut off from all others went on counting their requests, took the heads that it still reached
+// for full, and refused its callers until the cut ended.
+func TestNodesThatFellSilentDontFillHeads(t *testing.T) {
+	const liveFor = 1500 * time.Millisecond
+	start := time.Unix(1000, 0)
+	b, c := testBoard(t, start, noneDissolving)
+	b.hear(start, &marbleroadv1.NodeState{Node: "p", FailureDomain: "x", Dissolving: []string{"gb"}, Loads: []*marbleroadv1.GroupLoad{
+		{Group: "ga", InFlight: 8}, {Group: "gb", InFlight: 8}}}, liveFor)
+	if _, _, why := b.choose(start.Add(liveFor/2), c, nil, 0, false, func(error) {}); why != allFull {
+		t.Errorf("refusal %d while the other node is live, want all full", why)
+	}
+	for _, vm := range []string{"a", "b"} {
+		if s := sendTo(b, start.Add(liveFor+time.Millisecond), c, vm); s == nil {
+			t.Errorf("nothing is sent to %s though nobody is known to load it or to take it apart", vm)
+		}
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -40,6 +40,7 @@
 func (b *board) choose(now time.Time, c *Call, tried map[string]bool, room float64, last bool, cancel context.CancelCauseFunc) (*send, []rival, refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.forgetSilentPeers(now)
 	p := b.pools[c.Service]
 	if p == nil {
 		return nil, nil, noUpstream
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -93,18 +93,38 @@
 	for _, suspicion := range state.GetSuspicions() {
 		b.echo(now, suspicion.GetGroup())
 	}
-	b.noteDissolving()
+	b.liveFor = liveFor
+	b.sumPeers(now)
+}
+
+// sumPeers sums what live nodes tell, forgets the others, and notes when the next one
+// ends to count.
+func (b *board) sumPeers(now time.Time) {
 	clear(b.peerLoads)
+	b.peersUntil = now.Add(b.liveFor)
 	for id, p := range b.peers {
-		if now.Sub(b.peersAt[id]) > liveFor {
+		until := b.peersAt[id].Add(b.liveFor)
+		if now.After(until) {
 			delete(b.peers, id)
 			delete(b.peersAt, id)
 			continue
 		}
+		if until.Before(b.peersUntil) {
+			b.peersUntil = until
+		}
 		for _, l := range p.GetLoads() {
 			b.peerLoads[l.GetGroup()] += int(l.GetInFlight())
 		}
 	}
+	b.noteDissolving()
+}
+
+// forgetSilentPeers drops what nodes told that fell silent since. Without it a node that is cut
+// off from all others took heads for full until the cut ended.
+func (b *board) forgetSilentPeers(now time.Time) {
+	if len(b.peers) > 0 && now.After(b.peersUntil) {
+		b.sumPeers(now)
+	}
 }
 
 const (
