--- a/internal/fleet/directory_test.go
+++ b/internal/fleet/directory_test.go
@@ -83,3 +83,16 @@
 		t.Errorf("group %+v", g)
 	}
 }
+
+// TestRelayedRemovalIsTakenAtOnce: the node that reads the list for others has judged whether an
+// entry that is gone after an outage may come back; a follower does not wait for a second time.
+func TestRelayedRemovalIsTakenAtOnce(t *testing.T) {
+	d := newTestDirectory(t)
+	d.apply(Change{VM: VM{ID: "a"}}, false)
+	d.answered(time.Now().Add(-time.Minute))
+	d.outage.failed(time.Now())
+	d.answered(time.Now())
+	if !d.apply(Change{VM: VM{ID: "a"}, Removed: true}, true) || len(d.vms) != 0 {
+		t.Error("a VM that another node has dropped is kept")
+	}
+}
--- a/internal/retry/lives_test.go
+++ b/internal/retry/lives_test.go
@@ -60,6 +60,32 @@
 	})
 }
 
+// TestSavedCreditsKeepToTheLimit: credits that a whole quiet window has saved are used at its end,
+// and those of the next window as they come.
+func TestSavedCreditsKeepToTheLimit(t *testing.T) {
+	limit := Limit{Ratio: 0.2, Extra: 0, Window: 10 * time.Second}
+	start := time.Unix(0, 0)
+	b := NewBudget(limit, start)
+	var requests, repeats []time.Time
+	for at := time.Duration(0); at < 2*limit.Window; at += 50 * time.Millisecond {
+		now := start.Add(at)
+		b.Request(now)
+		requests = append(requests, now)
+		for at >= limit.Window && b.Take(now, 1).Allowed {
+			repeats = append(repeats, now)
+		}
+	}
+	for _, end := range repeats {
+		used := within(repeats, end.Add(-limit.Window), end)
+		if allowed := limit.allowed(requests, end); float64(used) > allowed {
+			t.Fatalf("%d repeats in the window until %s, allowed %g", used, end.Sub(start), allowed)
+		}
+	}
+	if len(repeats) == 0 {
+		t.Error("no repeat was allowed")
+	}
+}
+
 // allowed is what the limit allows in the window that ends then.
 func (l Limit) allowed(requests []time.Time, end time.Time) float64 {
 	most := 0
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -153,8 +153,32 @@
   's/allReady = allReady && \(m\.State == fleet\.Ready \|\| m\.State == fleet\.Open\)//' ./internal/director TestRandomFaults
 mutant "a leave does not count as accepted" internal/director/answers.go \
   's/m\.begun \|\| m\.order\.Operation == engine\.Leave/m.begun/' ./internal/director TestLeaveCounts
-mutant "the repeat budget knows no window" internal/retry/budget.go \
-  's/if float64\(repeats\+1\) > allowed/if float64(repeats) > allowed+1/' ./internal/retry TestNoWindowIsOverdrawn
+mutant "credits for repeats don't end" internal/retry/budget.go \
+  's/b\.earned\[b\.current%buckets\] = 0//' ./internal/retry TestCreditsEndWithTheirWindow
+mutant "a request earns its whole ratio at once" internal/retry/budget.go \
+  's/b\.limit\.Ratio \/ spread/b.limit.Ratio/' ./internal/retry TestSavedCreditsKeepToTheLimit
+mutant "a new life has its fixed part at once" internal/retry/budget.go \
+  's/fixedAt: now\}/fixedAt: now.Add(-l.Window)}/' ./internal/retry TestRepeatsOfManyLives
+mutant "a new node takes itself for the only one" internal/cluster/cluster.go \
+  's/if !c\.recordsRead\.Load\(\)/if false/' ./internal/cluster TestNodesAreNotCountedBeforeTheyAreKnown
+mutant "net/http sends requests again" internal/relay/sender.go \
+  's/\tneverReplayed\(req\)\n/\tif o.Once {\n\t\treq.GetBody = nil\n\t}\n/' ./internal/relay TestNoRequestIsSentTwiceUnseen
+mutant "a stale connection is a failure" internal/relay/sender.go \
+  's/return w\.reused \&\& /return false \&\& /' ./internal/relay TestStaleConnectionIsReplaced
+mutant "missing entries are kept from the first answer on" internal/fleet/outage.go \
+  's/o\.keepUntil = o\.failedAt\.Add/o.keepUntil = time.Now().Add/; s/returnTime \+ probeInterval/2500 * time.Millisecond/' ./internal/fleet 'TestVMThatLeavesAfterAnOutage|TestVMThatLapsedAndStaysAway'
+mutant "the first watch after an outage waits for news" internal/fleet/directory.go \
+  's/if d\.lost \{\n\t\treturn 0/if false {\n\t\treturn 0/' ./internal/fleet 'TestLapsedEntryIsKept|TestVMThatLapsedAndStaysAway'
+mutant "missing VMs are looked at when a watch ends" internal/fleet/directory.go \
+  's/if len\(d\.missing\) == 0 \{\n\t\treturn most/if true {\n\t\treturn most/' ./internal/fleet TestVMThatLapsedAndStaysAway
+mutant "a watch of the list waits for three seconds" internal/fleet/directory.go \
+  's/const WatchWait = 1500 \* time\.Millisecond/const WatchWait = 3 * time.Second/' ./internal/fleet TestVMThatLeavesDuringAShortCut
+mutant "a follower keeps missing entries once more" internal/fleet/directory.go \
+  's/case c\.Removed \&\& relayed:/case false:/' ./internal/fleet TestRelayedRemovalIsTakenAtOnce
+mutant "silent connections to the store are tried in turn" platform/store.go \
+  's/s\.http\.CloseIdleConnections\(\)//g' ./platform TestSilentConnectionsAreLeftTogether
+mutant "silent nodes count until another is heard" internal/gateway/choose.go \
+  's/b\.forgetSilentPeers\(now\)//' ./internal/gateway TestNodesThatFellSilentDontFillHeads
 mutant "free VMs are never kept" internal/placement/placement.go \
   's/if !ok \|\| d\.keepFree\(m\)/if !ok/' ./internal/placement TestFreeVMsAreKept
 
