--- /dev/null
+++ b/test/soak/schedule.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind is one way in which something goes wrong, or is changed on purpose.
+type Kind string
+
+// The kinds. Those of nodes and upstreams name their target by its number.
+const (
+	StoreDown       Kind = "store-down"
+	StoreSilent     Kind = "store-silent"
+	StoreSlow       Kind = "store-slow"
+	StoreForgets    Kind = "store-forgets"
+	StoreLoses      Kind = "store-loses-answers"
+	NodeCut         Kind = "node-cut-from-store"
+	NodeOneWay      Kind = "node-hears-nothing-of-store"
+	NodeSilence     Kind = "node-connections-silent"
+	NodeKill        Kind = "node-kill"
+	NodeStop        Kind = "node-stop"
+	NodePause       Kind = "node-pause"
+	NodeReload      Kind = "node-reload"
+	AllKill         Kind = "all-nodes-kill"
+	UpstreamDies    Kind = "upstream-dies"
+	UpstreamDrains  Kind = "upstream-drains"
+	UpstreamLeaves  Kind = "upstream-leaves"
+	UpstreamCut     Kind = "upstream-cut"
+	UpstreamReset   Kind = "upstream-connections-reset"
+	UpstreamSilence Kind = "upstream-connections-silent"
+	UpstreamStalls  Kind = "upstream-stalls"
+	UpstreamRefuses Kind = "upstream-refuses"
+	UpstreamCuts    Kind = "upstream-cuts-streams"
+	UpstreamForeign Kind = "upstream-answers-others"
+	CallersMany     Kind = "callers-many"
+	CallersLeave    Kind = "callers-leave"
+	RouteAdded      Kind = "route-added"
+	KeyRevoked      Kind = "key-revoked"
+)
+
+// Fault is one entry of a schedule.
+type Fault struct {
+	At   time.Duration
+	Kind Kind
+	// Target is the number of a node or an upstream; what there is fewer of wraps around.
+	Target int
+	// For is how long it lasts; zero for what happens at once.
+	For time.Duration
+}
+
+// String is the fault's line in a schedule.
+func (f Fault) String() string { return fmt.Sprintf("%s %s %d %s", f.At, f.Kind, f.Target, f.For) }
+
+// shape is how often a kind is drawn and how long it lasts.
+type shape struct {
+	kind        Kind
+	weight      int
+	least, most time.Duration
+}
+
+var shapes = []shape{
+	{StoreDown, 3, 500 * time.Millisecond, 5 * time.Second},
+	{StoreSilent, 3, 500 * time.Millisecond, 5 * time.Second},
+	{StoreSlow, 1, time.Second, 4 * time.Second},
+	{StoreForgets, 1, 0, 0},
+	{StoreLoses, 1, 0, 0},
+	{NodeCut, 3, 200 * time.Millisecond, 4 * time.Second},
+	{NodeOneWay, 2, 500 * time.Millisecond, 4 * time.Second},
+	{NodeSilence, 2, 0, 0},
+	{NodeKill, 3, 300 * time.Millisecond, 2 * time.Second},
+	{NodeStop, 3, 300 * time.Millisecond, time.Second},
+	{NodePause, 2, 300 * time.Millisecond, 4 * time.Second},
+	{NodeReload, 1, 0, 0},
+	{AllKill, 1, 300 * time.Millisecond, time.Second},
+	{UpstreamDies, 4, time.Second, 4 * time.Second},
+	{UpstreamDrains, 3, 3 * time.Second, 5 * time.Second},
+	{UpstreamLeaves, 4, 4 * time.Second, 6 * time.Second},
+	{UpstreamCut, 2, 300 * time.Millisecond, 3 * time.Second},
+	{UpstreamReset, 2, 0, 0},
+	{UpstreamSilence, 2, 0, 0},
+	{UpstreamStalls, 2, time.Second, 3 * time.Second},
+	{UpstreamRefuses, 2, time.Second, 4 * time.Second},
+	{UpstreamCuts, 2, time.Second, 3 * time.Second},
+	{UpstreamForeign, 1, time.Second, 2 * time.Second},
+	{CallersMany, 1, time.Second, 3 * time.Second},
+	{CallersLeave, 2, time.Second, 4 * time.Second},
+	{RouteAdded, 3, 0, 0},
+	{KeyRevoked, 1, 0, 0},
+}
+
+// draw makes a schedule of a length: single faults, and series of one kind that overlap. Two
+// in three VMs that leave do so soon after the store was away, when news is late.
+func draw(random *rand.Rand, length time.Duration) []Fault {
+	const meanGap = 900 * time.Millisecond
+	var out []Fault
+	for at := time.Duration(0); at < length; at += rand64(random, meanGap/3, 2*meanGap-meanGap/3) {
+		f := one(random, at)
+		out = append(out, f)
+		switch {
+		case random.IntN(5) == 0:
+			again := f
+			again.At += f.For/2 + 200*time.Millisecond
+			again.Target++
+			out = append(out, again)
+		case f.Kind == StoreDown || f.Kind == StoreSilent || f.Kind == NodeCut:
+			leaves := Fault{At: f.At + f.For + rand64(random, 0, 4*time.Second), Kind: UpstreamLeaves, Target: random.IntN(64), For: 5 * time.Second}
+			if random.IntN(3) > 0 {
+				out = append(out, leaves)
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
+	return out
+}
+
+func one(random *rand.Rand, at time.Duration) Fault {
+	total := 0
+	for _, s := range shapes {
+		total += s.weight
+	}
+	left := random.IntN(total)
+	for _, s := range shapes {
+		if left < s.weight {
+			return Fault{At: at, Kind: s.kind, Target: random.IntN(64), For: rand64(random, s.least, s.most)}
+		}
+		left -= s.weight
+	}
+	panic("the weights do not add up")
+}
+
+// rand64 is a length from least to most, in whole milliseconds.
+func rand64(random *rand.Rand, least, most time.Duration) time.Duration {
+	if most <= least {
+		return least
+	}
+	return (least + time.Duration(random.Int64N(int64(most-least)))).Round(time.Millisecond)
+}
+
+// readSchedule reads lines as Fault.String writes them; empty ones and comments are passed over.
+func readSchedule(r io.Reader) ([]Fault, error) {
+	var out []Fault
+	lines := bufio.NewScanner(r)
+	for n := 1; lines.Scan(); n++ {
+		text := strings.TrimSpace(lines.Text())
+		if text == "" || strings.HasPrefix(text, "#") {
+			continue
+		}
+		f, err := parseFault(text)
+		if err != nil {
+			return nil, errors.Wrapf(err, "line %d", n)
+		}
+		out = append(out, f)
+	}
+	return out, lines.Err()
+}
+
+func parseFault(text string) (Fault, error) {
+	var at, kind, lasts string
+	var f Fault
+	if _, err := fmt.Sscan(text, &at, &kind, &f.Target, &lasts); err != nil {
+		return f, errors.Wrap(err, "want TIME KIND TARGET LENGTH")
+	}
+	var err error
+	if f.At, err = time.ParseDuration(at); err != nil {
+		return f, err
+	}
+	if f.For, err = time.ParseDuration(lasts); err != nil {
+		return f, err
+	}
+	f.Kind = Kind(kind)
+	if !slices.ContainsFunc(shapes, func(s shape) bool { return s.kind == f.Kind }) {
+		return f, errors.Newf("no kind %q", kind)
+	}
+	return f, nil
+}
--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -48,6 +48,42 @@
 	// Events and Pause shape the streams; Events 0 is a plain service.
 	Events int
 	Pause  time.Duration
+	// Observe is told what happens here, before it is answered; nil for nobody. It is told of
+	// BecameReady while the VM is locked.
+	Observe func(Observation)
+	// Member finds another VM by its ID; nil for one that is gone. With it a head stands
+	// still while a member is lost, and breaks after StallBound. Nil for heads that never do.
+	Member     func(id string) *VM
+	StallBound time.Duration
+}
+
+// Kind is what an Observation tells.
+type Kind uint8
+
+// The kinds. Arrived and Ended frame every request, Ran comes between if it began to run.
+const (
+	Arrived Kind = iota
+	Ran
+	Ended
+	Joined
+	BecameReady
+	Opened
+)
+
+// Observation is one thing that happened at a VM.
+type Observation struct {
+	Kind Kind
+	At   time.Time
+	VM   string
+	// Request is the request's ID, Target what it asked for, From the sender's IP number.
+	Request, Target, From string
+	// Group, Epoch and Members are the VM's place, after the order for Joined and Opened.
+	Group   string
+	Epoch   uint64
+	Members []string
+	// Old is the place that a join replaced, and OldMembers its VMs.
+	Old        Group
+	OldMembers []string
 }
 
 // VM is one upstream VM.
@@ -73,8 +109,10 @@
 	model    string
 	staged   []string
 	draining bool
-	headers  []http.Header
-	targets  []string
+	// lostAt is since when the head of an open group misses a member; zero when it does not.
+	lostAt  time.Time
+	headers []http.Header
+	targets []string
 }
 
 // New returns a VM and writes its entry.
@@ -94,6 +132,70 @@
 	v.publish()
 }
 
+// In reports whether the VM has been ready in the group and is still in it.
+func (v *VM) In(group string, epoch uint64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.group != nil && v.group.Name == group && v.group.Epoch == epoch && v.group.State != "joining"
+}
+
+// Watch judges once whether the VM, as a head, still has its members. The owner calls it
+// several times a second.
+func (v *VM) Watch(now time.Time) {
+	v.mu.Lock()
+	g, members := v.group, v.members
+	v.mu.Unlock()
+	if v.config.Member == nil || g == nil || g.State != "open" {
+		return
+	}
+	whole := true
+	for _, id := range members {
+		member := v.config.Member(id)
+		whole = whole && member != nil && member.In(g.Name, g.Epoch)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case v.group != g:
+	case whole:
+		v.lostAt = time.Time{}
+	case v.lostAt.IsZero():
+		v.lostAt = now
+	case now.Sub(v.lostAt) > v.config.StallBound:
+		broken := *g
+		broken.State = "broken"
+		v.group, v.lostAt = &broken, time.Time{}
+		v.publish()
+	}
+}
+
+// standing reports whether the head stands still, and whether it has broken.
+func (v *VM) standing() (still, broken bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.lostAt.IsZero(), v.group == nil || v.group.State == "broken"
+}
+
+// observe tells what happened.
+func (v *VM) observe(o Observation) {
+	if v.config.Observe == nil {
+		return
+	}
+	o.At, o.VM = time.Now(), v.config.ID
+	v.config.Observe(o)
+}
+
+// place is the VM's place as an observation.
+func (v *VM) place(k Kind) Observation {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	o := Observation{Kind: k, Members: v.members}
+	if v.group != nil {
+		o.Group, o.Epoch = v.group.Name, v.group.Epoch
+	}
+	return o
+}
+
 // State is the VM's state in its group; empty for none.
 func (v *VM) State() string {
 	v.mu.Lock()
@@ -176,18 +278,34 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	status, seen := v.take(o)
+	if status == http.StatusAccepted && (o.Op == "join" || o.Op == "open") {
+		v.observe(seen)
+	}
+	w.WriteHeader(status)
+}
+
+// take carries an order out if it fits, and returns what is to be told of it.
+func (v *VM) take(o order) (int, Observation) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if o.Expected != nil && *o.Expected != v.accepted {
-		w.WriteHeader(http.StatusConflict)
-		return
+		return http.StatusConflict, Observation{}
+	}
+	seen := Observation{Kind: Opened, OldMembers: v.members}
+	if o.Op == "join" {
+		seen.Kind = Joined
+	}
+	if v.group != nil {
+		seen.Old = *v.group
 	}
 	status := v.obey(o)
 	if status != http.StatusConflict {
 		v.accepted++
 		v.publish()
 	}
-	w.WriteHeader(status)
+	seen.Group, seen.Epoch, seen.Members = o.Group, o.Epoch, v.members
+	return status, seen
 }
 
 func (v *VM) obey(o order) int {
@@ -236,6 +354,7 @@
 			ready.State = "ready"
 			v.group = &ready
 			v.staged = []string{o.Model}
+			v.observe(Observation{Kind: BecameReady, Group: o.Group, Epoch: o.Epoch, Members: o.Members})
 		}
 	})
 }
@@ -252,22 +371,32 @@
 
 func (v *VM) request(w http.ResponseWriter, r *http.Request) {
 	v.Asked.Add(1)
+	id := r.Header.Get("Attempt-Id")
+	from, _, _ := strings.Cut(r.RemoteAddr, ":")
+	tell := func(k Kind) {
+		o := v.place(k)
+		o.Request, o.Target, o.From = id, r.RequestURI, from
+		v.observe(o)
+	}
+	tell(Arrived)
+	defer tell(Ended)
 	v.mu.Lock()
 	v.headers = append(v.headers, r.Header.Clone())
 	v.targets = append(v.targets, r.RequestURI)
 	open := v.config.Events == 0 || (v.group != nil && v.group.State == "open" && v.group.Rank == 0)
 	v.mu.Unlock()
-	id := r.Header.Get("Attempt-Id")
+	echo := id
 	if v.ForeignID.Load() {
-		id = "someone-elses"
+		echo = "someone-elses"
 	}
-	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Attempt-Id", echo)
 	if v.Refuse.Load() || !open {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	v.Ran.Add(1)
+	tell(Ran)
 	w.Header().Set("Response-Seal", "seal-of-"+v.config.ID)
 	if v.config.Events == 0 {
 		_, _ = fmt.Fprintf(w, "answer of %s to %s", v.config.Service, r.RequestURI)
@@ -291,7 +420,10 @@
 			<-r.Context().Done()
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 20)); err != nil {
+		if !v.waitWhole(r) {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", i, r.Header.Get("Attempt-Id"), strings.Repeat("x", 20)); err != nil {
 			return
 		}
 		_ = flush.Flush()
@@ -299,3 +431,27 @@
 		time.Sleep(v.config.Pause)
 	}
 }
+
+// standInterval is how often a stream looks whether its head goes on.
+const standInterval = 20 * time.Millisecond
+
+// waitWhole waits while the head stands still; false when it broke or the caller left.
+func (v *VM) waitWhole(r *http.Request) bool {
+	if v.config.Member == nil {
+		return true
+	}
+	for {
+		still, broken := v.standing()
+		if broken {
+			return false
+		}
+		if !still {
+			return true
+		}
+		select {
+		case <-r.Context().Done():
+			return false
+		case <-time.After(standInterval):
+		}
+	}
+}
