A request that names a length and comes in chunks is refused, and its connection ends

Cause: net/http takes the chunks, drops the length from the header and keeps the connection, so that what another reader takes for the body runs as a request of its own. Ruled out: the header as the handler sees it (the length is gone there); ending the connection of every request in chunks (callers keep theirs for many). Change: the header is kept as it came on the connection until the request is handled; where it came in one piece with an earlier request and can't be told apart, the connection ends with the answer.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -51,6 +51,8 @@
 
 	mu    sync.Mutex
 	phase phase
+	// head is the header that is being read, as it came.
+	head []byte
 	// expiry closes the connection at the end of the phase's limit; nil while
 	// there is none.
 	expiry *time.Timer
@@ -60,7 +62,7 @@
 func (c *limitedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.began()
+		c.began(p[:n])
 	}
 	return n, err
 }
@@ -73,13 +75,16 @@
 	return c.Conn.Close()
 }
 
-// began notes the first byte of a request.
-func (c *limitedConn) began() {
+// began notes bytes that have come, the first of a request among them.
+func (c *limitedConn) began(p []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == awaiting {
 		c.arm(readingHeader)
 	}
+	if c.phase == readingHeader {
+		c.keepHead(p)
+	}
 }
 
 // enter begins a phase, and with it the time that it may take.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -28,6 +28,9 @@
 	c, fault := s.caller.Read(r)
 	c.Arrived = arrived
 	var j *job
+	if ambiguous := framing(w, r); fault == nil {
+		fault = ambiguous
+	}
 	if fault == nil {
 		fault = s.route(c)
 	}
