The soak's VMs that left stay away; no silence is logged where nothing was proven before

A fault of the stand-in, not of the nodes. Also: 3002 of a fresh node said silent_ms=. Addresses are kept apart from those of the integration tests.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -286,7 +286,7 @@
 func (d *Directory) answered(provenAt time.Time) {
 	if d.lost {
 		d.lost = false
-		d.log.Emit(event.PlatformUp).Str("of", "directory").Int64("silent_ms", provenAt.Sub(d.outage.answeredAt).Milliseconds()).
+		d.log.Emit(event.PlatformUp).Str("of", "directory").Int64("silent_ms", d.outage.silent(provenAt).Milliseconds()).
 			Int64("waited_ms", time.Since(provenAt).Milliseconds()).Send()
 	}
 	d.outage.answered(provenAt, d.wait)
--- a/internal/fleet/outage.go
+++ b/internal/fleet/outage.go
@@ -38,8 +38,7 @@
 // from the last failed call: an answer may have waited long for news, and counting from
 // it kept a VM that left 3 s after an outage for 3.5 s more.
 func (o *outage) answered(sent time.Time, wait time.Duration) {
-	silent := sent.Sub(o.answeredAt)
-	if !o.failedAt.IsZero() && !o.answeredAt.IsZero() && silent >= wait+outageAfter {
+	if !o.failedAt.IsZero() && o.silent(sent) >= wait+outageAfter {
 		o.keepUntil = o.failedAt.Add(returnTime + probeInterval)
 	}
 	o.failedAt = time.Time{}
@@ -48,5 +47,13 @@
 	}
 }
 
+// silent is for how long nothing had been proven before a call; zero before the first answer.
+func (o *outage) silent(sent time.Time) time.Duration {
+	if o.answeredAt.IsZero() {
+		return 0
+	}
+	return sent.Sub(o.answeredAt)
+}
+
 // keeps reports whether an entry that is missing now may have lapsed.
 func (o *outage) keeps(now time.Time) bool { return now.Before(o.keepUntil) }
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -180,17 +180,17 @@
 	on := func(begin, end func()) { w.during(f, noNode, begin, end) }
 	switch f.Kind {
 	case UpstreamDies:
-		w.retire(u, f, func() { w.end(u); time.Sleep(lapseTime); w.store.Delete("servers", u.id) })
+		w.retire(u, f, func() { w.end(u); time.Sleep(lapseTime); u.vm.Leave() })
 	case UpstreamDrains:
 		w.retire(u, f, func() {
 			u.vm.Drain()
 			w.history.departed(u.id)
 			time.Sleep(f.For)
-			w.store.Delete("servers", u.id)
+			u.vm.Leave()
 			w.end(u)
 		})
 	case UpstreamLeaves:
-		w.retire(u, f, func() { w.store.Delete("servers", u.id); w.history.departed(u.id); time.Sleep(f.For); w.end(u) })
+		w.retire(u, f, func() { u.vm.Leave(); w.history.departed(u.id); time.Sleep(f.For); w.end(u) })
 	case UpstreamCut:
 		on(func() { u.way.change(faultproxy.Freeze, 1) }, func() { u.way.change(faultproxy.Freeze, -1) })
 	case UpstreamReset:
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -50,7 +50,7 @@
 
 // Hosts of the site's own network, 127.NET.ROLE.NUMBER.
 const (
-	roleNode = iota + 1
+	roleNode = iota + 101
 	roleStoreProxy
 	roleStore
 	roleVM
@@ -149,7 +149,7 @@
 
 // newWorld starts everything and waits until all nodes are ready.
 func newWorld(c config, dir string) (*world, error) {
-	w := &world{config: c, net: 20 + (os.Getpid()+int(c.seed))%200, dir: dir, history: &history{}, store: objectstore.New(),
+	w := &world{config: c, net: 20 + os.Getpid()%200, dir: dir, history: &history{}, store: objectstore.New(),
 		byID: make(map[string]*upstream), ended: make(chan struct{})}
 	if _, err := w.serve(w.addr(roleStore, 0, storePort), w.store); err != nil {
 		return w, err
--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -109,6 +109,8 @@
 	model    string
 	staged   []string
 	draining bool
+	// left is true once the VM's entry is gone for good.
+	left bool
 	// lostAt is since when the head of an open group misses a member; zero when it does not.
 	lostAt  time.Time
 	headers []http.Header
@@ -196,6 +198,14 @@
 	return o
 }
 
+// Leave takes the VM's entry away for good, without a word before; the VM serves on.
+func (v *VM) Leave() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.left = true
+	v.store.Delete("servers", v.config.ID)
+}
+
 // State is the VM's state in its group; empty for none.
 func (v *VM) State() string {
 	v.mu.Lock()
@@ -224,6 +234,9 @@
 }
 
 func (v *VM) publish() {
+	if v.left {
+		return
+	}
 	e := entry{Service: v.config.Service, Addr: v.config.Address, Zone: v.config.Zone, Slots: 8, State: "ready",
 		Domain: v.config.Domain, Staged: v.staged, Models: []model{}, Group: v.group}
 	if v.draining {
