The soak ends each schedule with a calm part, and its mutants say what its checks see

Ruled out: longer runs. Change: a tail with a crowd, upstreams that leave and hang while callers leave, and a stop by itself; plain VMs work for 30 ms; one VM in four loads five times as long; two attempts.

--- /dev/null
+++ b/scripts/soak-mutants.sh
@@ -0,0 +1,66 @@
+#!/usr/bin/env bash
+# Shows that each check of the soak sees what it is for: a mutant of the node, in a copy of the tree,
+# must be found by that check within ten seeds. ONLY=text takes those whose name holds the text;
+# JOBS runs so many beside each other.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+go build -o "$work/soak" ./test/soak || exit 1
+only=${ONLY:-}
+jobs=${JOBS:-4}
+number=0
+
+one() { # NUMBER CHECK FILES PERL-EXPRESSION
+  local tree="$work/tree-$1" out="$work/result-$1"
+  mkdir "$tree"
+  git ls-files -co --exclude-standard -z -- cmd internal api platform go.mod go.sum | xargs -0 cp --parents -t "$tree" 2>/dev/null
+  local file
+  for file in $3; do
+    perl -0pi -e "$4" "$tree/$file"
+    if cmp -s "$file" "$tree/$file"; then
+      echo "NOT APPLIED  $2 ($file)" >"$out"
+      return
+    fi
+  done
+  if ! (cd "$tree" && go build -o marbleroad-node ./cmd/marbleroad-node) 2>"$work/build-$1"; then
+    echo "NOT BUILT    $2: $(tail -1 "$work/build-$1")" >"$out"
+    return
+  fi
+  local seed
+  for seed in 1 2 3 4 5 6 7 8 9 10; do
+    "$work/soak" --binary "$tree/marbleroad-node" --seed "$seed" --keep "$work/kept-$1" >"$work/log-$1" 2>&1
+    if grep -qE "^  $2: " "$work/log-$1"; then
+      echo "seen failing $2, by seed $seed: $(grep -E "^  $2: " "$work/log-$1" | head -1 | sed 's/^ *//' | cut -c1-120)" >"$out"
+      return
+    fi
+  done
+  echo "SURVIVED     $2" >"$out"
+}
+
+mutant() { # CHECK FILES PERL-EXPRESSION
+  [[ "$1" == *"$only"* ]] || return 0
+  number=$((number + 1))
+  while (($(jobs -rp | wc -l) >= jobs)); do wait -n; done
+  one "$number" "$@" &
+}
+
+mutant "own whole answer" internal/gateway/attempt.go 's/if errors\.Is\(err, io\.EOF\) \{/if err != nil {/'
+mutant "not run is true" internal/relay/sender.go 's/\t\tv = verdict\.MayHaveRun/\t\tv = verdict.NotRun/'
+mutant "at most once" internal/gateway/attempt.go 's/case fault\.Verdict != verdict\.NotRun \&\& !j\.c\.Route\.Repeatable\(\):/case false:/'
+mutant "attempts" internal/gateway/attempt.go 's/case j\.ran >= j\.c\.Route\.Attempts \|\| j\.sends >= j\.c\.Route\.Attempts\+spareSends:/case false:/; s/if !j\.use\.Allowed/if false/'
+mutant "asked for" internal/gateway/handle.go 's/if ambiguous := framing\(w, r\); fault == nil/if ambiguous := framing(w, r); false/'
+mutant "no half-formed group" internal/director/groups.go 's/allReady = allReady && \(m\.State == fleet\.Ready \|\| m\.State == fleet\.Open\)//'
+mutant "one group at a time" internal/director/dissolve.go 's/now\.Sub\(w\.shortAt\) > hold/true/'
+mutant "leaving upstreams" internal/gateway/board.go 's/ \|\| vm\.Draining//'
+mutant "changes hold in time" internal/catalog/keeper.go 's/c\.version <= old\.version\)/c.version <= old.version+1)/'
+mutant "changes never revert" internal/catalog/keeper.go 's/k\.current\.Store\(c\)/k.current.Store(c)\n\ttime.AfterFunc(1500*time.Millisecond, func() { k.current.Store(old) })/'
+mutant "revoked keys end" internal/gateway/handle.go 's/team, ok := current\.Team\(c\.Key\)\n\tif !ok/team, ok := current.Team("key-7")\n\tif !ok/'
+mutant "budget for repeats" internal/retry/budget.go 's/if use\.Earned\+use\.Fixed < 1-rounding/if false/'
+mutant "work for callers that left" 'internal/gateway/handle.go internal/gateway/attempt.go' 's/s\.parts\.Tracer\.Extract\(r\.Context\(\), r\.Header\)/context.WithoutCancel(s.parts.Tracer.Extract(r.Context(), r.Header))/; s/if err := j\.out\.write\(raw, id\); err != nil \{\n\t\t\treturn err/if err := j.out.write(raw, id); err != nil \&\& !errors.Is(err, errCallerGone) {\n\t\t\treturn err/'
+mutant "refusals come at once" internal/gateway/attempt.go 's/return j\.refused\(why, rivals\)/time.Sleep(1500 * time.Millisecond)\n\t\treturn j.refused(why, rivals)/'
+mutant "answers by the deadline" internal/gateway/handle.go 's/context\.WithDeadline\(ctx, c\.Deadline\)/context.WithDeadline(ctx, c.Deadline.Add(20*time.Second))/'
+mutant "a stop cuts nothing" internal/gateway/server.go 's/err := s\.callers\.Shutdown\(limit\)/_ = limit\n\terr := s.callers.Close()/'
+wait
+for i in $(seq "$number"); do cat "$work/result-$i"; done
+! grep -qhE '^(SURVIVED|NOT)' "$work"/result-*
--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -30,12 +30,39 @@
 
 func newCallers(w *world) *callers { return &callers{w: w} }
 
+// lean begins (1) or ends (-1) a time in which callers are many, or leave early.
 func (c *callers) lean(k Kind, by int32) {
-	if k == CallersMany {
-		c.many.Add(by)
+	if k == CallersLeave {
+		c.leaving.Add(by)
 		return
 	}
-	c.leaving.Add(by)
+	if c.many.Add(by) == 1 && by == 1 {
+		c.crowd()
+	}
+}
+
+// crowd starts more callers, who go when they are not many any more.
+func (c *callers) crowd() {
+	for i := range crowdFactor * c.w.config.callers {
+		c.done.Go(func() {
+			random := rand.New(rand.NewPCG(c.w.seed, uint64(1000+i)))
+			client := newClient()
+			defer client.CloseIdleConnections()
+			for c.many.Load() > 0 {
+				c.one(random, client)
+				time.Sleep(meanPause)
+			}
+		})
+	}
+}
+
+// crowdFactor is how many times more callers a crowd has.
+const crowdFactor = 4
+
+// newClient sends requests on connections that it keeps. They have no GetBody, so that net/http
+// sends none a second time.
+func newClient() *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: 2, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 }
 
 // meanPause is the time between two requests of one caller.
@@ -50,15 +77,11 @@
 }
 
 func (c *callers) loop(ctx context.Context, random *rand.Rand) {
-	// Requests have no GetBody, so that net/http sends none a second time.
-	client := &http.Transport{MaxIdleConnsPerHost: 2, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+	client := newClient()
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		back := c.one(random, client)
 		pause := meanPause/2 + time.Duration(random.Int64N(int64(meanPause)))
-		if c.many.Load() > 0 {
-			pause /= 4
-		}
 		// One caller in five does not wait for as long as it is told.
 		if back > pause && random.IntN(5) > 0 {
 			pause = min(back, 2*time.Second)
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -324,7 +324,7 @@
 
 // calmUpstreams reports whether no way to an upstream was disturbed during the call.
 func (j *judge) calmUpstreams(c call) bool {
-	return j.calm(c.sent, c.ended, func(s span) bool { return s.node != noNode })
+	return j.calm(c.sent, c.ended, func(s span) bool { return s.node != anUpstream })
 }
 
 // held: a caller has its answer by the end of its time.
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -68,7 +68,7 @@
 			w.running.Go(func() { w.replace(f, each, syscall.SIGKILL) })
 		}
 	case CallersMany, CallersLeave:
-		w.during(f, noNode, func() { w.callers.lean(f.Kind, 1) }, func() { w.callers.lean(f.Kind, -1) })
+		w.during(f, callersOnly, func() { w.callers.lean(f.Kind, 1) }, func() { w.callers.lean(f.Kind, -1) })
 	case RouteAdded:
 		w.addRoute()
 	case KeyRevoked:
@@ -177,11 +177,14 @@
 func (w *world) applyToUpstream(f Fault) {
 	live := w.live()
 	u := live[f.Target%len(live)]
-	on := func(begin, end func()) { w.during(f, noNode, begin, end) }
+	if f.Kind == PlainDrains || f.Kind == PlainCut {
+		u = onePlain(live)
+	}
+	on := func(begin, end func()) { w.during(f, anUpstream, begin, end) }
 	switch f.Kind {
 	case UpstreamDies:
 		w.retire(u, f, func() { w.end(u); time.Sleep(lapseTime); u.vm.Leave() })
-	case UpstreamDrains:
+	case UpstreamDrains, PlainDrains:
 		w.retire(u, f, func() {
 			u.vm.Drain()
 			w.history.departed(u.id)
@@ -191,7 +194,7 @@
 		})
 	case UpstreamLeaves:
 		w.retire(u, f, func() { u.vm.Leave(); w.history.departed(u.id); time.Sleep(f.For); w.end(u) })
-	case UpstreamCut:
+	case UpstreamCut, PlainCut:
 		on(func() { u.way.change(faultproxy.Freeze, 1) }, func() { u.way.change(faultproxy.Freeze, -1) })
 	case UpstreamReset:
 		on(u.way.proxy.Break, func() {})
@@ -201,6 +204,8 @@
 		on(func() { u.vm.Stall.Store(3) }, func() { u.vm.Stall.Store(0) })
 	case UpstreamRefuses:
 		on(func() { u.vm.Refuse.Store(true) }, func() { u.vm.Refuse.Store(false) })
+	case AllRefuse:
+		w.during(f, anUpstream, func() { refuse(live, true) }, func() { refuse(live, false) })
 	case UpstreamCuts:
 		on(func() { u.vm.CutAfter.Store(3) }, func() { u.vm.CutAfter.Store(0) })
 	case UpstreamForeign:
@@ -210,6 +215,22 @@
 	}
 }
 
+// onePlain is the newest VM of the plain service.
+func onePlain(live []*upstream) *upstream {
+	for _, u := range slices.Backward(live) {
+		if u.plain && !u.leaving {
+			return u
+		}
+	}
+	return live[0]
+}
+
+func refuse(all []*upstream, on bool) {
+	for _, u := range all {
+		u.vm.Refuse.Store(on)
+	}
+}
+
 // retire has a VM go in some way while another one takes its place.
 func (w *world) retire(u *upstream, f Fault, leave func()) {
 	w.mu.Lock()
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -49,10 +49,11 @@
 	what     Kind
 }
 
-// What spans name in place of a node: all of them, or an upstream or callers.
+// What spans name in place of a node: all of them, an upstream, or callers.
 const (
-	everyNode = -1
-	noNode    = -2
+	everyNode   = -1
+	anUpstream  = -2
+	callersOnly = -3
 )
 
 // departure is a VM's leaving, as the store acknowledged it.
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -58,8 +58,8 @@
 	f.IntVar(&o.nodes, "nodes", 3, "nodes, a process each")
 	f.IntVar(&o.engines, "engines", 8, "model engines")
 	f.IntVar(&o.plain, "plain", 3, "upstreams of the plain service")
-	f.IntVar(&o.callers, "callers", 12, "callers")
-	f.DurationVar(&o.length, "length", 12*time.Second, "time in which faults begin")
+	f.IntVar(&o.callers, "callers", 30, "callers")
+	f.DurationVar(&o.length, "length", 12*time.Second, "time in which faults are drawn; a calm part of 17 s follows")
 	f.DurationVar(&o.slack, "slack", 500*time.Millisecond, "added to each bound on time, for a busy machine")
 	f.StringVar(&o.schedule, "schedule", "", "file with the faults to play in place of drawn ones")
 	f.BoolVar(&o.shrink, "shrink", false, "look for the shortest schedule that still fails")
@@ -68,7 +68,7 @@
 }
 
 // calmAfter is how long callers go on after the last fault.
-const calmAfter = 4 * time.Second
+const calmAfter = 3 * time.Second
 
 var errBroken = errors.New("a promise was broken")
 
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -38,8 +38,11 @@
 	UpstreamSilence Kind = "upstream-connections-silent"
 	UpstreamStalls  Kind = "upstream-stalls"
 	UpstreamRefuses Kind = "upstream-refuses"
+	AllRefuse       Kind = "all-upstreams-refuse"
 	UpstreamCuts    Kind = "upstream-cuts-streams"
 	UpstreamForeign Kind = "upstream-answers-others"
+	PlainDrains     Kind = "plain-upstream-drains"
+	PlainCut        Kind = "plain-upstream-cut"
 	CallersMany     Kind = "callers-many"
 	CallersLeave    Kind = "callers-leave"
 	RouteAdded      Kind = "route-added"
@@ -83,13 +86,16 @@
 	{UpstreamDies, 4, time.Second, 4 * time.Second},
 	{UpstreamDrains, 3, 3 * time.Second, 5 * time.Second},
 	{UpstreamLeaves, 4, 4 * time.Second, 6 * time.Second},
-	{UpstreamCut, 2, 300 * time.Millisecond, 3 * time.Second},
+	{UpstreamCut, 3, 300 * time.Millisecond, 8 * time.Second},
 	{UpstreamReset, 2, 0, 0},
 	{UpstreamSilence, 2, 0, 0},
 	{UpstreamStalls, 2, time.Second, 3 * time.Second},
 	{UpstreamRefuses, 2, time.Second, 4 * time.Second},
+	{AllRefuse, 1, time.Second, 4 * time.Second},
 	{UpstreamCuts, 2, time.Second, 3 * time.Second},
 	{UpstreamForeign, 1, time.Second, 2 * time.Second},
+	{PlainDrains, 1, 3 * time.Second, 5 * time.Second},
+	{PlainCut, 1, 300 * time.Millisecond, 7 * time.Second},
 	{CallersMany, 1, time.Second, 3 * time.Second},
 	{CallersLeave, 2, time.Second, 4 * time.Second},
 	{RouteAdded, 3, 0, 0},
@@ -117,10 +123,32 @@
 			}
 		}
 	}
+	for i := range out {
+		out[i].For = min(out[i].For, max(length-out[i].At, 0)+calmBegin/4)
+	}
+	out = append(out, calmTail(random, length)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
 
+// calmBegin is when the nodes count as in touch after the drawn faults.
+const calmBegin = 4 * time.Second
+
+// calmTail ends each schedule with what the checks that need an undisturbed node judge: a crowd,
+// upstreams that leave or hang while callers leave, and a graceful stop by itself.
+func calmTail(random *rand.Rand, length time.Duration) []Fault {
+	at := func(s float64) time.Duration { return length + calmBegin + time.Duration(s*float64(time.Second)) }
+	return []Fault{
+		{at(0), CallersMany, 0, 2 * time.Second},
+		{at(3), PlainCut, 0, 6500 * time.Millisecond},
+		{at(3), UpstreamLeaves, random.IntN(64), 5 * time.Second},
+		{at(3.2), PlainDrains, 0, 4500 * time.Millisecond},
+		{at(3.2), CallersLeave, 0, 3 * time.Second},
+		{at(3.4), RouteAdded, 0, 0},
+		{at(13), NodeStop, random.IntN(64), 300 * time.Millisecond},
+	}
+}
+
 func one(random *rand.Rand, at time.Duration) Fault {
 	total := 0
 	for _, s := range shapes {
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -20,7 +20,7 @@
 
 // What the site promises; the nodes' settings are made from the same figures.
 const (
-	attempts     = 3
+	attempts     = 2
 	streamEvents = 25
 	eventPause   = 30 * time.Millisecond
 	groupSize    = 2
@@ -33,8 +33,11 @@
 	stallBound   = time.Second
 	// patience is how long callers wait.
 	patience = 5 * time.Second
-	// loadTime is how long a join or a copy takes.
+	// loadTime is how long the fastest VM takes to join or to copy; one in four takes five
+	// times as long.
 	loadTime = 50 * time.Millisecond
+	// plainWork is how long a plain VM takes.
+	plainWork = 30 * time.Millisecond
 	// lapseTime is how long the entry of a dead VM stays.
 	lapseTime = 2 * time.Second
 )
@@ -202,7 +205,7 @@
 	}
 	u := &upstream{id: fmt.Sprintf("vm-%d", number), number: number, plain: plain, way: &lever{proxy: proxy, on: make(map[faultproxy.Mode]int)}}
 	u.vm = groupengine.New(groupengine.Config{ID: u.id, Service: service, Address: proxy.Address(), Zone: w.domain(number), Domain: "fabric-" + w.domain(number),
-		Load: loadTime, Events: events, Pause: eventPause, Observe: w.observe, Member: w.member, StallBound: stallBound}, w.store)
+		Load: loadOf(number), Events: events, Pause: eventPause, Work: plainWork, Observe: w.observe, Member: w.member, StallBound: stallBound}, w.store)
 	server, err := w.serve(w.addr(roleVM, number, vmPort), u.vm)
 	if err != nil {
 		return err
@@ -215,6 +218,13 @@
 	return nil
 }
 
+func loadOf(number int) time.Duration {
+	if number/2%4 == 1 {
+		return 5 * loadTime
+	}
+	return loadTime
+}
+
 // domain spreads nodes and VMs over two failure domains.
 func (w *world) domain(number int) string { return [...]string{"a", "b"}[number%2] }
 
--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -45,9 +45,10 @@
 	ID, Service, Address, Zone, Domain string
 	// Load is how long any join or copy takes.
 	Load time.Duration
-	// Events and Pause shape the streams; Events 0 is a plain service.
+	// Events and Pause shape the streams; Events 0 is a plain service, which takes Work.
 	Events int
 	Pause  time.Duration
+	Work   time.Duration
 	// Observe is told what happens here, before it is answered; nil for nobody. It is told of
 	// BecameReady while the VM is locked.
 	Observe func(Observation)
@@ -412,6 +413,7 @@
 	tell(Ran)
 	w.Header().Set("Response-Seal", "seal-of-"+v.config.ID)
 	if v.config.Events == 0 {
+		time.Sleep(v.config.Work)
 		_, _ = fmt.Fprintf(w, "answer of %s to %s", v.config.Service, r.RequestURI)
 		return
 	}
