--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOLS := $(CURDIR)/.tools
 STATICCHECK_VERSION := v0.8.2
 
-.PHONY: all build demo test lint proof mutants bench capacity plots clean generate
+.PHONY: all build demo test lint proof mutants soak soak-mutants bench capacity plots clean generate
 
 all: build
 
@@ -30,6 +30,22 @@
 proof:
 	@scripts/proof.sh
 
+# Random faults against the real node; docs/SOAK.md has the settings.
+SEED ?= 1
+SEEDS ?= 50
+MINUTES ?= 0
+NODES ?= 3
+ENGINES ?= 8
+PLAIN ?= 3
+CALLERS ?= 30
+soak:
+	go build -o bin/ ./cmd/marbleroad-node ./test/soak
+	bin/soak --seed $(SEED) --seeds $(SEEDS) --minutes $(MINUTES) --nodes $(NODES) --engines $(ENGINES) --plain $(PLAIN) --callers $(CALLERS)
+
+# Shows that each check of the soak sees what it is for.
+soak-mutants:
+	@scripts/soak-mutants.sh
+
 # Takes each mechanism out in a copy and shows that its test fails.
 mutants:
 	@scripts/mutants.sh
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -59,7 +59,7 @@
 	return j.found
 }
 
-func (j *judge) break_(check, request, format string, args ...any) {
+func (j *judge) report(check, request, format string, args ...any) {
 	j.found = append(j.found, violation{check, fmt.Sprintf(format, args...), request})
 }
 
@@ -88,7 +88,7 @@
 func (j *judge) answers() {
 	for _, c := range j.h.calls {
 		if c.broken != "" {
-			j.break_("own whole answer", c.id, "%s", c.broken)
+			j.report("own whole answer", c.id, "%s", c.broken)
 		}
 	}
 }
@@ -101,7 +101,7 @@
 		}
 		switch c := j.calls[o.Request]; c.status {
 		case 408, 421, 429, 503:
-			j.break_("not run is true", o.Request, "answered %d, and ran at %s", c.status, o.VM)
+			j.report("not run is true", o.Request, "answered %d, and ran at %s", c.status, o.VM)
 		}
 	}
 }
@@ -116,10 +116,10 @@
 	}
 	for id, n := range ran {
 		if j.calls[id].class == written && n > 1 {
-			j.break_("at most once", id, "ran %d times", n)
+			j.report("at most once", id, "ran %d times", n)
 		}
 		if n > attempts {
-			j.break_("attempts", id, "ran %d times, %d are allowed", n, attempts)
+			j.report("attempts", id, "ran %d times, %d are allowed", n, attempts)
 		}
 	}
 }
@@ -128,7 +128,7 @@
 func (j *judge) asked() {
 	for _, o := range j.h.seen {
 		if _, known := j.calls[o.Request]; o.Kind == groupengine.Ran && (!known || strings.HasPrefix(o.Request, "smuggled")) {
-			j.break_("asked for", o.Request, "ran at %s, target %s", o.VM, o.Target)
+			j.report("asked for", o.Request, "ran at %s, target %s", o.VM, o.Target)
 		}
 	}
 }
@@ -156,18 +156,18 @@
 		}
 	}
 	for _, o := range j.h.taken {
-		j.break_("one group at a time", "", "%s joined %s while the head of %s might serve", o.VM, o.Group, o.Old.Name)
+		j.report("one group at a time", "", "%s joined %s while the head of %s might serve", o.VM, o.Group, o.Old.Name)
 	}
 }
 
 // complete: at an open order all members have been ready with the same list.
 func (j *judge) complete(o groupengine.Observation, ready map[string][]string) {
 	if len(o.Members) != groupSize {
-		j.break_("no half-formed group", "", "%s opened %s with %d members", o.VM, o.Group, len(o.Members))
+		j.report("no half-formed group", "", "%s opened %s with %d members", o.VM, o.Group, len(o.Members))
 	}
 	for _, id := range o.Members {
 		if !slices.Equal(ready[id], o.Members) {
-			j.break_("no half-formed group", "", "%s opened %s, in which %s was never ready with the same list", o.VM, o.Group, id)
+			j.report("no half-formed group", "", "%s opened %s, in which %s was never ready with the same list", o.VM, o.Group, id)
 		}
 	}
 }
@@ -182,7 +182,7 @@
 			c, known := j.calls[o.Request]
 			late := o.At.Sub(d.at)
 			if o.Kind == groupengine.Arrived && o.VM == d.vm && known && late > drainBound+j.slack && j.inTouch(c.node, c.sent) && j.inTouch(c.node, o.At) {
-				j.break_("leaving upstreams", o.Request, "reached %s %d ms after it left", d.vm, late.Milliseconds())
+				j.report("leaving upstreams", o.Request, "reached %s %d ms after it left", d.vm, late.Milliseconds())
 			}
 		}
 	}
@@ -212,10 +212,10 @@
 			continue
 		}
 		if late := c.sent.Sub(acceptedAt[c.version]); late > applyBound+j.slack && j.inTouch(c.node, c.sent) {
-			j.break_("changes hold in time", c.id, "node %d knows nothing of version %d after %d ms", c.node, c.version, late.Milliseconds())
+			j.report("changes hold in time", c.id, "node %d knows nothing of version %d after %d ms", c.node, c.version, late.Milliseconds())
 		}
 		if at, ok := held[life{c.node, c.life, c.version}]; ok && at.Add(250*time.Millisecond).Before(c.sent) {
-			j.break_("changes never revert", c.id, "node %d no longer knows version %d", c.node, c.version)
+			j.report("changes never revert", c.id, "node %d no longer knows version %d", c.node, c.version)
 		}
 	}
 }
@@ -231,7 +231,7 @@
 	for _, o := range j.h.seen {
 		c := j.calls[o.Request]
 		if at, ok := ended[c.key]; ok && o.Kind == groupengine.Ran && c.sent.Sub(at) > revokeBound {
-			j.break_("revoked keys end", o.Request, "ran with a key that was revoked %d ms before it was sent", c.sent.Sub(at).Milliseconds())
+			j.report("revoked keys end", o.Request, "ran with a key that was revoked %d ms before it was sent", c.sent.Sub(at).Milliseconds())
 		}
 	}
 }
@@ -264,7 +264,7 @@
 				most = max(most, within(s.asked, from.Add(-back)))
 			}
 			if n := within(s.again, from); float64(n) > repeatRatio*float64(most)+repeatExtra {
-				j.break_("budget for repeats", "", "%d repeats in one window for %d requests, model service: %t", n, most, models)
+				j.report("budget for repeats", "", "%d repeats in one window for %d requests, model service: %t", n, most, models)
 				break
 			}
 		}
@@ -302,7 +302,7 @@
 		}
 	}
 	if late > few && late*4 > left {
-		j.break_("work for callers that left", "", "%d of %d went on for longer than %s", late, left, leftBound)
+		j.report("work for callers that left", "", "%d of %d went on for longer than %s", late, left, leftBound)
 	}
 }
 
@@ -317,7 +317,7 @@
 	for _, c := range j.h.calls {
 		took := c.ended.Sub(c.sent)
 		if c.status == 503 && !arrived[c.id] && took > refusalBound+j.slack && j.inTouch(c.node, c.ended) && j.calmUpstreams(c) {
-			j.break_("refusals come at once", c.id, "refused after %d ms", took.Milliseconds())
+			j.report("refusals come at once", c.id, "refused after %d ms", took.Milliseconds())
 		}
 	}
 }
@@ -332,7 +332,7 @@
 	for _, c := range j.h.calls {
 		took := c.ended.Sub(c.sent)
 		if c.left.IsZero() && took > patience+leftBound+j.slack && j.inTouch(c.node, c.ended) {
-			j.break_("answers by the deadline", c.id, "held for %d ms by node %d", took.Milliseconds(), c.node)
+			j.report("answers by the deadline", c.id, "held for %d ms by node %d", took.Milliseconds(), c.node)
 		}
 	}
 }
@@ -350,7 +350,7 @@
 		for _, c := range j.h.calls {
 			during := c.node == s.node && c.ended.After(s.from) && c.sent.Before(s.to)
 			if during && c.left.IsZero() && !c.whole && arrived[c.id] && j.calm(c.sent, c.ended, func(other span) bool { return other == s }) {
-				j.break_("a stop cuts nothing", c.id, "node %d was stopped; status %d, not whole", c.node, c.status)
+				j.report("a stop cuts nothing", c.id, "node %d was stopped; status %d, not whole", c.node, c.status)
 			}
 		}
 	}
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -85,7 +85,7 @@
 		if err != nil {
 			return err
 		}
-		ok, err := o.seed1(c, faults)
+		ok, err := o.playSeed(c, faults)
 		if err != nil {
 			return err
 		}
@@ -113,8 +113,8 @@
 	return faults, errors.Wrapf(err, "read %s", o.schedule)
 }
 
-// seed1 runs one seed, and reports and keeps a failure.
-func (o *options) seed1(c config, faults []Fault) (bool, error) {
+// playSeed runs one seed, and reports and keeps a failure.
+func (o *options) playSeed(c config, faults []Fault) (bool, error) {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return false, errors.Wrap(err, "make folder")
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -107,7 +107,7 @@
 func draw(random *rand.Rand, length time.Duration) []Fault {
 	const meanGap = 900 * time.Millisecond
 	var out []Fault
-	for at := time.Duration(0); at < length; at += rand64(random, meanGap/3, 2*meanGap-meanGap/3) {
+	for at := time.Duration(0); at < length; at += between(random, meanGap/3, 2*meanGap-meanGap/3) {
 		f := one(random, at)
 		out = append(out, f)
 		switch {
@@ -117,7 +117,7 @@
 			again.Target++
 			out = append(out, again)
 		case f.Kind == StoreDown || f.Kind == StoreSilent || f.Kind == NodeCut:
-			leaves := Fault{At: f.At + f.For + rand64(random, 0, 4*time.Second), Kind: UpstreamLeaves, Target: random.IntN(64), For: 5 * time.Second}
+			leaves := Fault{At: f.At + f.For + between(random, 0, 4*time.Second), Kind: UpstreamLeaves, Target: random.IntN(64), For: 5 * time.Second}
 			if random.IntN(3) > 0 {
 				out = append(out, leaves)
 			}
@@ -157,15 +157,15 @@
 	left := random.IntN(total)
 	for _, s := range shapes {
 		if left < s.weight {
-			return Fault{At: at, Kind: s.kind, Target: random.IntN(64), For: rand64(random, s.least, s.most)}
+			return Fault{At: at, Kind: s.kind, Target: random.IntN(64), For: between(random, s.least, s.most)}
 		}
 		left -= s.weight
 	}
 	panic("the weights do not add up")
 }
 
-// rand64 is a length from least to most, in whole milliseconds.
-func rand64(random *rand.Rand, least, most time.Duration) time.Duration {
+// between is a length from least to most, in whole milliseconds.
+func between(random *rand.Rand, least, most time.Duration) time.Duration {
 	if most <= least {
 		return least
 	}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"math/rand/v2"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// ciSlack is what CI adds to bounds on time: its machine may be busy.
+const ciSlack = 3 * time.Second
+
+// TestOneSeed is the soak's short run: one seed against the real node.
+func TestOneSeed(t *testing.T) {
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "marbleroad-node")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/marbleroad-node").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	c := config{binary: binary, seed: 1, nodes: 3, engines: 8, plain: 3, callers: 12, length: 6 * time.Second, slack: ciSlack}
+	r, err := runOnce(c, draw(rand.New(rand.NewPCG(c.seed, 0)), c.length), dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.whole == 0 {
+		t.Error("nothing was answered")
+	}
+	for _, v := range r.found {
+		t.Error(v)
+	}
+}
