--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -177,8 +177,12 @@
 func (w *world) applyToUpstream(f Fault) {
 	live := w.live()
 	u := live[f.Target%len(live)]
-	if f.Kind == PlainDrains || f.Kind == PlainCut {
-		u = onePlain(live)
+	switch plain := plainOf(live); {
+	case len(plain) == 0:
+	case f.Kind == PlainCut:
+		u = plain[0]
+	case f.Kind == PlainDrains:
+		u = plain[len(plain)-1]
 	}
 	on := func(begin, end func()) { w.during(f, anUpstream, begin, end) }
 	switch f.Kind {
@@ -215,14 +219,15 @@
 	}
 }
 
-// onePlain is the newest VM of the plain service.
-func onePlain(live []*upstream) *upstream {
-	for _, u := range slices.Backward(live) {
-		if u.plain && !u.leaving {
-			return u
+// plainOf lists the VMs of the plain service, the oldest first.
+func plainOf(live []*upstream) []*upstream {
+	var out []*upstream
+	for _, u := range live {
+		if u.plain {
+			out = append(out, u)
 		}
 	}
-	return live[0]
+	return out
 }
 
 func refuse(all []*upstream, on bool) {
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -21,7 +21,7 @@
 // What the site promises; the nodes' settings are made from the same figures.
 const (
 	attempts     = 2
-	streamEvents = 25
+	streamEvents = 50
 	eventPause   = 30 * time.Millisecond
 	groupSize    = 2
 	engineSlots  = 8
@@ -302,7 +302,7 @@
 listen = %s
 ready = %s
 admin = %s
-balancer_delay = 1500ms
+balancer_delay = 400ms
 stop_grace = %s
 revoke_bound = %s
 repeat_ratio = %g
