--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -57,7 +57,7 @@
 mutant "changes never revert" internal/catalog/keeper.go 's/k\.current\.Store\(c\)/k.current.Store(c)\n\ttime.AfterFunc(1500*time.Millisecond, func() { k.current.Store(old) })/'
 mutant "revoked keys end" internal/gateway/handle.go 's/team, ok := current\.Team\(c\.Key\)\n\tif !ok/team, ok := current.Team("key-7")\n\tif !ok/'
 mutant "budget for repeats" internal/retry/budget.go 's/if use\.Earned\+use\.Fixed < 1-rounding/if false/'
-mutant "work for callers that left" 'internal/gateway/handle.go internal/gateway/attempt.go' 's/s\.parts\.Tracer\.Extract\(r\.Context\(\), r\.Header\)/context.WithoutCancel(s.parts.Tracer.Extract(r.Context(), r.Header))/; s/if err := j\.out\.write\(raw, id\); err != nil \{\n\t\t\treturn err/if err := j.out.write(raw, id); err != nil \&\& !errors.Is(err, errCallerGone) {\n\t\t\treturn err/'
+mutant "work for callers that left" 'internal/gateway/handle.go internal/gateway/stream.go' 's/s\.parts\.Tracer\.Extract\(r\.Context\(\), r\.Header\)/context.WithoutCancel(s.parts.Tracer.Extract(r.Context(), r.Header))/; s/return errors\.CombineErrors\(errCallerGone, err\)/_ = err/g'
 mutant "refusals come at once" internal/gateway/attempt.go 's/return j\.refused\(why, rivals\)/time.Sleep(1500 * time.Millisecond)\n\t\treturn j.refused(why, rivals)/'
 mutant "answers by the deadline" internal/gateway/handle.go 's/context\.WithDeadline\(ctx, c\.Deadline\)/context.WithDeadline(ctx, c.Deadline.Add(20*time.Second))/'
 mutant "a stop cuts nothing" internal/gateway/server.go 's/err := s\.callers\.Shutdown\(limit\)/_ = limit\n\terr := s.callers.Close()/'
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -169,6 +171,26 @@
 	return nil
 }
 
+// endWithSignal has the nodes end with the soak when that is told to end; the function that it returns
+// ends this.
+func endWithSignal(w *world) func() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-signals:
+			w.killNodes()
+			os.Exit(1)
+		case <-done:
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
+
 // result is what one run came to.
 type result struct {
 	found                     []violation
@@ -182,6 +204,7 @@
 		w.stop()
 		return result{}, errors.Wrapf(err, "seed %d", c.seed)
 	}
+	defer endWithSignal(w)()
 	ctx, cancel := context.WithCancel(context.Background())
 	w.callers.run(ctx, c.callers)
 	w.play(faults)
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -444,9 +444,8 @@
 	}
 }
 
-// stop ends everything that this world started.
-func (w *world) stop() {
-	close(w.ended)
+// killNodes ends the nodes' processes.
+func (w *world) killNodes() {
 	for _, n := range w.nodes {
 		n.mu.Lock()
 		cmd, gone := n.cmd, n.gone
@@ -458,7 +457,15 @@
 		_ = cmd.Process.Kill()
 		<-gone
 	}
+}
+
+// stop ends everything that this world started.
+func (w *world) stop() {
+	close(w.ended)
+	w.killNodes()
 	w.running.Wait()
+	// A node that a fault was about to start again may have been started meanwhile.
+	w.killNodes()
 	for _, n := range w.nodes {
 		n.way.proxy.Close()
 	}
