--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -58,7 +58,7 @@
 	w.check(t)
 }
 
-// TestHeadCutOffFromStore is ovh-qlog scale-1 of 2026-12-02: a head without
+// TestHeadCutOffFromStore: a head without
 // entry serves on, so its members stay until it was made to leave.
 func TestHeadCutOffFromStore(t *testing.T) {
 	w := newWorld(t, 1, 8)
@@ -73,7 +73,7 @@
 	}
 }
 
-// TestMemberCutOffFromStore is rce-tiles trouble-1: a member whose entry lapsed is
+// TestMemberCutOffFromStore: a member whose entry lapsed is
 // asked itself; while it stands by its group, the group serves on.
 func TestMemberCutOffFromStore(t *testing.T) {
 	w := newWorld(t, 1, 5)
@@ -133,7 +133,7 @@
 	w.check(t)
 }
 
-// TestUnheardHeadServesOn is rce-tiles scale-1 with seed 625651074792: a head that
+// TestUnheardHeadServesOn: a head that
 // left the list and doesn't answer may still have an open group, for as long as its
 // members stay. They are used again all the same.
 func TestUnheardHeadServesOn(t *testing.T) {
@@ -185,7 +185,7 @@
 	w.check(t)
 }
 
-// TestTwoDirectors is hunt-18d3-27 and rce-tiles scale-1: two directors that
+// TestTwoDirectors: two directors that
 // don't hear of each other never take a VM from a group that serves.
 func TestTwoDirectors(t *testing.T) {
 	w := newWorld(t, 2, 8)
@@ -349,7 +349,7 @@
 	}
 }
 
-// TestRefusedCopyIsNotAskedForAgain (rce-tiles fresh-7c90): a host that copies for
+// TestRefusedCopyIsNotAskedForAgain: a host that copies for
 // a former director refuses another copy; it is left alone for a while.
 func TestRefusedCopyIsNotAskedForAgain(t *testing.T) {
 	w := newWorld(t, 1, 4)
@@ -369,7 +369,7 @@
 	}
 }
 
-// TestLostVMMustAnswerFirst (ovh-qlog fresh-fc96): a VM that was found lost is not
+// TestLostVMMustAnswerFirst: a VM that was found lost is not
 // put into a group because time has passed.
 func TestLostVMMustAnswerFirst(t *testing.T) {
 	w := newWorld(t, 1, 1)
@@ -391,7 +391,7 @@
 	}
 }
 
-// TestRemainsAreNoSupply is rce-tiles scale-1: what is left of a group of another
+// TestRemainsAreNoSupply: what is left of a group of another
 // failure domain, whose director has not freed it yet, does not count as serving.
 func TestRemainsAreNoSupply(t *testing.T) {
 	w := newWorld(t, 1, 8)
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// TestDoubtedHeadGetsOneRequest is rce-tiles trouble-2: a dead head looked empty and
+// TestDoubtedHeadGetsOneRequest: a dead head looked empty and
 // drew all requests each time that its suspicion ran out.
 func TestDoubtedHeadGetsOneRequest(t *testing.T) {
 	now := time.Now()
@@ -112,7 +112,7 @@
 	}
 }
 
-// TestLostAnswerAtALivelyHead is inc-73ac of rce-tiles: the answer to one request was
+// TestLostAnswerAtALivelyHead: the answer to one request was
 // lost while its head went on, and the request waited until its caller gave up.
 func TestLostAnswerAtALivelyHead(t *testing.T) {
 	now := time.Now()
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// TestFreedVMsAreKept (ovh-qlog fresh-fc96): what was given up for one model does
+// TestFreedVMsAreKept: what was given up for one model does
 // not go back to the other before all of it is free.
 func TestFreedVMsAreKept(t *testing.T) {
 	in := Input{Free: fabric("a", 2, VM{Last: "small", Staged: []string{"big"}}), Models: models, KeptFor: map[string]string{"a": "big"},
