--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -261,9 +261,12 @@
 		s.log.Emit(event.BadInput).Str("code", fault.Code).Str("path", r.URL.Path).Send()
 		writeError(w, newRequestID(), strings.HasPrefix(r.URL.Path, "/v1/"), fault)
 	})
-	return mux
+	return endChunked(mux)
 }
 
+// endChunked serves requests.
+func endChunked(next http.Handler) http.Handler { return next }
+
 // step handles one kind of call after authentication.
 type step func(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, snapshot *view.Snapshot) *verdict.Error
 
