marbleroad-entry ends the connection of a request in chunks with its answer

Cause: as on the node; the handler can't see a length that net/http dropped. Ruled out: keeping the header as it came, as the node does (its callers send chunks on connections that they keep; the callers of these APIs name a length). Before and after: the test, 2 requests served -> 1.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -264,8 +264,17 @@
 	return endChunked(mux)
 }
 
-// endChunked serves requests.
-func endChunked(next http.Handler) http.Handler { return next }
+// endChunked ends the connection of a request in chunks with its answer. If the request named a
+// length too, net/http has dropped that, and what another reader takes for the body would be
+// served next; callers of the APIs here name a length.
+func endChunked(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if len(r.TransferEncoding) > 0 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
 
 // step handles one kind of call after authentication.
 type step func(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call, snapshot *view.Snapshot) *verdict.Error
