--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -177,6 +177,10 @@
   's/case c\.Removed \&\& relayed:/case false:/' ./internal/fleet TestRelayedRemovalIsTakenAtOnce
 mutant "silent connections to the store are tried in turn" platform/store.go \
   's/s\.http\.CloseIdleConnections\(\)//g' ./platform TestSilentConnectionsAreLeftTogether
+mutant "a length beside chunks is taken" internal/gateway/framing.go \
+  's/if len\(r\.TransferEncoding\) == 0/if true/' ./internal/gateway TestAmbiguousLengthIsRefused
+mutant "an entry keeps the connection of a request in chunks" internal/entry/server.go \
+  's/if len\(r\.TransferEncoding\) > 0/if false/' ./internal/entry TestNothingHiddenBehindChunksIsServed
 mutant "silent nodes count until another is heard" internal/gateway/choose.go \
   's/b\.forgetSilentPeers\(now\)//' ./internal/gateway TestNodesThatFellSilentDontFillHeads
 mutant "free VMs are never kept" internal/placement/placement.go \
