--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -45,8 +45,10 @@
 	PlainCut        Kind = "plain-upstream-cut"
 	CallersMany     Kind = "callers-many"
 	CallersLeave    Kind = "callers-leave"
-	RouteAdded      Kind = "route-added"
-	KeyRevoked      Kind = "key-revoked"
+	// MachineLate is noted, never played.
+	MachineLate Kind = "machine-late"
+	RouteAdded  Kind = "route-added"
+	KeyRevoked  Kind = "key-revoked"
 )
 
 // Fault is one entry of a schedule.
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -172,6 +172,7 @@
 		}
 	}
 	w.running.Go(w.watchHeads)
+	w.running.Go(w.watchMachine)
 	w.callers = newCallers(w)
 	return w, w.waitReady()
 }
@@ -286,6 +287,31 @@
 	}
 }
 
+const (
+	// machineTick is how often the soak looks whether it gets the processor.
+	machineTick = 20 * time.Millisecond
+	// machineLate is how late it may be; what runs beside it then waited as long.
+	machineLate = 200 * time.Millisecond
+)
+
+// watchMachine notes when the machine let this process wait: then nothing can be said of how long
+// a node took, whose own log may say a few milliseconds. The summary tells it.
+func (w *world) watchMachine() {
+	last := time.Now()
+	for {
+		select {
+		case <-w.ended:
+			return
+		case <-time.After(machineTick):
+		}
+		now := time.Now()
+		if now.Sub(last) > machineLate {
+			w.history.disturbed(span{node: everyNode, from: last, to: now, what: MachineLate})
+		}
+		last = now
+	}
+}
+
 func (w *world) addNode(number int) error {
 	proxy, err := faultproxy.New(w.addr(roleStoreProxy, number, storePort), w.addr(roleStore, 0, storePort))
 	if err != nil {
