Upstream VMs may start again under their IDs, and entries of other writers name no VM

Cause: a VM was taken to have a new ID in each life, and an entry was read as far as it went: an unknown state counted as in service, one object with metadata of another type had its whole page fail, a place of 2,000,000,000 in a group had a list of that length built. Ruled out: ordering lives by their start alone (clocks are set back; the store's revisions order entries, and a report is newer than an entry that was there before it was asked for); keeping a faulty entry's last good word (another writer may have taken its name). Change: fleet.VM has the start of its life and its entry's revision. A new life ends what the director, the gateway and the list knew of the former one, by whichever word comes first. Each object is decoded by itself; an entry with a field missing, of another type or out of bounds drops its VM at once, with one log line and a count. Without born the ID alone tells lives apart; what is no whole number above 0 faults the entry. Tests: each was seen failing by a mutant (nine of them in scripts/mutants.sh), and the ones of the platform folder on the old decoding by construction: its types differ, so they don't build there.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -52,7 +52,7 @@
 	leader := feed.NewLeader(self, liveNodes{&nodes}, func() bool { return len(groups.Directing()) > 0 }, b.log, b.peers.Client(), b.peers.URL)
 	var keeper *catalog.Keeper
 	keeper = catalog.NewKeeper(feed.NewCatalog(platform.NewConfiguration(store), leader, func() uint64 { return keeper.Version() }, platform.DecodeConfiguration), b.log, catalogWait)
-	directory := fleet.NewDirectory(feed.NewFleet(platform.NewDirectory(store, b.log), leader), b.log, fleet.WatchWait, func() time.Duration {
+	directory := fleet.NewDirectory(feed.NewFleet(platform.NewDirectory(store), leader), b.log, fleet.WatchWait, func() time.Duration {
 		if groups.Busy() {
 			return min(busySettle*time.Duration(max(nodes.Size(), busyNodes))/busyNodes, mostBusy)
 		}
--- a/internal/director/answers.go
+++ b/internal/director/answers.go
@@ -13,6 +13,9 @@
 // reported takes a VM's word.
 func (s *state) reported(now time.Time, m reported) {
 	v := s.vm(m.vm.ID)
+	if formerLife(v, m.vm) && m.err != nil {
+		return
+	}
 	v.busy = false
 	if m.err != nil {
 		s.unanswered(now, m.vm, v, m.err)
@@ -21,6 +24,9 @@
 		}
 		return
 	}
+	if !s.reportedLife(now, v, m) {
+		return
+	}
 	v.failures = 0
 	v.lostUntil = time.Time{}
 	v.accepted, v.known = m.report.Accepted, true
@@ -45,9 +51,19 @@
 	v.lostUntil = now.Add(lostFor)
 }
 
+// formerLife reports whether a call was meant for a life of the VM that has ended.
+func formerLife(v *vmState, vm *fleet.VM) bool {
+	return vm.Born != 0 && v.born != 0 && vm.Born != v.born
+}
+
 // ordered takes the end of an order.
 func (s *state) ordered(now time.Time, m ordered) {
 	v := s.vm(m.vm.ID)
+	if formerLife(v, m.vm) {
+		// The new life may have taken the order: it is asked before its next one.
+		v.known = false
+		return
+	}
 	v.busy = false
 	switch {
 	case m.err == nil:
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -94,6 +94,9 @@
 
 // vmState is what the director knows of one VM beyond the fleet's snapshot.
 type vmState struct {
+	// born names the life that all of this is about, as fleet.VM.Born; 0 while it is not
+	// known.
+	born int64
 	// accepted is how many orders the VM has accepted; valid when known.
 	accepted uint64
 	known    bool
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -47,6 +47,9 @@
 			s.arrivedAt = now
 		}
 		if v.entry != vm {
+			if !s.lifeOf(now, v, vm) {
+				continue
+			}
 			v.entry, v.entryAt = vm, now
 		}
 		if v.staging != "" && (vm.HasStaged(v.staging) || now.After(v.stagingUntil)) {
--- a/internal/engine/groups.go
+++ b/internal/engine/groups.go
@@ -61,8 +61,10 @@
 
 // Report is what a VM says of itself.
 type Report struct {
-	// Accepted is how many orders the VM has accepted in this life.
+	// Accepted is how many orders the VM has accepted in this life, which began at
+	// Born as in fleet.VM.
 	Accepted uint64
+	Born     int64
 	Running  int
 	Waiting  int
 	// Pace above 1 means that the VM is slow.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -56,8 +56,8 @@
 		"Check the platform. Serving is not affected."}
 	NodesUnread = Event{3006, zerolog.WarnLevel, "the records of the nodes could not be read",
 		"Check the platform. Known nodes stay known."}
-	EntryUnreadable = Event{3007, zerolog.ErrorLevel, "a VM's entry cannot be read and is passed over",
-		"Compare the entry with the adapter's version."}
+	EntryUnreadable = Event{3007, zerolog.ErrorLevel, "an entry cannot be read, or is another writer's; it names no VM to use",
+		"Compare the entry with the adapter's version. Other entries hold."}
 )
 
 // Events of groups, upstreams and peers.
@@ -122,6 +122,8 @@
 var (
 	RequestDone = Event{5001, zerolog.DebugLevel, "request answered",
 		"None."}
+	UpstreamRestarted = Event{4029, zerolog.InfoLevel, "an upstream VM started again under its ID; what was known of its former life has ended",
+		"None. Requests that the former life took may have run."}
 	HubChanged = Event{4028, zerolog.InfoLevel, "this node begins or ends to sum up the states of others as a hub",
 		"None."}
 	RequestRefused = Event{5002, zerolog.InfoLevel, "request refused",
@@ -164,7 +166,7 @@
 	PlanCommitted, PlanLost, OrderRefused, VMLost, VMReturned, PeerLost, PeerReturned, ControlSwitched, ViewUnreadable,
 	UpstreamAdded, UpstreamDraining, UpstreamGone, MembershipChanged, OrderSent,
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
-	DutyTaken, DutyLeft, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged,
+	DutyTaken, DutyLeft, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted,
 	RequestDone, RequestRefused, RequestFailed, BadInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerLeft, RepeatRefused,
 	BadKey, BadOperator,
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/fleet"
@@ -28,7 +29,7 @@
 var _ fleet.Source = (*Fleet)(nil)
 
 // List implements fleet.Source. The whole list comes from the platform.
-func (f *Fleet) List(ctx context.Context) ([]fleet.VM, uint64, error) { return f.own.List(ctx) }
+func (f *Fleet) List(ctx context.Context) ([]fleet.Change, uint64, error) { return f.own.List(ctx) }
 
 // Watch implements fleet.Source.
 func (f *Fleet) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.Watched, error) {
@@ -52,16 +53,29 @@
 	}
 	out := fleet.Watched{Revision: answer.GetRevision(), ProvenAt: provenAt, Relayed: true}
 	for _, c := range answer.GetChanges() {
-		out.Changes = append(out.Changes, fleet.Change{VM: toVM(c.GetVm()), Removed: c.GetRemoved()})
+		out.Changes = append(out.Changes, toChange(c))
 	}
 	return out, nil
 }
 
 func milliseconds[N uint32 | int32](n N) time.Duration { return time.Duration(n) * time.Millisecond }
 
+// errState marks a VM whose state this program does not know; a newer one may have sent it.
+var errState = errors.New("the state within the group is not known")
+
+func toChange(c *marbleroadv1.FleetChange) fleet.Change {
+	out := fleet.Change{VM: toVM(c.GetVm()), Removed: c.GetRemoved()}
+	if out.VM.State > fleet.Broken {
+		out = fleet.Change{VM: fleet.VM{ID: out.VM.ID, Revision: out.VM.Revision}, Fault: errState}
+	}
+	return out
+}
+
 func toVM(m *marbleroadv1.UpstreamVM) fleet.VM {
 	return fleet.VM{
 		ID:            m.GetId(),
+		Born:          m.GetBorn(),
+		Revision:      m.GetRevision(),
 		Address:       m.GetAddress(),
 		Service:       m.GetService(),
 		FailureDomain: m.GetFailureDomain(),
@@ -82,6 +96,8 @@
 func fromVM(vm fleet.VM) *marbleroadv1.UpstreamVM {
 	return &marbleroadv1.UpstreamVM{
 		Id:            vm.ID,
+		Born:          vm.Born,
+		Revision:      vm.Revision,
 		Address:       vm.Address,
 		Service:       vm.Service,
 		FailureDomain: vm.FailureDomain,
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -20,14 +19,18 @@
 // Change is one change of the list: a VM's newest entry, or its removal.
 type Change struct {
 	VM VM
-	// Removed is true when the entry is gone; VM then holds only the ID.
+	// Removed is true when the entry is gone; VM then holds only the ID and, if it is
+	// known, the revision.
 	Removed bool
+	// Fault says why an entry names no VM to use: another writer may have written it.
+	// VM then holds only the ID and the revision.
+	Fault error
 }
 
 // Source reads the platform's list of upstream VMs.
 type Source interface {
-	// List returns all entries and the store's revision.
-	List(ctx context.Context) ([]VM, uint64, error)
+	// List returns all entries, as changes, and the store's revision.
+	List(ctx context.Context) ([]Change, uint64, error)
 	// Watch waits up to wait for changes after the revision. It may return
 	// none. platform.ErrCompacted means that changes may have been missed.
 	Watch(ctx context.Context, revision uint64, wait time.Duration) (Watched, error)
@@ -74,6 +77,8 @@
 	onChange []func(*Snapshot)
 
 	running wait.Loop
+	// rejected counts the entries that named no VM to use.
+	rejected atomic.Int64
 
 	// The rest belongs to the loop.
 	failing wait.Backoff
@@ -82,7 +87,11 @@
 	missing map[string]bool
 	outage  outage
 	// heard is when each VM last renewed or changed its entry.
-	heard    map[string]time.Time
+	heard map[string]time.Time
+	// revisions are those of the newest entries, also of heartbeats.
+	revisions map[string]uint64
+	// faults are the entries that name no VM to use, with the reasons.
+	faults   map[string]string
 	revision uint64
 	listed   bool
 	lost     bool
@@ -99,11 +108,18 @@
 		vms:     make(map[string]*VM),
 		missing: make(map[string]bool),
 		heard:   make(map[string]time.Time),
+
+		revisions: make(map[string]uint64),
+		faults:    make(map[string]string),
+
 		recent:  newRecentChanges(),
 		failing: wait.Backoff{Least: retryPause, Most: mostRetryPause},
 	}
 }
 
+// Rejected is how many entries, or changes of them, named no VM to use.
+func (d *Directory) Rejected() int64 { return d.rejected.Load() }
+
 // OnChange registers a function that gets each new snapshot, on the
 // directory's goroutine. It must be called before Start.
 func (d *Directory) OnChange(f func(*Snapshot)) { d.onChange = append(d.onChange, f) }
@@ -145,13 +161,13 @@
 // and whether anything changed.
 func (d *Directory) ask(ctx context.Context, asked time.Time) (time.Time, bool, error) {
 	if !d.listed {
-		vms, revision, err := d.source.List(ctx)
+		entries, revision, err := d.source.List(ctx)
 		if err != nil {
 			return asked, false, err
 		}
 		d.answered(asked)
 		d.revision, d.listed = revision, true
-		d.replace(vms)
+		d.replace(entries)
 		d.recent.restart(revision)
 		return asked, true, nil
 	}
@@ -188,17 +204,26 @@
 	return min(most, max(time.Until(d.outage.keepUntil), 0))
 }
 
-func (d *Directory) replace(vms []VM) {
-	seen := make(map[string]bool, len(vms))
-	for i := range vms {
-		seen[vms[i].ID] = true
-		d.put(&vms[i])
+func (d *Directory) replace(entries []Change) {
+	seen := make(map[string]bool, len(entries))
+	for i := range entries {
+		seen[entries[i].VM.ID] = true
+		if entries[i].Fault != nil {
+			d.reject(&entries[i])
+			continue
+		}
+		d.put(&entries[i].VM)
 	}
 	for id := range d.vms {
 		if !seen[id] {
 			d.remove(id)
 		}
 	}
+	for id := range d.faults {
+		if !seen[id] {
+			delete(d.faults, id)
+		}
+	}
 }
 
 // apply takes one change; it reports whether it says anything new. Of a relayed one the
@@ -206,9 +231,12 @@
 // gone may come back.
 func (d *Directory) apply(c Change, relayed bool) bool {
 	switch {
+	case c.Fault != nil:
+		return d.reject(&c)
 	case c.Removed && relayed:
 		return d.drop(c.VM.ID)
 	case c.Removed:
+		delete(d.faults, c.VM.ID)
 		return d.remove(c.VM.ID)
 	}
 	vm := c.VM
@@ -218,20 +246,53 @@
 	return d.put(&vm)
 }
 
+// mostFaults bounds the faulty entries that are remembered, so that each is logged once.
+const mostFaults = 1024
+
+// reject takes an entry that names no VM to use: one that was known under its ID is used
+// no more, at once. Its group is taken apart by what its VMs say themselves. It reports
+// whether a VM was known.
+func (d *Directory) reject(c *Change) bool {
+	id, why := c.VM.ID, c.Fault.Error()
+	if d.older(&c.VM) {
+		return false
+	}
+	d.rejected.Add(1)
+	if d.faults[id] != why && len(d.faults) < mostFaults {
+		d.faults[id] = why
+		d.log.Emit(event.EntryUnreadable).Str("vm", id).Bool("known", d.vms[id] != nil).Uint64("revision", c.VM.Revision).Str("reason", why).Send()
+	}
+	return d.drop(id)
+}
+
+// older reports whether an entry is older than what is known of the VM: a list that is
+// read in pages is followed by changes that some of its pages already show.
+func (d *Directory) older(vm *VM) bool {
+	return vm.Revision != 0 && vm.Revision < d.revisions[vm.ID]
+}
+
 // put takes a VM's entry. An entry that says nothing new, such as a heartbeat's,
 // leaves the old one in place; put then reports false.
 func (d *Directory) put(vm *VM) bool {
+	if d.older(vm) {
+		return false
+	}
 	delete(d.missing, vm.ID)
+	delete(d.faults, vm.ID)
+	d.revisions[vm.ID] = vm.Revision
 	old := d.vms[vm.ID]
-	if old != nil && reflect.DeepEqual(old, vm) {
+	if old != nil && old.saysAsMuch(vm) {
 		return false
 	}
 	d.vms[vm.ID] = vm
 	d.recent.add(Change{VM: *vm})
 	switch {
 	case old == nil:
-		d.log.Emit(event.UpstreamAdded).Str("vm", vm.ID).Str("service", vm.Service).
+		d.log.Emit(event.UpstreamAdded).Str("vm", vm.ID).Int64("born", vm.Born).Str("service", vm.Service).
 			Str("address", vm.Address).Str("fabric", vm.Fabric).Uint64("revision", d.revision).Send()
+	case !old.SameLife(vm):
+		d.log.Emit(event.UpstreamRestarted).Str("vm", vm.ID).Int64("born", vm.Born).Int64("born_before", old.Born).
+			Str("group_before", old.Group).Uint64("revision", d.revision).Send()
 	case vm.Draining && !old.Draining:
 		d.log.Emit(event.UpstreamDraining).Str("vm", vm.ID).Str("group", vm.Group).Uint64("revision", d.revision).Send()
 	case vm.Membership != old.Membership:
@@ -266,6 +327,7 @@
 	delete(d.vms, id)
 	delete(d.missing, id)
 	delete(d.heard, id)
+	delete(d.revisions, id)
 	d.recent.add(Change{VM: VM{ID: id}, Removed: true})
 	d.log.Emit(event.UpstreamGone).Str("vm", id).Str("group", vm.Group).Uint64("revision", d.revision).Send()
 	return true
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -45,8 +46,14 @@
 
 // VM is one life of an upstream VM.
 type VM struct {
-	// ID names this life: a restarted VM has another ID.
-	ID            string
+	// ID names the VM. One that starts again may keep its ID: Born then differs.
+	ID string
+	// Born is when this life began, in Unix milliseconds by the VM's own clock; 0 while
+	// it does not say. It only tells lives apart: which is newer follows from the order
+	// of the store's revisions, since clocks are set back at times.
+	Born int64
+	// Revision is the store's revision of the entry.
+	Revision      uint64
 	Address       string
 	Service       string
 	FailureDomain string
@@ -61,6 +68,18 @@
 	Membership
 }
 
+// SameLife reports whether two entries are of one life, as far as they say.
+func (v *VM) SameLife(other *VM) bool {
+	return v.Born == other.Born || v.Born == 0 || other.Born == 0
+}
+
+// saysAsMuch reports whether an entry says nothing new beside another one.
+func (v *VM) saysAsMuch(other *VM) bool {
+	return v.Born == other.Born && v.Address == other.Address && v.Service == other.Service &&
+		v.FailureDomain == other.FailureDomain && v.Fabric == other.Fabric && v.Slots == other.Slots &&
+		v.Draining == other.Draining && v.Membership == other.Membership && slices.Equal(v.Staged, other.Staged)
+}
+
 // HasStaged reports whether the VM's host holds a copy of the model.
 func (v *VM) HasStaged(model string) bool {
 	for _, m := range v.Staged {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -366,7 +366,7 @@
 	if !left && fault.Code != relay.CodeRefused {
 		j.eject(s, fault.Code != relay.CodeUnreachable)
 	}
-	if errors.Is(cause, errStalled) || errors.Is(cause, errSlowTry) || errors.Is(cause, errLostAnswer) {
+	if errors.Is(cause, errStalled) || errors.Is(cause, errSlowTry) || errors.Is(cause, errLostAnswer) || errors.Is(cause, errStartedAgain) {
 		fault.Detail = cause.Error()
 		fault.Status = http.StatusBadGateway
 	}
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -209,10 +209,25 @@
 		}
 		p.heads[model] = append(p.heads[model], t)
 	}
+	b.endFormerLives(s)
 	b.pools = pools
 	b.targets = kept
 }
 
+// endFormerLives gives up the requests at VMs that have started again under their IDs:
+// nothing answers them any more. Those that can't be repeated may have run.
+func (b *board) endFormerLives(s *fleet.Snapshot) {
+	for _, t := range b.targets {
+		vm := s.VMs[t.vm.ID]
+		if vm == nil || vm.SameLife(t.vm) {
+			continue
+		}
+		for s := range t.running {
+			s.cancel(errStartedAgain)
+		}
+	}
+}
+
 // candidate makes a target of a VM that takes requests: any VM of a plain
 // service, or the open head of a group whose members are all there.
 func candidate(service *catalog.Service, s *fleet.Snapshot, vm *fleet.VM) (*target, string, bool) {
@@ -245,7 +260,7 @@
 
 func (b *board) keep(next *target) *target {
 	old := b.targets[next.key()]
-	if old == nil {
+	if old == nil || !old.vm.SameLife(next.vm) {
 		next.running = make(map[*send]struct{})
 		return next
 	}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/http"
+
+	"github.com/marbleroad/marbleroad/internal/catalog"
 )
 
 // ServeCallers serves callers on a listener of the test's until it is closed.
@@ -11,3 +13,16 @@
 	go func() { _ = server.Serve(limitedListener{Listener: l, limits: s.limits}) }()
 	return server
 }
+
+// catalogOf is a catalog of the services that the board knows.
+func catalogOf(b *board) *catalog.Catalog {
+	var content catalog.Content
+	for _, p := range b.pools {
+		content.Services = append(content.Services, *p.service)
+	}
+	c, err := catalog.New(content)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,7 +18,9 @@
 	// errStalled ends the sends of a head that fell silent.
 	errStalled = errors.New("all streams of the head fell silent")
 	// errLostAnswer ends a send whose answer is silent while its head goes on.
-	errLostAnswer = errors.New("the answer fell silent while its head went on")
+	// errStartedAgain ends sends to a VM that has started again since.
+	errStartedAgain = errors.New("the upstream VM started again")
+	errLostAnswer   = errors.New("the answer fell silent while its head went on")
 	// errOrder means that a stream's events do not follow each other.
 	errOrder = errors.New("stream events out of order")
 )
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -89,6 +89,30 @@
   's/case <-done:\n\tcase <-limit\.C:/case <-time.After(0):\n\tcase <-limit.C:/' ./test/integration TestGracefulShutdownCutsNothing
 mutant "a stop does not wait for outcomes to be stored" internal/entry/server.go \
   's/\ts\.ledger\.Flush\(closing\)\n//' ./test/integration TestShutdownStoresOutcomes
+mutant "what was known of a VM's former life goes on" internal/director/lives.go \
+  's/\ts\.startedAgain\(now, v, vm, vm\.Born\)\n/\tv.born = vm.Born\n/' ./internal/director TestVMStartsAgainUnderItsID
+mutant "a former life's late report counts" internal/director/lives.go \
+  's/case v\.born != 0 && m\.asked\.Before\(v\.entryAt\):\n\t\treturn false\n//' ./internal/director TestVMStartsAgainUnderItsID
+mutant "a former life's late entry counts" internal/director/lives.go \
+  's/case v\.born != 0 && v\.entry != nil.*\n\t\treturn false\n//' ./internal/director TestNewLifeIsToldByItself
+mutant "requests at a former life are waited for" internal/gateway/board.go \
+  's/s\.cancel\(errStartedAgain\)/_ = s/' ./internal/gateway TestRequestsOfAFormerLifeEnd
+mutant "an older entry counts" internal/fleet/directory.go \
+  's/return vm\.Revision != 0 && vm\.Revision < d\.revisions\[vm\.ID\]/return false/' ./internal/fleet TestOlderWordChangesNothing
+mutant "a faulty entry is passed over" internal/fleet/directory.go \
+  's/return d\.drop\(id\)\n\}\n\n\/\/ older/return false\n}\n\n\/\/ older/' ./internal/fleet TestFaultyEntryNamesNoVM
+mutant "an unknown state is in service" platform/entry.go \
+  's/\(\*e\.State != stateReady && \*e\.State != stateDraining\)/false/' ./platform TestEntriesOfOtherWriters
+mutant "a place in a group has no bound" platform/entry.go \
+  's/ \|\| g\.Rank > mostRank//' ./platform TestEntriesOfOtherWriters
+mutant "an unreadable object fails its page" platform/store.go \
+  's/out\.fault = errors\.Wrap\(err, "decode object"\)/panic(err)/' ./platform TestUnreadableObjectHidesNoOther
+mutant "a member is summed up for the one who asks" internal/cluster/sum.go \
+  's/m\.state\.GetNode\(\) != except/true/' ./internal/cluster TestWordOfOneNodeReachesAll
+mutant "a lost hub is not replaced" internal/cluster/topology.go \
+  's/return t\.shunned\[r\.ID\]/return false/' ./internal/cluster TestLostHubsAreReplaced
+mutant "a hub does not name those who manage groups" internal/cluster/sum.go \
+  's/ && len\(m\.state\.GetDirecting\(\)\) == 0//' ./internal/cluster TestClaimsAndFirstNodesAreKnown
 mutant "a share rises at once" internal/quota/damper.go \
   's/least = min\(least, s\.share\)/_ = s/' ./test/policy/bench TestLimitsAcrossEntries
 mutant "the urgent wait behind the rest" internal/admission/queue.go \
