Directors foresee what those of other failure domains decide by the same counts

Ruled out: a pause between changes (each already waits 3 s; all wait alike); one director for all failure domains (a cut would leave the others without). Change: a director whose decision would change something first decides for the failure domains before its own as their managers would, by the same pure function, and counts what comes of it, for 4 s at most. Nodes tell each other for which models they are taking groups apart. Before and after: a test of five directors takes 10 groups apart without the change, at most 2 with it.

--- a/internal/cluster/share.go
+++ b/internal/cluster/share.go
@@ -328,6 +328,7 @@
 		Directing:     s.GetDirecting(),
 		Dissolving:    s.GetDissolving(),
 		Loading:       s.GetLoading(),
+		Preparing:     s.GetPreparing(),
 		Summed:        s.GetSummed(),
 		Leading:       s.GetLeading(),
 		AgeMs:         age,
--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -108,6 +108,7 @@
 			Stopping:      m.state.GetStopping(),
 			Directing:     m.state.GetDirecting(),
 			Loading:       m.state.GetLoading(),
+			Preparing:     m.state.GetPreparing(),
 			AgeMs:         ageMS(now, m.at),
 		})
 	}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -66,6 +66,7 @@
 			Directing:     groups.Directing(),
 			Dissolving:    groups.Dissolving(),
 			Loading:       uint32(groups.Loading()),
+			Preparing:     groups.Preparing(),
 		}
 		server.FillState(out)
 		return out
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -90,6 +90,8 @@
 	directing atomic.Pointer[[]string]
 	// dissolving lists the groups that this node is taking apart at once.
 	dissolving atomic.Pointer[[]string]
+	// preparing holds the models of groups for which others are being taken apart here.
+	preparing atomic.Pointer[[]string]
 	// loading is how many loads begun here go on.
 	loading atomic.Int32
 	// busy is true while groups are being formed or taken apart here.
@@ -102,6 +104,7 @@
 	d := &Director{config: c, parts: p}
 	d.directing.Store(&[]string{})
 	d.dissolving.Store(&[]string{})
+	d.preparing.Store(&[]string{})
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
@@ -113,6 +116,9 @@
 // their work end.
 func (d *Director) Dissolving() []string { return *d.dissolving.Load() }
 
+// Preparing returns the models of groups for which this node is taking others apart.
+func (d *Director) Preparing() []string { return *d.preparing.Load() }
+
 // Loading returns how many loads of weights that this node has begun go on.
 func (d *Director) Loading() int { return int(d.loading.Load()) }
 
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -15,8 +15,8 @@
 
 func (n *node) peer(now time.Time) cluster.Peer {
 	return cluster.Peer{
-		Record:  cluster.Record{ID: n.d.config.NodeID, FailureDomain: "a"},
-		State:   &marbleroadv1.NodeState{Node: n.d.config.NodeID, Directing: n.d.Directing()},
+		Record:  cluster.Record{ID: n.d.config.NodeID, FailureDomain: n.domain},
+		State:   &marbleroadv1.NodeState{Node: n.d.config.NodeID, Directing: n.d.Directing(), Preparing: n.d.Preparing()},
 		HeardAt: now,
 	}
 }
@@ -399,7 +399,7 @@
 	w := newWorld(t, 1, 8)
 	n := w.addNode(t, "n1")
 	w.run(6*time.Second, func() bool { return w.open() >= 2 })
-	before := n.s.groupCounts("llm")
+	before := n.s.groupCounts(w.now, "llm")
 	head := w.headsOpen()[0]
 	for _, e := range w.vms {
 		e.FailureDomain = "b"
@@ -408,7 +408,7 @@
 	n.d.stopping.Store(true)
 	head.dead = true
 	w.step(50 * time.Millisecond)
-	after := n.s.groupCounts("llm")
+	after := n.s.groupCounts(w.now, "llm")
 	if after[head.Model] != before[head.Model]-1 {
 		t.Errorf("%d groups of %s before its head died, %d after", before[head.Model], head.Model, after[head.Model])
 	}
--- /dev/null
+++ b/internal/director/herd_test.go
@@ -0,0 +1,99 @@
+package director
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/fleet"
+)
+
+// sites is a world of several failure domains with a director each and fabric domains that hold
+// one group of the larger model or two of the smaller one.
+func sites(t *testing.T, domains, perDomain int) *world {
+	t.Helper()
+	w := newWorld(t, 0, 0)
+	c, err := catalog.New(catalog.Content{Version: 1, Services: []catalog.Service{{
+		Name: "llm",
+		Engine: &catalog.Engine{Slots: 8, LoadsAtOnce: 6, FormTime: 300 * time.Millisecond, Models: []catalog.Model{
+			{Name: "big", Size: 8, Share: 0.5, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
+			{Name: "small", Size: 4, Share: 0.5, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
+		}},
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.catalog = c
+	for d := range domains {
+		domain := fmt.Sprint("d", d)
+		for i := range perDomain {
+			id := fmt.Sprintf("%s-vm-%d", domain, i)
+			w.vms[id] = &engineVM{VM: fleet.VM{ID: id, Address: id, Service: "llm", FailureDomain: domain, Fabric: domain, Slots: 8, Born: 1}}
+		}
+		w.addNodeIn(t, "n-"+domain, domain)
+	}
+	w.publish()
+	return w
+}
+
+// models counts the groups that serve whole, by model.
+func (w *world) models() map[string]int {
+	out := make(map[string]int)
+	for _, e := range w.vms {
+		if !e.dead && e.State == fleet.Open && !w.incomplete(e) {
+			out[e.Model]++
+		}
+	}
+	return out
+}
+
+// TestDirectorsDontFollowEachOther: the directors of five failure domains decided by the same
+// counts at the same moment. All formed groups of the smaller model, all gave them up for the
+// larger one, and all gave those up again, until callers came and no group of the larger model
+// was left; it was never served on a whole day.
+//
+//	-8.96 4015 a group is being formed, model small (ten of them)   groups=map[]
+//	-5.19 4018 a group is being taken apart, its VMs are worth more to another model (ten)
+//	-4.68 4015 a group is being formed, model big (five)            groups=map[small:8]
+//	-1.55 4018 a group is being taken apart, its VMs are worth more to another model (five)
+func TestDirectorsDontFollowEachOther(t *testing.T) {
+	w := sites(t, 5, 10)
+	apart := make(map[string]bool)
+	w.run(14*time.Second, func() bool {
+		for _, n := range w.nodes {
+			for name, g := range n.s.groups {
+				if g.dissolving {
+					apart[name] = true
+				}
+			}
+		}
+		return false
+	})
+	got := w.models()
+	if got["big"] < 2 || got["small"] < 4 {
+		t.Errorf("groups that serve: %v", got)
+	}
+	if len(apart) > 2 {
+		t.Errorf("%d groups were taken apart though no VM was lost: %v", len(apart), apart)
+	}
+	w.check(t)
+}
+
+// TestSilentDirectorIsNotWaitedFor: what another director is expected to do counts for a while
+// only. One whose VMs do not answer it forms nothing, and the models that it would serve are
+// served elsewhere.
+func TestSilentDirectorIsNotWaitedFor(t *testing.T) {
+	w := sites(t, 2, 8)
+	for _, e := range w.vms {
+		e.deaf = e.FailureDomain == "d0"
+	}
+	first := w.nodes[0].s
+	w.run(8*time.Second, func() bool { return false })
+	if len(first.forms) == 0 && w.models()["small"]+w.models()["big"] == 0 {
+		t.Errorf("nothing serves: %v", w.models())
+	}
+	if w.models()["small"] == 0 && w.models()["big"] == 0 {
+		t.Errorf("the other failure domain waits: %v", w.models())
+	}
+}
--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -30,23 +30,16 @@
 	if before && now.Sub(s.arrivedAt) < gatherTime && now.Sub(s.started) < gatherLimit {
 		return
 	}
-	in := placement.Input{
-		Models:       e.Models,
-		Groups:       s.groupCounts(service),
-		Demand:       s.d.parts.Demand.ModelWork(service),
-		Open:         s.openGroups(service, domain),
-		JoinUnstaged: before,
-		KeptFor:      s.keptFor(now),
-	}
-	in.LoadRoom, in.UrgentRoom = s.loadRoom(now, e, domain, before)
 	reserved := s.reserved()
-	for _, id := range sorted(s.snapshot.VMs) {
-		vm := s.snapshot.VMs[id]
-		if vm.Service == service && vm.FailureDomain == domain && s.free(now, vm) && !reserved[id] {
-			in.Free = append(in.Free, s.placeable(vm))
-		}
-	}
+	in := s.input(now, domain, service, e, func(vm *fleet.VM) bool { return s.free(now, vm) && !reserved[vm.ID] })
+	in.JoinUnstaged = before
+	in.KeptFor = s.keptFor(now)
+	in.LoadRoom, in.UrgentRoom = s.loadRoom(now, e, domain, before)
 	d := placement.Decide(in)
+	if len(d.Formations) > 0 || len(d.Dissolutions) > 0 {
+		in.Groups = s.foresee(now, domain, service, e, before)
+		d = placement.Decide(in)
+	}
 	for _, f := range d.Formations {
 		s.form(now, service, e, f, in)
 		delete(s.kept, s.snapshot.VMs[f.Members[0]].Fabric)
@@ -66,6 +59,66 @@
 	}
 }
 
+// input is what is known of a failure domain for a decision.
+func (s *state) input(now time.Time, domain, service string, e *catalog.Engine, free func(*fleet.VM) bool) placement.Input {
+	in := placement.Input{
+		Models: e.Models,
+		Groups: s.groupCounts(now, service),
+		Demand: s.d.parts.Demand.ModelWork(service),
+		Open:   s.openGroups(service, domain),
+	}
+	for _, id := range sorted(s.snapshot.VMs) {
+		vm := s.snapshot.VMs[id]
+		if vm.Service == service && vm.FailureDomain == domain && free(vm) {
+			in.Free = append(in.Free, s.placeable(vm))
+		}
+	}
+	return in
+}
+
+// awaitLimit is how long the director of another failure domain is expected to do what
+// this one would do in its place; its orders take some milliseconds and are seen at once.
+const awaitLimit = 4 * time.Second
+
+// foresee counts the groups of each model with those that the directors of failure
+// domains before this one will form or give up now. All decide by the same counts at the
+// same moment: without this, five failure domains gave up all groups of one model for the
+// other, and again the other way round, until callers came.
+func (s *state) foresee(now time.Time, domain, service string, e *catalog.Engine, before bool) map[string]int {
+	counts := s.groupCounts(now, service)
+	claimed, _ := s.othersClaims(now)
+	for _, other := range sorted(s.domains()) {
+		if other == domain {
+			break
+		}
+		if claimed[other] == "" {
+			continue
+		}
+		in := s.input(now, other, service, e, s.unattached)
+		in.Groups, in.JoinUnstaged = counts, before
+		if before {
+			in.LoadRoom = boundless
+		}
+		d := placement.Decide(in)
+		if s.awaits(now, other, len(d.Formations)+len(d.Dissolutions) > 0) {
+			counts = d.After(in)
+		}
+	}
+	return counts
+}
+
+// awaits reports whether another director's decision is still expected to be carried out.
+func (s *state) awaits(now time.Time, domain string, decided bool) bool {
+	if !decided {
+		delete(s.awaited, domain)
+		return false
+	}
+	if s.awaited[domain].IsZero() {
+		s.awaited[domain] = now
+	}
+	return now.Sub(s.awaited[domain]) < awaitLimit
+}
+
 // keptFor lists the fabric domains whose free VMs wait for the rest of what was
 // given up for a model.
 func (s *state) keptFor(now time.Time) map[string]string {
@@ -154,7 +207,7 @@
 }
 
 // groupCounts counts the groups of each model that serve or soon will, everywhere.
-func (s *state) groupCounts(service string) map[string]int {
+func (s *state) groupCounts(now time.Time, service string) map[string]int {
 	out := make(map[string]int)
 	for name, g := range s.snapshot.Groups {
 		w := s.groups[name]
@@ -167,6 +220,11 @@
 			out[f.model.Name]++
 		}
 	}
+	for _, p := range s.d.parts.Nodes.Live(now) {
+		for _, model := range p.State.GetPreparing() {
+			out[model]++
+		}
+	}
 	return out
 }
 
@@ -200,7 +258,12 @@
 
 // free reports whether the VM may be sent to a group.
 func (s *state) free(now time.Time, vm *fleet.VM) bool {
-	if vm.Draining || !s.answers(now, vm) {
+	return s.unattached(vm) && s.answers(now, vm)
+}
+
+// unattached reports whether the VM could be sent to a group if it answers.
+func (s *state) unattached(vm *fleet.VM) bool {
+	if vm.Draining {
 		return false
 	}
 	m := s.membership(vm)
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -196,6 +196,9 @@
 	shiftedAt time.Time
 	// arrivedAt is when the newest VM appeared.
 	arrivedAt time.Time
+	// awaited is since when other failure domains' directors are expected to do what
+	// they have not done yet.
+	awaited map[string]time.Time
 	// liveAt is when each failure domain last had a live node.
 	liveAt map[string]time.Time
 }
@@ -211,6 +214,7 @@
 		groups:  make(map[string]*watchedGroup),
 		liveAt:  make(map[string]time.Time),
 		kept:    make(map[string]keptFabric),
+		awaited: make(map[string]time.Time),
 	}
 }
 
@@ -249,6 +253,7 @@
 		s.place(now, domain)
 	}
 	s.tellDissolving()
+	s.tellPreparing(now)
 	s.d.loading.Store(int32(s.loadsOf(domains...)))
 	s.d.busy.Store(s.busy())
 }
@@ -283,6 +288,21 @@
 	s.d.parts.Nodes.Nudge()
 }
 
+// tellPreparing publishes for which models groups are being taken apart.
+func (s *state) tellPreparing(now time.Time) {
+	models := []string{}
+	for _, fabric := range sorted(s.kept) {
+		if k := s.kept[fabric]; now.Before(k.until) {
+			models = append(models, k.model)
+		}
+	}
+	if slices.Equal(models, s.d.Preparing()) {
+		return
+	}
+	s.d.preparing.Store(&models)
+	s.d.parts.Nodes.Nudge()
+}
+
 func (s *state) vm(id string) *vmState {
 	v := s.vms[id]
 	if v == nil {
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -73,6 +73,7 @@
 // node is one director.
 type node struct {
 	w       *world
+	domain  string
 	d       *Director
 	s       *state
 	down    bool
@@ -114,13 +115,15 @@
 	return w
 }
 
-func (w *world) addNode(t failer, id string) *node {
+func (w *world) addNode(t failer, id string) *node { return w.addNodeIn(t, id, "a") }
+
+func (w *world) addNodeIn(t failer, id, domain string) *node {
 	log, err := event.New(logTo, "info", id, "test")
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &node{w: w}
-	n.d = New(Config{NodeID: id, FailureDomain: "a", StallBound: 5 * time.Second, Heartbeat: time.Second}, Parts{
+	n := &node{w: w, domain: domain}
+	n.d = New(Config{NodeID: id, FailureDomain: domain, StallBound: 5 * time.Second, Heartbeat: time.Second}, Parts{
 		Log: log, Metrics: metrics.NewRegistry(), Catalogs: n, Fleet: n, Nodes: n, Demand: n,
 	})
 	n.s = newState(n.d, n, w.now)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -80,6 +80,29 @@
 	DissolvedIn  string
 }
 
+// After counts the groups of each model once the decision is carried out. A group for
+// which others are given up counts as there.
+func (d Decision) After(in Input) map[string]int {
+	out := make(map[string]int, len(in.Groups))
+	for model, n := range in.Groups {
+		out[model] = n
+	}
+	for _, f := range d.Formations {
+		out[f.Model]++
+	}
+	for _, name := range d.Dissolutions {
+		for _, g := range in.Open {
+			if g.Name == name {
+				out[g.Model]--
+			}
+		}
+	}
+	if len(d.Dissolutions) > 0 {
+		out[d.DissolvedFor]++
+	}
+	return out
+}
+
 // Decide forms the groups that can be had without loads first, the model that
 // is served worst beside its demand before the others. It gives up a group only
 // when that raises the worst-served model. Loads go where they soonest lead to a group
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -113,6 +113,8 @@
   's/return t\.shunned\[r\.ID\]/return false/' ./internal/cluster TestLostHubsAreReplaced
 mutant "a hub does not name those who manage groups" internal/cluster/sum.go \
   's/ && len\(m\.state\.GetDirecting\(\)\) == 0//' ./internal/cluster TestClaimsAndFirstNodesAreKnown
+mutant "directors decide by the same counts" internal/director/place.go \
+  's/in\.Groups = s\.foresee\(/_ = s.foresee(/' ./internal/director TestDirectorsDontFollowEachOther
 mutant "a share rises at once" internal/quota/damper.go \
   's/least = min\(least, s\.share\)/_ = s/' ./test/policy/bench TestLimitsAcrossEntries
 mutant "the urgent wait behind the rest" internal/admission/queue.go \
