--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -45,6 +45,7 @@
 func (b base) node() (*kernel.Kernel, error) {
 	s := b.settings
 	store := platform.NewStore(s.Platform.URL, newTransport(s.Cluster.Listen, storeIdle, &b.peers.Traffic.Platform), s.Platform.Timeout)
+	store.OnCall(func(verb, kind string) { b.metrics.Count("platform.calls."+verb+"."+kind, 1) })
 	var server *gateway.Server
 	var groups *director.Director
 	var nodes *cluster.Cluster
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -29,6 +29,7 @@
 	{"groups.open.MODEL", "gauge", "Groups of the model that take requests."},
 	{"catalog.version", "gauge", "Version of the configuration in force."},
 	{"catalog.age_ms", "gauge", "Age of the proof that it is the newest, as of the balancer's last question."},
+	{"platform.calls.VERB.KIND", "counter", "Calls to the platform's store: get, list, watch or write, and the kind of object."},
 	{"director.reports", "counter", "Reports asked of VMs."},
 	{"director.orders.ORDER", "counter", "Orders sent to VMs, by what they ask for."},
 	{"log.dropped", "gauge", "Log lines lost because the reader of standard output was too slow."},
