Nodes that manage no groups judge only news; hubs sum up other hubs' sums for their members

By reading: every node sorted 931 IDs twice each 100 ms though five manage groups; the failure domains of 295 records were sorted anew for each state that arrived; a member read ten sums of up to sixty groups each 300 ms. Ruled out: slower exchanges (loads would be older). Change: a director without duty looks at the list only when an entry changed; the topology is counted once a plan; a member gets the loads of all other hubs as one sum.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -228,7 +228,7 @@
 func (c *Cluster) meshInterval() time.Duration {
 	n := len(c.known) + 1
 	if !c.topology.flat() {
-		n = hubsPerDomain * len(c.topology.domains())
+		n = hubsPerDomain * len(c.topology.failureDomains)
 	}
 	return c.config.Interval * time.Duration(max(n, fewNodes)) / fewNodes
 }
@@ -237,7 +237,7 @@
 // called with mu held.
 func (c *Cluster) memberInterval() time.Duration {
 	const most = hubsPerDomain * membersPerHub
-	return c.config.Interval * time.Duration(max(c.topology.inDomain(), most)) / most
+	return c.config.Interval * time.Duration(max(c.topology.local, most)) / most
 }
 
 // interval is the time between two exchanges with a node.
--- a/internal/cluster/share.go
+++ b/internal/cluster/share.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -68,6 +67,7 @@
 			t.gone[id] = true
 		}
 	}
+	t.count()
 	return t
 }
 
@@ -296,23 +296,37 @@
 	return urgent(old.state, state), !c.hub && !c.topology.flat()
 }
 
-// othersSums are the sums of the other hubs with their age, for a member.
+// othersSums are the sums of the other hubs with their ages, for a member. Loads and
+// demand come summed up once more, in the first: ten sums of sixty groups each took a
+// member 0.5 ms an exchange to read.
 func (c *Cluster) othersSums(now time.Time) []*marbleroadv1.NodeState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	liveFor := c.liveFor()
-	var out []*marbleroadv1.NodeState
+	var sums []heard
 	for _, h := range c.sums {
-		if now.Sub(h.at) > liveFor {
-			continue
+		if now.Sub(h.at) <= liveFor {
+			sums = append(sums, h)
 		}
+	}
+	if len(sums) == 0 {
+		return nil
+	}
+	all := sum(&marbleroadv1.NodeState{Node: othersName, FailureDomain: c.config.Self.FailureDomain}, sums, "", now)
+	all.Summed, all.Leading = 0, nil
+	out := []*marbleroadv1.NodeState{all}
+	for _, h := range sums {
+		all.Summed += h.state.GetSummed()
 		out = append(out, withAge(h.state, ageMS(now, h.at)))
 	}
-	slices.SortFunc(out, func(a, b *marbleroadv1.NodeState) int { return int(a.GetAgeMs()) - int(b.GetAgeMs()) })
 	return out
 }
 
-// withAge is a state as it is passed on; what it holds is shared, which nobody changes.
+// othersName stands for a node's ID in the sum of the other hubs, whichever hub tells it; it
+// is no node, and without an address it is never taken for one.
+const othersName = "/others"
+
+// withAge is a hub's state as it is passed on, without what is summed up apart.
 func withAge(s *marbleroadv1.NodeState, age uint32) *marbleroadv1.NodeState {
 	return &marbleroadv1.NodeState{
 		Node:          s.GetNode(),
@@ -322,14 +336,9 @@
 		KnownNodes:    s.GetKnownNodes(),
 		Stopping:      s.GetStopping(),
 		TrafficSeen:   s.GetTrafficSeen(),
-		Loads:         s.GetLoads(),
-		Demand:        s.GetDemand(),
-		Suspicions:    s.GetSuspicions(),
 		Directing:     s.GetDirecting(),
-		Dissolving:    s.GetDissolving(),
 		Loading:       s.GetLoading(),
 		Preparing:     s.GetPreparing(),
-		Summed:        s.GetSummed(),
 		Leading:       s.GetLeading(),
 		AgeMs:         age,
 	}
--- a/internal/cluster/topology.go
+++ b/internal/cluster/topology.go
@@ -38,6 +38,10 @@
 	gone    map[string]bool
 	// hears is true while this node sums up the states of members.
 	hears bool
+	// failureDomains are those of all nodes, local the number of nodes in this one's;
+	// count fills both in.
+	failureDomains []string
+	local          int
 }
 
 // flat reports whether each node exchanges with every other one.
@@ -91,7 +95,7 @@
 		return []Record{t.hubOf()}
 	}
 	var out []Record
-	for _, domain := range t.domains() {
+	for _, domain := range t.failureDomains {
 		for _, r := range t.hubs(domain) {
 			if r.ID != t.self.ID {
 				out = append(out, r)
@@ -110,23 +114,16 @@
 	})
 }
 
-// domains lists the failure domains of all nodes.
-func (t topology) domains() []string {
-	out := []string{t.self.FailureDomain}
-	for _, r := range t.others {
-		out = append(out, r.FailureDomain)
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
-// inDomain counts the nodes of this node's failure domain.
-func (t topology) inDomain() int {
-	n := 1
+// count fills in what the other methods need of all nodes.
+func (t *topology) count() {
+	t.local = 1
+	t.failureDomains = []string{t.self.FailureDomain}
 	for _, r := range t.others {
+		t.failureDomains = append(t.failureDomains, r.FailureDomain)
 		if r.FailureDomain == t.self.FailureDomain {
-			n++
+			t.local++
 		}
 	}
-	return n
+	slices.Sort(t.failureDomains)
+	t.failureDomains = slices.Compact(t.failureDomains)
 }
--- a/internal/director/duty.go
+++ b/internal/director/duty.go
@@ -48,11 +48,19 @@
 	return claimed, byDomain
 }
 
+// domains are the failure domains of this node and of all VMs that form groups. It is
+// counted once for each set of entries, of which there may be a thousand.
 func (s *state) domains() map[string]bool {
+	if s.domainsOf != nil && s.domainsIn == s.catalog && s.domainsOf.SameVMs(s.snapshot) {
+		return s.known
+	}
 	out := map[string]bool{s.d.config.FailureDomain: true}
 	for _, vm := range s.snapshot.VMs {
-		out[vm.FailureDomain] = true
+		if service := s.catalog.Service(vm.Service); service != nil && service.Engine != nil {
+			out[vm.FailureDomain] = true
+		}
 	}
+	s.domainsOf, s.domainsIn, s.known = s.snapshot, s.catalog, out
 	return out
 }
 
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -184,6 +184,10 @@
 
 	snapshot *fleet.Snapshot
 	catalog  *catalog.Catalog
+	// known are the failure domains as of domainsOf and domainsIn.
+	known     map[string]bool
+	domainsOf *fleet.Snapshot
+	domainsIn *catalog.Catalog
 
 	vms    map[string]*vmState
 	forms  map[string]*formation
@@ -236,17 +240,25 @@
 
 // judge compares what is with what should be and sends the next orders.
 func (s *state) judge(now time.Time) {
+	former := s.snapshot
 	s.snapshot, s.catalog = s.d.parts.Fleet.Snapshot(), s.d.parts.Catalogs.Catalog()
 	if s.snapshot == nil || s.catalog == nil {
 		return
 	}
-	s.forget()
-	s.watch(now)
+	idle := len(s.d.Directing()) == 0 && len(s.forms) == 0
+	if !idle || former == nil || !s.snapshot.SameVMs(former) {
+		s.forget()
+		s.watch(now)
+	}
 	domains := s.responsible(now)
 	s.claim(domains)
 	if len(domains) == 0 {
 		clear(s.forms)
 	}
+	if idle && len(domains) == 0 {
+		// Other nodes manage all groups; this one only follows what becomes of them.
+		return
+	}
 	s.progress(now)
 	s.tend(now, domains)
 	for _, domain := range domains {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -132,8 +132,15 @@
 	ProvenAt time.Time
 	// Heard is when each VM last renewed or changed its entry, as far as seen.
 	Heard map[string]time.Time
+	// made names the set of entries: it is shared by snapshots that differ in their
+	// proof and heartbeats alone.
+	made *byte
 }
 
+// SameVMs reports whether another snapshot holds the same entries; heartbeats alone lead
+// to a new snapshot of the same ones.
+func (s *Snapshot) SameVMs(other *Snapshot) bool { return s.made == other.made }
+
 // Silent is how much longer ago than the newest news of any VM the VM's own last
 // news is. While nothing is heard of anyone, nobody falls silent.
 func (s *Snapshot) Silent(id string) time.Duration {
@@ -153,7 +160,7 @@
 // NewSnapshot indexes the VMs. Members that report different generations of one
 // name cannot be; the higher generation is taken.
 func NewSnapshot(vms map[string]*VM, revision uint64, provenAt time.Time) *Snapshot {
-	s := &Snapshot{VMs: vms, Groups: make(map[string]*Group), Revision: revision, ProvenAt: provenAt}
+	s := &Snapshot{made: new(byte), VMs: vms, Groups: make(map[string]*Group), Revision: revision, ProvenAt: provenAt}
 	for _, v := range vms {
 		if v.Group == "" {
 			continue
