--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -115,6 +115,14 @@
   's/ && len\(m\.state\.GetDirecting\(\)\) == 0//' ./internal/cluster TestClaimsAndFirstNodesAreKnown
 mutant "directors decide by the same counts" internal/director/place.go \
   's/in\.Groups = s\.foresee\(/_ = s.foresee(/' ./internal/director TestDirectorsDontFollowEachOther
+mutant "a pass that reads counts as silence" internal/gateway/stalls.go \
+  's/least := max\(stallLeast, .*\)\)\)/least := stallLeast/' ./internal/gateway TestOneStreamAtABusyHead
+mutant "a first event is not waited for by its prediction" internal/gateway/stalls.go \
+  's/firstFactor\*longest/0*longest/' ./internal/gateway TestOneStreamAtABusyHead
+mutant "a leader's watch waits for long" internal/feed/feed.go \
+  's/return min\(most, leaderWait\)/return most/' ./internal/feed TestLeadersProofStaysYoung
+mutant "a first configuration is asked for again and again" internal/catalog/keeper.go \
+  's/ && w\.Revision > 0:/ \&\& false:/' ./internal/catalog TestFirstConfigurationIsWaitedFor
 mutant "a share rises at once" internal/quota/damper.go \
   's/least = min\(least, s\.share\)/_ = s/' ./test/policy/bench TestLimitsAcrossEntries
 mutant "the urgent wait behind the rest" internal/admission/queue.go \
