Followers leave a store that is away to their leaders

By reading and by the log of eleven nodes: while the store is away the leaders' proofs are old, each follower is left without one for 3 s and calls itself, for the list and for the configuration, every 0.8 s and more often. Ruled out: followers that never call (their leaders alone may be turned away by the store). Change: a follower whose own call failed too asks only its leaders for 2 to 3 s; a leader that is out of touch is asked again after 0.8 s in place of 3 s. Leaders and up to twelve nodes as before. Test: TestFollowersLeaveADeadStoreToTheirLeaders, seen failing by its mutant.

--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -20,6 +20,7 @@
 type Catalog struct {
 	own    catalog.Source
 	leader *Leader
+	calls  own
 	// version is the version in force here.
 	version func() uint64
 	// decode reads the operators' document.
@@ -30,8 +31,8 @@
 }
 
 // NewCatalog returns a source over the platform's.
-func NewCatalog(own catalog.Source, leader *Leader, version func() uint64, decode func([]byte) (*catalog.Catalog, error)) *Catalog {
-	return &Catalog{own: own, leader: leader, version: version, decode: decode}
+func NewCatalog(source catalog.Source, leader *Leader, version func() uint64, decode func([]byte) (*catalog.Catalog, error)) *Catalog {
+	return &Catalog{own: source, leader: leader, calls: own{leader: leader}, version: version, decode: decode}
 }
 
 var _ catalog.Source = (*Catalog)(nil)
@@ -85,14 +86,25 @@
 // watch waits at the platform, from a reading of its own.
 func (c *Catalog) watch(ctx context.Context, revision uint64, wait time.Duration) (catalog.Watched, error) {
 	if c.stale {
-		c.stale = false
-		return c.read(ctx)
+		w, err := c.read(ctx)
+		c.stale = err != nil
+		return w, err
+	}
+	if err := c.calls.allowed(time.Now()); err != nil {
+		return catalog.Watched{}, err
 	}
-	return c.own.Changed(ctx, revision, wait)
+	w, err := c.own.Changed(ctx, revision, wait)
+	c.calls.ended(time.Now(), err)
+	return w, err
 }
 
+// read reads the configuration at the platform, unless that is left to the leaders.
 func (c *Catalog) read(ctx context.Context) (catalog.Watched, error) {
+	if err := c.calls.allowed(time.Now()); err != nil {
+		return catalog.Watched{}, err
+	}
 	asked := time.Now()
 	next, revision, err := c.own.Current(ctx)
+	c.calls.ended(time.Now(), err)
 	return catalog.Watched{Catalog: next, Revision: revision, ProvenAt: asked}, err
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -22,6 +23,7 @@
 	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/platform"
 	"github.com/marbleroad/marbleroad/internal/transport"
 )
 
@@ -34,6 +36,14 @@
 	answerTime = 250 * time.Millisecond
 	// failedFor is how long a node does not follow a leader that failed it.
 	failedFor = 3 * time.Second
+	// outOfTouchFor is the same for a leader that answers but is out of touch with the
+	// platform: when the platform is back, it knows within 0.8 s.
+	outOfTouchFor = 800 * time.Millisecond
+	// quietLeast is for how long a follower whose own call failed too asks only its
+	// leaders; a jitter of up to half of it comes on top. Else all nodes call a store
+	// that is away every 0.8 s and more: 10,339 calls of 295 nodes on a day with
+	// outages of 16 s, three times those of a quiet day.
+	quietLeast = 2 * time.Second
 	// mostLeaders is how many nodes of a failure domain are followed, one after the
 	// other. A cut or a refusing store takes some nodes at a time; when all of these
 	// are out of touch, it is likelier the store itself.
@@ -94,6 +104,42 @@
 	return min(most, leaderWait)
 }
 
+// leads reports whether this node must call the platform itself: it has something to do
+// with the answer at once, or others follow it.
+func (l *Leader) leads(now time.Time) bool {
+	if l.nodes.Size() <= followNodes || l.busy() {
+		return true
+	}
+	return slices.ContainsFunc(l.leaders(now), func(r cluster.Record) bool { return r.ID == l.self.ID })
+}
+
+// own spaces out the calls that a follower makes itself while the platform is away. It
+// belongs to one goroutine.
+type own struct {
+	leader *Leader
+	// quietUntil is until when only leaders are asked.
+	quietUntil time.Time
+}
+
+// errQuiet means that the leaders are out of touch and this node's own call failed lately.
+var errQuiet = errors.Mark(errors.New("the leaders are out of touch with the platform, and this node's own call failed lately"), platform.ErrUnavailable)
+
+// allowed returns an error while this node leaves the platform to its leaders.
+func (o *own) allowed(now time.Time) error {
+	if now.Before(o.quietUntil) && !o.leader.leads(now) {
+		return errQuiet
+	}
+	return nil
+}
+
+// ended takes the outcome of a call of this node's own.
+func (o *own) ended(now time.Time, err error) {
+	o.quietUntil = time.Time{}
+	if errors.Is(err, platform.ErrUnavailable) {
+		o.quietUntil = now.Add(quietLeast + rand.N(quietLeast/2))
+	}
+}
+
 // first is the first of the failure domain's leaders that has not failed this node;
 // empty when that is this node itself, or when there is none.
 func (l *Leader) first(now time.Time) cluster.Record {
@@ -138,7 +184,11 @@
 func (l *Leader) failed(now time.Time, leader cluster.Record, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.failedUntil[leader.ID] = now.Add(failedFor)
+	pause := failedFor
+	if errors.Is(err, errLeader) {
+		pause = outOfTouchFor
+	}
+	l.failedUntil[leader.ID] = now.Add(pause)
 	l.log.Emit(event.LeaderFailed).Str("leader", leader.ID).Err(err).Send()
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
@@ -396,3 +397,36 @@
 		}
 	}
 }
+
+// TestFollowersLeaveADeadStoreToTheirLeaders: while the store was away, the leaders of each failure
+// domain said that they were out of touch, and all their followers called the store themselves,
+// every 0.8 s and more often: 10,339 calls of 295 nodes on a day with outages of 16 s in all.
+func TestFollowersLeaveADeadStoreToTheirLeaders(t *testing.T) {
+	now := time.Now()
+	idle := func() bool { return false }
+	calls := func(id string, nodes Nodes) own {
+		return own{leader: NewLeader(cluster.Record{ID: id, FailureDomain: "x"}, nodes, idle, testLog(t), nil, nil)}
+	}
+	follower := calls("n", domainOf{"d", "c", "b", "a"})
+	if err := follower.allowed(now); err != nil {
+		t.Errorf("the first call is not made: %v", err)
+	}
+	follower.ended(now, platform.ErrUnavailable)
+	if err := follower.allowed(now.Add(time.Second)); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("a follower calls a store that is away again after 1 s: %v", err)
+	}
+	if err := follower.allowed(now.Add(2 * quietLeast)); err != nil {
+		t.Errorf("a follower whose leaders alone are cut off never calls again: %v", err)
+	}
+	follower.ended(now, platform.ErrUnavailable)
+	follower.ended(now, nil)
+	if err := follower.allowed(now); err != nil {
+		t.Errorf("a follower that reaches the store does not call it: %v", err)
+	}
+	for name, one := range map[string]own{"a leader": calls("b", domainOf{"d", "c", "a"}), "one of a few": calls("n", few{})} {
+		one.ended(now, platform.ErrUnavailable)
+		if err := one.allowed(now); err != nil {
+			t.Errorf("%s does not call the store: %v", name, err)
+		}
+	}
+}
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -27,10 +27,13 @@
 type Fleet struct {
 	own    fleet.Source
 	leader *Leader
+	calls  own
 }
 
 // NewFleet returns a source over the platform's.
-func NewFleet(own fleet.Source, leader *Leader) *Fleet { return &Fleet{own: own, leader: leader} }
+func NewFleet(source fleet.Source, leader *Leader) *Fleet {
+	return &Fleet{own: source, leader: leader, calls: own{leader: leader}}
+}
 
 var _ fleet.Source = (*Fleet)(nil)
 
@@ -41,7 +44,7 @@
 func (f *Fleet) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.Watched, error) {
 	leader, ok := f.leader.pick(time.Now())
 	if !ok {
-		return f.own.Watch(ctx, revision, f.leader.ownWait(wait))
+		return f.watch(ctx, revision, f.leader.ownWait(wait))
 	}
 	answer, provenAt, err := follow(ctx, f.leader, leader, fleetQuestion, func(ctx context.Context) (*marbleroadv1.FollowFleetResponse, time.Duration, error) {
 		resp, err := f.leader.client(leader).FollowFleet(ctx, connect.NewRequest(&marbleroadv1.FollowFleetRequest{
@@ -53,7 +56,7 @@
 	})
 	switch {
 	case err != nil:
-		return f.own.Watch(ctx, revision, wait)
+		return f.watch(ctx, revision, wait)
 	case answer.GetCompacted():
 		return fleet.Watched{}, platform.ErrCompacted
 	}
@@ -64,6 +67,16 @@
 	return out, nil
 }
 
+// watch waits for changes at the platform itself, unless that is left to the leaders.
+func (f *Fleet) watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.Watched, error) {
+	if err := f.calls.allowed(time.Now()); err != nil {
+		return fleet.Watched{}, err
+	}
+	w, err := f.own.Watch(ctx, revision, wait)
+	f.calls.ended(time.Now(), err)
+	return w, err
+}
+
 func milliseconds[N uint32 | int32](n N) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // errState marks a VM whose state this program does not know; a newer one may have sent it.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -123,6 +123,8 @@
   's/return min\(most, leaderWait\)/return most/' ./internal/feed TestLeadersProofStaysYoung
 mutant "a first configuration is asked for again and again" internal/catalog/keeper.go \
   's/ && w\.Revision > 0:/ \&\& false:/' ./internal/catalog TestFirstConfigurationIsWaitedFor
+mutant "followers press a store that is away" internal/feed/feed.go \
+  's/if now\.Before\(o\.quietUntil\) && /if false \&\& /' ./internal/feed TestFollowersLeaveADeadStoreToTheirLeaders
 mutant "a share rises at once" internal/quota/damper.go \
   's/least = min\(least, s\.share\)/_ = s/' ./test/policy/bench TestLimitsAcrossEntries
 mutant "the urgent wait behind the rest" internal/admission/queue.go \
