Nodes that count differently hear each other; a group whose head has not reported is left alone

Three added nodes knew thirteen nodes and had hubs, the others knew twelve and exchanged with all; a new one did not take the others' calls for a sign of life and managed obuda beside its manager. As second director it saw a group of which one member had joined and no head yet, broke it up, and took the member for gone by a report from before the join. 5.5 s later it took the serving head for another group.

--- a/internal/cluster/hubs_test.go
+++ b/internal/cluster/hubs_test.go
@@ -31,6 +31,7 @@
 	mu      sync.Mutex
 	objects []platform.Object
 	nodes   map[string]*testNode
+	log     *event.Logger
 }
 
 type testNode struct {
@@ -77,25 +78,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleetOfNodes{nodes: make(map[string]*testNode)}
+	f := &fleetOfNodes{nodes: make(map[string]*testNode), log: log}
 	for i := range count {
-		n := &testNode{fleet: f}
-		r := Record{ID: fmt.Sprintf("n%03d", i), Address: "x", FailureDomain: fmt.Sprintf("d%d", i%testDomains)}
-		if i < 3*testDomains {
-			r.Processor = 0.8
-		}
-		n.Cluster = newCluster(Config{Self: r, Interval: testInterval}, log, f, n, func() *marbleroadv1.NodeState {
-			out := &marbleroadv1.NodeState{Node: r.ID, Address: r.Address, FailureDomain: r.FailureDomain}
-			if load := n.load.Load(); load > 0 {
-				out.Loads = []*marbleroadv1.GroupLoad{{Group: testGroup, InFlight: load}}
-			}
-			if d := n.directing.Load(); d != nil {
-				out.Directing = *d
-			}
-			return out
-		})
-		n.OnPeer(func(s *marbleroadv1.NodeState, at time.Time) { n.heardFrom.Store(s.GetNode(), heard{s, at}) })
-		f.nodes[r.ID] = n
+		f.add(i)
 	}
 	for _, n := range f.nodes {
 		n.begin()
@@ -103,6 +88,28 @@
 	return f
 }
 
+// add makes a node that has not begun yet.
+func (f *fleetOfNodes) add(i int) *testNode {
+	n := &testNode{fleet: f}
+	r := Record{ID: fmt.Sprintf("n%03d", i), Address: "x", FailureDomain: fmt.Sprintf("d%d", i%testDomains)}
+	if i < 3*testDomains {
+		r.Processor = 0.8
+	}
+	n.Cluster = newCluster(Config{Self: r, Interval: testInterval}, f.log, f, n, func() *marbleroadv1.NodeState {
+		out := &marbleroadv1.NodeState{Node: r.ID, Address: r.Address, FailureDomain: r.FailureDomain}
+		if load := n.load.Load(); load > 0 {
+			out.Loads = []*marbleroadv1.GroupLoad{{Group: testGroup, InFlight: load}}
+		}
+		if d := n.directing.Load(); d != nil {
+			out.Directing = *d
+		}
+		return out
+	})
+	n.OnPeer(func(s *marbleroadv1.NodeState, at time.Time) { n.heardFrom.Store(s.GetNode(), heard{s, at}) })
+	f.nodes[r.ID] = n
+	return n
+}
+
 func (f *fleetOfNodes) end() {
 	for _, n := range f.nodes {
 		n.cancel()
@@ -250,3 +257,33 @@
 		}
 	})
 }
+
+// TestNodesThatCountDifferently: nodes were added to a site of twelve. They knew thirteen and had
+// hubs, while the others knew twelve and exchanged with all; a new one, as a hub, did not take the
+// others' calls for a sign of life, and managed the groups of its failure domain beside the node
+// that did. A VM was taken from a group whose head was open.
+//
+//	24.20 front-obuda-5 4028 hub=true members=0 nodes=13
+//	26.48 front-obuda-5 4022 manages obuda   (front-obuda-2 has since 4.35)
+//	35.68 front-obuda-5 4014 order=join      (the VM's group serves, formed by front-obuda-2)
+func TestNodesThatCountDifferently(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startNodes(t, flatNodes)
+		defer f.end()
+		manager := f.nodes["n001"]
+		manager.directing.Store(&[]string{"d1"})
+		time.Sleep(5 * time.Second)
+		for i := range 3 {
+			f.add(flatNodes + i).begin()
+		}
+		time.Sleep(time.Second)
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			for id, n := range f.nodes {
+				if n != manager && !slices.ContainsFunc(n.Live(time.Now()), func(p Peer) bool { return p.ID == "n001" && len(p.State.GetDirecting()) > 0 }) {
+					t.Fatalf("%s does not know what n001 manages", id)
+				}
+			}
+		}
+	})
+}
--- a/internal/cluster/share.go
+++ b/internal/cluster/share.go
@@ -57,7 +57,7 @@
 
 // view is the topology as this node sees it. It is called with mu held.
 func (c *Cluster) view(now time.Time) topology {
-	t := topology{self: c.config.Self, shunned: make(map[string]bool), gone: make(map[string]bool), hears: len(c.members) > 0}
+	t := topology{self: c.config.Self, nodes: c.told, shunned: make(map[string]bool), gone: make(map[string]bool), hears: len(c.members) > 0}
 	for id, p := range c.known {
 		t.others = append(t.others, p.Record)
 		if now.Before(p.shunnedUntil) || p.State.GetStopping() {
@@ -288,6 +288,10 @@
 	if !state.GetMember() {
 		delete(c.members, p.ID)
 		p.works()
+		if !c.topology.flat() && state.GetSummed() == 0 {
+			// It does not know yet that there are many nodes, and exchanges with all.
+			p.State, p.HeardAt = state, now
+		}
 		return false, false
 	}
 	old := c.members[p.ID]
--- a/internal/cluster/topology.go
+++ b/internal/cluster/topology.go
@@ -32,6 +32,9 @@
 	self Record
 	// others are the other nodes that may be in use.
 	others []Record
+	// nodes is how many nodes any node knows: all must choose alike between exchanging
+	// with all and having hubs.
+	nodes int
 	// shunned holds those that failed an exchange lately or are stopping, gone those
 	// that have failed for long.
 	shunned map[string]bool
@@ -45,7 +48,7 @@
 }
 
 // flat reports whether each node exchanges with every other one.
-func (t topology) flat() bool { return len(t.others) < flatNodes }
+func (t topology) flat() bool { return max(len(t.others)+1, t.nodes) <= flatNodes }
 
 // before orders nodes by their fitness as hubs: the strongest first. Of equals the
 // last goes first, since duties fall to the first.
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -413,3 +413,38 @@
 		t.Errorf("%d groups of %s before its head died, %d after", before[head.Model], head.Model, after[head.Model])
 	}
 }
+
+// TestGroupWhoseHeadHasNotReported: a second director saw a group of which only one member had said
+// that it joined. It broke the group up, and took that member for gone by a report from before the
+// join; 5.5 s later the head, which served, counted as broken and was taken for another group.
+//
+//	27.27 4013 vm=i-b6b29d1504 group=gr0o89qn-2 rank=1 state=joining
+//	28.69 4016 group=gr0o89qn-2 serves
+//	32.88 4019 group=gr0o89qn-2 reason="head is broken or gone"
+func TestGroupWhoseHeadHasNotReported(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	n := w.addNode(t, "n1")
+	n.traffic = true
+	w.run(settleTime+time.Second, func() bool { return len(n.d.Directing()) > 0 })
+	head, member := w.vms[vmID(0, 0)], w.vms[vmID(0, 1)]
+	place := fleet.Membership{Group: "g", Generation: 1 << 20, Rank: 1, State: fleet.Joining, Model: "small"}
+	member.Membership, member.accepted = place, 1
+	w.step(50 * time.Millisecond)
+	n.s.reported(w.now, reported{vm: w.snapshot.VMs[member.ID], asked: w.now.Add(time.Millisecond), report: engine.Report{Accepted: 1}})
+	w.run(time.Second, func() bool { return false })
+	g := n.s.groups["g"]
+	if g == nil || !g.shortAt.IsZero() || member.Group != "g" {
+		t.Errorf("the group is broken up: member in %q, %+v", member.Group, g)
+	}
+	g.shortAt = w.now
+	w.sizes["g"], w.heads["g"], w.ready["g"] = 2, head.ID, map[string]bool{head.ID: true, member.ID: true}
+	place.State = fleet.Ready
+	member.Membership = place
+	place.Rank, place.State = 0, fleet.Open
+	head.Membership, head.accepted = place, 2
+	w.run(8*time.Second, func() bool { return false })
+	if head.Group != "g" {
+		t.Errorf("the head that serves was taken for %s", head.Group)
+	}
+	w.check(t)
+}
--- a/internal/director/dissolve.go
+++ b/internal/director/dissolve.go
@@ -17,6 +17,9 @@
 	case s.snapshot.Groups[name] == nil:
 		s.release(name, w, "nobody is left in it")
 		return
+	case w.headVM == nil && now.Sub(w.firstSeen) <= orphanAfter:
+		// Its head may be about to say that it joined.
+		return
 	case w.headVM == nil:
 		s.breakUp(now, name, w)
 		return
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -107,6 +107,9 @@
 	if w.released || s.forms[name] != nil {
 		return
 	}
+	if !w.shortAt.IsZero() && s.wholeAgain(name, w) {
+		w.shortAt = time.Time{}
+	}
 	if head == nil {
 		if w.headLost.IsZero() {
 			w.headLost = now
@@ -120,6 +123,27 @@
 	s.judgeHead(name, w, s.membership(head))
 }
 
+// wholeAgain reports whether every member of a group that was short of one has said since
+// that it is in the group: a report may be some hundred milliseconds old, and one from before
+// a member joined had its head taken as broken while it served.
+func (s *state) wholeAgain(name string, w *watchedGroup) bool {
+	g := s.snapshot.Groups[name]
+	if g == nil {
+		return false
+	}
+	model, ok := s.model(g)
+	if !ok || !g.Whole(model.Size) {
+		return false
+	}
+	for _, vm := range g.Members {
+		v := s.vm(vm.ID)
+		if s.membership(vm).Group != name || !(v.entryAt.After(w.shortAt) || v.seenAt.After(w.shortAt)) {
+			return false
+		}
+	}
+	return true
+}
+
 // judgeHead releases the group if its head's own word allows it.
 func (s *state) judgeHead(name string, w *watchedGroup, m fleet.Membership) {
 	switch {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -125,6 +125,12 @@
   's/ && w\.Revision > 0:/ \&\& false:/' ./internal/catalog TestFirstConfigurationIsWaitedFor
 mutant "followers press a store that is away" internal/feed/feed.go \
   's/if now\.Before\(o\.quietUntil\) && /if false \&\& /' ./internal/feed TestFollowersLeaveADeadStoreToTheirLeaders
+mutant "a hub takes no note of nodes that exchange with all" internal/cluster/share.go \
+  's/\t\t\tp\.State, p\.HeardAt = state, now\n//; s/nodes: c\.told, //' ./internal/cluster TestNodesThatCountDifferently
+mutant "a group whose head has not reported yet is broken up" internal/director/dissolve.go \
+  's/case w\.headVM == nil && now\.Sub\(w\.firstSeen\) <= orphanAfter:.*?\t\treturn\n//s' ./internal/director TestGroupWhoseHeadHasNotReported
+mutant "a group that is whole again counts as short" internal/director/watch.go \
+  's/if !w\.shortAt\.IsZero\(\) && s\.wholeAgain/if false \&\& s.wholeAgain/' ./internal/director TestGroupWhoseHeadHasNotReported
 mutant "a share rises at once" internal/quota/damper.go \
   's/least = min\(least, s\.share\)/_ = s/' ./test/policy/bench TestLimitsAcrossEntries
 mutant "the urgent wait behind the rest" internal/admission/queue.go \
