--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -116,7 +116,7 @@
 	sums map[string]heard
 	// sharing holds what ends the exchanges under way, by node.
 	sharing map[string]*sharing
-	// topology and intervals are of the newest plan.
+	// topology and hub are of the newest plan.
 	topology topology
 	hub      bool
 
