A head that was opened without a member breaks by when it was opened, and is not opened by one who knows

While the store was silent a new director had a member leave a group whose head it did not know (21.27 s). When the store was back, the member's old entry still named the group: the director opened the head (26.82 s) and at once took the group for broken, since the member had left 5.5 s before (27.32 s). Change: a head's time without a member counts from when it was first seen open; a group that is known to be short is taken apart, not opened. Test: TestHeadOpenedAfterAMemberLeft, two mutants seen failing.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -448,3 +448,40 @@
 	}
 	w.check(t)
 }
+
+// TestHeadOpenedAfterAMemberLeft: while the store was silent a new director had a member leave a
+// group that it knew without a head. When the store was back the member's old entry still said that
+// it was in the group; the director opened the head, and 0.5 s later took the group for broken, since the
+// member had left more than the stall bound before. The head served, and went to another group.
+//
+//	21.27 4014 vm=i-115ae9a6e1 order=leave group=gg7aif0h-8
+//	26.82 4014 vm=i-abbf9618c7 order=open group=gg7aif0h-8 begun=true
+//	27.32 4019 group=gg7aif0h-8 reason="head is broken or gone"
+func TestHeadOpenedAfterAMemberLeft(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	n := w.addNode(t, "n1")
+	n.traffic = true
+	w.run(settleTime+time.Second, func() bool { return len(n.d.Directing()) > 0 })
+	head, member := w.vms[vmID(0, 0)], w.vms[vmID(0, 1)]
+	place := fleet.Membership{Group: "g", Generation: 1 << 20, State: fleet.Ready, Model: "small"}
+	head.Membership, head.accepted = place, 2
+	place.Rank = 1
+	member.Membership, member.accepted = place, 2
+	w.sizes["g"], w.heads["g"], w.ready["g"] = 2, head.ID, map[string]bool{head.ID: true, member.ID: true}
+	g := &watchedGroup{firstSeen: w.now, domain: "a", shortAt: w.now.Add(time.Hour), generation: 1 << 20}
+	n.s.groups["g"] = g
+	w.run(time.Second, func() bool { return head.State == fleet.Open })
+	if head.State == fleet.Open {
+		t.Error("a head is opened though a member has left")
+	}
+	w.check(t)
+
+	hold := n.s.d.config.StallBound + holdMargin
+	open := &watchedGroup{headVM: &fleet.VM{Membership: fleet.Membership{State: fleet.Open}}, shortAt: w.now, openSince: w.now.Add(hold)}
+	if n.s.surelyBroken(w.now.Add(hold+time.Second), open) {
+		t.Error("a head counts as broken a second after it was opened")
+	}
+	if !n.s.surelyBroken(w.now.Add(2*hold+time.Second), open) {
+		t.Error("a head that has long been without a member does not count as broken")
+	}
+}
--- a/internal/director/dissolve.go
+++ b/internal/director/dissolve.go
@@ -56,7 +56,12 @@
 	if w.headVM == nil || (w.headVM.State != fleet.Open && w.headVM.State != fleet.Closing) {
 		hold += lateOrder
 	}
-	return !w.shortAt.IsZero() && now.Sub(w.shortAt) > hold
+	short := w.shortAt
+	if w.openSince.After(short) {
+		// A head that was opened without a member breaks only after that.
+		short = w.openSince
+	}
+	return !w.shortAt.IsZero() && now.Sub(short) > hold
 }
 
 // breakUp has one member leave a group whose head can't be asked. The head can't be
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -188,6 +188,8 @@
 		s.takeApart(now, name, w, "it was left closing", false)
 	case state == fleet.Open || state == fleet.Closing:
 		return
+	case !w.shortAt.IsZero():
+		s.takeApart(now, name, w, "a member left it before it was opened", false)
 	case missing == "" && leaving == "" && s.allReady(w):
 		s.open(now, head, name, g.Generation)
 	case now.Sub(w.firstSeen) > orphanAfter && (missing != "" || leaving != ""):
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -159,6 +159,8 @@
 	// shortAt is when a member other than the head was first known to be out of
 	// the group by its own word; a head breaks within the stall bound of that.
 	shortAt time.Time
+	// openSince is when the head was first seen open; zero before.
+	openSince time.Time
 	// released is true once the group's VMs may go to other groups.
 	released bool
 	// dissolving is true once the group is being taken apart; graceful lets its
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -117,6 +117,9 @@
 		return
 	}
 	w.headLost = time.Time{}
+	if m := s.membership(head); w.openSince.IsZero() && m.Group == name && m.State == fleet.Open {
+		w.openSince = now
+	}
 	if w.doubtful && !s.vm(w.head).seenAt.After(w.since) {
 		return
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -131,6 +131,10 @@
   's/case w\.headVM == nil && now\.Sub\(w\.firstSeen\) <= orphanAfter:.*?\t\treturn\n//s' ./internal/director TestGroupWhoseHeadHasNotReported
 mutant "a group that is whole again counts as short" internal/director/watch.go \
   's/if !w\.shortAt\.IsZero\(\) && s\.wholeAgain/if false \&\& s.wholeAgain/' ./internal/director TestGroupWhoseHeadHasNotReported
+mutant "a head breaks by what was before it was opened" internal/director/dissolve.go \
+  's/short = w\.openSince/_ = short/' ./internal/director TestHeadOpenedAfterAMemberLeft
+mutant "a head is opened though a member has left" internal/director/groups.go \
+  's/case !w\.shortAt\.IsZero\(\):\n\t\ts\.takeApart.*?\n//' ./internal/director TestHeadOpenedAfterAMemberLeft
 mutant "a share rises at once" internal/quota/damper.go \
   's/least = min\(least, s\.share\)/_ = s/' ./test/policy/bench TestLimitsAcrossEntries
 mutant "the urgent wait behind the rest" internal/admission/queue.go \
