--- a/internal/cluster/hubs_test.go
+++ b/internal/cluster/hubs_test.go
@@ -273,6 +273,7 @@
 		manager := f.nodes["n001"]
 		manager.directing.Store(&[]string{"d1"})
 		time.Sleep(5 * time.Second)
+		added := time.Now()
 		for i := range 3 {
 			f.add(flatNodes + i).begin()
 		}
@@ -281,7 +282,7 @@
 			time.Sleep(100 * time.Millisecond)
 			for id, n := range f.nodes {
 				if n != manager && !slices.ContainsFunc(n.Live(time.Now()), func(p Peer) bool { return p.ID == "n001" && len(p.State.GetDirecting()) > 0 }) {
-					t.Fatalf("%s does not know what n001 manages", id)
+					t.Fatalf("%s does not know what n001 manages, %v after the nodes were added", id, time.Since(added))
 				}
 			}
 		}
