Sight: a request's fingerprint, and an upstream that ended while it ran one, are logged

No change of what is decided. Lines of a failed attempt, a refused and a failed request carry the fingerprint of what was asked (team, method, host, path, body), which is the same at every node and each time the request comes; after an answer that broke off one connection is tried, and a closed port gives 5012. Before, lines named the caller's try only.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -146,6 +146,8 @@
 		"None."}
 	RepeatRefused = Event{5011, zerolog.WarnLevel, "a request is not sent again: this node's part of the budget for repeats is used up",
 		"See what fails: 5008 of the same service. The line has what the budget was worked out from."}
+	UpstreamEnded = Event{5012, zerolog.WarnLevel, "an upstream VM ended while it ran a request",
+		"Look for the same fingerprint at other VMs: a request may crash those that run it."}
 )
 
 // Events of access.
@@ -168,6 +170,6 @@
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
 	DutyTaken, DutyLeft, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted,
 	RequestDone, RequestRefused, RequestFailed, BadInput, UpstreamEjected, StreamBroken,
-	RequestSent, AttemptFailed, RequestServed, CallerLeft, RepeatRefused,
+	RequestSent, AttemptFailed, RequestServed, CallerLeft, RepeatRefused, UpstreamEnded,
 	BadKey, BadOperator,
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -371,6 +371,9 @@
 		fault.Status = http.StatusBadGateway
 	}
 	j.logAttempt(s, fault, cause)
+	if fault.Verdict != verdict.NotRun && cause == nil {
+		j.checkEnded(ctx, s)
+	}
 	return fault
 }
 
@@ -390,6 +393,9 @@
 		j.eject(s, true)
 	}
 	j.logAttempt(s, fault, cause)
+	if fault.Code == relay.CodeBroken && cause == nil {
+		j.checkEnded(ctx, s)
+	}
 	return fault
 }
 
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -66,7 +66,7 @@
 
 func (j *job) logAttempt(s *send, fault *verdict.Error, cause error) {
 	j.s.metrics.Count("attempts.failed."+fault.Code, 1)
-	j.s.log.Emit(event.AttemptFailed).Str("request", j.c.ID).Int("send", j.sends).Str("vm", s.vm.ID).Str("group", s.t.group).
+	j.s.log.Emit(event.AttemptFailed).Str("request", j.c.ID).Stringer("fingerprint", j.c.fingerprint()).Int("send", j.sends).Str("vm", s.vm.ID).Str("group", s.t.group).
 		Str("code", fault.Code).Stringer("verdict", fault.Verdict).Str("detail", fault.Detail).
 		AnErr("ended_by", cause).AnErr("cause", fault.Cause).Send()
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/quarantine"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
 
@@ -56,6 +57,18 @@
 	// handled and how long ago that was last known to be the newest.
 	CatalogVersion uint64
 	CatalogAge     time.Duration
+
+	// print is the fingerprint once it was asked for; zero before.
+	print quarantine.Fingerprint
+}
+
+// fingerprint names what is asked for. It is worked out when first asked for, once the
+// body has been read and the team is known.
+func (c *Call) fingerprint() quarantine.Fingerprint {
+	if c.print == 0 {
+		c.print = quarantine.Asked{Team: c.Team, Method: c.Method, Host: c.Host, Target: c.Path + c.Query, Body: c.Body}.Fingerprint()
+	}
+	return c.print
 }
 
 // Attempt is one send of a call to one upstream.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -204,7 +204,7 @@
 		Dur("retry_after_ms", fault.RetryAfter).Dur("took_ms", took).
 		Int64("waited_ms", c.Waited.Milliseconds()).Uint64("catalog", c.CatalogVersion).Int64("catalog_age_ms", c.CatalogAge.Milliseconds()).AnErr("cause", fault.Cause)
 	if j != nil {
-		line = line.Int("sends", j.sends).Int("may_have_run", j.ran)
+		line = line.Int("sends", j.sends).Int("may_have_run", j.ran).Stringer("fingerprint", c.fingerprint())
 	}
 	line.Send()
 	if fault.Code == codeAborted {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -95,6 +95,7 @@
 	caller   CallerDialect
 	upstream UpstreamDialect
 	sender   *relay.Sender
+	endings  *endings
 	board    *board
 
 	stopping atomic.Bool
@@ -118,6 +119,7 @@
 		caller:   p.Caller,
 		upstream: p.Upstream,
 		sender:   relay.NewSender(upstreamDialer(c.Local), nil),
+		endings:  newEndings(upstreamDialer(c.Local)),
 		board:    newBoard(c.FailureDomain, c.Repeats, p.Dissolving, time.Now()),
 		hard:     hard,
 		end:      end,
--- /dev/null
+++ b/internal/quarantine/doc.go
@@ -0,0 +1,2 @@
+// Package quarantine recognizes requests that crash the upstreams that run them.
+package quarantine
--- /dev/null
+++ b/internal/quarantine/fingerprint.go
@@ -0,0 +1,38 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+)
+
+// Fingerprint names what a caller asks for: the same path and body of the same team are the
+// same request, whichever ID a try of it carries and whichever node it comes to.
+type Fingerprint uint64
+
+// Asked is what a fingerprint is made of.
+type Asked struct {
+	Team   string
+	Method string
+	Host   string
+	// Target is the path with its query.
+	Target string
+	Body   []byte
+}
+
+// Fingerprint is cryptographic, so that a team can't make up a request that counts as
+// another's. 64 bits are enough for the thousands of requests that are known at a time.
+func (a Asked) Fingerprint() Fingerprint {
+	h := sha256.New()
+	for _, field := range [...]string{a.Team, a.Method, a.Host, a.Target} {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		_, _ = h.Write(length[:])
+		_, _ = h.Write([]byte(field))
+	}
+	_, _ = h.Write(a.Body)
+	return Fingerprint(binary.BigEndian.Uint64(h.Sum(nil)))
+}
+
+// String returns the fingerprint as logs show it.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
