--- /dev/null
+++ b/internal/gateway/crash_test.go
@@ -0,0 +1,118 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/marbleroad/marbleroad/test/standin/groupengine"
+)
+
+// crasher ends the VMs that begin to run a request whose path names it.
+type crasher struct {
+	site *site
+	// path marks the requests; of has the VM end for one only.
+	path  string
+	ended sync.Map
+	count atomic.Int64
+}
+
+func (c *crasher) observe(o groupengine.Observation) {
+	if o.Kind != groupengine.Ran || !strings.Contains(o.Target, c.path) {
+		return
+	}
+	if _, before := c.ended.LoadOrStore(o.VM, true); !before {
+		c.count.Add(1)
+	}
+	c.site.crash(o.VM)
+	panic(http.ErrAbortHandler)
+}
+
+// wholeStream sends a stream's request and reports what was wrong with its answer.
+func (s *site) wholeStream(id, target string) error {
+	resp, err := s.trySend(context.Background(), http.MethodPost, target, map[string]string{"Attempt-Id": id, "Model": "m"})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK || !strings.Contains(string(data), fmt.Sprintf("id: %d\n", streamEvents)) {
+		return fmt.Errorf("status %d, body %q", resp.StatusCode, data)
+	}
+	return nil
+}
+
+// TestRequestThatCrashesUpstreamsEnds: a request crashed each head that began to run it. Its
+// caller sent it again and again, each time as a new request to any node, and each time it was
+// sent to as many heads as its route allows attempts: 31 heads ended under it, until none was left
+// of the model. Nothing knew more of it than one call, and the streams that broke off with it went
+// to the heads that were left, to break off once more. The fingerprint shows that it is one
+// request, the closed port that the VM had ended.
+//
+//	41.12 5008 request=0d7cb18b7b3880ed send=1 group=gb83gae9e-10 upstream-broken
+//	41.38 5008 request=0d7cb18b7b3880ed send=2 group=gasyoucrn-24 upstream-broken
+//	42.06 5008 request=9811b0f001ab8976 send=1 group=gb83gae9e-13 upstream-broken
+//	42.33 5008 request=9811b0f001ab8976 send=2 group=gasyoucrn-27 upstream-broken
+//	43.96 5008 send=3 group=gasyoucrn-32 upstream-broken: 45 streams at once, no head is left
+func TestRequestThatCrashesUpstreamsEnds(t *testing.T) {
+	const heads, arrivals, callers, mostEnded = 12, 10, 8, 4
+	c := &crasher{path: "/crash/"}
+	s := newSite(t, options{heads: heads, pause: 10 * time.Millisecond, observe: c.observe})
+	c.site = s
+	stop := make(chan struct{})
+	var others sync.WaitGroup
+	for i := range callers {
+		others.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if err := s.wholeStream(fmt.Sprintf("o%d-%d", i, n), fmt.Sprintf("/stream/%d/%d", i, n)); err != nil {
+					t.Errorf("a request that only shared a VM with the one that crashes: %v", err)
+					return
+				}
+			}
+		})
+	}
+	for i := range arrivals {
+		if err := s.wholeStream(fmt.Sprintf("c%d", i), "/stream/crash/1"); err == nil {
+			t.Error("the request that crashes its upstreams was served")
+		}
+	}
+	close(stop)
+	others.Wait()
+	if n := c.count.Load(); n > mostEnded {
+		t.Errorf("%d of %d heads ended under one request, at most %d expected", n, heads, mostEnded)
+	}
+}
+
+// TestUpstreamsThatCrashCostNoAnswer: a request may meet VMs that end one after the other by
+// themselves, more often than its route allows attempts. It is served nevertheless, and nothing
+// is held against it.
+func TestUpstreamsThatCrashCostNoAnswer(t *testing.T) {
+	const crashes = 2
+	var s *site
+	var count atomic.Int64
+	s = newSite(t, options{heads: 6, observe: func(o groupengine.Observation) {
+		if o.Kind == groupengine.Ran && count.Add(1) <= crashes {
+			s.crash(o.VM)
+			panic(http.ErrAbortHandler)
+		}
+	}})
+	for i := range 5 {
+		if err := s.wholeStream(fmt.Sprintf("r%d", i), "/stream/again"); err != nil {
+			t.Errorf("request %d: %v", i, err)
+		}
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -40,24 +42,39 @@
 	server *gateway.Server
 	// addresses are the VMs' own URLs.
 	addresses map[string]string
+
+	mu      sync.Mutex
+	servers map[string]*httptest.Server
+	// observe is told what happens at the VMs; nil for nobody.
+	observe func(groupengine.Observation)
+	// pause is the time between two events of a stream.
+	pause time.Duration
 }
 
 type options struct {
 	keyProof time.Duration
+	// heads is how many heads there are, 0 for two.
+	heads int
+	// pause is the time between two events of a stream, 0 for a millisecond.
+	pause   time.Duration
+	observe func(groupengine.Observation)
 	// empty leaves the store without a configuration.
 	empty bool
 }
 
 func newSite(t testing.TB, o options) *site {
 	t.Helper()
-	s := &site{store: objectstore.New(), addresses: make(map[string]string)}
+	s := &site{store: objectstore.New(), addresses: make(map[string]string), servers: make(map[string]*httptest.Server),
+		observe: o.observe, pause: cmp.Or(o.pause, time.Millisecond)}
 	storeServer := httptest.NewServer(s.store)
 	t.Cleanup(storeServer.Close)
 	if !o.empty {
 		s.store.Put("config", "main", configuration(1))
 	}
-	for i := range 2 {
+	for i := range cmp.Or(o.heads, 2) {
 		s.heads = append(s.heads, s.addVM(t, fmt.Sprintf("head-%d", i), "llm", streamEvents))
+	}
+	for i := range 2 {
 		s.plain = append(s.plain, s.addVM(t, fmt.Sprintf("plain-%d", i), "api", 0))
 	}
 	log, err := event.New(io.Discard, "error", "n", "test")
@@ -98,6 +115,15 @@
 	return s
 }
 
+// crash ends a VM as a process that dies does: its port closes and its connections break.
+func (s *site) crash(id string) {
+	s.mu.Lock()
+	server := s.servers[id]
+	s.mu.Unlock()
+	_ = server.Listener.Close()
+	server.CloseClientConnections()
+}
+
 func waitFor(t testing.TB, what string, done func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
@@ -114,9 +140,12 @@
 	var vm *groupengine.VM
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { vm.ServeHTTP(w, r) }))
 	vm = groupengine.New(groupengine.Config{ID: id, Service: service, Address: server.Listener.Addr().String(), Zone: "a", Domain: "d",
-		Events: events, Pause: time.Millisecond}, s.store)
+		Events: events, Pause: s.pause, Observe: s.observe}, s.store)
 	server.Start()
 	s.addresses[id] = server.URL
+	s.mu.Lock()
+	s.servers[id] = server
+	s.mu.Unlock()
 	t.Cleanup(server.CloseClientConnections)
 	t.Cleanup(server.Close)
 	if events == 0 {
