Requests that crash their upstreams are put in quarantine; ends of upstreams are no attempts

Cause: nothing outlived a call, so a request that came again was sent to as many heads as its route allows attempts, at each node anew. Ruled out: several requests counted as one (the fingerprint is the same), memory of one life only (there was none). Change: internal/quarantine counts, by fingerprint, the lives of VMs that ended under a request since it was last answered; three alone or four in company put it in quarantine, all nodes know it by their exchanges and keep it in the store; suspects are kept apart from each other; a VM whose port is closed is left out and its end is no attempt of those that shared it. After (test): at most 4 heads, all others served. The second test first serves three requests, which earn the credit for its repeats; it was seen failing in that form on the code before.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -77,6 +77,17 @@
 // be the sum of many nodes' states.
 type PeerFunc func(state *marbleroadv1.NodeState, heardAt time.Time)
 
+// Quarantine is what else two nodes tell each other with each exchange.
+type Quarantine interface {
+	// Ask is told to a node with a call, relay says whether this node passes on what others told;
+	// Asked takes the answer to a call that was sent then.
+	Ask(now time.Time, peer string, relay bool) *marbleroadv1.QuarantineNews
+	Asked(asked time.Time, peer string, news *marbleroadv1.QuarantineNews)
+	// Answer takes what a node told with its call and returns the answer; member says that this
+	// node does not call it.
+	Answer(now time.Time, peer string, member bool, news *marbleroadv1.QuarantineNews) *marbleroadv1.QuarantineNews
+}
+
 // Link carries exchanges to other nodes.
 type Link interface {
 	// Share tells a node this one's state and returns its answer.
@@ -102,6 +113,8 @@
 	state  StateSource
 	onPeer []PeerFunc
 	feed   Feed
+	// quarantine is nil when nothing else is exchanged.
+	quarantine Quarantine
 
 	// recordsRead is true once the nodes' records have been read.
 	recordsRead atomic.Bool
@@ -172,6 +185,9 @@
 // ServeFeed has the cluster answer followers. It must be called before Start.
 func (c *Cluster) ServeFeed(f Feed) { c.feed = f }
 
+// Exchange has each exchange carry what the quarantine tells. It must be called before Start.
+func (c *Cluster) Exchange(q Quarantine) { c.quarantine = q }
+
 // Name implements kernel.Service.
 func (c *Cluster) Name() string { return ServiceName }
 
--- a/internal/cluster/share.go
+++ b/internal/cluster/share.go
@@ -115,13 +115,20 @@
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
 	c.mu.Lock()
-	to := p.Record
+	to, flat := p.Record, c.topology.flat()
 	c.mu.Unlock()
 	asked := time.Now()
-	answer, err := c.link.Share(ctx, to, &marbleroadv1.ShareStateRequest{State: c.shared(asked, "")})
+	question := &marbleroadv1.ShareStateRequest{State: c.shared(asked, "")}
+	if c.quarantine != nil {
+		question.Quarantine = c.quarantine.Ask(asked, to.ID, !flat)
+	}
+	answer, err := c.link.Share(ctx, to, question)
 	if err != nil {
 		return errors.Wrapf(err, "share state with %s", to.ID)
 	}
+	if c.quarantine != nil {
+		c.quarantine.Asked(asked, to.ID, answer.GetQuarantine())
+	}
 	c.reached(p)
 	c.hear(answer.GetState(), asked)
 	for _, other := range answer.GetOthers() {
@@ -271,6 +278,9 @@
 	if state.GetMember() {
 		out.Others = c.othersSums(now)
 	}
+	if c.quarantine != nil {
+		out.Quarantine = c.quarantine.Answer(now, state.GetNode(), state.GetMember(), r.GetQuarantine())
+	}
 	return out
 }
 
--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -61,9 +61,10 @@
 	for _, l := range m.GetLoads() {
 		if known := s.loads[l.GetGroup()]; known != nil {
 			known.InFlight += l.GetInFlight()
+			known.Suspects += l.GetSuspects()
 			continue
 		}
-		one := &marbleroadv1.GroupLoad{Group: l.GetGroup(), InFlight: l.GetInFlight()}
+		one := &marbleroadv1.GroupLoad{Group: l.GetGroup(), InFlight: l.GetInFlight(), Suspects: l.GetSuspects()}
 		s.loads[l.GetGroup()] = one
 		s.out.Loads = append(s.out.Loads, one)
 	}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -13,6 +13,7 @@
 	"github.com/marbleroad/marbleroad/internal/gateway"
 	"github.com/marbleroad/marbleroad/internal/inspect"
 	"github.com/marbleroad/marbleroad/internal/kernel"
+	"github.com/marbleroad/marbleroad/internal/quarantine"
 	"github.com/marbleroad/marbleroad/internal/retry"
 	"github.com/marbleroad/marbleroad/platform"
 )
@@ -73,6 +74,9 @@
 		return out
 	}
 	nodes = cluster.New(cluster.Config{Self: self, Interval: s.Cluster.Interval}, b.log, store, b.peers, state)
+	suspects := quarantine.NewTable()
+	nodes.Exchange(quarantine.NewGossip(suspects, b.log))
+	archive := quarantine.NewArchive(suspects, store, b.log, leader.Reads, time.Now)
 	server = gateway.NewServer(b.gatewayConfig(), gateway.Parts{
 		Log:        b.log,
 		Metrics:    b.metrics,
@@ -87,6 +91,7 @@
 		StepDown:   func() { groups.StepDown() },
 		Dissolving: func() []string { return groups.Dissolving() },
 		Nudge:      nodes.Nudge,
+		Quarantine: suspects,
 	})
 	groups = director.New(director.Config{
 		NodeID:        s.Node.ID,
@@ -120,6 +125,7 @@
 	}))
 	return assemble(
 		operators,
+		archive,
 		keeper,
 		directory,
 		nodes,
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -148,6 +148,14 @@
 		"See what fails: 5008 of the same service. The line has what the budget was worked out from."}
 	UpstreamEnded = Event{5012, zerolog.WarnLevel, "an upstream VM ended while it ran a request",
 		"Look for the same fingerprint at other VMs: a request may crash those that run it."}
+	RequestQuarantined = Event{5013, zerolog.WarnLevel, "a request is kept from upstreams: too many VMs ended under it",
+		"Find the team and path by its fingerprint (5008, 5012) and have the engine mended. It is let go after an hour."}
+	SuspectsHeard = Event{5014, zerolog.DebugLevel, "another node told of requests under which upstreams ended",
+		"None."}
+	QuarantineUnread = Event{5015, zerolog.WarnLevel, "the requests in quarantine could not be read from or written to the platform",
+		"Check the platform. Nodes that reach each other tell each other."}
+	QuarantineStored = Event{5016, zerolog.InfoLevel, "the requests in quarantine were written to the platform",
+		"None."}
 )
 
 // Events of access.
@@ -170,6 +178,7 @@
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
 	DutyTaken, DutyLeft, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted,
 	RequestDone, RequestRefused, RequestFailed, BadInput, UpstreamEjected, StreamBroken,
-	RequestSent, AttemptFailed, RequestServed, CallerLeft, RepeatRefused, UpstreamEnded,
+	RequestSent, AttemptFailed, RequestServed, CallerLeft, RepeatRefused, UpstreamEnded, RequestQuarantined,
+	SuspectsHeard, QuarantineUnread, QuarantineStored,
 	BadKey, BadOperator,
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -104,6 +104,9 @@
 	return min(most, leaderWait)
 }
 
+// Reads reports whether this node reads the platform for itself or for others.
+func (l *Leader) Reads() bool { return l.leads(time.Now()) }
+
 // leads reports whether this node must call the platform itself: it has something to do
 // with the answer at once, or others follow it.
 func (l *Leader) leads(now time.Time) bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,6 +44,10 @@
 	codeAborted    = "aborted"
 	// codeCallerLeft ends a call whose caller closed its connection.
 	codeCallerLeft = "caller-left"
+	// codeQuarantined is the answer to a request under which too many upstreams ended,
+	// codeOnTrial to one that is being tried once more on another caller's behalf.
+	codeQuarantined = "quarantined"
+	codeOnTrial     = "on-trial"
 	// codeUpstreamFailed is an upstream's own failure after it ran the request.
 	codeUpstreamFailed = "upstream-failed"
 )
@@ -58,9 +62,11 @@
 	out *streamOut
 
 	tried map[string]bool
-	// sends counts the sends; ran those that an upstream may have run.
+	// sends counts the sends; ran those that an upstream may have run; ended those of them
+	// whose upstream ended meanwhile, which don't count as attempts.
 	sends int
 	ran   int
+	ended int
 	// last is the newest failure.
 	last *verdict.Error
 	// use is what the newest repeat was allowed by.
@@ -87,11 +93,18 @@
 	// openRoom is the load beyond the slots that a stream which already began
 	// may be sent to: it is not given up for lack of room.
 	openRoom = 1 << 20
+	// mostEnded is after how many upstreams that ended under one call it is still sent on: as
+	// many as put a request in quarantine at the latest, so that one which only shared VMs with
+	// such a request outlasts it.
+	mostEnded = 4
 )
 
 // run sends the call until an answer is complete or nothing more may be tried.
 // A nil result means that the caller has its answer.
 func (j *job) run(ctx context.Context) *verdict.Error {
+	if fault := j.barred(); fault != nil {
+		return fault
+	}
 	for {
 		if closedByCaller(j.r) {
 			return j.final(callerGone())
@@ -117,9 +130,12 @@
 		return j.final(fault)
 	case fault.Verdict != verdict.NotRun && !j.c.Route.Repeatable():
 		return j.final(fault)
-	case j.ran >= j.c.Route.Attempts || j.sends >= j.c.Route.Attempts+spareSends:
+	case j.ran-j.ended >= j.c.Route.Attempts || j.sends-j.ended >= j.c.Route.Attempts+spareSends || j.ended > mostEnded:
 		return j.final(fault)
 	}
+	if barred := j.barred(); barred != nil {
+		return j.final(barred)
+	}
 	j.use = j.s.board.takeRepeat(now, j.c.Service, j.s.nodes())
 	if !j.use.Allowed {
 		j.logRepeatRefused()
@@ -168,7 +184,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	now := time.Now()
-	last := !j.c.Route.Repeatable() || j.sends+1 >= j.c.Route.Attempts
+	last := !j.c.Route.Repeatable() || j.sends-j.ended+1 >= j.c.Route.Attempts
 	s, rivals, why := j.s.board.choose(now, j.c, j.tried, j.room(), last, cancel)
 	if why != admitted {
 		return j.refused(why, rivals)
@@ -199,6 +215,7 @@
 		return j.broken(ctx, s, err)
 	}
 	j.s.board.succeeded(s, time.Since(now))
+	j.answered()
 	return nil
 }
 
@@ -214,7 +231,7 @@
 // limitTry ends a send of a repeatable plain call that takes much longer than
 // its objective, while there is time for another one.
 func (j *job) limitTry(cancel context.CancelCauseFunc) func() {
-	if j.out != nil || j.c.Route.Kind != catalog.Idempotent || j.sends >= j.c.Route.Attempts {
+	if j.out != nil || j.c.Route.Kind != catalog.Idempotent || j.sends-j.ended >= j.c.Route.Attempts {
 		return func() {}
 	}
 	limit := max(slowTryFactor*j.c.Route.Objective, slowTryLeast)
@@ -333,7 +350,7 @@
 // worthRepeating reports whether a failed answer of an upstream is better tried
 // elsewhere than passed on.
 func (j *job) worthRepeating() bool {
-	return j.c.Route.Repeatable() && j.ran < j.c.Route.Attempts && time.Until(j.c.Deadline) > j.c.Route.Objective
+	return j.c.Route.Repeatable() && j.ran-j.ended < j.c.Route.Attempts && time.Until(j.c.Deadline) > j.c.Route.Objective
 }
 
 // refused is the failure of a call for which no upstream was chosen.
@@ -363,7 +380,7 @@
 	}
 	cause := context.Cause(ctx)
 	left := errors.Is(cause, context.Canceled)
-	if !left && fault.Code != relay.CodeRefused {
+	if !left && !errors.Is(cause, errQuarantined) && fault.Code != relay.CodeRefused {
 		j.eject(s, fault.Code != relay.CodeUnreachable)
 	}
 	if errors.Is(cause, errStalled) || errors.Is(cause, errSlowTry) || errors.Is(cause, errLostAnswer) || errors.Is(cause, errStartedAgain) {
@@ -371,8 +388,8 @@
 		fault.Status = http.StatusBadGateway
 	}
 	j.logAttempt(s, fault, cause)
-	if fault.Verdict != verdict.NotRun && cause == nil {
-		j.checkEnded(ctx, s)
+	if fault.Verdict != verdict.NotRun {
+		j.checkEnded(ctx, s, cause)
 	}
 	return fault
 }
@@ -389,13 +406,15 @@
 		fault.Code, fault.Detail, fault.Cause = codeUpstreamFailed, status.Error(), nil
 	}
 	cause := context.Cause(ctx)
-	if !errors.Is(cause, context.Canceled) {
+	if !errors.Is(cause, context.Canceled) && !errors.Is(cause, errQuarantined) {
 		j.eject(s, true)
 	}
 	j.logAttempt(s, fault, cause)
-	if fault.Code == relay.CodeBroken && cause == nil {
-		j.checkEnded(ctx, s)
+	if fault.Code == codeUpstreamFailed {
+		j.answered()
+		return fault
 	}
+	j.checkEnded(ctx, s, cause)
 	return fault
 }
 
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -10,6 +10,7 @@
 	"github.com/marbleroad/marbleroad/internal/batch"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/quarantine"
 	"github.com/marbleroad/marbleroad/internal/retry"
 )
 
@@ -54,7 +55,7 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
-	// running are the cancel functions of the requests under way.
+	// running are the requests under way.
 	running map[*send]struct{}
 }
 
@@ -90,6 +91,11 @@
 	objective, pauseObjective time.Duration
 	// last is true when nothing may be sent after this one, so that it is waited for.
 	last bool
+	// print names what is asked for, judged is what was held against it.
+	print  quarantine.Fingerprint
+	judged quarantine.Verdict
+	// company is true when another suspect was at the target at the same time.
+	company bool
 }
 
 // key names the send's target; as target.key.
@@ -149,6 +155,8 @@
 	liveFor    time.Duration
 	peersUntil time.Time
 	peerLoads  map[string]int
+	// peerSuspects counts other nodes' suspects at each group.
+	peerSuspects map[string]int
 	// ownDissolving lists the groups that this node's director is taking apart,
 	// dissolving those of any node.
 	ownDissolving func() []string
@@ -179,6 +187,7 @@
 		peers:         make(map[string]*marbleroadv1.NodeState),
 		peersAt:       make(map[string]time.Time),
 		peerLoads:     make(map[string]int),
+		peerSuspects:  make(map[string]int),
 		domainHeard:   make(map[string]time.Time),
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -60,6 +60,8 @@
 
 	// print is the fingerprint once it was asked for; zero before.
 	print quarantine.Fingerprint
+	// judged is what was held against the request before its newest send.
+	judged quarantine.Verdict
 }
 
 // fingerprint names what is asked for. It is worked out when first asked for, once the
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/batch"
+	"github.com/marbleroad/marbleroad/internal/quarantine"
 )
 
 // rival is a candidate with its score, for the log.
@@ -57,7 +58,7 @@
 		// Nothing is learned of a model that callers made up.
 		return nil, nil, noUpstream
 	}
-	found := b.pick(now, candidates, asked, room, b.offset(key).Value())
+	found := b.pick(now, candidates, asked, c.judged, room, b.offset(key).Value())
 	rivals := found.rivals
 	why := found.refusal(p.service.Engine != nil)
 	if found.predictedLate && why == allFull {
@@ -67,7 +68,7 @@
 		return nil, rivals, why
 	}
 	r := rivals[found.best]
-	s := &send{t: r.t, vm: r.t.vm, cancel: cancel, sentAt: now, lastByte: now, last: last}
+	s := &send{t: r.t, vm: r.t.vm, cancel: cancel, sentAt: now, lastByte: now, last: last, print: c.fingerprint(), judged: c.judged}
 	s.objective, s.pauseObjective = objectives(c)
 	if r.t.engine.Known() {
 		s.prompt, s.model = asked.Prompt, key
@@ -83,6 +84,7 @@
 	if t.own == 0 {
 		t.lastByte = now
 	}
+	b.meet(s)
 	t.own++
 	t.unread += s.prompt
 	t.running[s] = struct{}{}
@@ -102,11 +104,12 @@
 
 // pick finds the candidate with the lowest score among those that take the request.
 // With many nodes the first few that do are enough.
-func (b *board) pick(now time.Time, candidates []*target, asked batch.Request, room float64, offset time.Duration) picked {
+func (b *board) pick(now time.Time, candidates []*target, asked batch.Request, judged quarantine.Verdict, room float64, offset time.Duration) picked {
 	out := picked{best: -1}
 	seen := 0
 	for _, i := range b.order(candidates) {
 		r := b.rate(now, candidates[i], asked.Prompt, offset)
+		r.score += b.apart(r.t, judged)
 		out.rivals = append(out.rivals, r)
 		if !b.takes(now, r, asked, room, offset, &out) {
 			continue
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 )
 
@@ -79,14 +78,3 @@
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
-
-// checkEnded looks whether the upstream ended while it ran the call.
-func (j *job) checkEnded(ctx context.Context, s *send) bool {
-	if !j.s.endings.ended(ctx, s.vm) {
-		return false
-	}
-	j.s.metrics.Count("upstreams.ended", 1)
-	j.s.log.Emit(event.UpstreamEnded).Str("request", j.c.ID).Stringer("fingerprint", j.c.fingerprint()).Str("vm", s.vm.ID).
-		Int64("born", s.vm.Born).Str("group", s.t.group).Uint64("generation", s.t.generation).Bool("begun", s.begun).Send()
-	return true
-}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -17,6 +17,7 @@
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/metrics"
+	"github.com/marbleroad/marbleroad/internal/quarantine"
 	"github.com/marbleroad/marbleroad/internal/relay"
 	"github.com/marbleroad/marbleroad/internal/retry"
 	"github.com/marbleroad/marbleroad/internal/tracing"
@@ -83,6 +84,9 @@
 	StepDown func()
 	// Nudge shares this node's state at once.
 	Nudge func()
+	// Quarantine knows the requests under which upstreams ended; nil for a table of the
+	// gateway's own.
+	Quarantine *quarantine.Table
 }
 
 // Server serves callers.
@@ -96,6 +100,8 @@
 	upstream UpstreamDialect
 	sender   *relay.Sender
 	endings  *endings
+	suspects *quarantine.Table
+	unproven unproven
 	board    *board
 
 	stopping atomic.Bool
@@ -110,7 +116,10 @@
 // NewServer returns a server.
 func NewServer(c Config, p Parts) *Server {
 	hard, end := context.WithCancel(context.Background())
-	return &Server{
+	if p.Quarantine == nil {
+		p.Quarantine = quarantine.NewTable()
+	}
+	s := &Server{
 		config:   c,
 		parts:    p,
 		log:      p.Log,
@@ -120,10 +129,14 @@
 		upstream: p.Upstream,
 		sender:   relay.NewSender(upstreamDialer(c.Local), nil),
 		endings:  newEndings(upstreamDialer(c.Local)),
+		suspects: p.Quarantine,
 		board:    newBoard(c.FailureDomain, c.Repeats, p.Dissolving, time.Now()),
 		hard:     hard,
 		end:      end,
 	}
+	p.Quarantine.OnQuarantine(s.quarantined)
+	p.Quarantine.OnProved(p.Nudge)
+	return s
 }
 
 // upstreamDialer gives up on a new connection soon: one takes some milliseconds,
@@ -295,6 +308,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		s.findEnded(now)
 		for _, lost := range s.board.findLost(now) {
 			s.metrics.Count("streams.lost", 1)
 			lost.cancel(errLostAnswer)
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -66,7 +66,7 @@
 	}
 	for _, t := range b.targets {
 		if t.group != "" && t.own > 0 {
-			into.Loads = append(into.Loads, &marbleroadv1.GroupLoad{Group: t.group, InFlight: uint32(t.own)})
+			into.Loads = append(into.Loads, &marbleroadv1.GroupLoad{Group: t.group, InFlight: uint32(t.own), Suspects: uint32(t.suspects())})
 		}
 	}
 	b.measure(now)
@@ -116,6 +116,7 @@
 // ends to count.
 func (b *board) sumPeers(now time.Time) {
 	clear(b.peerLoads)
+	clear(b.peerSuspects)
 	b.peersUntil = now.Add(b.liveFor)
 	for id, p := range b.peers {
 		until := b.peersAt[id].Add(b.liveFor)
@@ -129,6 +130,7 @@
 		}
 		for _, l := range p.GetLoads() {
 			b.peerLoads[l.GetGroup()] += int(l.GetInFlight())
+			b.peerSuspects[l.GetGroup()] += int(l.GetSuspects())
 		}
 	}
 	b.noteDissolving()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,10 +17,12 @@
 	errCallerGone = errors.New("the caller is gone")
 	// errStalled ends the sends of a head that fell silent.
 	errStalled = errors.New("all streams of the head fell silent")
-	// errLostAnswer ends a send whose answer is silent while its head goes on.
 	// errStartedAgain ends sends to a VM that has started again since.
 	errStartedAgain = errors.New("the upstream VM started again")
-	errLostAnswer   = errors.New("the answer fell silent while its head went on")
+	// errLostAnswer ends a send whose answer is silent while its head goes on.
+	errLostAnswer = errors.New("the answer fell silent while its head went on")
+	// errQuarantined ends the sends of a request that was put in quarantine meanwhile.
+	errQuarantined = errors.New("too many upstreams ended under the request")
 	// errOrder means that a stream's events do not follow each other.
 	errOrder = errors.New("stream events out of order")
 )
--- /dev/null
+++ b/internal/gateway/unproven.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/quarantine"
+)
+
+// unproven remembers requests whose VM fell silent under them. A VM that loses power closes no
+// port; that it ended shows only later, by another life or by its leaving the platform's list.
+// A request that is answered meanwhile is let go.
+type unproven struct {
+	mu    sync.Mutex
+	sends map[quarantine.Fingerprint]silentSend
+}
+
+type silentSend struct {
+	*send
+	at time.Time
+}
+
+// add remembers a send.
+func (u *unproven) add(now time.Time, s *send) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.sends == nil {
+		u.sends = make(map[quarantine.Fingerprint]silentSend)
+	}
+	if len(u.sends) < mostUnproven {
+		u.sends[s.print] = silentSend{s, now}
+	}
+}
+
+// any reports whether there is any.
+func (u *unproven) any() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.sends) > 0
+}
+
+// drop lets a request go.
+func (u *unproven) drop(f quarantine.Fingerprint) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.sends, f)
+}
+
+// proven takes out and returns the sends whose VM has ended, and forgets those that are too old.
+func (u *unproven) proven(now time.Time, snapshot *fleet.Snapshot) []*send {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var out []*send
+	for f, s := range u.sends {
+		switch {
+		case snapshot != nil && endedBy(snapshot, s.vm):
+			out = append(out, s.send)
+			delete(u.sends, f)
+		case now.Sub(s.at) > unprovenFor:
+			delete(u.sends, f)
+		}
+	}
+	return out
+}
