Ages, credits and deadlines count the time for which a VM was suspended

Cause: they were counted by the steady clock. So a suspension now looks like a freeze, which the clock always counted. Before: 200 for a key on a proof 10 s old, a leader's proof of 10 s ago taken, 7,999 ms handed on of 3,000 left. After: 503, refused, at most 3,000 (tests).

--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/platform"
 	"github.com/marbleroad/marbleroad/internal/wait"
@@ -136,7 +137,7 @@
 	if listed {
 		return k.source.Changed(ctx, revision, k.wait)
 	}
-	asked := time.Now()
+	asked := clock.Now()
 	c, next, err := k.source.Current(ctx)
 	return Watched{Catalog: c, Revision: next, ProvenAt: asked}, err
 }
@@ -159,14 +160,14 @@
 		news := k.news
 		k.mu.Unlock()
 		if current := k.Version(); current > version {
-			return current, k.ProvenAge(time.Now())
+			return current, k.ProvenAge(clock.Now())
 		}
 		select {
 		case <-news:
 		case <-timer.C:
-			return k.Version(), k.ProvenAge(time.Now())
+			return k.Version(), k.ProvenAge(clock.Now())
 		case <-ctx.Done():
-			return k.Version(), k.ProvenAge(time.Now())
+			return k.Version(), k.ProvenAge(clock.Now())
 		}
 	}
 }
@@ -204,5 +205,5 @@
 		return
 	}
 	k.lost = true
-	k.log.Emit(event.PlatformDown).Str("of", "catalog").Dur("proven_age_ms", k.ProvenAge(time.Now())).Err(err).Send()
+	k.log.Emit(event.PlatformDown).Str("of", "catalog").Dur("proven_age_ms", k.ProvenAge(clock.Now())).Err(err).Send()
 }
--- a/internal/cluster/share.go
+++ b/internal/cluster/share.go
@@ -11,6 +11,7 @@
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/transport"
 	"github.com/marbleroad/marbleroad/internal/wait"
@@ -32,7 +33,7 @@
 	if c.ctx.Err() != nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	c.forgetSilent(now)
 	c.topology = c.view(now)
 	hub := !c.topology.flat() && c.topology.isHub()
@@ -117,7 +118,7 @@
 	c.mu.Lock()
 	to, flat := p.Record, c.topology.flat()
 	c.mu.Unlock()
-	asked := time.Now()
+	asked := clock.Now()
 	question := &marbleroadv1.ShareStateRequest{State: c.shared(asked, "")}
 	if c.quarantine != nil {
 		question.Quarantine = c.quarantine.Ask(asked, to.ID, !flat)
@@ -182,13 +183,13 @@
 		return
 	}
 	c.mu.Lock()
-	now := time.Now()
+	now := clock.Now()
 	p.shunnedUntil = now.Add(p.failing.Next())
 	if p.failingSince.IsZero() {
 		p.failingSince = now
 	}
 	many := !c.topology.flat()
-	if !p.lost && p.State != nil && time.Since(p.HeardAt) > c.liveFor() {
+	if !p.lost && p.State != nil && clock.Since(p.HeardAt) > c.liveFor() {
 		p.lost = true
 		c.log.Emit(event.PeerLost).Str("peer", p.ID).Err(err).Send()
 	}
@@ -258,7 +259,8 @@
 
 // answer takes another node's state and returns this one's.
 func (c *Cluster) answer(r *marbleroadv1.ShareStateRequest) *marbleroadv1.ShareStateResponse {
-	now := time.Now()
+	clock.Sync()
+	now := clock.Now()
 	state := r.GetState()
 	isNew := c.add(recordOf(state))
 	if state.GetSummed() > 0 {
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -6,6 +6,7 @@
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/admin"
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/director"
 	"github.com/marbleroad/marbleroad/internal/feed"
@@ -76,7 +77,7 @@
 	nodes = cluster.New(cluster.Config{Self: self, Interval: s.Cluster.Interval}, b.log, store, b.peers, state)
 	suspects := quarantine.NewTable()
 	nodes.Exchange(quarantine.NewGossip(suspects, b.log))
-	archive := quarantine.NewArchive(suspects, store, b.log, leader.Reads, time.Now)
+	archive := quarantine.NewArchive(suspects, store, b.log, leader.Reads, clock.Now)
 	server = gateway.NewServer(b.gatewayConfig(), gateway.Parts{
 		Log:        b.log,
 		Metrics:    b.metrics,
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -23,6 +23,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/engine"
 	"github.com/marbleroad/marbleroad/internal/event"
@@ -138,7 +139,7 @@
 	d.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 		return slog.New(slog.DiscardHandler)
 	}))
-	started := time.Now()
+	started := clock.Now()
 	pid, err := d.system.Root.SpawnNamed(actor.PropsFromProducer(func() actor.Actor { return newState(d, d, started) }), "director")
 	if err != nil {
 		return errors.Wrap(err, "spawn director")
@@ -219,7 +220,7 @@
 		}
 		ctx, cancel := context.WithTimeout(d.ctx, limit)
 		defer cancel()
-		asked := time.Now()
+		asked := clock.Now()
 		r, err := d.parts.Engine.Report(ctx, vm)
 		d.parts.Metrics.Count("director.reports", 1)
 		d.tell(reported{vm: vm, report: r, err: err, asked: asked, why: why})
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -11,6 +11,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/engine"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 )
@@ -228,15 +229,15 @@
 func (s *state) Receive(c actor.Context) {
 	switch m := c.Message().(type) {
 	case tick:
-		s.judge(time.Now())
+		s.judge(clock.Now())
 	case suspected:
-		s.suspect(time.Now(), m)
+		s.suspect(clock.Now(), m)
 	case reported:
-		s.reported(time.Now(), m)
-		s.judge(time.Now())
+		s.reported(clock.Now(), m)
+		s.judge(clock.Now())
 	case ordered:
-		s.ordered(time.Now(), m)
-		s.judge(time.Now())
+		s.ordered(clock.Now(), m)
+		s.judge(clock.Now())
 	}
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -22,6 +22,8 @@
 		"Counted as log.dropped; lower log.rate or speed the reader up."}
 	ListenerFault = Event{1009, zerolog.DebugLevel, "a listener's connection failed",
 		"None; the line says what the HTTP library said."}
+	Suspended = Event{1010, zerolog.WarnLevel, "this VM was suspended; proofs, leases and credits of before have aged by that time",
+		"Ask the platform why. Requests with keys are refused until the configuration is proven anew."}
 )
 
 // Events of the operators' table.
@@ -169,7 +171,7 @@
 // Catalogue lists all events in order of their numbers.
 var Catalogue = []Event{
 	Started, Stopping, Stopped, StopLimit, ServiceFailed, TraceExportFailed,
-	Reloaded, LogDropped, ListenerFault,
+	Reloaded, LogDropped, ListenerFault, Suspended,
 	RowAdopted, ChangeAccepted, ChangeConflict, ChangeInvalid, RowUnreadable, DrainHeld,
 	CatalogAdopted,
 	PlatformDown, PlatformUp, WriteResolved, HistoryGone, RegisterFailed, NodesUnread, EntryUnreadable,
--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -8,6 +8,7 @@
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 )
 
@@ -45,7 +46,7 @@
 
 // Changed implements catalog.Source.
 func (c *Catalog) Changed(ctx context.Context, revision uint64, wait time.Duration) (catalog.Watched, error) {
-	leader, ok := c.leader.pick(time.Now())
+	leader, ok := c.leader.pick(clock.Now())
 	if !ok {
 		return c.watch(ctx, revision, wait)
 	}
@@ -90,21 +91,21 @@
 		c.stale = err != nil
 		return w, err
 	}
-	if err := c.calls.allowed(time.Now()); err != nil {
+	if err := c.calls.allowed(clock.Now()); err != nil {
 		return catalog.Watched{}, err
 	}
 	w, err := c.own.Changed(ctx, revision, wait)
-	c.calls.ended(time.Now(), err)
+	c.calls.ended(clock.Now(), err)
 	return w, err
 }
 
 // read reads the configuration at the platform, unless that is left to the leaders.
 func (c *Catalog) read(ctx context.Context) (catalog.Watched, error) {
-	if err := c.calls.allowed(time.Now()); err != nil {
+	if err := c.calls.allowed(clock.Now()); err != nil {
 		return catalog.Watched{}, err
 	}
-	asked := time.Now()
+	asked := clock.Now()
 	next, revision, err := c.own.Current(ctx)
-	c.calls.ended(time.Now(), err)
+	c.calls.ended(clock.Now(), err)
 	return catalog.Watched{Catalog: next, Revision: revision, ProvenAt: asked}, err
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/platform"
@@ -105,7 +106,7 @@
 }
 
 // Reads reports whether this node reads the platform for itself or for others.
-func (l *Leader) Reads() bool { return l.leads(time.Now()) }
+func (l *Leader) Reads() bool { return l.leads(clock.Now()) }
 
 // leads reports whether this node must call the platform itself: it has something to do
 // with the answer at once, or others follow it.
@@ -215,14 +216,15 @@
 func follow[T any](ctx context.Context, l *Leader, leader cluster.Record, q question, ask func(context.Context) (T, time.Duration, error)) (T, time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.wait+answerTime)
 	defer cancel()
-	asked := time.Now()
+	asked := clock.Now()
 	answer, provenAfter, err := ask(ctx)
+	clock.Sync()
 	provenAt := asked.Add(provenAfter)
-	if age := time.Since(provenAt); err == nil && age > q.mostAge {
+	if age := clock.Since(provenAt); err == nil && age > q.mostAge {
 		err = errors.Wrapf(errLeader, "its proof is %s old", age)
 	}
 	if err != nil {
-		l.failed(time.Now(), leader, err)
+		l.failed(clock.Now(), leader, err)
 	}
 	return answer, provenAt, err
 }
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/platform"
 )
@@ -42,7 +43,7 @@
 
 // Watch implements fleet.Source.
 func (f *Fleet) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.Watched, error) {
-	leader, ok := f.leader.pick(time.Now())
+	leader, ok := f.leader.pick(clock.Now())
 	if !ok {
 		return f.watch(ctx, revision, f.leader.ownWait(wait))
 	}
@@ -69,11 +70,11 @@
 
 // watch waits for changes at the platform itself, unless that is left to the leaders.
 func (f *Fleet) watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.Watched, error) {
-	if err := f.calls.allowed(time.Now()); err != nil {
+	if err := f.calls.allowed(clock.Now()); err != nil {
 		return fleet.Watched{}, err
 	}
 	w, err := f.own.Watch(ctx, revision, wait)
-	f.calls.ended(time.Now(), err)
+	f.calls.ended(clock.Now(), err)
 	return w, err
 }
 
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -9,6 +9,7 @@
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/platform"
 )
@@ -26,7 +27,7 @@
 
 // FollowFleet implements part of ClusterService.
 func (s *Server) FollowFleet(ctx context.Context, r *connect.Request[marbleroadv1.FollowFleetRequest]) (*connect.Response[marbleroadv1.FollowFleetResponse], error) {
-	arrived := time.Now()
+	arrived := clock.Now()
 	w, err := s.Directory.Await(ctx, r.Msg.GetRevision(), min(milliseconds(r.Msg.GetWaitMs()), mostWait))
 	if errors.Is(err, platform.ErrCompacted) {
 		return connect.NewResponse(&marbleroadv1.FollowFleetResponse{Compacted: true}), nil
@@ -43,9 +44,9 @@
 
 // FollowCatalog implements part of ClusterService.
 func (s *Server) FollowCatalog(ctx context.Context, r *connect.Request[marbleroadv1.FollowCatalogRequest]) (*connect.Response[marbleroadv1.FollowCatalogResponse], error) {
-	arrived := time.Now()
+	arrived := clock.Now()
 	version, age := s.Keeper.Await(ctx, r.Msg.GetVersion(), min(milliseconds(r.Msg.GetWaitMs()), mostWait))
-	out := &marbleroadv1.FollowCatalogResponse{Version: version, ProvenAfterMs: after(arrived, time.Now().Add(-age))}
+	out := &marbleroadv1.FollowCatalogResponse{Version: version, ProvenAfterMs: after(arrived, clock.Now().Add(-age))}
 	if version <= r.Msg.GetVersion() {
 		return connect.NewResponse(out), nil
 	}
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/platform"
 	"github.com/marbleroad/marbleroad/internal/wait"
@@ -144,14 +145,14 @@
 
 func (d *Directory) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		asked := time.Now()
+		asked := clock.Now()
 		provenAt, changed, err := d.ask(ctx, asked)
 		if err != nil {
 			d.failed(ctx, asked, err)
 			continue
 		}
 		d.failing.Succeeded()
-		changed = d.expire(time.Now()) || changed
+		changed = d.expire(clock.Now()) || changed
 		d.publish(provenAt, changed)
 		wait.Sleep(ctx, d.beforeExpiry(d.settle()))
 	}
@@ -201,7 +202,7 @@
 	if len(d.missing) == 0 {
 		return most
 	}
-	return min(most, max(time.Until(d.outage.keepUntil), 0))
+	return min(most, max(clock.Until(d.outage.keepUntil), 0))
 }
 
 func (d *Directory) replace(entries []Change) {
@@ -241,7 +242,7 @@
 	}
 	vm := c.VM
 	if !relayed {
-		d.heard[vm.ID] = time.Now()
+		d.heard[vm.ID] = clock.Now()
 	}
 	return d.put(&vm)
 }
@@ -306,7 +307,7 @@
 // whether the VM is gone.
 func (d *Directory) remove(id string) bool {
 	vm := d.vms[id]
-	now := time.Now()
+	now := clock.Now()
 	if vm == nil || !d.outage.keeps(now) {
 		return d.drop(id)
 	}
@@ -349,7 +350,7 @@
 	if d.lost {
 		d.lost = false
 		d.log.Emit(event.PlatformUp).Str("of", "directory").Int64("silent_ms", d.outage.silent(provenAt).Milliseconds()).
-			Int64("waited_ms", time.Since(provenAt).Milliseconds()).Send()
+			Int64("waited_ms", clock.Since(provenAt).Milliseconds()).Send()
 	}
 	d.outage.answered(provenAt, d.wait)
 }
@@ -369,7 +370,7 @@
 		d.log.Emit(event.PlatformDown).Str("of", "directory").Err(err).Send()
 	}
 	d.outage.failed(asked)
-	wait.Sleep(ctx, max(d.failing.Next()-time.Since(asked), leastPause))
+	wait.Sleep(ctx, max(d.failing.Next()-clock.Since(asked), leastPause))
 }
 
 func (d *Directory) publish(provenAt time.Time, changed bool) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/relay"
 	"github.com/marbleroad/marbleroad/internal/retry"
@@ -122,7 +123,7 @@
 
 // mayRepeat returns nil when the call may be sent once more, else its final failure.
 func (j *job) mayRepeat(ctx context.Context, fault *verdict.Error) *verdict.Error {
-	now := time.Now()
+	now := clock.Now()
 	switch {
 	case ctx.Err() != nil:
 		return j.final(j.timeout(ctx))
@@ -183,7 +184,8 @@
 func (j *job) try(ctx context.Context) *verdict.Error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	now := time.Now()
+	clock.Sync()
+	now := clock.Now()
 	last := !j.c.Route.Repeatable() || j.sends-j.ended+1 >= j.c.Route.Attempts
 	s, rivals, why := j.s.board.choose(now, j.c, j.tried, j.room(), last, cancel)
 	if why != admitted {
@@ -214,7 +216,7 @@
 	if err := j.relay(resp, s, now); err != nil {
 		return j.broken(ctx, s, err)
 	}
-	j.s.board.succeeded(s, time.Since(now))
+	j.s.board.succeeded(s, clock.Since(now))
 	j.answered()
 	return nil
 }
@@ -235,8 +237,8 @@
 		return func() {}
 	}
 	limit := max(slowTryFactor*j.c.Route.Objective, slowTryLeast)
-	if time.Until(j.c.Deadline) < 2*limit {
-		limit = time.Until(j.c.Deadline) / 2
+	if clock.Until(j.c.Deadline) < 2*limit {
+		limit = clock.Until(j.c.Deadline) / 2
 	}
 	timer := time.AfterFunc(limit, func() { cancel(errSlowTry) })
 	return func() { timer.Stop() }
@@ -295,7 +297,7 @@
 		if err != nil {
 			return err
 		}
-		now := time.Now()
+		now := clock.Now()
 		j.s.board.heard(now, s)
 		if j.firstByte == 0 {
 			j.firstByte = now.Sub(j.c.Arrived)
@@ -325,7 +327,7 @@
 	if resp.StatusCode >= http.StatusInternalServerError && j.worthRepeating() {
 		return statusError(resp.StatusCode)
 	}
-	j.firstByte = time.Since(j.c.Arrived)
+	j.firstByte = clock.Since(j.c.Arrived)
 	j.status = resp.StatusCode
 	copyHeader(j.w, resp)
 	if len(body) <= maxWhole {
@@ -350,7 +352,7 @@
 // worthRepeating reports whether a failed answer of an upstream is better tried
 // elsewhere than passed on.
 func (j *job) worthRepeating() bool {
-	return j.c.Route.Repeatable() && j.ran-j.ended < j.c.Route.Attempts && time.Until(j.c.Deadline) > j.c.Route.Objective
+	return j.c.Route.Repeatable() && j.ran-j.ended < j.c.Route.Attempts && clock.Until(j.c.Deadline) > j.c.Route.Objective
 }
 
 // refused is the failure of a call for which no upstream was chosen.
@@ -419,7 +421,7 @@
 }
 
 func (j *job) eject(s *send, reached bool) {
-	if j.s.board.failed(time.Now(), s, reached) {
+	if j.s.board.failed(clock.Now(), s, reached) {
 		j.s.log.Emit(event.UpstreamEjected).Str("vm", s.vm.ID).Str("group", s.t.group).Str("request", j.c.ID).Bool("reached", reached).Send()
 	}
 	if !reached && s.t.group != "" {
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 )
 
@@ -39,7 +40,7 @@
 // ended reports whether the VM's port is closed. It takes a round trip, or the dialer's
 // timeout when nothing answers, which proves nothing. Looks at the same time share one.
 func (e *endings) ended(ctx context.Context, vm *fleet.VM) bool {
-	l, first := e.look(time.Now(), vm.Address)
+	l, first := e.look(clock.Now(), vm.Address)
 	if first {
 		// Not the request's context: others may wait for the same look.
 		l.ended = e.refused(context.WithoutCancel(ctx), vm.Address)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -13,13 +13,15 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
 
 // handle serves one request of a caller.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	clock.Sync()
+	arrived := clock.Now()
 	headerRead(r)
 	s.metrics.Count("requests", 1)
 	if s.stopping.Load() {
@@ -122,7 +124,8 @@
 // that a caller leaves. After a failure it stays, or net/http would wait for the rest.
 func (s *Server) readAll(w http.ResponseWriter, body io.Reader, deadline time.Time) ([]byte, error) {
 	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	// Deadlines of connections are by the system's own clock.
+	if err := control.SetReadDeadline(time.Now().Add(clock.Until(deadline))); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, errors.Wrap(err, "limit the reading of the body")
 	}
 	data, err := io.ReadAll(body)
@@ -158,7 +161,7 @@
 	ctx, span := s.parts.Tracer.Start(s.parts.Tracer.Extract(r.Context(), r.Header), "request", trace.SpanKindServer,
 		attribute.String("request", c.ID), attribute.String("route", c.Route.Name))
 	defer span.End()
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, clock.Until(c.Deadline))
 	defer cancel()
 	stop := context.AfterFunc(s.hard, cancel)
 	defer stop()
@@ -180,7 +183,7 @@
 
 // finish logs the outcome and, if the caller has no answer yet, gives it.
 func (s *Server) finish(w http.ResponseWriter, r *http.Request, c *Call, j *job, fault *verdict.Error) {
-	took := time.Since(c.Arrived)
+	took := clock.Since(c.Arrived)
 	name := ""
 	if c.Route != nil {
 		name = c.Route.Name
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -14,6 +14,7 @@
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/metrics"
@@ -130,7 +131,7 @@
 		sender:   relay.NewSender(upstreamDialer(c.Local), nil),
 		endings:  newEndings(upstreamDialer(c.Local)),
 		suspects: p.Quarantine,
-		board:    newBoard(c.FailureDomain, c.Repeats, p.Dissolving, time.Now()),
+		board:    newBoard(c.FailureDomain, c.Repeats, p.Dissolving, clock.Now()),
 		hard:     hard,
 		end:      end,
 	}
@@ -220,7 +221,7 @@
 }
 
 func (s *Server) answerReady(w http.ResponseWriter, r *http.Request) {
-	s.metrics.Set("catalog.age_ms", s.keeper.ProvenAge(time.Now()).Milliseconds())
+	s.metrics.Set("catalog.age_ms", s.keeper.ProvenAge(clock.Now()).Milliseconds())
 	if r.URL.Path != s.config.ReadyPath {
 		http.NotFound(w, r)
 		return
@@ -273,7 +274,7 @@
 
 // Hear takes another node's state, or a hub's sum of many, that was heard then.
 func (s *Server) Hear(state *marbleroadv1.NodeState, heardAt time.Time) {
-	s.board.hear(time.Now(), state, heardAt, s.parts.LiveFor())
+	s.board.hear(clock.Now(), state, heardAt, s.parts.LiveFor())
 	for _, suspicion := range state.GetSuspicions() {
 		s.parts.Suspect(suspicion.GetGroup(), suspicion.GetGeneration())
 	}
@@ -282,13 +283,13 @@
 // FillState adds what the gateway shares with other nodes.
 func (s *Server) FillState(into *marbleroadv1.NodeState) {
 	into.Stopping = s.stopping.Load()
-	s.board.state(time.Now(), into)
+	s.board.state(clock.Now(), into)
 }
 
 // ModelWork is the work asked for of each model, over all nodes, in groups that
 // it would keep busy; nil while too few requests have come.
 func (s *Server) ModelWork(service string) map[string]float64 {
-	return s.board.modelWork(time.Now(), service)
+	return s.board.modelWork(clock.Now(), service)
 }
 
 // TrafficSeen reports whether any node has had a request for a model.
@@ -301,13 +302,19 @@
 	defer s.done.Done()
 	ticker := time.NewTicker(stallInterval)
 	defer ticker.Stop()
+	suspended := clock.Suspended()
 	for {
 		select {
 		case <-s.hard.Done():
 			return
 		case <-ticker.C:
 		}
-		now := time.Now()
+		clock.Sync()
+		now := clock.Now()
+		if all := clock.Suspended(); all > suspended {
+			s.log.Emit(event.Suspended).Int64("for_ms", (all - suspended).Milliseconds()).Send()
+			suspended = all
+		}
 		s.findEnded(now)
 		for _, lost := range s.board.findLost(now) {
 			s.metrics.Count("streams.lost", 1)
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -4,6 +4,7 @@
 	"time"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 )
 
@@ -27,7 +28,7 @@
 // this node sends none there; for operators.
 func (s *Server) Load(vm, group string) (running int, shunned string) {
 	b := s.board
-	now := time.Now()
+	now := clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.targets[(&target{vm: &fleet.VM{ID: vm}, group: group}).key()]
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/quarantine"
@@ -144,7 +145,7 @@
 	if !j.s.suspects.Known() {
 		return nil
 	}
-	j.c.judged = j.s.suspects.Judge(time.Now(), j.c.fingerprint())
+	j.c.judged = j.s.suspects.Judge(clock.Now(), j.c.fingerprint())
 	switch {
 	case j.c.judged.Quarantined > 0:
 		j.s.metrics.Count("quarantine.refused", 1)
@@ -162,7 +163,7 @@
 func (j *job) answered() {
 	if j.s.suspects.Known() || j.s.unproven.any() {
 		j.s.unproven.drop(j.c.fingerprint())
-		j.s.suspects.Served(time.Now(), j.c.fingerprint())
+		j.s.suspects.Served(clock.Now(), j.c.fingerprint())
 	}
 }
 
@@ -172,7 +173,7 @@
 	left := j.s.leaves(s.vm)
 	if errors.Is(cause, errStalled) || errors.Is(cause, errStartedAgain) {
 		if !left {
-			j.s.unproven.add(time.Now(), s)
+			j.s.unproven.add(clock.Now(), s)
 		}
 		return
 	}
@@ -180,7 +181,7 @@
 		return
 	}
 	j.ended++
-	j.s.board.leaveOut(time.Now(), s)
+	j.s.board.leaveOut(clock.Now(), s)
 	if !left {
 		j.s.ended(s)
 	}
@@ -203,7 +204,7 @@
 // ended holds a VM's end against the request that it ran.
 func (s *Server) ended(one *send) {
 	alone := s.board.alone(one)
-	v := s.suspects.Ended(time.Now(), one.print, quarantine.LifeOf(one.vm.ID, one.vm.Born), alone)
+	v := s.suspects.Ended(clock.Now(), one.print, quarantine.LifeOf(one.vm.ID, one.vm.Born), alone)
 	s.metrics.Count("upstreams.ended", 1)
 	s.log.Emit(event.UpstreamEnded).Stringer("fingerprint", one.print).Str("vm", one.vm.ID).Int64("born", one.vm.Born).
 		Str("group", one.t.group).Uint64("generation", one.t.generation).Bool("begun", one.begun).Bool("alone", alone).
--- a/internal/gateway/suspended_test.go
+++ b/internal/gateway/suspended_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/test/standin/groupengine"
 )
 
 // TestKeysEndOverASuspension: a VM was suspended for longer than keys may be honoured without proof. The
@@ -26,3 +28,34 @@
 		return s.send(t, http.MethodGet, "/read/a", nil).StatusCode == http.StatusOK
 	})
 }
+
+// TestTimeLeftOverASuspension: a request that is sent once more after its VM was suspended is handed
+// the time that is left for it, not what was left before.
+func TestTimeLeftOverASuspension(t *testing.T) {
+	const slept = 5 * time.Second
+	s := newSite(t, options{heads: 3, observe: func(o groupengine.Observation) {
+		if o.Kind == groupengine.Arrived && o.Request == "sleeps" {
+			clock.Note(slept)
+		}
+	}})
+	for _, vm := range s.heads {
+		vm.Refuse.Store(true)
+	}
+	_ = s.send(t, http.MethodPost, "/stream/a", map[string]string{"Attempt-Id": "sleeps", "Model": "m"})
+	least := 8000
+	sends := 0
+	for _, vm := range s.heads {
+		headers, _ := vm.Requests()
+		for _, h := range headers {
+			left, err := strconv.Atoi(h.Get("Deadline-Ms"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			least = min(least, left)
+			sends++
+		}
+	}
+	if want := 8000 - int(slept.Milliseconds()); sends < 2 || least > want {
+		t.Errorf("%d sends, the last with %d ms left, at most %d expected", sends, least, want)
+	}
+}
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 )
@@ -113,7 +114,7 @@
 func Handler(s Sources) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(s.view(time.Now())); err != nil {
+		if err := json.NewEncoder(w).Encode(s.view(clock.Now())); err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 		}
 	})
