Soak: requests that crash the upstreams that run them; a VM whose answer broke off is looked at again

The soak sends a request that ends each VM which begins to run it again and again to any node, in drawn schedules and at the end of each; a check judges that it reaches few more once three have ended. Runs at VMs that ended meanwhile are no attempts, as the users' pages say. Found by it: a process that dies may close its connections before its port, and the one look at the port came between. Now two more looks follow (60 and 240 ms), and what was answered since is let go.

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -15,7 +15,7 @@
 
 // endedFor is how long one look at a VM answers for: streams of one that ends break off
 // within some milliseconds, and one that starts again takes seconds.
-const endedFor = 100 * time.Millisecond
+const endedFor = 40 * time.Millisecond
 
 // endings finds out whether an upstream VM has ended. An answer that breaks off does not
 // say so: links are reset, and sick upstreams break off single answers. A closed port does.
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -30,6 +30,11 @@
 	// trialBack is when to come back to a suspect that is being tried: its answer, or its
 	// upstream's end, takes about a second.
 	trialBack = time.Second
+	// lookAgainAfter is when a VM whose answer broke off is looked at once more, lookAgainMost when
+	// for the last time: a process that dies closes its connections and its port within some
+	// milliseconds, in any order.
+	lookAgainAfter = 60 * time.Millisecond
+	lookAgainMost  = 200 * time.Millisecond
 	// unprovenFor is how long a VM that fell silent may take to prove that it ended, by another
 	// life or by leaving the platform's list: longer than three heartbeats.
 	unprovenFor = 6 * time.Second
@@ -173,11 +178,17 @@
 	left := j.s.leaves(s.vm)
 	if errors.Is(cause, errStalled) || errors.Is(cause, errStartedAgain) {
 		if !left {
-			j.s.unproven.add(clock.Now(), s)
+			j.s.unproven.add(clock.Now(), s, true)
 		}
 		return
 	}
-	if cause != nil || !j.s.endings.ended(ctx, s.vm) {
+	if cause != nil {
+		return
+	}
+	if !j.s.endings.ended(ctx, s.vm) {
+		if !left {
+			j.s.lookAgain(s, lookAgainAfter)
+		}
 		return
 	}
 	j.ended++
@@ -191,6 +202,25 @@
 	}
 }
 
+// lookAgain looks some more times whether a VM whose answer broke off has ended.
+func (s *Server) lookAgain(one *send, after time.Duration) {
+	s.unproven.add(clock.Now(), one, false)
+	time.AfterFunc(after, func() {
+		switch {
+		case s.hard.Err() != nil:
+		case s.endings.ended(s.hard, one.vm):
+			s.board.leaveOut(clock.Now(), one)
+			if s.unproven.take(one) {
+				s.ended(one)
+			}
+		case after < lookAgainMost:
+			s.lookAgain(one, 4*after)
+		default:
+			s.unproven.take(one)
+		}
+	})
+}
+
 // leaves reports whether a VM was about to leave, so that its end says nothing of its requests.
 func (s *Server) leaves(vm *fleet.VM) bool {
 	snapshot := s.parts.Directory.Snapshot()
--- a/internal/gateway/unproven.go
+++ b/internal/gateway/unproven.go
@@ -8,9 +8,10 @@
 	"github.com/marbleroad/marbleroad/internal/quarantine"
 )
 
-// unproven remembers requests whose VM fell silent under them. A VM that loses power closes no
-// port; that it ended shows only later, by another life or by its leaving the platform's list.
-// A request that is answered meanwhile is let go.
+// unproven remembers requests whose VM may have ended under them. A VM that loses power closes no
+// port; that it ended shows only later, by another life or by its leaving the platform's list. One
+// whose process dies may close its connections before its port. A request that is answered
+// meanwhile is let go.
 type unproven struct {
 	mu    sync.Mutex
 	sends map[quarantine.Fingerprint]silentSend
@@ -19,20 +20,33 @@
 type silentSend struct {
 	*send
 	at time.Time
+	// byList is true when the platform's list may prove the end.
+	byList bool
 }
 
 // add remembers a send.
-func (u *unproven) add(now time.Time, s *send) {
+func (u *unproven) add(now time.Time, s *send, byList bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.sends == nil {
 		u.sends = make(map[quarantine.Fingerprint]silentSend)
 	}
 	if len(u.sends) < mostUnproven {
-		u.sends[s.print] = silentSend{s, now}
+		u.sends[s.print] = silentSend{s, now, byList}
 	}
 }
 
+// take takes a send out; it reports false when it was let go or another one took its place.
+func (u *unproven) take(s *send) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.sends[s.print].send != s {
+		return false
+	}
+	delete(u.sends, s.print)
+	return true
+}
+
 // any reports whether there is any.
 func (u *unproven) any() bool {
 	u.mu.Lock()
@@ -54,7 +68,7 @@
 	var out []*send
 	for f, s := range u.sends {
 		switch {
-		case snapshot != nil && endedBy(snapshot, s.vm):
+		case s.byList && snapshot != nil && endedBy(snapshot, s.vm):
 			out = append(out, s.send)
 			delete(u.sends, f)
 		case now.Sub(s.at) > unprovenFor:
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -69,6 +69,8 @@
 		}
 	case CallersMany, CallersLeave:
 		w.during(f, callersOnly, func() { w.callers.lean(f.Kind, 1) }, func() { w.callers.lean(f.Kind, -1) })
+	case RequestCrashes:
+		w.callers.done.Go(func() { w.callers.crashAgain(f) })
 	case RouteAdded:
 		w.addRoute()
 	case KeyRevoked:
@@ -258,6 +260,7 @@
 	w.mu.Lock()
 	u.gone = true
 	w.mu.Unlock()
+	w.history.endedVM(u.id)
 	_ = u.server.Close()
 	u.way.proxy.Close()
 }
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -39,6 +39,16 @@
 	left time.Time
 	// whole is true when the answer was complete.
 	whole bool
+	// crashes is true when the request ends the upstreams that run it.
+	crashes bool
+}
+
+// bodyOf is what the body of a request names: a request that ends upstreams is the same each time.
+func (c call) bodyOf() string {
+	if c.crashes {
+		return crashPath
+	}
+	return c.id
 }
 
 // span is a time in which something was disturbed.
@@ -77,7 +87,10 @@
 	seen       []groupengine.Observation
 	spans      []span
 	departures []departure
-	versions   []accepted
+	// ends are the ends of VMs, crashes those by a request.
+	ends     []departure
+	crashes  []departure
+	versions []accepted
 	// taken are joins of VMs whose old head was open.
 	taken []groupengine.Observation
 }
@@ -106,6 +119,18 @@
 	h.departures = append(h.departures, departure{vm, time.Now()})
 }
 
+func (h *history) endedVM(vm string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ends = append(h.ends, departure{vm, time.Now()})
+}
+
+func (h *history) crashed(d departure) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.crashes = append(h.crashes, d)
+}
+
 func (h *history) changed(a accepted) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -45,6 +45,7 @@
 	PlainCut        Kind = "plain-upstream-cut"
 	CallersMany     Kind = "callers-many"
 	CallersLeave    Kind = "callers-leave"
+	RequestCrashes  Kind = "request-crashes-upstreams"
 	// MachineLate is noted, never played.
 	MachineLate Kind = "machine-late"
 	RouteAdded  Kind = "route-added"
@@ -100,6 +101,7 @@
 	{PlainCut, 1, 300 * time.Millisecond, 7 * time.Second},
 	{CallersMany, 1, time.Second, 3 * time.Second},
 	{CallersLeave, 2, time.Second, 4 * time.Second},
+	{RequestCrashes, 2, 2 * time.Second, 8 * time.Second},
 	{RouteAdded, 3, 0, 0},
 	{KeyRevoked, 1, 0, 0},
 }
@@ -137,7 +139,8 @@
 const calmBegin = 4 * time.Second
 
 // calmTail ends each schedule with what the checks that need an undisturbed node judge: a crowd,
-// upstreams that leave or hang while callers leave, and a graceful stop by itself.
+// upstreams that leave or hang while callers leave, a graceful stop by itself, and a request that
+// ends its upstreams.
 func calmTail(random *rand.Rand, length time.Duration) []Fault {
 	at := func(s float64) time.Duration { return length + calmBegin + time.Duration(s*float64(time.Second)) }
 	return []Fault{
@@ -148,6 +151,7 @@
 		{at(3.2), CallersLeave, 0, 3 * time.Second},
 		{at(3.4), RouteAdded, 0, 0},
 		{at(13), NodeStop, random.IntN(64), 300 * time.Millisecond},
+		{at(18), RequestCrashes, 1000, 8 * time.Second},
 	}
 }
 
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -225,6 +225,7 @@
 // observe keeps what a VM tells, and looks at the head of the group that a join takes it from.
 func (w *world) observe(o groupengine.Observation) {
 	w.history.observe(o)
+	w.crashIfAsked(o)
 	if o.Kind != groupengine.Joined || len(o.OldMembers) == 0 || o.Old.Name == o.Group {
 		return
 	}
