Many crashing requests at once; suspects are counted at their targets; a hanging watch is left

Suspects at a target are counted as sends begin and end, in place of a look at all sends for each candidate of each choice (no figure taken). When the platform is known to be back the archive's watch, which a cut may have left hanging for 10 s, is begun anew: test with a watch that never returns.

--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -58,6 +58,7 @@
 	current  atomic.Pointer[Catalog]
 	provenAt atomic.Pointer[time.Time]
 	onChange []func()
+	onReturn []func()
 
 	running wait.Loop
 	lost    bool
@@ -76,6 +77,10 @@
 // called before Start.
 func (k *Keeper) OnChange(f func()) { k.onChange = append(k.onChange, f) }
 
+// OnReturn registers a function that is called when the source answers again after it did not. It
+// must be called before Start.
+func (k *Keeper) OnReturn(f func()) { k.onReturn = append(k.onReturn, f) }
+
 // Name implements kernel.Service.
 func (k *Keeper) Name() string { return KeeperName }
 
@@ -176,6 +181,9 @@
 	if k.lost {
 		k.lost = false
 		k.log.Emit(event.PlatformUp).Str("of", "catalog").Send()
+		for _, f := range k.onReturn {
+			f()
+		}
 	}
 	k.adopt(w.Catalog)
 	if old := k.provenAt.Load(); old == nil || w.ProvenAt.After(*old) {
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -111,6 +111,7 @@
 	nodes.OnPeer(server.Hear)
 	nodes.ServeFeed(&feed.Server{Directory: directory, Keeper: keeper})
 	keeper.OnChange(server.Rebuild)
+	keeper.OnReturn(archive.Refresh)
 	directory.OnChange(func(*fleet.Snapshot) { server.Rebuild() })
 	directory.OnChange(groups.Refresh)
 	operators := admin.New(s.Gateway.Admin, b.metrics, gateway.ServerName, s.Debug.Pprof)
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -55,8 +55,11 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
-	// running are the requests under way.
-	running map[*send]struct{}
+	// running are the requests under way, touched and suspects how many of them any and two
+	// upstreams have ended under.
+	running  map[*send]struct{}
+	touched  int
+	suspects int
 }
 
 // name is the group's, or the VM's ID for a plain upstream.
@@ -288,6 +291,7 @@
 	} else {
 		s.t.unread -= s.prompt
 	}
+	s.t.held(s, -1)
 	delete(s.t.running, s)
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -85,6 +85,7 @@
 		t.lastByte = now
 	}
 	b.meet(s)
+	t.held(s, 1)
 	t.own++
 	t.unread += s.prompt
 	t.running[s] = struct{}{}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -97,6 +97,54 @@
 	}
 }
 
+// TestManyRequestsThatCrashUpstreams: several such requests at once. Each of them ends some heads, and
+// the streams that run beside them meet one end after the other; they are served all the same, and
+// none of them is held for the cause.
+func TestManyRequestsThatCrashUpstreams(t *testing.T) {
+	const heads, requests, arrivals, callers, mostEnded = 60, 6, 8, 8, 6 * 4
+	c := &crasher{path: "/crash/"}
+	s := newSite(t, options{heads: heads, pause: 10 * time.Millisecond, observe: c.observe})
+	c.site = s
+	var refused atomic.Int64
+	stop := make(chan struct{})
+	var others, crashing sync.WaitGroup
+	for i := range callers {
+		others.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				// The same request each time, so that what were held against it would show.
+				if err := s.wholeStream(fmt.Sprintf("o%d-%d", i, n), fmt.Sprintf("/stream/%d", i)); err != nil {
+					t.Logf("beside them: %v", err)
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	for i := range requests {
+		crashing.Go(func() {
+			for n := range arrivals {
+				if err := s.wholeStream(fmt.Sprintf("c%d-%d", i, n), fmt.Sprintf("/stream/crash/%d", i)); err == nil {
+					t.Error("a request that crashes its upstreams was served")
+				}
+			}
+		})
+	}
+	crashing.Wait()
+	time.Sleep(100 * time.Millisecond)
+	close(stop)
+	others.Wait()
+	if n := c.count.Load(); n > mostEnded {
+		t.Errorf("%d heads ended under %d requests, at most %d expected", n, requests, mostEnded)
+	}
+	if n := refused.Load(); n > 0 {
+		t.Errorf("%d requests that did nothing were not served", n)
+	}
+}
+
 // TestUpstreamsThatCrashCostNoAnswer: a request may meet VMs that end one after the other by
 // themselves, more often than its route allows attempts. It is served nevertheless, and nothing
 // is held against it.
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -67,7 +67,7 @@
 	}
 	for _, t := range b.targets {
 		if t.group != "" && t.own > 0 {
-			into.Loads = append(into.Loads, &marbleroadv1.GroupLoad{Group: t.group, InFlight: uint32(t.own), Suspects: uint32(t.suspects())})
+			into.Loads = append(into.Loads, &marbleroadv1.GroupLoad{Group: t.group, InFlight: uint32(t.own), Suspects: uint32(t.suspects)})
 		}
 	}
 	b.measure(now)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -42,39 +42,24 @@
 	mostUnproven = 1024
 )
 
-// suspects counts the target's requests under which two upstreams or more ended.
-func (t *target) suspects() int {
-	n := 0
-	for s := range t.running {
-		if s.judged.Suspected() {
-			n++
-		}
+// held counts a send that begins (1) or ends (-1) among those that something is held against.
+func (t *target) held(s *send, by int) {
+	if s.judged.Ends > 0 {
+		t.touched += by
 	}
-	return n
-}
-
-// touched counts those under which any upstream ended.
-func (t *target) touched() int {
-	n := 0
-	for s := range t.running {
-		if s.judged.Ends > 0 {
-			n++
-		}
+	if s.judged.Suspected() {
+		t.suspects += by
 	}
-	return n
 }
 
 // apart is what a target's other requests add to its score for a request of which that much is
 // held against. With requests that crash their VMs among many that do not, the third VM that ends
 // tells which it was only if no other suspect was there.
 func (b *board) apart(t *target, judged quarantine.Verdict) float64 {
-	if len(t.running) == 0 && b.peerSuspects[t.group] == 0 {
-		return 0
-	}
-	suspects := t.suspects() + b.peerSuspects[t.group]
+	suspects := t.suspects + b.peerSuspects[t.group]
 	penalty := 0.0
 	if judged.Ends > 0 {
-		penalty += spreadPenalty * float64(t.touched())
+		penalty += spreadPenalty * float64(t.touched)
 	}
 	switch {
 	case suspects == 0:
--- a/internal/quarantine/archive.go
+++ b/internal/quarantine/archive.go
@@ -26,7 +26,7 @@
 	archiveWait = 10 * time.Second
 	// archiveRetry and mostArchiveRetry are the first and the longest pause after a failed call.
 	archiveRetry     = 150 * time.Millisecond
-	mostArchiveRetry = 2 * time.Second
+	mostArchiveRetry = time.Second
 	// otherWriter is how long a node leaves it to the one that learned something at first hand
 	// to write it; a jitter of as much comes on top.
 	otherWriter = 1500 * time.Millisecond
@@ -49,6 +49,8 @@
 
 	// urgent is filled when this node has learned something at first hand.
 	urgent chan struct{}
+	// again ends the call to the store under way.
+	again atomic.Pointer[context.CancelFunc]
 	// stored is the digest of what the store was last seen to hold.
 	stored  atomic.Uint64
 	reading wait.Loop
@@ -71,6 +73,14 @@
 	}
 }
 
+// Refresh has the store be read anew at once: it is back, and a watch from before may hang on a
+// connection that a cut has ended without a word.
+func (a *Archive) Refresh() {
+	if cancel := a.again.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // Name implements kernel.Service.
 func (a *Archive) Name() string { return ArchiveName }
 
@@ -100,8 +110,16 @@
 			wait.Sleep(ctx, followInterval)
 			continue
 		}
-		objects, next, err := a.ask(ctx, known, revision)
-		if err != nil {
+		call, cancel := context.WithCancel(ctx)
+		a.again.Store(&cancel)
+		objects, next, err := a.ask(call, known, revision)
+		refreshed := call.Err() != nil
+		cancel()
+		switch {
+		case err != nil && refreshed:
+			known = false
+			continue
+		case err != nil:
 			known = known && !errors.Is(err, platform.ErrCompacted)
 			a.fails(ctx, err)
 			wait.Sleep(ctx, failing.Next())
--- a/internal/quarantine/archive_test.go
+++ b/internal/quarantine/archive_test.go
@@ -20,9 +20,10 @@
 	mu      sync.Mutex
 	object  platform.Object
 	changed chan struct{}
-	// away has every call fail, lost has writes take effect without an answer.
-	away, lost bool
-	calls      int
+	// away has every call fail, lost has writes take effect without an answer, silent has watches
+	// hear nothing.
+	away, lost, silent bool
+	calls              int
 }
 
 func newMemory() *memory { return &memory{changed: make(chan struct{})} }
@@ -71,11 +72,15 @@
 func (m *memory) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Object, uint64, error) {
 	m.mu.Lock()
 	m.calls++
-	o, changed, away := m.object, m.changed, m.away
+	o, changed, away, silent := m.object, m.changed, m.away, m.silent
 	m.mu.Unlock()
 	if away {
 		return nil, 0, platform.ErrUnavailable
 	}
+	if silent {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	if o.Version > after {
 		return []platform.Object{o}, o.Version, nil
 	}
@@ -206,6 +211,28 @@
 	}
 }
 
+// TestWatchThatHangsIsLeft: a cut left a watch hanging; when the platform was known to be back, the
+// node went on waiting, and a request that others had put in quarantine came to it.
+func TestWatchThatHangsIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		a, b := startKept(t, m, true), startKept(t, m, true)
+		defer a.stop(t)
+		defer b.stop(t)
+		time.Sleep(time.Second)
+		m.set(func(m *memory) { m.silent = true })
+		time.Sleep(archiveWait)
+		a.crash(1, 2, 3)
+		time.Sleep(time.Second)
+		m.set(func(m *memory) { m.silent = false })
+		b.archive.Refresh()
+		time.Sleep(time.Second)
+		if v := b.Judge(time.Now(), 9); v.Quarantined == 0 {
+			t.Errorf("a second after the platform is back: %+v", v)
+		}
+	})
+}
+
 // TestArchiveCostsFewCalls: an idle node asks the store every ten seconds, one that follows others
 // only once, and a request in quarantine costs each reader some calls.
 func TestArchiveCostsFewCalls(t *testing.T) {
