--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -67,6 +67,9 @@
 // Serve adds what only some daemons show. It must be called before Start.
 func (s *Server) Serve(path string, h http.Handler) { s.mux.Handle("GET "+path, h) }
 
+// Take adds what operators may have only some daemons do. It must be called before Start.
+func (s *Server) Take(path string, h http.Handler) { s.mux.Handle("POST "+path, h) }
+
 // Name implements kernel.Service.
 func (s *Server) Name() string { return ServiceName }
 
--- a/internal/ctl/node.go
+++ b/internal/ctl/node.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/marbleroad/marbleroad/internal/inspect"
+	"github.com/marbleroad/marbleroad/internal/quarantine"
 )
 
 // nodeCommand shows what one marbleroad-node knows. The platform keeps its
@@ -21,7 +23,7 @@
 func (a *app) nodeCommand() *cobra.Command {
 	c := &cobra.Command{
 		Use:   "node",
-		Short: "Show what one marbleroad-node knows: status, groups, upstreams, configuration.",
+		Short: "Show what one marbleroad-node knows: status, groups, upstreams, configuration, quarantine.",
 		Long: `Show what one marbleroad-node knows, with the age of each fact. Nodes may differ for
 a moment; ask several. The platform keeps the configuration of these nodes: change it
 there. "marbleroadctl explain --log" leads from a request to its cause.`,
@@ -32,6 +34,8 @@
 		a.viewCommand("groups", "Model groups: members, state, requests there, and why one is shunned.", nodeGroups),
 		a.viewCommand("upstreams", "Upstream VMs with their place in a group and the copies on their hosts.", nodeUpstreams),
 		a.viewCommand("configuration", "The routes in force.", nodeRoutes),
+		a.viewCommand("quarantine", "Requests under which upstream VMs ended, by fingerprint.", nodeSuspects),
+		a.releaseCommand(),
 	)
 	return c
 }
@@ -55,22 +59,11 @@
 
 func (a *app) view(c *cobra.Command) (inspect.View, error) {
 	var v inspect.View
-	if a.node == "" {
-		return v, errors.Wrapf(errUsage, "no node: give --node or set %s", envNode)
-	}
-	ctx, cancel := a.context(c)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.node+inspect.Path, nil)
-	if err != nil {
-		return v, errors.Mark(errors.Wrap(err, "address of the node"), errUsage)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if errors.Is(err, context.DeadlineExceeded) {
-		return v, errors.Newf("%s did not answer within %s", a.node, a.timeout)
-	}
+	resp, cancel, err := a.askNode(c, http.MethodGet, inspect.Path)
 	if err != nil {
-		return v, errors.Wrap(err, "ask the node")
+		return v, err
 	}
+	defer cancel()
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		return v, errors.Newf("%s answered %s to %s: is it the gateway.admin address of a marbleroad-node?", a.node, resp.Status, inspect.Path)
@@ -129,6 +122,71 @@
 	return g, v.Configuration
 }
 
+func nodeSuspects(v inspect.View) (grid, any) {
+	g := grid{header: []string{"fingerprint", "ends", "last end", "state", "for another"}}
+	for _, s := range v.Suspects {
+		state := "suspect"
+		if s.Quarantined {
+			state = "in quarantine"
+		}
+		g.add(s.Fingerprint, strconv.Itoa(s.Ends), rounded(s.LastEnd)+" ago", state, s.Left.Round(time.Second).String())
+	}
+	return g, v.Suspects
+}
+
+// releaseCommand lets a request out of quarantine.
+func (a *app) releaseCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "release FINGERPRINT",
+		Short:   "Let a request out of quarantine, at all nodes, once what it crashed is mended.",
+		Example: "  marbleroadctl node release f3a4f860b4ef0563 --node 10.1.0.40:7355",
+		Args:    cobra.ExactArgs(1),
+		RunE:    func(c *cobra.Command, args []string) error { return a.release(c, args[0]) },
+	}
+}
+
+func (a *app) release(c *cobra.Command, fingerprint string) error {
+	if _, err := quarantine.ParseFingerprint(fingerprint); err != nil {
+		return errors.Mark(err, errUsage)
+	}
+	query := url.Values{inspect.FingerprintParameter: {fingerprint}}
+	resp, cancel, err := a.askNode(c, http.MethodPost, inspect.ReleasePath+"?"+query.Encode())
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusNoContent:
+		return nil
+	case http.StatusNotFound:
+		return errors.Newf("%s holds nothing against %s: look it up with \"marbleroadctl node quarantine\"", a.node, fingerprint)
+	}
+	return errors.Newf("%s answered %s", a.node, resp.Status)
+}
+
+// askNode calls a node's admin listener. The caller closes the answer's body and then cancels.
+func (a *app) askNode(c *cobra.Command, method, path string) (*http.Response, context.CancelFunc, error) {
+	if a.node == "" {
+		return nil, nil, errors.Wrapf(errUsage, "no node: give --node or set %s", envNode)
+	}
+	ctx, cancel := a.context(c)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+a.node+path, nil)
+	if err != nil {
+		cancel()
+		return nil, nil, errors.Mark(errors.Wrap(err, "address of the node"), errUsage)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil {
+		return resp, cancel, nil
+	}
+	cancel()
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil, nil, errors.Newf("%s did not answer within %s", a.node, a.timeout)
+	}
+	return nil, nil, errors.Wrap(err, "ask the node")
+}
+
 // rounded is a duration for a person.
 func rounded(d time.Duration) string {
 	return d.Round(time.Millisecond).String()
--- a/internal/ctl/node_test.go
+++ b/internal/ctl/node_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/inspect"
+	"github.com/marbleroad/marbleroad/internal/quarantine"
 )
 
 func testView() inspect.View {
@@ -28,6 +30,10 @@
 			{ID: "v1", Address: "10.0.0.1:80", Service: "llm", FailureDomain: "a", Fabric: "a-d0", Group: "g-1", State: "open", Staged: []string{"small"}},
 			{ID: "v9", Address: "10.0.0.9:80", Service: "api", FailureDomain: "a", Draining: true, State: "unassigned"},
 		},
+		Suspects: []inspect.Suspect{
+			{Fingerprint: "f3a4f860b4ef0563", Ends: 3, LastEnd: 90 * time.Second, Quarantined: true, Left: 58*time.Minute + 30*time.Second},
+			{Fingerprint: "00a4f860b4ef0563", Ends: 1, LastEnd: 700 * time.Millisecond, Left: 29 * time.Second},
+		},
 	}
 }
 
@@ -35,7 +41,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(testView()) }))
 	defer server.Close()
 	var out bytes.Buffer
-	for _, verb := range []string{"status", "groups", "upstreams", "configuration"} {
+	for _, verb := range []string{"status", "groups", "upstreams", "configuration", "quarantine"} {
 		args := []string{"node", verb, "--node", strings.TrimPrefix(server.URL, "http://")}
 		if code := Main(args, strings.NewReader(""), &out, &out); code != exitOK {
 			t.Errorf("%s: exit code %d", verb, code)
@@ -45,6 +51,34 @@
 	goldie.New(t).Assert(t, "node", out.Bytes())
 }
 
+// TestRelease: what an operator lets out of quarantine is let out; what is not there, or no
+// fingerprint, is said so.
+func TestRelease(t *testing.T) {
+	suspects := quarantine.NewTable()
+	for life := range quarantine.Life(3) {
+		suspects.Ended(clock.Now(), 0xf3a4f860b4ef0563, life, true)
+	}
+	server := httptest.NewServer(inspect.Release(suspects))
+	defer server.Close()
+	release := func(fingerprint string) (int, string) {
+		var out bytes.Buffer
+		code := Main([]string{"node", "release", fingerprint, "--node", strings.TrimPrefix(server.URL, "http://")}, strings.NewReader(""), &out, &out)
+		return code, out.String()
+	}
+	if code, out := release("f3a4f860b4ef0563"); code != exitOK {
+		t.Errorf("exit code %d: %s", code, out)
+	}
+	if v := suspects.Judge(clock.Now(), 0xf3a4f860b4ef0563); v != (quarantine.Verdict{}) {
+		t.Errorf("still held: %+v", v)
+	}
+	if code, out := release("f3a4f860b4ef0563"); code != exitFailure || !strings.Contains(out, "holds nothing against") {
+		t.Errorf("a second time: exit code %d: %s", code, out)
+	}
+	if code, out := release("soon"); code != exitUsage || !strings.Contains(out, "hexadecimal") {
+		t.Errorf("no fingerprint: exit code %d: %s", code, out)
+	}
+}
+
 func TestNodeFaults(t *testing.T) {
 	other := httptest.NewServer(http.NotFoundHandler())
 	defer other.Close()
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -124,7 +124,9 @@
 		Cluster:       nodes,
 		Directing:     groups.Directing,
 		Load:          server.Load,
+		Suspects:      suspects,
 	}))
+	operators.Take(inspect.ReleasePath, inspect.Release(suspects))
 	return assemble(
 		operators,
 		archive,
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -13,6 +13,7 @@
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/quarantine"
 )
 
 // Path is where a node's admin listener serves its View.
@@ -34,6 +35,20 @@
 	Nodes     []Node   `json:"nodes"`
 	Groups    []Group  `json:"groups"`
 	Upstreams []VM     `json:"upstreams"`
+	// Suspects are the requests under which upstream VMs ended, those in quarantine first.
+	Suspects []Suspect `json:"suspects"`
+}
+
+// Suspect is a request under which upstream VMs ended since it was last answered.
+type Suspect struct {
+	// Fingerprint is as in the logs (5008, 5012).
+	Fingerprint string `json:"fingerprint"`
+	Ends        int    `json:"ends"`
+	// LastEnd is how long ago the newest of them ended.
+	LastEnd time.Duration `json:"last_end_ns"`
+	// Quarantined is true when it is refused; Left is how long that, or the suspicion, goes on.
+	Quarantined bool          `json:"quarantined"`
+	Left        time.Duration `json:"left_ns"`
 }
 
 // Configuration is the operators' configuration in force.
@@ -108,6 +123,8 @@
 	Directing     func() []string
 	// Load tells the requests at a head and why none are sent there.
 	Load func(vm, group string) (running int, shunned string)
+	// Suspects knows the requests under which upstreams ended.
+	Suspects *quarantine.Table
 }
 
 // Handler serves the view as JSON.
@@ -123,6 +140,10 @@
 func (s Sources) view(now time.Time) View {
 	v := View{Node: s.Node, FailureDomain: s.FailureDomain, Directing: s.Directing()}
 	v.Ready, v.NotReady = s.Ready()
+	for _, r := range s.Suspects.All(now) {
+		v.Suspects = append(v.Suspects, Suspect{Fingerprint: r.Fingerprint.String(), Ends: len(r.Ends), LastEnd: now.Sub(r.Ends[len(r.Ends)-1].At),
+			Quarantined: !r.QuarantinedAt.IsZero(), Left: r.Until().Sub(now)})
+	}
 	for _, p := range s.Cluster.Live(now) {
 		v.Nodes = append(v.Nodes, Node{ID: p.ID, FailureDomain: p.FailureDomain, Age: now.Sub(p.HeardAt),
 			Directing: p.State.GetDirecting(), Stopping: p.State.GetStopping()})
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -4,6 +4,9 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Fingerprint names what a caller asks for: the same path and body of the same team are the
@@ -34,5 +37,17 @@
 	return Fingerprint(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
+// ParseFingerprint reads a fingerprint as logs show it.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	f, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || len(text) != fingerprintDigits {
+		return 0, errors.Newf("%q is no fingerprint: it has %d hexadecimal digits", text, fingerprintDigits)
+	}
+	return Fingerprint(f), nil
+}
+
+// fingerprintDigits is the length of a fingerprint in logs.
+const fingerprintDigits = 16
+
 // String returns the fingerprint as logs show it.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -74,8 +74,8 @@
 	clearedFor = 30 * time.Second
 )
 
-// until is how long the record is kept.
-func (r *Record) until() time.Time {
+// Until is when the record ends.
+func (r *Record) Until() time.Time {
 	newest := r.ClearedAt
 	if n := len(r.Ends); n > 0 && r.Ends[n-1].At.After(newest) {
 		newest = r.Ends[n-1].At
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -61,12 +62,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[f]
-	if r == nil || !now.Before(r.until()) {
+	if r == nil || !now.Before(r.Until()) {
 		return Verdict{}
 	}
 	v := Verdict{Ends: len(r.Ends)}
 	if !r.QuarantinedAt.IsZero() {
-		v.Quarantined = r.until().Sub(now)
+		v.Quarantined = r.Until().Sub(now)
 	}
 	return v
 }
@@ -125,7 +126,7 @@
 	t.mu.Lock()
 	t.sweep(now)
 	for _, other := range records {
-		if !now.Before(other.until()) {
+		if !now.Before(other.Until()) {
 			continue
 		}
 		r := t.record(other.Fingerprint)
@@ -186,7 +187,7 @@
 		return nil, change
 	}
 	out := t.collect(func(r *Record) bool { return r.change > change && (relay || r.firstHand || r.Proved) })
-	slices.SortFunc(out, func(a, b Record) int { return int(int64(a.change) - int64(b.change)) })
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.change, b.change) })
 	if len(out) > most {
 		out = out[:most]
 		return out, out[most-1].change
@@ -200,11 +201,18 @@
 	defer t.mu.Unlock()
 	t.sweep(now)
 	out := t.collect(func(r *Record) bool { return r.Proved })
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
+}
+
+// All returns all records, those in quarantine first and then those under which most lives ended.
+func (t *Table) All(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	out := t.collect(func(r *Record) bool { return len(r.Ends) > 0 && now.Before(r.Until()) })
 	slices.SortFunc(out, func(a, b Record) int {
-		if a.Fingerprint < b.Fingerprint {
-			return -1
-		}
-		return 1
+		return cmp.Or(b.QuarantinedAt.Compare(a.QuarantinedAt), len(b.Ends)-len(a.Ends), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
 	return out
 }
@@ -272,7 +280,7 @@
 	t.sweptAt = now
 	before := len(t.records)
 	for f, r := range t.records {
-		if !now.Before(r.until()) {
+		if !now.Before(r.Until()) {
 			delete(t.records, f)
 		}
 	}
@@ -295,7 +303,7 @@
 	if len(all) <= most {
 		return
 	}
-	slices.SortFunc(all, func(a, b *Record) int { return a.until().Compare(b.until()) })
+	slices.SortFunc(all, func(a, b *Record) int { return a.Until().Compare(b.Until()) })
 	for _, r := range all[:len(all)-most] {
 		delete(t.records, r.Fingerprint)
 	}
