Each unproven end of a VM waits for its proof by itself

By reading: what waited for a proof was kept by request, so a second VM took the first one's place and half of the ends were lost when a process closes its connections before its port. A send that is ended because its request was put in quarantine now says so in place of a deadline.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -385,7 +385,7 @@
 	if !left && !errors.Is(cause, errQuarantined) && fault.Code != relay.CodeRefused {
 		j.eject(s, fault.Code != relay.CodeUnreachable)
 	}
-	if errors.Is(cause, errStalled) || errors.Is(cause, errSlowTry) || errors.Is(cause, errLostAnswer) || errors.Is(cause, errStartedAgain) {
+	if errors.Is(cause, errStalled) || errors.Is(cause, errSlowTry) || errors.Is(cause, errLostAnswer) || errors.Is(cause, errStartedAgain) || errors.Is(cause, errQuarantined) {
 		fault.Detail = cause.Error()
 		fault.Status = http.StatusBadGateway
 	}
--- a/internal/gateway/unproven.go
+++ b/internal/gateway/unproven.go
@@ -14,11 +14,11 @@
 // meanwhile is let go.
 type unproven struct {
 	mu    sync.Mutex
-	sends map[quarantine.Fingerprint]silentSend
+	sends map[*send]silence
 }
 
-type silentSend struct {
-	*send
+// silence is when and how a VM may have ended.
+type silence struct {
 	at time.Time
 	// byList is true when the platform's list may prove the end.
 	byList bool
@@ -29,22 +29,20 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.sends == nil {
-		u.sends = make(map[quarantine.Fingerprint]silentSend)
+		u.sends = make(map[*send]silence)
 	}
 	if len(u.sends) < mostUnproven {
-		u.sends[s.print] = silentSend{s, now, byList}
+		u.sends[s] = silence{now, byList}
 	}
 }
 
-// take takes a send out; it reports false when it was let go or another one took its place.
+// take takes a send out; it reports false when it was let go.
 func (u *unproven) take(s *send) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.sends[s.print].send != s {
-		return false
-	}
-	delete(u.sends, s.print)
-	return true
+	_, ok := u.sends[s]
+	delete(u.sends, s)
+	return ok
 }
 
 // any reports whether there is any.
@@ -54,11 +52,15 @@
 	return len(u.sends) > 0
 }
 
-// drop lets a request go.
+// drop lets all sends of a request go.
 func (u *unproven) drop(f quarantine.Fingerprint) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	delete(u.sends, f)
+	for s := range u.sends {
+		if s.print == f {
+			delete(u.sends, s)
+		}
+	}
 }
 
 // proven takes out and returns the sends whose VM has ended, and forgets those that are too old.
@@ -66,13 +68,13 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var out []*send
-	for f, s := range u.sends {
+	for s, since := range u.sends {
 		switch {
-		case s.byList && snapshot != nil && endedBy(snapshot, s.vm):
-			out = append(out, s.send)
-			delete(u.sends, f)
-		case now.Sub(s.at) > unprovenFor:
-			delete(u.sends, f)
+		case since.byList && snapshot != nil && endedBy(snapshot, s.vm):
+			out = append(out, s)
+			delete(u.sends, s)
+		case now.Sub(since.at) > unprovenFor:
+			delete(u.sends, s)
 		}
 	}
 	return out
