--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// mostRecords bounds a table, some 200 bytes a record: a crash of a full head adds some
+	// mostRecords bounds a table, some 280 bytes a record: a crash of a full head adds some
 	// dozens. Beyond it those that are kept for the shortest time go first.
 	mostRecords = 4096
-	// mostProved bounds the records that all nodes keep and the store holds, some 120 bytes
+	// mostProved bounds the records that all nodes keep and the store holds, some 150 bytes
 	// each there.
 	mostProved = 1024
 	// sweepInterval is the time between two looks for records to drop.
