--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -51,6 +51,26 @@
 	return nil
 }
 
+// keepAsking has callers send one stream's request after the other until the function that it returns
+// is called; failed is told of each that is not served whole.
+func (s *site) keepAsking(callers int, target func(caller, n int) string, failed func(error)) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for i := range callers {
+		running.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				if err := s.wholeStream(fmt.Sprintf("o%d-%d", i, n), target(i, n)); err != nil {
+					failed(err)
+				}
+			}
+		})
+	}
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
 // TestRequestThatCrashesUpstreamsEnds: a request crashed each head that began to run it. Its
 // caller sent it again and again, each time as a new request to any node, and each time it was
 // sent to as many heads as its route allows attempts: 31 heads ended under it, until none was left
@@ -68,33 +88,23 @@
 	c := &crasher{path: "/crash/"}
 	s := newSite(t, options{heads: heads, pause: 10 * time.Millisecond, observe: c.observe})
 	c.site = s
-	stop := make(chan struct{})
-	var others sync.WaitGroup
-	for i := range callers {
-		others.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				if err := s.wholeStream(fmt.Sprintf("o%d-%d", i, n), fmt.Sprintf("/stream/%d/%d", i, n)); err != nil {
-					t.Errorf("a request that only shared a VM with the one that crashes: %v", err)
-					return
-				}
-			}
-		})
-	}
+	var refused atomic.Int64
+	others := s.keepAsking(callers, func(i, n int) string { return fmt.Sprintf("/stream/%d/%d", i, n) }, func(err error) {
+		t.Logf("a request that only shared a VM with the one that crashes: %v", err)
+		refused.Add(1)
+	})
 	for i := range arrivals {
 		if err := s.wholeStream(fmt.Sprintf("c%d", i), "/stream/crash/1"); err == nil {
 			t.Error("the request that crashes its upstreams was served")
 		}
 	}
-	close(stop)
-	others.Wait()
+	others()
 	if n := c.count.Load(); n > mostEnded {
 		t.Errorf("%d of %d heads ended under one request, at most %d expected", n, heads, mostEnded)
 	}
+	if n := refused.Load(); n > 0 {
+		t.Errorf("%d requests that did nothing were not served", n)
+	}
 }
 
 // TestManyRequestsThatCrashUpstreams: several such requests at once. Each of them ends some heads, and
@@ -106,24 +116,12 @@
 	s := newSite(t, options{heads: heads, pause: 10 * time.Millisecond, observe: c.observe})
 	c.site = s
 	var refused atomic.Int64
-	stop := make(chan struct{})
-	var others, crashing sync.WaitGroup
-	for i := range callers {
-		others.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				// The same request each time, so that what were held against it would show.
-				if err := s.wholeStream(fmt.Sprintf("o%d-%d", i, n), fmt.Sprintf("/stream/%d", i)); err != nil {
-					t.Logf("beside them: %v", err)
-					refused.Add(1)
-				}
-			}
-		})
-	}
+	// The same requests again and again, so that what were held against them would show.
+	others := s.keepAsking(callers, func(i, _ int) string { return fmt.Sprintf("/stream/%d", i) }, func(err error) {
+		t.Logf("beside them: %v", err)
+		refused.Add(1)
+	})
+	var crashing sync.WaitGroup
 	for i := range requests {
 		crashing.Go(func() {
 			for n := range arrivals {
@@ -135,8 +133,7 @@
 	}
 	crashing.Wait()
 	time.Sleep(100 * time.Millisecond)
-	close(stop)
-	others.Wait()
+	others()
 	if n := c.count.Load(); n > mostEnded {
 		t.Errorf("%d heads ended under %d requests, at most %d expected", n, requests, mostEnded)
 	}
