Three promises of quarantine get the mutants that docs/PROOF.md says they have

docs/PROOF.md said that TestNodesThatHearOnlyTheStore, TestArchiveCostsFewCalls and TestMergesAgree were seen failing by mutants; that was not so after one mutant was dropped. Each now has one, seen failing. A count that only tests used is in the test file; nothing that the programs run has changed.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -154,20 +154,6 @@
 	return len(t.records) > 0
 }
 
-// Sizes are how many records there are, how many of them are proved, and how many requests are
-// in quarantine.
-func (t *Table) Sizes(now time.Time) (records, proved, quarantined int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.sweep(now)
-	for _, r := range t.records {
-		if !r.QuarantinedAt.IsZero() {
-			quarantined++
-		}
-	}
-	return len(t.records), t.proved, quarantined
-}
-
 // Digest is a number that two tables share when their proved records say the same.
 func (t *Table) Digest(now time.Time) uint64 {
 	t.mu.Lock()
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -81,6 +81,20 @@
 	}
 }
 
+// sizes are how many records there are, how many of them are proved, and how many requests are
+// in quarantine.
+func (t *Table) sizes(now time.Time) (records, proved, quarantined int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	for _, r := range t.records {
+		if !r.QuarantinedAt.IsZero() {
+			quarantined++
+		}
+	}
+	return len(t.records), t.proved, quarantined
+}
+
 // TestTableIsBounded: thousands of requests that each saw one end, and more that saw two, don't
 // grow the table beyond its bounds, and those in quarantine are the last to go.
 func TestTableIsBounded(t *testing.T) {
@@ -94,7 +108,7 @@
 			table.Ended(at(float64(i)/1000), Fingerprint(i+2), 2, true)
 		}
 	}
-	records, proved, quarantined := table.Sizes(at(60))
+	records, proved, quarantined := table.sizes(at(60))
 	if records > mostRecords || proved > mostProved || quarantined != 1 {
 		t.Errorf("%d records, %d proved, %d in quarantine", records, proved, quarantined)
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -284,6 +284,12 @@
   's/p\.asked, mostTold, relay/p.asked, mostTold, relay || true/' ./internal/cluster TestManyCrashesAreToldInBounds
 mutant "the store is not read at the start" internal/quarantine/archive.go \
   's/if !first \&\& !a\.reads\(\)/if first || !a.reads()/' ./internal/quarantine TestQuarantineOutlivesAllNodes
+mutant "what the store holds is not taken" internal/quarantine/archive.go \
+  's/a\.table\.Merge\(a\.now\(\), records\)/_ = records/' ./internal/quarantine TestNodesThatHearOnlyTheStore
+mutant "the store is asked every second" internal/quarantine/archive.go \
+  's/archiveWait = 10 \* time\.Second/archiveWait = time.Second/' ./internal/quarantine TestArchiveCostsFewCalls
+mutant "each answer that is told is news" internal/quarantine/record.go \
+  's/ended := len\(r\.Ends\) > 0 \&\& !r\.Ends\[0\]\.At\.After\(at\)/ended := len(r.Ends) == 0/' ./internal/quarantine TestMergesAgree
 mutant "a hanging watch is waited for" internal/quarantine/archive.go \
   's/\(\*cancel\)\(\)/_ = cancel/' ./internal/quarantine TestWatchThatHangsIsLeft
 mutant "a suspension does not count" internal/clock/clock.go \
