--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -225,7 +225,7 @@
 	const heads, requests = 12, 400
 	now := time.Now()
 	b := newBoard("x", retry.Limit{Window: time.Second}, noneDissolving, now)
-	c, err := catalog.New(catalog.Content{Version: 1, Services: []catalog.Service{{Name: "s", Engine: crowdEngine()}}})
+	c, err := catalog.New(catalog.Content{Version: 1, Services: []catalog.Service{{Name: "s", Engine: &fewNodes.engine}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -253,7 +253,7 @@
 	if near < requests*95/100 {
 		t.Errorf("%d of %d requests stayed in their failure domain", near, requests)
 	}
-	for i := range (heads - 2) * crowdSlots {
+	for i := range (heads - 2) * fewNodes.engine.Slots {
 		if _, _, why := b.choose(now, call, nil, 0, false, func(error) {}); why != admitted {
 			t.Fatalf("request %d was refused while other failure domains had room", i)
 		}
--- a/internal/gateway/choose_bench_test.go
+++ b/internal/gateway/choose_bench_test.go
@@ -15,7 +15,7 @@
 	for _, heads := range []int{20, 400} {
 		b.Run(fmt.Sprint(heads), func(b *testing.B) {
 			now := time.Now()
-			c, err := catalog.New(catalog.Content{Version: 1, Services: []catalog.Service{{Name: "s", Engine: crowdEngine()}}})
+			c, err := catalog.New(catalog.Content{Version: 1, Services: []catalog.Service{{Name: "s", Engine: &fewNodes.engine}}})
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -31,7 +31,7 @@
 				// So many heads go with many nodes, which look at a few.
 				board.sample = sampleSize
 			}
-			call := &Call{Service: "s", Model: "m", PromptTokens: 1000, Arrived: now, Route: &catalog.Route{Objective: crowdAim}}
+			call := &Call{Service: "s", Model: "m", PromptTokens: 1000, Arrived: now, Route: &catalog.Route{Objective: fewNodes.aim}}
 			b.ResetTimer()
 			for range b.N {
 				s, _, why := board.choose(now, call, nil, 0, false, func(error) {})
