Requests are divided among heads by what all nodes will have sent

Cause: each node sent to the head with the least known load, as all others did, and took what seemed to fit by news that are 0.3 to 0.9 s old. In a crowd dozens of requests come to a head within that time; the most loaded heads held twice their slots, others a third.

Change: internal/spread works out what comes until the next news (arrivals of all nodes, which they tell each other) and what ends by then, levels the heads' loads with it, and turns away what has no room in sum. Where few requests of a head can't be known of, the head with the least predicted first event is taken, as before; so the system finds out by itself.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -76,6 +76,18 @@
 	return pass/2 + e.place(w.InFlight, pass) + e.Read(w.Unread+prompt) + decode
 }
 
+// Ended is how many of so many usual requests end within a time: the engine writes for those that run,
+// and reads the prompt of one more for each that ends.
+func (e Engine) Ended(inFlight int, within time.Duration) float64 {
+	running := min(inFlight, e.Slots)
+	if running <= 0 {
+		return 0
+	}
+	passes := e.UsualAnswer / float64(max(e.Stride, 1))
+	life := passes*e.Decode(running).Seconds() + float64(running)*e.Read(e.UsualPrompt).Seconds()
+	return float64(running) * min(within.Seconds()/life, 1)
+}
+
 // place is the time until a place is free: with full slots, one is freed each time
 // that one of the running answers ends.
 func (e Engine) place(inFlight int, pass time.Duration) time.Duration {
--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -73,9 +73,10 @@
 		key := demandKey{d.GetService(), d.GetModel()}
 		if known := s.demand[key]; known != nil {
 			known.Rate += d.GetRate()
+			known.Arrivals += d.GetArrivals()
 			continue
 		}
-		one := &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: d.GetRate()}
+		one := &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: d.GetRate(), Arrivals: d.GetArrivals()}
 		s.demand[key] = one
 		s.out.Demand = append(s.out.Demand, one)
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/batch"
-	"github.com/marbleroad/marbleroad/internal/quarantine"
 )
 
 // rival is a candidate with its score, for the log.
@@ -63,7 +62,8 @@
 		// Nothing is learned of a model that callers made up.
 		return nil, nil, noUpstream
 	}
-	found := b.pick(now, candidates, asked, c.judged, room, b.offset(key).Value())
+	again := len(tried) > 0 || c.LastEvent != ""
+	found := b.pick(now, candidates, question{key: key, asked: asked, judged: c.judged, offset: b.offset(key).Value(), kept: again}, room)
 	rivals := found.rivals
 	why := found.refusal(p.service.Engine != nil)
 	if found.predictedLate && why == allFull {
@@ -112,16 +112,21 @@
 	predictedLate bool
 }
 
-// pick finds the candidate with the lowest score among those that take the request.
-// With many nodes the first few that do are enough.
-func (b *board) pick(now time.Time, candidates []*target, asked batch.Request, judged quarantine.Verdict, room float64, offset time.Duration) picked {
+// pick divides requests among heads that say how fast they are, and finds the candidate with the
+// lowest score among all others that take the request, of which with many nodes a few are enough.
+func (b *board) pick(now time.Time, candidates []*target, q question, room float64) picked {
+	if candidates[0].engine.Known() && (q.kept || q.asked.Objective > 0) {
+		if out, ok := b.divide(now, candidates, q); ok {
+			return out
+		}
+	}
 	out := picked{best: -1}
 	seen := 0
 	for _, i := range b.order(candidates) {
-		r := b.rate(now, candidates[i], asked.Prompt, offset)
-		r.score += b.apart(r.t, judged)
+		r := b.rate(now, candidates[i], q.asked.Prompt, q.offset)
+		r.score += b.apart(r.t, q.judged)
 		out.rivals = append(out.rivals, r)
-		if !b.takes(now, r, asked, room, offset, &out) {
+		if !b.takes(now, r, q.asked, room, q.offset, &out) {
 			continue
 		}
 		if out.best < 0 || r.score < out.rivals[out.best].score {
--- a/internal/gateway/crowd_test.go
+++ b/internal/gateway/crowd_test.go
@@ -172,7 +172,9 @@
 // sumUp has all nodes hear the sum of what the others told some time before, each interval.
 func (c *crowd) sumUp() {
 	all := make(map[string]uint32)
+	arrivals := 0.0
 	var own []map[string]uint32
+	var came []float64
 	for i, b := range c.boards {
 		state := &marbleroadv1.NodeState{Node: fmt.Sprint(i), FailureDomain: "x"}
 		b.state(c.now, state)
@@ -182,6 +184,11 @@
 			all[l.GetGroup()] += l.GetInFlight()
 		}
 		own = append(own, loads)
+		came = append(came, 0)
+		for _, d := range state.GetDemand() {
+			came[i] += d.GetArrivals()
+			arrivals += d.GetArrivals()
+		}
 	}
 	told := c.now
 	c.after(c.site.delay, func() {
@@ -190,6 +197,7 @@
 			for group, n := range all {
 				sum.Loads = append(sum.Loads, &marbleroadv1.GroupLoad{Group: group, InFlight: n - own[i][group]})
 			}
+			sum.Demand = []*marbleroadv1.ModelDemand{{Service: "s", Model: "m", Arrivals: arrivals - came[i]}}
 			b.hear(c.now, sum, told, 2*time.Second)
 		}
 	})
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/retry"
+	"github.com/marbleroad/marbleroad/internal/spread"
 )
 
 const (
@@ -20,6 +21,10 @@
 	// interval take, rate the smoothed work per second.
 	work float64
 	rate float64
+	// arrivals are the requests a second that come here.
+	arrivals spread.Rate
+	// away is the part of the requests that is turned away, by the newest decision.
+	away float64
 }
 
 // count notes a caller's request.
@@ -36,6 +41,7 @@
 		b.demand[key] = &demandMeter{}
 	}
 	b.demand[key].work += b.workOf(c)
+	b.demand[key].arrivals.Add(now)
 }
 
 // serves reports whether the call's model is one of its service's. Callers may name
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -72,7 +72,7 @@
 	}
 	b.measure(now)
 	for key, m := range b.demand {
-		into.Demand = append(into.Demand, &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: m.rate})
+		into.Demand = append(into.Demand, &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: m.rate, Arrivals: m.arrivals.Value(now)})
 	}
 }
 
