The time to come back grows with the part that is turned away

Cause: callers that were turned away came back after 0.15 to 0.3 s, into the same crowd. They are late by then, and look like new ones; each took the place of one that could be in time.

Change: up to 3 s more, times the part that is turned away, within a fourth of the caller's patience; beside a small part it stays short.

TestCrowdThatComesBack holds.

It was tried before and served nobody better (docs/LOAD.md): then who came back was admitted by the same prediction as all others.

--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -49,23 +49,28 @@
 	// noUpstreamBack is when to come back while nothing serves, at the earliest: a
 	// group whose VMs have copies joins in one to two seconds.
 	noUpstreamBack = 900 * time.Millisecond
-	// fullBack is when to come back to full upstreams at the earliest; places
-	// are freed all the time, so a part of a request's time is enough.
-	fullBack = 150 * time.Millisecond
+	// fullBack is when to come back to full upstreams at the earliest, and over how long after it
+	// callers come back. In a crowd it is up to crowdBack more, by the part that is turned away:
+	// who comes back into the same crowd is turned away again, or takes the place of one that
+	// could still be in time.
+	fullBack  = 150 * time.Millisecond
+	crowdBack = 3 * time.Second
 	// backShare is the part of the caller's patience that a time to come back takes
 	// at most: three quarters are left for the tries that follow.
 	backShare = 4
 )
 
 // comeBack is the time to come back for a refused call, spread so that refused callers
-// don't return at once. It does not grow with the share that is turned away: that was
-// tried and served nobody better (docs/LOAD.md).
+// don't return at once.
 func (s *Server) comeBack(c *Call, why refusal) time.Duration {
-	base := fullBack
-	if why == noUpstream {
-		base = noUpstreamBack
+	least, spread := fullBack, fullBack
+	switch {
+	case why == noUpstream:
+		least, spread = noUpstreamBack, noUpstreamBack
+	case c != nil:
+		spread += time.Duration(s.board.turnedAway(c) * float64(crowdBack))
 	}
-	base += s.board.jitter(base)
+	base := least + s.board.jitter(spread)
 	if c != nil && c.Patience > 0 {
 		base = min(base, c.Patience/backShare)
 	}
