A director listens for 0.9 s before it acts

Change: 0.4 -> 0.9 s from the process's start. A director that takes over from a lost one has run for longer than that; only a start of all nodes forms its first groups later.

--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -58,8 +58,8 @@
 
 const (
 	// settleTime is how long a new director listens before it acts, so that it
-	// hears of the others and of groups that are being formed.
-	settleTime = 400 * time.Millisecond
+	// hears of the others, with hubs over two of them, and of groups that are being formed.
+	settleTime = 900 * time.Millisecond
 	// foreignAfter is how long a failure domain must be without a live node
 	// before another's takes its groups over.
 	// It is longer than most cuts between failure domains last: behind a cut the
