A restart of all nodes is not the time before the first callers

Cause: a new life that has seen no request takes the time for the one before the first callers, when loads are fast and nobody waits: it loads without bound and joins VMs without copies.

Change: where groups were open when a director first saw the list, callers count as come.

--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -26,7 +26,7 @@
 }
 
 func (s *state) placeService(now time.Time, domain, service string, e *catalog.Engine) {
-	before := !s.d.parts.Demand.TrafficSeen()
+	before := !s.d.parts.Demand.TrafficSeen() && !s.served[domain]
 	if before && now.Sub(s.arrivedAt) < gatherTime && now.Sub(s.started) < gatherLimit {
 		return
 	}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -213,6 +213,9 @@
 	shiftedAt time.Time
 	// arrivedAt is when the newest VM appeared.
 	arrivedAt time.Time
+	// served are the failure domains in which groups were open when this director first saw the
+	// list; nil before. There callers have come, though this node may not have seen any yet.
+	served map[string]bool
 	// awaited is since when other failure domains' directors are expected to do what
 	// they have not done yet.
 	awaited map[string]time.Time
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -38,8 +38,23 @@
 	return vm.Membership
 }
 
+// noteServed notes once where groups were open at first sight. A new life that has seen no request yet
+// took a restart of all nodes for the time before the first callers, and loaded without bound.
+func (s *state) noteServed() {
+	if s.served != nil {
+		return
+	}
+	s.served = make(map[string]bool)
+	for _, vm := range s.snapshot.VMs {
+		if vm.State == fleet.Open {
+			s.served[vm.FailureDomain] = true
+		}
+	}
+}
+
 // watch notes each VM's model, and each group's head and since when it is missing.
 func (s *state) watch(now time.Time) {
+	s.noteServed()
 	for _, id := range sorted(s.snapshot.VMs) {
 		vm := s.snapshot.VMs[id]
 		v := s.vm(id)
