A director sorts the VMs' IDs once for each list

Change: the list's set of entries keeps its sorted IDs.

What else a look costs (input, formations, watching) is left.

--- a/internal/director/herd_test.go
+++ b/internal/director/herd_test.go
@@ -12,7 +12,7 @@
 
 // sites is a world of several failure domains with a director each and fabric domains that hold
 // one group of the larger model or two of the smaller one.
-func sites(t *testing.T, domains, perDomain int) *world {
+func sites(t testing.TB, domains, perDomain int) *world {
 	t.Helper()
 	w := newWorld(t, 0, 0)
 	c, err := catalog.New(catalog.Content{Version: 1, Services: []catalog.Service{{
--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -67,7 +67,7 @@
 		Demand: s.d.parts.Demand.ModelWork(service),
 		Open:   s.openGroups(service, domain),
 	}
-	for _, id := range sorted(s.snapshot.VMs) {
+	for _, id := range s.snapshot.IDs() {
 		vm := s.snapshot.VMs[id]
 		if vm.Service == service && vm.FailureDomain == domain && free(vm) {
 			in.Free = append(in.Free, s.placeable(vm))
--- a/internal/director/reference.go
+++ b/internal/director/reference.go
@@ -33,7 +33,7 @@
 		fabric = w.headVM.Fabric
 	}
 	var near *fleet.VM
-	ids := sorted(s.snapshot.VMs)
+	ids := s.snapshot.IDs()
 	for range ids {
 		s.referencesTried++
 		vm := s.snapshot.VMs[ids[s.referencesTried%len(ids)]]
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -55,7 +55,7 @@
 // watch notes each VM's model, and each group's head and since when it is missing.
 func (s *state) watch(now time.Time) {
 	s.noteServed()
-	for _, id := range sorted(s.snapshot.VMs) {
+	for _, id := range s.snapshot.IDs() {
 		vm := s.snapshot.VMs[id]
 		v := s.vm(id)
 		if v.entry == nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,8 +3,10 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"sort"
+	"sync"
 	"time"
 )
 
@@ -132,9 +134,22 @@
 	ProvenAt time.Time
 	// Heard is when each VM last renewed or changed its entry, as far as seen.
 	Heard map[string]time.Time
-	// made names the set of entries: it is shared by snapshots that differ in their
-	// proof and heartbeats alone.
-	made *byte
+	// made names the set of entries, with what follows from it alone: it is shared by snapshots
+	// that differ in their proof and heartbeats.
+	made *entrySet
+}
+
+// entrySet is what follows from a set of entries.
+type entrySet struct {
+	once sync.Once
+	ids  []string
+}
+
+// IDs are the VMs' IDs in order. They are sorted once for each set of entries, of which there may be
+// thousands; the caller must not change them.
+func (s *Snapshot) IDs() []string {
+	s.made.once.Do(func() { s.made.ids = slices.Sorted(maps.Keys(s.VMs)) })
+	return s.made.ids
 }
 
 // SameVMs reports whether another snapshot holds the same entries; heartbeats alone lead
@@ -160,7 +175,7 @@
 // NewSnapshot indexes the VMs. Members that report different generations of one
 // name cannot be; the higher generation is taken.
 func NewSnapshot(vms map[string]*VM, revision uint64, provenAt time.Time) *Snapshot {
-	s := &Snapshot{made: new(byte), VMs: vms, Groups: make(map[string]*Group), Revision: revision, ProvenAt: provenAt}
+	s := &Snapshot{made: new(entrySet), VMs: vms, Groups: make(map[string]*Group), Revision: revision, ProvenAt: provenAt}
 	for _, v := range vms {
 		if v.Group == "" {
 			continue
