How long requests are at a head is learned, and the log says by what they were divided

Cause: how many requests end until the next news followed from the engine's usual answer, a mean over its models. Whoever came back was turned away as soon as anybody was.

Change: each node learns the life of requests by model from those that end well; callers that came back are turned away four times as soon as others; 5007 and 5002 have what was expected, within which time, and the room; metrics show what was learned (load.*).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -164,7 +164,7 @@
 }
 
 // next begins the call's next send, where a place is kept for it or at the best upstream.
-func (j *job) next(now time.Time, cancel context.CancelCauseFunc) (*send, []rival, refusal) {
+func (j *job) next(now time.Time, cancel context.CancelCauseFunc) (*send, alternatives, refusal) {
 	last := !j.c.Route.Repeatable() || j.sends-j.ended+1 >= j.c.Route.Attempts
 	if kept := j.kept; kept != nil {
 		j.kept = nil
@@ -296,7 +296,7 @@
 }
 
 // refused is the failure of a call for which no upstream was chosen.
-func (j *job) refused(why refusal, rivals []rival) *verdict.Error {
+func (j *job) refused(why refusal, rivals alternatives) *verdict.Error {
 	fault := &verdict.Error{
 		Verdict:    verdict.NotRun,
 		Status:     http.StatusServiceUnavailable,
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -18,9 +18,9 @@
 const shownRivals = 4
 
 // describe lists the candidates with the lowest scores, and when each is expected to
-// answer first.
-func describe(rivals []rival) string {
-	sorted := append([]rival(nil), rivals...)
+// answer first; and by which outlook requests were divided among them.
+func describe(seen alternatives) string {
+	sorted := append([]rival(nil), seen.rivals...)
 	sort.Slice(sorted, func(i, k int) bool { return sorted[i].score < sorted[k].score })
 	var b strings.Builder
 	for i, r := range sorted {
@@ -36,10 +36,13 @@
 	if b.Len() == 0 {
 		return "none"
 	}
+	if o := seen.outlook; o.horizon > 0 {
+		_, _ = fmt.Fprintf(&b, "expected %.0f in %dms, room for %.0f", o.expected, o.horizon.Milliseconds(), o.room)
+	}
 	return strings.TrimSpace(b.String())
 }
 
-func (j *job) logSent(now time.Time, s *send, rivals []rival) {
+func (j *job) logSent(now time.Time, s *send, rivals alternatives) {
 	line := j.s.log.Emit(event.RequestSent).Str("request", j.c.ID).Str("route", j.c.Route.Name).Str("team", j.c.Team).
 		Str("service", j.c.Service).Str("model", j.c.Model).Int("send", j.sends).Str("vm", s.vm.ID).
 		Str("group", s.t.group).Uint64("generation", s.t.generation).Int64("left_ms", j.c.Deadline.Sub(now).Milliseconds()).
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -327,6 +327,9 @@
 		t.took = took
 	}
 	t.took += time.Duration(timeSmoothing * float64(took-t.took))
+	if m := b.demand[s.model]; m != nil && s.call.LastEvent == "" {
+		m.life.Ended(took)
+	}
 }
 
 // failed notes a failure; it reports whether the target is now left out. One that
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -37,18 +37,18 @@
 
 // choose picks the target with the lowest score. room says how much load beyond the
 // slots may be taken; last says that nothing may be sent after this.
-func (b *board) choose(now time.Time, c *Call, tried map[string]bool, room float64, last bool, cancel context.CancelCauseFunc) (*send, []rival, refusal) {
+func (b *board) choose(now time.Time, c *Call, tried map[string]bool, room float64, last bool, cancel context.CancelCauseFunc) (*send, alternatives, refusal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.place(now, c, tried, room, last, cancel)
 }
 
 // place does what choose does, with mu held, and notes in tried where the call goes.
-func (b *board) place(now time.Time, c *Call, tried map[string]bool, room float64, last bool, cancel context.CancelCauseFunc) (*send, []rival, refusal) {
+func (b *board) place(now time.Time, c *Call, tried map[string]bool, room float64, last bool, cancel context.CancelCauseFunc) (*send, alternatives, refusal) {
 	b.forgetSilentPeers(now)
 	p := b.pools[c.Service]
 	if p == nil {
-		return nil, nil, noUpstream
+		return nil, alternatives{}, noUpstream
 	}
 	key := demandKey{c.Service, c.Model}
 	asked := b.request(now, c, len(tried) > 0)
@@ -60,20 +60,19 @@
 	}
 	if len(candidates) == 0 {
 		// Nothing is learned of a model that callers made up.
-		return nil, nil, noUpstream
+		return nil, alternatives{}, noUpstream
 	}
 	again := len(tried) > 0 || c.LastEvent != ""
 	found := b.pick(now, candidates, question{key: key, asked: asked, judged: c.judged, offset: b.offset(key).Value(), kept: again}, room)
-	rivals := found.rivals
 	why := found.refusal(p.service.Engine != nil)
 	if found.predictedLate && why == allFull {
 		b.offset(key).Ease()
 	}
 	if why != admitted {
 		b.refusedAt = now
-		return nil, rivals, why
+		return nil, found.alternatives, why
 	}
-	r := rivals[found.best]
+	r := found.rivals[found.best]
 	s := &send{t: r.t, vm: r.t.vm, cancel: cancel, sentAt: now, lastByte: now, last: last, print: c.fingerprint(), judged: c.judged,
 		call: c, tried: tried, room: room}
 	s.objective, s.pauseObjective = objectives(c)
@@ -85,7 +84,7 @@
 	if tried != nil {
 		tried[s.key()] = true
 	}
-	return s, rivals, admitted
+	return s, found.alternatives, admitted
 }
 
 // begin counts a send at its target.
@@ -101,12 +100,17 @@
 	t.running[s] = struct{}{}
 }
 
+// alternatives are the candidates that were looked at, and what was expected of them all.
+type alternatives struct {
+	rivals  []rival
+	outlook outlook
+}
+
 // picked is what was found among the candidates.
 type picked struct {
-	// rivals are the candidates that were looked at, best is the index of the best one
-	// that takes the request; -1 for none.
-	rivals []rival
-	best   int
+	alternatives
+	// best is the index of the best rival that takes the request; -1 for none.
+	best int
 	// full is true when a sound candidate has too much to do, predictedLate when
 	// that is by the prediction.
 	full          bool
--- a/internal/gateway/crowd_test.go
+++ b/internal/gateway/crowd_test.go
@@ -224,7 +224,7 @@
 	one := &crowdCall{
 		first:  c.now,
 		wait:   crowdPatience - time.Duration(c.random.Float64()*float64(c.site.patience)),
-		answer: 1 + int(c.random.ExpFloat64()*float64(c.engine.UsualAnswer)),
+		answer: 1 + int(c.random.ExpFloat64()*c.engine.UsualAnswer),
 		call: &Call{Service: "s", Model: "m", Patience: crowdPatience, Route: &catalog.Route{Name: "r", Objective: c.site.aim},
 			PromptTokens: 40 + int(min(c.random.ExpFloat64(), 4)*c.engine.UsualPrompt)},
 	}
@@ -300,7 +300,10 @@
 			rest = append(rest, one)
 			continue
 		}
-		c.after(c.site.constant, func() { one.board.finish(one.send) })
+		c.after(c.site.constant, func() {
+			one.board.succeeded(one.send, c.now.Sub(one.send.sentAt))
+			one.board.finish(one.send)
+		})
 	}
 	h.running = rest
 	c.pass(h)
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -23,6 +23,8 @@
 	rate float64
 	// arrivals are the requests a second that come here.
 	arrivals spread.Rate
+	// life is how long requests are at a head.
+	life spread.Life
 	// away is the part of the requests that is turned away, by the newest decision.
 	away float64
 }
--- a/internal/gateway/divide.go
+++ b/internal/gateway/divide.go
@@ -22,6 +22,8 @@
 	cutShare = 1.5
 	// boundlessLoad is the load that heads may have with a request that is not turned away.
 	boundlessLoad = 1 << 20
+	// comeBackLast is how much sooner callers that came back are turned away than others.
+	comeBackLast = 4
 	// comeBackSpent is the waiting on earlier tries from which a caller counts as one that came back.
 	comeBackSpent = 50 * time.Millisecond
 )
@@ -36,13 +38,52 @@
 	kept bool
 }
 
+// outlook is by what requests were divided: how many all nodes send until the next news, within the
+// horizon, and how many have room.
+type outlook struct {
+	expected, room float64
+	horizon        time.Duration
+}
+
+// share is a sound head with its part of the requests.
+type share struct {
+	// rival is its index among the rivals.
+	rival int
+	part  float64
+}
+
 // divide chooses among heads by their shares of the requests that all nodes are expected to send until
 // the next news; best is -1 when the request is turned away. It reports false when no head is sound.
 func (b *board) divide(now time.Time, candidates []*target, q question) (picked, bool) {
 	out := picked{best: -1}
-	horizon := b.newsAge(now) + newsInterval
+	shares := b.shares(now, candidates, q, &out)
+	if !out.full {
+		return out, false
+	}
+	away := 1.0
+	for _, s := range shares {
+		away -= s.part
+	}
+	away = max(away, 0)
+	if m := b.demand[q.key]; m != nil {
+		m.away = away
+	}
+	if q.cameBack() {
+		// It is late in any case, and would take the place of one that is not.
+		away = min(comeBackLast*away, 1)
+	}
+	if b.random.Float64() >= away {
+		b.choosePart(now, shares, q, &out)
+	}
+	return out, true
+}
+
+// shares are the sound heads among the candidates, with their parts.
+func (b *board) shares(now time.Time, candidates []*target, q question, out *picked) []share {
+	out.outlook.horizon = b.newsAge(now) + newsInterval
+	out.outlook.expected = b.arrivals(now, q.key) * out.outlook.horizon.Seconds()
 	var heads []spread.Head
-	var rivals []int
+	var shares []share
 	for _, t := range candidates {
 		r := b.rate(now, t, q.asked.Prompt, q.offset)
 		apart := b.apart(t, q.judged)
@@ -56,32 +97,33 @@
 			out.predictedLate = true
 			continue
 		}
-		heads = append(heads, b.head(now, t, q, horizon, apart))
-		rivals = append(rivals, len(out.rivals)-1)
-	}
-	expected := b.arrivals(now, q.key) * horizon.Seconds()
-	shares := spread.Shares(heads, expected)
-	away := spread.Away(shares)
-	if m := b.demand[q.key]; m != nil && out.full {
-		m.away = away
+		heads = append(heads, b.head(now, t, q, out.outlook.horizon, apart))
+		shares = append(shares, share{rival: len(out.rivals) - 1})
 	}
-	if q.cameBack() && away > 0 {
-		// It is late in any case, and would take the place of one that is not.
-		return out, true
+	out.outlook.room = spread.Room(heads)
+	for i, part := range spread.Shares(heads, out.outlook.expected) {
+		shares[i].part = part
 	}
-	i := spread.Pick(shares, b.random.Float64())
-	if i < 0 {
-		return out, out.full
+	return shares
+}
+
+// choosePart picks one of the shares by chance or, while what is known is fresh, the least predicted one.
+func (b *board) choosePart(now time.Time, shares []share, q question, out *picked) {
+	fresh := b.arrivals(now, q.key)*b.newsAge(now).Seconds() < freshArrivals*float64(len(shares))
+	sum := 0.0
+	for _, s := range shares {
+		sum += s.part
 	}
-	out.best = rivals[i]
-	if unseen := b.arrivals(now, q.key) * b.newsAge(now).Seconds(); unseen < freshArrivals*float64(len(heads)) {
-		for k, share := range shares {
-			if share > 0 && out.rivals[rivals[k]].score < out.rivals[out.best].score {
-				out.best = rivals[k]
-			}
+	left := b.random.Float64() * sum
+	for _, s := range shares {
+		if s.part <= 0 || (left < 0 && !fresh) {
+			continue
+		}
+		left -= s.part
+		if !fresh || out.best < 0 || out.rivals[s.rival].score < out.rivals[out.best].score {
+			out.best = s.rival
 		}
 	}
-	return out, out.full
 }
 
 // cameBack reports whether the request's caller has probably come before and been turned away.
@@ -91,10 +133,7 @@
 func (b *board) head(now time.Time, t *target, q question, horizon time.Duration, apart float64) spread.Head {
 	slots := float64(t.slots)
 	load := float64(b.load(t))
-	h := spread.Head{Load: load + apart*slots, Most: (1 - q.asked.Kept) * slots, Ends: t.engine.Ended(int(load), horizon)}
-	if pass := b.work(now, t).Pass; pass > 0 {
-		h.Ends *= min(float64(t.engine.Decode(int(load)))/float64(pass), 1)
-	}
+	h := spread.Head{Load: load + apart*slots, Most: (1 - q.asked.Kept) * slots, Ends: b.ends(now, t, q.key, horizon)}
 	if q.kept {
 		h.Most = boundlessLoad
 	}
@@ -107,6 +146,22 @@
 	return h
 }
 
+// ends is how many of a target's requests end within a time, by what those of its model took lately or,
+// while that is not known, by the engine's figures; fewer where passes take longer than they should.
+func (b *board) ends(now time.Time, t *target, key demandKey, within time.Duration) float64 {
+	load := b.load(t)
+	out := t.engine.Ended(load, within)
+	if m := b.demand[key]; m != nil {
+		if learned, known := m.life.Ends(float64(load), within); known {
+			out = learned
+		}
+	}
+	if pass := b.work(now, t).Pass; pass > 0 {
+		out *= min(float64(t.engine.Decode(load))/float64(pass), 1)
+	}
+	return out
+}
+
 // newsAge is how old what is known of the other nodes' loads is, in the mean.
 func (b *board) newsAge(now time.Time) time.Duration {
 	if len(b.peersAt) == 0 {
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -15,7 +15,7 @@
 // is ended for another one, never for nothing.
 type move struct {
 	to     *send
-	rivals []rival
+	rivals alternatives
 	use    retry.Use
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -121,6 +121,8 @@
 	callers *callers.Server
 	ready   *http.Server
 	done    sync.WaitGroup
+	// toldAt is when what was learned was last shown in the metrics; it belongs to watchStalls.
+	toldAt time.Time
 }
 
 // NewServer returns a server.
@@ -350,6 +352,7 @@
 
 // lookAround has the sends go on elsewhere that are silent or slow, as far as they can.
 func (s *Server) lookAround(now time.Time) {
+	s.tellAdapted(now)
 	if late := s.board.noteHeldUp(now); late >= heldUpLogged {
 		s.metrics.Count("held_up", 1)
 		s.log.Emit(event.HeldUp).Int64("for_ms", late.Milliseconds()).Send()
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -63,33 +63,6 @@
 	return sum
 }
 
-// Away is the part of the requests that is turned away.
-func Away(shares []float64) float64 {
-	left := 1.0
-	for _, s := range shares {
-		left -= s
-	}
-	if left < rounding {
-		return 0
-	}
-	return left
-}
-
-// rounding is what a sum of shares may lack without anything being turned away.
-const rounding = 1e-6
-
-// Pick is the index of the head that a request goes to, by a random number from 0 to 1; -1 when it is
-// turned away.
-func Pick(shares []float64, random float64) int {
-	for i, s := range shares {
-		random -= s
-		if random < 0 {
-			return i
-		}
-	}
-	return -1
-}
-
 // fillSteps is how often the level is halved in: far finer than one request.
 const fillSteps = 40
 
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -41,12 +41,6 @@
 			t.Errorf("head %d gets %.3f, expected %.3f", i, shares[i], want)
 		}
 	}
-	if i := Pick(shares, 0.3); i >= 0 {
-		t.Errorf("head %d takes a request that is turned away", i)
-	}
-	if i := Pick(shares, 0.22); i != 2 {
-		t.Errorf("head %d takes the request of the third", i)
-	}
 }
 
 // TestSharesKeepToTheRoom: shares are parts of a whole; all are taken while there is room, and no head
