While news are fresh the least predicted head is taken, as before

Cause: on small sites a node knows nearly all that heads have, prompts of its own to the token; shares count requests alone, and turn some away for a moment's lack.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -120,7 +120,7 @@
 // pick divides requests among heads that say how fast they are, and finds the candidate with the
 // lowest score among all others that take the request, of which with many nodes a few are enough.
 func (b *board) pick(now time.Time, candidates []*target, q question, room float64) picked {
-	if candidates[0].engine.Known() && (q.kept || q.asked.Objective > 0) {
+	if candidates[0].engine.Known() && (q.kept || q.asked.Objective > 0) && !b.fresh(now, q.key, len(candidates)) {
 		if out, ok := b.divide(now, candidates, q); ok {
 			return out
 		}
--- a/internal/gateway/divide.go
+++ b/internal/gateway/divide.go
@@ -11,8 +11,7 @@
 const (
 	// newsInterval is about how long after the last news of the other nodes' loads the next come.
 	newsInterval = 300 * time.Millisecond
-	// freshArrivals is how many requests of a head may not be known of for what is known to be fresh:
-	// then the head with the least predicted first event is the best one.
+	// freshArrivals is how many requests of a head may not be known of for what is known to be fresh.
 	freshArrivals = 3
 	// foreignShare is what another failure domain weighs, in parts of a head's slots: its bytes are
 	// priced, but little.
@@ -73,7 +72,7 @@
 		away = min(comeBackLast*away, 1)
 	}
 	if b.random.Float64() >= away {
-		b.choosePart(now, shares, q, &out)
+		b.choosePart(shares, &out)
 	}
 	return out, true
 }
@@ -107,25 +106,28 @@
 	return shares
 }
 
-// choosePart picks one of the shares by chance or, while what is known is fresh, the least predicted one.
-func (b *board) choosePart(now time.Time, shares []share, q question, out *picked) {
-	fresh := b.arrivals(now, q.key)*b.newsAge(now).Seconds() < freshArrivals*float64(len(shares))
+// choosePart picks one of the shares by chance.
+func (b *board) choosePart(shares []share, out *picked) {
 	sum := 0.0
 	for _, s := range shares {
 		sum += s.part
 	}
 	left := b.random.Float64() * sum
 	for _, s := range shares {
-		if s.part <= 0 || (left < 0 && !fresh) {
-			continue
-		}
 		left -= s.part
-		if !fresh || out.best < 0 || out.rivals[s.rival].score < out.rivals[out.best].score {
+		if s.part > 0 && left < 0 {
 			out.best = s.rival
+			return
 		}
 	}
 }
 
+// fresh reports whether few requests of a head can't be known of here: then the head with the least
+// predicted first event is the best one, and what it predicts is true.
+func (b *board) fresh(now time.Time, key demandKey, heads int) bool {
+	return b.arrivals(now, key)*b.newsAge(now).Seconds() < freshArrivals*float64(heads)
+}
+
 // cameBack reports whether the request's caller has probably come before and been turned away.
 func (q question) cameBack() bool { return !q.kept && q.asked.Spent > comeBackSpent }
 
