A node directs only once it knows the other nodes

Cause: nodes that started again while the store was away had the list of VMs, when it was back, before the nodes' records.

Ruled out: the rightful directors, which took apart what had lost members; the store's word about VMs (entries that lapsed were kept).

Change: a director listens for 0.9 s from when the nodes' records were first read.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -120,8 +120,8 @@
 	// quarantine is nil when nothing else is exchanged.
 	quarantine Quarantine
 
-	// recordsRead is true once the nodes' records have been read.
-	recordsRead atomic.Bool
+	// recordsAt is when the nodes' records were first read; nil before.
+	recordsAt atomic.Pointer[time.Time]
 
 	mu    sync.Mutex
 	known map[string]*peer
@@ -289,7 +289,7 @@
 // Sources are the fittest nodes of this failure domain, which read whole lists from the platform for
 // the others, and whether the nodes' records were read.
 func (c *Cluster) Sources() ([]Record, bool) {
-	if !c.recordsRead.Load() {
+	if c.recordsAt.Load() == nil {
 		return nil, false
 	}
 	c.mu.Lock()
@@ -297,6 +297,14 @@
 	return c.topology.candidates(c.config.Self.FailureDomain), true
 }
 
+// KnownSince is when the nodes' records were first read; false before.
+func (c *Cluster) KnownSince() (time.Time, bool) {
+	if at := c.recordsAt.Load(); at != nil {
+		return *at, true
+	}
+	return time.Time{}, false
+}
+
 // Size is the number of nodes that are or may be in use, this one included.
 func (c *Cluster) Size() int {
 	c.mu.Lock()
@@ -310,7 +318,7 @@
 // Counted is by how many nodes a limit over all of them is shared; 0 until the others'
 // records were read, when a node that takes itself for the only one would use the whole of it.
 func (c *Cluster) Counted() int {
-	if !c.recordsRead.Load() {
+	if c.recordsAt.Load() == nil {
 		return 0
 	}
 	return c.Size()
--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/platform"
 	"github.com/marbleroad/marbleroad/internal/wait"
@@ -102,7 +103,8 @@
 		}
 		c.add(r)
 	}
-	c.recordsRead.Store(true)
+	read := clock.Now()
+	c.recordsAt.CompareAndSwap(nil, &read)
 	c.plan()
 	return nil
 }
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -62,6 +62,8 @@
 type Nodes interface {
 	Live(now time.Time) []cluster.Peer
 	Nudge()
+	// KnownSince is when the records of all nodes were first read; false before.
+	KnownSince() (time.Time, bool)
 }
 
 // Parts are the director's collaborators.
--- a/internal/director/duty.go
+++ b/internal/director/duty.go
@@ -10,7 +10,7 @@
 // responsible lists the failure domains whose groups this node manages now. A
 // node that manages one keeps it; else it falls to the first live one.
 func (s *state) responsible(now time.Time) []string {
-	if s.d.stopping.Load() || now.Sub(s.started) < settleTime {
+	if s.d.stopping.Load() || !s.settled(now) {
 		return nil
 	}
 	claimed, byDomain := s.othersClaims(now)
@@ -30,6 +30,13 @@
 	return out
 }
 
+// settled reports whether this node has known the others for long enough to hear who manages what. One
+// that started while the platform was away may have the list of VMs before it.
+func (s *state) settled(now time.Time) bool {
+	known, ok := s.d.parts.Nodes.KnownSince()
+	return ok && now.Sub(known) >= settleTime && now.Sub(s.started) >= settleTime
+}
+
 // othersClaims returns the lowest live node that claims each failure domain, and
 // all live nodes by their failure domain.
 func (s *state) othersClaims(now time.Time) (claimed map[string]string, byDomain map[string][]string) {
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -57,8 +57,8 @@
 )
 
 const (
-	// settleTime is how long a new director listens before it acts, so that it
-	// hears of the others, with hubs over two of them, and of groups that are being formed.
+	// settleTime is how long a new director listens before it acts, from when it knows the other nodes,
+	// so that it hears of them, with hubs over two, and of groups that are being formed.
 	settleTime = 900 * time.Millisecond
 	// foreignAfter is how long a failure domain must be without a live node
 	// before another's takes its groups over.
