--- a/internal/cluster/answer_test.go
+++ b/internal/cluster/answer_test.go
@@ -75,3 +75,27 @@
 		t.Errorf("%d requests under way in sum, expected %d", total, want)
 	}
 }
+
+// TestMovedMemberCountsAtOneHub: when all nodes had started again, members moved between hubs, and what
+// they had under way counted at both for up to 2.4 s; so did that of nodes which had died. Heads that
+// were half empty counted as full, and requests were turned away.
+func TestMovedMemberCountsAtOneHub(t *testing.T) {
+	c, _ := answeringHub(t)
+	now := time.Now()
+	gone := 0
+	for id, m := range c.members {
+		if id != "member-0" {
+			m.at = now.Add(-4 * testInterval)
+			c.members[id] = m
+			gone++
+		}
+	}
+	told := c.shared(now, "", false)
+	total := uint32(0)
+	for _, l := range told.GetLoads() {
+		total += l.GetInFlight()
+	}
+	if want := uint32(3 * 2 * answerLoads); total != want {
+		t.Errorf("%d requests under way are told, %d of them of %d members that have not called for four intervals", total, total-want, gone)
+	}
+}
