What a member has under way counts at its hub for three intervals

Change: its loads and demand count for three of its intervals, 0.9 s; whether it leads and lives is told as before.

TestMovedMemberCountsAtOneHub: 2,940 requests told of 120 -> 120.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -39,6 +39,9 @@
 	// liveIntervals is how many intervals, beside a timeout, a node counts as live
 	// after an exchange with it was sent.
 	liveIntervals = 3
+	// countedIntervals is how many intervals after its last call what a member has under way counts at
+	// its hub: then it has died or calls another one.
+	countedIntervals = 3
 	// fewNodes is up to how many nodes or hubs each exchanges with every other one
 	// at the set interval; with more, the interval grows in proportion, so that a
 	// node's exchanges a second stay the same.
--- a/internal/cluster/share.go
+++ b/internal/cluster/share.go
@@ -172,7 +172,9 @@
 	}
 	members := make([]heard, 0, len(c.members))
 	for _, m := range c.members {
-		members = append(members, m)
+		if now.Sub(m.at) <= countedIntervals*c.memberInterval() {
+			members = append(members, m)
+		}
 	}
 	for id := range c.sums {
 		own.Hubs = append(own.Hubs, id)
