--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -218,9 +218,14 @@
 	return s.Control.Listen
 }
 
+// mostIdle bounds the idle connections to all hosts together: a node that gave orders to a thousand VMs
+// kept one open to each.
+const mostIdle = 128
+
 func newTransport(from string, idle int, meter *transport.Meter) *http.Transport {
 	return &http.Transport{
 		DialContext:         transport.Metered(transport.Dialer(from).DialContext, meter),
+		MaxIdleConns:        mostIdle,
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
