After the first callers a few groups' worth of copies ahead is enough

Cause: VMs that serve one model get copies of the other as far as loads have room, until all have one.

Its price at small sites: not measured yet.

--- a/internal/placement/copies.go
+++ b/internal/placement/copies.go
@@ -163,17 +163,18 @@
 
 // ahead lists copies ahead of need: for free hosts that would lose nothing by them,
 // the model for which the fewest free VMs of the fabric domain are ready, so that a
-// lost member of either's groups can be replaced, and then for serving VMs the model
+// lost member of either's groups can be replaced, and then for some serving VMs the model
 // that they don't have.
 func (d *decider) ahead() []Staging {
 	var out []Staging
 	taken := make(map[string]bool)
-	add := func(v VM, model string) {
+	add := func(v VM, model string) bool {
 		if taken[v.ID] || d.staging(v) != "" || joinCost(v, model) != costLoad {
-			return
+			return false
 		}
 		taken[v.ID] = true
 		out = append(out, Staging{VM: v.ID, Model: model})
+		return true
 	}
 	models := d.byNeed()
 	for _, fabric := range d.fabrics() {
@@ -194,18 +195,42 @@
 		}
 	}
 	for _, m := range models {
+		left := d.aheadRoom(m)
 		for _, g := range d.in.Open {
 			if g.Model == m.Name {
 				continue
 			}
 			for _, v := range g.Members {
-				add(v, m.Name)
+				if left > 0 && add(v, m.Name) {
+					left--
+				}
 			}
 		}
 	}
 	return out
 }
 
+// aheadGroups is how many groups' worth of VMs that serve other models hold a copy of a model ahead of
+// need: a change over takes them at once, and more follow while they join.
+const aheadGroups = 2
+
+// aheadRoom is how many more VMs that serve other models may get a copy of the model ahead of need; all,
+// while loads are fast and cost nothing.
+func (d *decider) aheadRoom(m catalog.Model) int {
+	left := aheadGroups * m.Size
+	for _, g := range d.in.Open {
+		if d.in.JoinUnstaged {
+			left += len(g.Members)
+		}
+		for _, v := range g.Members {
+			if g.Model != m.Name && (holds(v, m.Name) || d.staging(v) == m.Name) {
+				left--
+			}
+		}
+	}
+	return left
+}
+
 // scarcest is the model with the fewest spares; of equals the one with the largest
 // groups, which are the hardest to complete.
 func scarcest(models []catalog.Model, spares map[string]int) catalog.Model {
