What was turned away in a crowd is forgotten with it

Cause (by reading): the part that is turned away was noted only where requests are divided; once news were fresh again it stayed as it was, and a caller that was turned away for a moment was told to come back as in the crowd.

Change: it is noted with each choice.

TestCrowdThatEnds, seen failing without the mend (nodes that count on 41 in 100 twenty seconds later), holds.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -125,6 +125,7 @@
 			return out
 		}
 	}
+	b.noteAway(q.key, 0)
 	out := picked{best: -1}
 	seen := 0
 	for _, i := range b.order(candidates) {
--- a/internal/gateway/crowd_test.go
+++ b/internal/gateway/crowd_test.go
@@ -322,17 +322,22 @@
 	}
 }
 
+// until lets time pass.
+func (c *crowd) until(end time.Time) {
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		next := heap.Pop(&c.events).(crowdEvent)
+		c.now = next.at
+		next.do()
+	}
+}
+
 // play returns how many answers a second came in time, and how many late.
 func (c *crowd) play(rate float64) (inTime, late float64) {
 	end := c.now.Add(crowdCalm + crowdLength)
 	c.from = c.now.Add(crowdCalm + crowdWarm)
 	c.arrive(c.site.usual, c.now.Add(crowdCalm))
 	c.after(crowdCalm, func() { c.arrive(rate, end) })
-	for len(c.events) > 0 && !c.events[0].at.After(end) {
-		next := heap.Pop(&c.events).(crowdEvent)
-		c.now = next.at
-		next.do()
-	}
+	c.until(end)
 	measured := (crowdLength - crowdWarm).Seconds()
 	return float64(c.inTime) / measured, float64(c.late) / measured
 }
@@ -377,6 +382,30 @@
 	}
 }
 
+// TestCrowdThatEnds: after a crowd, callers that are turned away for a moment come back soon.
+func TestCrowdThatEnds(t *testing.T) {
+	c := newCrowd(t, manyNodes, &manyNodes.engine)
+	c.play(900)
+	key := demandKey{"s", "m"}
+	crowded := 0
+	for _, b := range c.boards {
+		if b.demand[key].away > 0.3 {
+			crowded++
+		}
+	}
+	if crowded < manyNodes.nodes/2 {
+		t.Fatalf("%d nodes turn a third away in the crowd: the replayed load shows nothing", crowded)
+	}
+	end := c.now.Add(20 * time.Second)
+	c.arrive(c.site.usual/4, end)
+	c.until(end)
+	for i, b := range c.boards {
+		if away := b.demand[key].away; away > 0 {
+			t.Errorf("node %d still counts on %.0f in 100 being turned away", i, 100*away)
+		}
+	}
+}
+
 // crowdRates are callers a second: what the heads serve well, a little more, and two
 // and three times as many.
 var crowdRates = []float64{90, 110, 200, 300}
--- a/internal/gateway/divide.go
+++ b/internal/gateway/divide.go
@@ -64,9 +64,7 @@
 		away -= s.part
 	}
 	away = max(away, 0)
-	if m := b.demand[q.key]; m != nil {
-		m.away = away
-	}
+	b.noteAway(q.key, away)
 	if q.cameBack() {
 		// It is late in any case, and would take the place of one that is not.
 		away = min(comeBackLast*away, 1)
@@ -176,6 +174,13 @@
 	return sum / time.Duration(len(b.peersAt))
 }
 
+// noteAway notes the part of the requests that is turned away.
+func (b *board) noteAway(key demandKey, part float64) {
+	if m := b.demand[key]; m != nil {
+		m.away = part
+	}
+}
+
 // turnedAway is the part of the requests like a call that was lately turned away.
 func (b *board) turnedAway(c *Call) float64 {
 	b.mu.Lock()
