--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -323,5 +323,36 @@
 mutant "only members are named as leading" internal/cluster/share.go \
   's/for id, p := range c\.known \{\n\t\t_, member/for id, p := range map[string]*peer(nil) {\n\t\t_, member/' ./internal/cluster TestNodesThatCountDifferently
 
+mutant "each node reads the whole list" internal/feed/first.go \
+  's/if !f\.leader\.readsLists\(\) \{/if false {/' ./internal/feed TestAllNodesStartAtOnce
+mutant "a page that fails ends the list" platform/store.go \
+  's/pageTries = 4/pageTries = 1/' ./platform TestPageThatFailsIsAskedForAgain
+mutant "a leader waits as long as it pauses" internal/feed/fleet.go \
+  's/leaderWait = 250/leaderWait = 500/' ./internal/feed TestProofIsYoungAtEachMoment
+mutant "the least known load is taken" internal/gateway/choose.go \
+  's/&& !b\.fresh\(now, q\.key, len\(candidates\)\)/\&\& false/' ./internal/gateway TestCrowdAtManyNodes
+mutant "arrivals elsewhere are not expected" internal/gateway/divide.go \
+  's/total \+= d\.GetArrivals\(\)/total += 0/' ./internal/gateway TestCrowdAtManyNodes
+mutant "callers come back at once" internal/gateway/room.go \
+  's/crowdBack = 3 \* time\.Second/crowdBack = time.Nanosecond/' ./internal/gateway TestCrowdThatComesBack
+mutant "patience is learned in a crowd" internal/gateway/predict.go \
+  's/if now\.Sub\(b\.refusedAt\) > calmAfter \{/if true {/' ./internal/gateway TestReturningCallersAreKnownByTheirPatience
+mutant "the part turned away outlasts its crowd" internal/gateway/choose.go \
+  's/b\.noteAway\(q\.key, 0\)//' ./internal/gateway TestCrowdThatEnds
+mutant "a node that knows nobody directs" internal/director/duty.go \
+  's/return ok && now\.Sub\(known\) >= settleTime && /_, _ = known, ok\n\treturn /' ./internal/director TestNodeThatKnowsNobodyDirectsNothing
+mutant "a restart is the beginning" internal/director/place.go \
+  's/ && !s\.served\[domain\]//' ./internal/director TestRestartIsNotTheBeginning
+mutant "copies ahead have no end" internal/placement/copies.go \
+  's/aheadGroups = 2/aheadGroups = 1000/' ./internal/placement TestCopiesAheadAreBounded
+mutant "a member counts as long as it lives" internal/cluster/share.go \
+  's/countedIntervals\*c\.memberInterval\(\)/c.liveFor()/' ./internal/cluster TestMovedMemberCountsAtOneHub
+mutant "a hub names its own groups apart" internal/cluster/share.go \
+  's/own\.Loads, own\.Demand = nil, nil//' ./internal/cluster TestAnswerToAMemberNamesEachGroupOnce
+mutant "idle connections have no bound" internal/daemon/daemon.go \
+  's/MaxIdleConns:        mostIdle,//' ./internal/daemon TestIdleConnectionsAreBounded
+mutant "heads are filled beyond their room" internal/spread/spread.go \
+  's/return min\(max\(level-h\.left\(\), 0\), h\.room\(\)\)/return max(level-h.left(), 0)/' ./internal/spread TestSharesKeepToTheRoom
+
 echo "$survivors survived or not applied"
 [ "$survivors" = 0 ]
