--- a/internal/feed/first.go
+++ b/internal/feed/first.go
@@ -71,10 +71,10 @@
 
 // awaitRecords has the first list wait for the nodes' records, which say whom to ask.
 func (f *Fleet) awaitRecords(ctx context.Context) {
-	if f.awaited {
+	if f.recordsAwaited {
 		return
 	}
-	f.awaited = true
+	f.recordsAwaited = true
 	for end := clock.Now().Add(recordsLimit); clock.Now().Before(end); wait.Sleep(ctx, recordsPause) {
 		if _, known := f.leader.nodes.Sources(); known || ctx.Err() != nil {
 			return
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -32,9 +32,9 @@
 	own    fleet.Source
 	leader *Leader
 	calls  own
-	// awaited is true once the nodes' records were waited for. It belongs to the
+	// recordsAwaited is true once the nodes' records were waited for. It belongs to the
 	// directory's goroutine.
-	awaited bool
+	recordsAwaited bool
 }
 
 // NewFleet returns a source over the platform's.
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -28,13 +28,7 @@
 // FollowFleet implements part of ClusterService.
 func (s *Server) FollowFleet(ctx context.Context, r *connect.Request[marbleroadv1.FollowFleetRequest]) (*connect.Response[marbleroadv1.FollowFleetResponse], error) {
 	arrived := clock.Now()
-	limit := min(milliseconds(r.Msg.GetWaitMs()), mostWait)
-	await := s.Directory.Await
-	if r.Msg.GetRevision() == 0 {
-		// The caller knows nothing yet.
-		await = s.Directory.AwaitWhole
-	}
-	w, err := await(ctx, r.Msg.GetRevision(), limit)
+	w, err := s.await(ctx, r.Msg.GetRevision(), min(milliseconds(r.Msg.GetWaitMs()), mostWait))
 	if errors.Is(err, platform.ErrCompacted) {
 		return connect.NewResponse(&marbleroadv1.FollowFleetResponse{Compacted: true}), nil
 	}
@@ -48,6 +42,14 @@
 	return connect.NewResponse(out), nil
 }
 
+// await waits for changes after the revision; a follower at none knows nothing yet and gets the whole list.
+func (s *Server) await(ctx context.Context, revision uint64, limit time.Duration) (fleet.Watched, error) {
+	if revision == 0 {
+		return s.Directory.AwaitWhole(ctx, limit)
+	}
+	return s.Directory.Await(ctx, revision, limit)
+}
+
 // FollowCatalog implements part of ClusterService.
 func (s *Server) FollowCatalog(ctx context.Context, r *connect.Request[marbleroadv1.FollowCatalogRequest]) (*connect.Response[marbleroadv1.FollowCatalogResponse], error) {
 	arrived := clock.Now()
--- a/internal/fleet/recent.go
+++ b/internal/fleet/recent.go
@@ -109,7 +109,7 @@
 
 // AwaitWhole waits up to wait for a list with a young proof and returns all entries.
 // platform.ErrCompacted means that there is none.
-func (d *Directory) AwaitWhole(ctx context.Context, _ uint64, wait time.Duration) (Watched, error) {
+func (d *Directory) AwaitWhole(ctx context.Context, wait time.Duration) (Watched, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -63,7 +63,7 @@
 		return nil, alternatives{}, noUpstream
 	}
 	again := len(tried) > 0 || c.LastEvent != ""
-	found := b.pick(now, candidates, question{key: key, asked: asked, judged: c.judged, offset: b.offset(key).Value(), kept: again}, room)
+	found := b.pick(now, candidates, question{key: key, asked: asked, judged: c.judged, offset: b.offset(key).Value(), again: again}, room)
 	why := found.refusal(p.service.Engine != nil)
 	if found.predictedLate && why == allFull {
 		b.offset(key).Ease()
@@ -120,7 +120,7 @@
 // pick divides requests among heads that say how fast they are, and finds the candidate with the
 // lowest score among all others that take the request, of which with many nodes a few are enough.
 func (b *board) pick(now time.Time, candidates []*target, q question, room float64) picked {
-	if candidates[0].engine.Known() && (q.kept || q.asked.Objective > 0) && !b.fresh(now, q.key, len(candidates)) {
+	if candidates[0].engine.Known() && (q.again || q.asked.Objective > 0) && !b.fresh(now, q.key, len(candidates)) {
 		if out, ok := b.divide(now, candidates, q); ok {
 			return out
 		}
--- a/internal/gateway/divide.go
+++ b/internal/gateway/divide.go
@@ -33,8 +33,8 @@
 	asked  batch.Request
 	judged quarantine.Verdict
 	offset time.Duration
-	// kept is true for a request that is not turned away for lack of room.
-	kept bool
+	// again is true for a request that was sent before; it is not turned away for lack of room.
+	again bool
 }
 
 // outlook is by what requests were divided: how many all nodes send until the next news, within the
@@ -127,14 +127,14 @@
 }
 
 // cameBack reports whether the request's caller has probably come before and been turned away.
-func (q question) cameBack() bool { return !q.kept && q.asked.Spent > comeBackSpent }
+func (q question) cameBack() bool { return !q.again && q.asked.Spent > comeBackSpent }
 
 // head is what is known of a target's load, with what speaks against it in its place.
 func (b *board) head(now time.Time, t *target, q question, horizon time.Duration, apart float64) spread.Head {
 	slots := float64(t.slots)
 	load := float64(b.load(t))
 	h := spread.Head{Load: load + apart*slots, Most: (1 - q.asked.Kept) * slots, Ends: b.ends(now, t, q.key, horizon)}
-	if q.kept {
+	if q.again {
 		h.Most = boundlessLoad
 	}
 	if t.vm.FailureDomain != b.domain {
