--- a/internal/placement/copies.go
+++ b/internal/placement/copies.go
@@ -214,14 +214,17 @@
 // need: a change over takes them at once, and more follow while they join.
 const aheadGroups = 2
 
-// aheadRoom is how many more VMs that serve other models may get a copy of the model ahead of need; all,
-// while loads are fast and cost nothing.
+// aheadMost is the same in VMs before the first callers, when loads are fast and cost nothing: more are not
+// done in time, and go on when they do cost.
+const aheadMost = 128
+
+// aheadRoom is how many more VMs that serve other models may get a copy of the model ahead of need.
 func (d *decider) aheadRoom(m catalog.Model) int {
 	left := aheadGroups * m.Size
+	if d.in.JoinUnstaged {
+		left = max(left, aheadMost)
+	}
 	for _, g := range d.in.Open {
-		if d.in.JoinUnstaged {
-			left += len(g.Members)
-		}
 		for _, v := range g.Members {
 			if g.Model != m.Name && (holds(v, m.Name) || d.staging(v) == m.Name) {
 				left--
