--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -349,6 +349,10 @@
   's/countedIntervals\*c\.memberInterval\(\)/c.liveFor()/' ./internal/cluster TestMovedMemberCountsAtOneHub
 mutant "a hub names its own groups apart" internal/cluster/share.go \
   's/own\.Loads, own\.Demand = nil, nil//' ./internal/cluster TestAnswerToAMemberNamesEachGroupOnce
+mutant "each answer is judged by itself" internal/director/state.go \
+  's/if !s\.lookPending \{/if true {/' ./internal/director TestAnswersOfManyVMsAreJudgedTogether
+mutant "all VMs get copies before the first callers" internal/placement/copies.go \
+  's/aheadMost = 128/aheadMost = 1 << 20/' ./internal/placement TestCopiesAheadAreBounded
 mutant "idle connections have no bound" internal/daemon/daemon.go \
   's/MaxIdleConns:        mostIdle,//' ./internal/daemon TestIdleConnectionsAreBounded
 mutant "heads are filled beyond their room" internal/spread/spread.go \
