--- a/internal/director/herd_test.go
+++ b/internal/director/herd_test.go
@@ -172,3 +172,38 @@
 	}
 	w.check(t)
 }
+
+// TestCallersComeBeforeTheFirstLoads: groups were planned before the first callers, with loads without bound,
+// and the callers came while their VMs were still being sent there. Directors of a thousand VMs each went on, and
+// 1,000 loads and more began within seconds, where four a second may.
+func TestCallersComeBeforeTheFirstLoads(t *testing.T) {
+	w := sites(t, 3, 24)
+	planned := func() bool {
+		forms := 0
+		for _, n := range w.nodes {
+			forms += len(n.s.forms)
+		}
+		return forms > 0
+	}
+	if !w.run(10*time.Second, planned) {
+		t.Fatal("no group is planned")
+	}
+	for _, n := range w.nodes {
+		n.traffic = true
+	}
+	most := 0
+	w.run(4*time.Second, func() bool {
+		loading := 0
+		for _, e := range w.vms {
+			if e.stage != "" || e.State == fleet.Joining {
+				loading++
+			}
+		}
+		most = max(most, loading)
+		return false
+	})
+	if limit := w.catalog.Service("llm").Engine.LoadsAtOnce; most > limit || most == 0 {
+		t.Errorf("%d VMs load weights at once after callers came, %d do at full speed", most, limit)
+	}
+	w.check(t)
+}
