Loads keep to their room once callers have come, and the first caller is told at once

Cause: groups that are planned before the first callers load without bound, and went on when callers came before their VMs had been sent there. That callers had come was told with the next exchanges, up to a second later.

Change: a VM without the model's copy joins, once callers have come, only while fewer loads go on in its failure domain than its part of those that run at full speed; the first request for a model is told to the other nodes at once, by hubs too.

--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -126,9 +126,9 @@
 func ageMS(now, at time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 0)) }
 
 // urgent tells whether two states of a node differ in what the others must learn
-// at once: groups that fell silent or are being taken apart, duties, a stop.
+// at once: groups that fell silent or are being taken apart, duties, a stop, the first callers.
 func urgent(old, next *marbleroadv1.NodeState) bool {
-	if old.GetStopping() != next.GetStopping() || !slices.Equal(old.GetDirecting(), next.GetDirecting()) ||
+	if old.GetStopping() != next.GetStopping() || old.GetTrafficSeen() != next.GetTrafficSeen() || !slices.Equal(old.GetDirecting(), next.GetDirecting()) ||
 		!slices.Equal(old.GetDissolving(), next.GetDissolving()) {
 		return true
 	}
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -36,6 +36,7 @@
 
 // progress drives the groups that are being formed.
 func (s *state) progress(now time.Time) {
+	s.begunLoads = make(map[string]int)
 	for _, name := range sorted(s.forms) {
 		f := s.forms[name]
 		if why := s.hopeless(now, f); why != "" {
@@ -82,7 +83,7 @@
 			continue
 		}
 		allReady = false
-		if !f.joined[id] && s.ready(now, vm) {
+		if !f.joined[id] && s.mayJoin(vm, f) && s.ready(now, vm) {
 			f.sent[id] = true
 			s.send(vm, engine.GroupOrder{Operation: engine.Join, Group: f.name, Generation: f.generation,
 				Model: f.model.Name, Members: f.members})
@@ -103,6 +104,57 @@
 	f.openSent = true
 }
 
+// mayJoin reports whether a VM may be sent to its new group now. Groups that were planned before the first
+// callers load without bound; once callers have come, only as many loads as run at full speed go on.
+func (s *state) mayJoin(vm *fleet.VM, f *formation) bool {
+	if !s.needsLoad(vm, f) || s.before(vm.FailureDomain) {
+		return true
+	}
+	service := s.catalog.Service(f.service)
+	if service == nil || service.Engine == nil {
+		return true
+	}
+	begun, counted := s.begunLoads[vm.FailureDomain]
+	if !counted {
+		begun = s.loadsBegun(vm.FailureDomain)
+	}
+	s.begunLoads[vm.FailureDomain] = begun
+	if begun >= s.loadPart(service.Engine) || s.vm(vm.ID).busy {
+		return false
+	}
+	s.begunLoads[vm.FailureDomain]++
+	return true
+}
+
+// needsLoad reports whether the VM has no copy of the model and did not have it last.
+func (s *state) needsLoad(vm *fleet.VM, f *formation) bool {
+	return !vm.HasStaged(f.model.Name) && s.vm(vm.ID).last != f.model.Name
+}
+
+// loadsBegun counts the VMs of a failure domain that load weights by orders of this director.
+func (s *state) loadsBegun(domain string) int {
+	n := 0
+	for id, v := range s.vms {
+		if vm := s.snapshot.VMs[id]; v.staging != "" && vm != nil && vm.FailureDomain == domain {
+			n++
+		}
+	}
+	for _, f := range s.forms {
+		for id := range f.sent {
+			if vm := s.snapshot.VMs[id]; vm != nil && vm.FailureDomain == domain && s.loadsFor(vm, f) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// loadsFor reports whether a VM that was sent to a group may still be loading for it.
+func (s *state) loadsFor(vm *fleet.VM, f *formation) bool {
+	m := s.membership(vm)
+	return f.loads > 0 && (m.Group != f.name || m.State == fleet.Joining)
+}
+
 func (s *state) opened(f *formation) {
 	delete(s.forms, f.name)
 	s.d.parts.Log.Emit(event.GroupOpened).Str("group", f.name).Uint64("generation", f.generation).
--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -26,7 +26,7 @@
 }
 
 func (s *state) placeService(now time.Time, domain, service string, e *catalog.Engine) {
-	before := !s.d.parts.Demand.TrafficSeen() && !s.served[domain]
+	before := s.before(domain)
 	if before && now.Sub(s.arrivedAt) < gatherTime && now.Sub(s.started) < gatherLimit {
 		return
 	}
@@ -59,6 +59,11 @@
 	}
 }
 
+// before reports whether the first callers are still to come in a failure domain.
+func (s *state) before(domain string) bool {
+	return !s.d.parts.Demand.TrafficSeen() && !s.served[domain]
+}
+
 // input is what is known of a failure domain for a decision.
 func (s *state) input(now time.Time, domain, service string, e *catalog.Engine, free func(*fleet.VM) bool) placement.Input {
 	in := placement.Input{
@@ -182,8 +187,7 @@
 	if before {
 		return boundless, boundless
 	}
-	part := max(e.LoadsAtOnce/max(len(s.domains()), 1), 1)
-	room = max(part-s.loadsOf(domain), 0)
+	room = max(s.loadPart(e)-s.loadsOf(domain), 0)
 	unused := e.LoadsAtOnce - s.d.Loading()
 	for _, p := range s.d.parts.Nodes.Live(now) {
 		unused -= int(p.State.GetLoading())
@@ -191,6 +195,11 @@
 	return room, max(room, unused)
 }
 
+// loadPart is a failure domain's part of the loads that run at full speed.
+func (s *state) loadPart(e *catalog.Engine) int {
+	return max(e.LoadsAtOnce/max(len(s.domains()), 1), 1)
+}
+
 // loadsOf counts the loads under way that this director began in failure domains.
 func (s *state) loadsOf(domains ...string) int {
 	n := 0
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -213,6 +213,8 @@
 	shiftedAt time.Time
 	// arrivedAt is when the newest VM appeared.
 	arrivedAt time.Time
+	// begunLoads counts, by failure domain, the loads that go on or were begun in this look.
+	begunLoads map[string]int
 	// lookPending is true while a look is due after an answer.
 	lookPending bool
 	// served are the failure domains in which groups were open when this director first saw the
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -29,14 +29,15 @@
 	away float64
 }
 
-// count notes a caller's request.
-func (b *board) count(now time.Time, c *Call) {
+// count notes a caller's request; it reports whether it is the first one for a model that is known of.
+func (b *board) count(now time.Time, c *Call) (first bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.budget(c.Service).Request(now)
 	if !b.serves(c) {
-		return
+		return false
 	}
+	first = !b.traffic
 	b.traffic = true
 	key := demandKey{c.Service, c.Model}
 	if b.demand[key] == nil {
@@ -44,6 +45,7 @@
 	}
 	b.demand[key].work += b.workOf(c)
 	b.demand[key].arrivals.Add(now)
+	return first
 }
 
 // serves reports whether the call's model is one of its service's. Callers may name
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -160,7 +160,10 @@
 
 // run sends the call on until the caller has its answer or nothing more may be tried.
 func (s *Server) run(w http.ResponseWriter, r *http.Request, c *Call) (*job, *verdict.Error) {
-	s.board.count(c.Arrived, c)
+	if s.board.count(c.Arrived, c) {
+		// Directors load without bound until callers come.
+		s.parts.Nudge()
+	}
 	c.Waited = s.board.waited(c.Arrived, c)
 	ctx, span := s.parts.Tracer.Start(s.parts.Tracer.Extract(r.Context(), r.Header), "request", trace.SpanKindServer,
 		attribute.String("request", c.ID), attribute.String("route", c.Route.Name))
