--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -353,6 +353,8 @@
   's/if !s\.lookPending \{/if true {/' ./internal/director TestAnswersOfManyVMsAreJudgedTogether
 mutant "all VMs get copies before the first callers" internal/placement/copies.go \
   's/aheadMost = 128/aheadMost = 1 << 20/' ./internal/placement TestCopiesAheadAreBounded
+mutant "what was planned loads on when callers come" internal/director/groups.go \
+  's/s\.mayJoin\(vm, f\) && //' ./internal/director TestCallersComeBeforeTheFirstLoads
 mutant "idle connections have no bound" internal/daemon/daemon.go \
   's/MaxIdleConns:        mostIdle,//' ./internal/daemon TestIdleConnectionsAreBounded
 mutant "heads are filled beyond their room" internal/spread/spread.go \
