A daemon tells what it still lacks after its start

Now 1014 each second while configuration, list of upstream VMs, records of the other nodes, proof of keys or an open group of each model is missing (each 30 s after the first 30), 1015 once with the time of each, and the gauges start.PART_ms. At most 31 lines in the first 30 s of a life.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -16,6 +16,7 @@
 	"github.com/marbleroad/marbleroad/internal/kernel"
 	"github.com/marbleroad/marbleroad/internal/quarantine"
 	"github.com/marbleroad/marbleroad/internal/retry"
+	"github.com/marbleroad/marbleroad/internal/startup"
 	"github.com/marbleroad/marbleroad/platform"
 )
 
@@ -127,6 +128,13 @@
 	}))
 	operators.Take(inspect.ReleasePath, inspect.Release(suspects))
 	return assemble(
+		startup.NewWatch(b.log, b.metrics,
+			startup.Part{Name: "configuration", There: func() bool { return keeper.Catalog() != nil }},
+			startup.Part{Name: "upstreams", There: func() bool { return directory.Snapshot() != nil }},
+			startup.Part{Name: "nodes", There: func() bool { return nodes.Counted() > 0 }},
+			startup.Part{Name: "keys", There: server.KeysProven},
+			startup.Part{Name: "groups", There: server.HasGroups},
+		),
 		operators,
 		archive,
 		keeper,
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -30,6 +30,10 @@
 		"None. SIGINT ends the waiting for work in flight; SIGTERM changes nothing."}
 	HeldUp = Event{1013, zerolog.InfoLevel, "this process was held up; silence of others during that time counts against nobody",
 		"If it repeats, see what else runs on the VM."}
+	StartIncomplete = Event{1014, zerolog.InfoLevel, "this daemon has started and still lacks what it needs to serve",
+		"If it goes on, look for what is missing: 3001 for the platform, 4026 and 4030 for other nodes."}
+	StartComplete = Event{1015, zerolog.InfoLevel, "this daemon has what it needs to serve; the line tells how long after its start each part was there",
+		"None."}
 )
 
 // Events of the operators' table.
@@ -184,6 +188,7 @@
 var Catalogue = []Event{
 	Started, Stopping, Stopped, StopLimit, ServiceFailed, TraceExportFailed,
 	Reloaded, LogDropped, ListenerFault, Suspended, HandlerPanicked, StopRepeated, HeldUp,
+	StartIncomplete, StartComplete,
 	RowAdopted, ChangeAccepted, ChangeConflict, ChangeInvalid, RowUnreadable, DrainHeld,
 	CatalogAdopted,
 	PlatformDown, PlatformUp, WriteResolved, HistoryGone, RegisterFailed, NodesUnread, EntryUnreadable,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -249,6 +249,28 @@
 	return true, ""
 }
 
+// KeysProven reports whether callers' keys can be judged by the configuration in force.
+func (s *Server) KeysProven() bool {
+	if s.keeper.Catalog() == nil {
+		return false
+	}
+	return s.config.KeyProof == 0 || s.keeper.ProvenAge(clock.Now()) <= s.config.KeyProof
+}
+
+// HasGroups reports whether each model of the configuration has a group that takes requests; also
+// true when there is no model.
+func (s *Server) HasGroups() bool {
+	if s.keeper.Catalog() == nil || s.parts.Directory.Snapshot() == nil {
+		return false
+	}
+	for _, open := range s.board.openGroups() {
+		if open == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Server) answerReady(w http.ResponseWriter, r *http.Request) {
 	s.metrics.Set("catalog.age_ms", s.keeper.ProvenAge(clock.Now()).Milliseconds())
 	if r.URL.Path != s.config.ReadyPath {
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -40,6 +40,7 @@
 	{"load.offset_ms.MODEL", "gauge", "What first events take beyond their prediction, learned."},
 	{"catalog.version", "gauge", "Version of the configuration in force."},
 	{"catalog.age_ms", "gauge", "Age of the proof that it is the newest, as of the balancer's last question."},
+	{"start.PART_ms", "gauge", "How long after the start the node had a part of what it needs: configuration, upstreams, nodes, keys, groups."},
 	{"platform.calls.VERB.KIND", "counter", "Calls to the platform's store: get, list, watch or write, and the kind of object."},
 	{"director.reports", "counter", "Reports asked of VMs."},
 	{"director.orders.ORDER", "counter", "Orders sent to VMs, by what they ask for."},
--- /dev/null
+++ b/internal/startup/startup_test.go
@@ -0,0 +1,54 @@
+package startup
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/metrics"
+)
+
+func TestProgressOfAStart(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p := NewProgress(start, []string{"configuration", "upstreams"})
+	p.Seen(1, start.Add(300*time.Millisecond))
+	p.Seen(1, start.Add(400*time.Millisecond))
+	if got := p.Missing(); !slices.Equal(got, []string{"configuration"}) {
+		t.Errorf("missing %v", got)
+	}
+	if p.after[1] != 300*time.Millisecond {
+		t.Errorf("a part that was there before counts from its later return, %v", p.after[1])
+	}
+	lines := 0
+	for now := start; now.Before(start.Add(5 * time.Minute)); now = now.Add(lookInterval) {
+		if p.Due(now) {
+			lines++
+		}
+	}
+	if lines < 30 || lines > 40 {
+		t.Errorf("%d lines in 5 minutes", lines)
+	}
+}
+
+// TestCompleteStartIsTold: what took longest is told once all parts are there, and the watch ends.
+func TestCompleteStartIsTold(t *testing.T) {
+	var out bytes.Buffer
+	log, err := event.New(&out, "info", "n", "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	registry := metrics.NewRegistry()
+	var looks atomic.Int32
+	w := NewWatch(log, registry,
+		Part{"configuration", func() bool { return true }},
+		Part{"upstreams", func() bool { return looks.Add(1) > 3 }})
+	w.loop(context.Background())
+	if got := out.String(); strings.Count(got, `"event":1015`) != 1 || !strings.Contains(got, "upstreams_ms") {
+		t.Errorf("lines %s", got)
+	}
+}
