An answer of the platform that keeps coming is read to its end

Callers saw 503 not-ready for as long as 17 s after a restart of all nodes. Cause: a call was bounded as a whole. When all nodes ask for the same large objects, each answer takes longer than the bound however much of it has come; all is thrown away and asked for again, so that the link carries answers nobody finishes (congestion collapse).

Ruled out: a longer bound for all calls, which would find a silent connection that much later.

--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -63,7 +63,7 @@
 
 	{"platform", "url", "", "an http URL with an IP number, such as http://10.0.0.1:9000", "Where the platform's Object API and membership list are.", all,
 		func(s *Settings, t string) error { return httpURL(t, &s.Platform.URL) }},
-	{"platform", "timeout", "2s", allowedDuration, "Bound on one call to the platform, without a watch's waiting time.", nil,
+	{"platform", "timeout", "2s", allowedDuration, "Bound on a write to the platform, on the beginning of any other answer without a watch's waiting time, and on each pause within an answer.", nil,
 		func(s *Settings, t string) error { return duration(t, &s.Platform.Timeout) }},
 	{"platform", "watch_wait", "20s", allowedDuration, "How long one watch waits for changes; longer means fewer calls.", nil,
 		func(s *Settings, t string) error { return duration(t, &s.Platform.WatchWait) }},
