A node that starts has the configuration from others, and a few more read when the first can't

Class: the cost of a try grows with the number of tries. Elsewhere: the four that read the list were asked in turn for up to 2 s each, and then all others read at once; a reader that the platform refused asked nobody; nodes without the records of the others read for themselves, which is all of them when the platform comes back.

Now one way for all large objects (internal/feed: whole, asking): the four fittest nodes of a failure domain read, twice as many after each second up to 16; the others ask these, the newest first, one more after 0.6 s of silence. Who hears only that others have nothing leaves the platform to them; a reader that is refused asks others too. An answer tells the revision that it was read at, so that a node which leaves its leader watches from there in place of reading all anew. A newer configuration is taken also when its proof is old. Answers of nodes are bounded by progress.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -105,7 +105,8 @@
 	err      error
 }
 
-func (s *script) next(call string) (*Catalog, uint64, error) {
+func (s *script) next(call string) (Watched, error) {
+	asked := time.Now()
 	s.calls = append(s.calls, call)
 	if len(s.answers) == 0 {
 		select {
@@ -113,18 +114,16 @@
 		default:
 			close(s.done)
 		}
-		return nil, 0, platform.ErrUnavailable
+		return Watched{}, platform.ErrUnavailable
 	}
 	a := s.answers[0]
 	s.answers = s.answers[1:]
-	return a.c, a.revision, a.err
+	return Watched{Catalog: a.c, Revision: a.revision, ProvenAt: asked}, a.err
 }
 
-func (s *script) Current(context.Context) (*Catalog, uint64, error) { return s.next("current") }
+func (s *script) Current(context.Context) (Watched, error) { return s.next("current") }
 func (s *script) Changed(context.Context, uint64, time.Duration) (Watched, error) {
-	asked := time.Now()
-	c, revision, err := s.next("changed")
-	return Watched{Catalog: c, Revision: revision, ProvenAt: asked}, err
+	return s.next("changed")
 }
 
 // TestVersionNeverFalls: also not through a new listing after lost history.
--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -19,18 +19,19 @@
 
 // Source reads the configuration from where operators put it.
 type Source interface {
-	// Current returns the newest configuration and the store's revision. It
-	// returns platform.ErrNotFound while there is none.
-	Current(ctx context.Context) (*Catalog, uint64, error)
+	// Current returns the newest configuration. While there is none it returns
+	// platform.ErrNotFound, with the revision if that is known.
+	Current(ctx context.Context) (Watched, error)
 	// Changed waits up to wait for a configuration newer than the revision.
 	// platform.ErrCompacted means that changes may have been missed.
 	Changed(ctx context.Context, revision uint64, wait time.Duration) (Watched, error)
 }
 
-// Watched is the end of one wait for a newer configuration.
+// Watched is the end of one reading of the configuration, or of one wait for a newer one.
 type Watched struct {
 	// Catalog is the newest configuration; nil when there was no newer one.
-	Catalog  *Catalog
+	Catalog *Catalog
+	// Revision is the source's: a wait for what comes after it misses no change.
 	Revision uint64
 	// ProvenAt is when the call that proved this was sent.
 	ProvenAt time.Time
@@ -56,7 +57,7 @@
 	wait time.Duration
 
 	current  atomic.Pointer[Catalog]
-	provenAt atomic.Pointer[time.Time]
+	proof    atomic.Pointer[proof]
 	onChange []func()
 	onReturn []func()
 
@@ -68,6 +69,26 @@
 	news chan struct{}
 }
 
+// neverProven is the age of a proof that there never was.
+const neverProven = time.Duration(1<<63 - 1)
+
+// proof is what showed that the catalog in force, or that there is none, is the newest word.
+type proof struct {
+	at time.Time
+	// revision is the source's, up to which all changes were seen.
+	revision uint64
+}
+
+// Known is what a keeper knows at one moment.
+type Known struct {
+	// Version is the version in force; zero while there is none.
+	Version uint64
+	// Revision is the source's, up to which all changes were seen.
+	Revision uint64
+	// ProvenAge is how long ago that was asked for.
+	ProvenAge time.Duration
+}
+
 // NewKeeper returns a keeper that asks the source with the given waiting time.
 func NewKeeper(source Source, log *event.Logger, watchWait time.Duration) *Keeper {
 	return &Keeper{source: source, log: log, wait: watchWait, news: make(chan struct{})}
@@ -102,11 +123,20 @@
 // ProvenAge is how long ago the catalog in force was last known to be the
 // newest, counted from when the proving call was sent.
 func (k *Keeper) ProvenAge(now time.Time) time.Duration {
-	at := k.provenAt.Load()
-	if at == nil {
-		return time.Duration(1<<63 - 1)
+	p := k.proof.Load()
+	if p == nil {
+		return neverProven
 	}
-	return now.Sub(*at)
+	return now.Sub(p.at)
+}
+
+func (k *Keeper) known() Known {
+	// The proof is read first: a catalog that is adopted meanwhile is newer than it says.
+	p := k.proof.Load()
+	if p == nil {
+		return Known{Version: k.Version(), ProvenAge: neverProven}
+	}
+	return Known{Version: k.Version(), Revision: p.revision, ProvenAge: clock.Since(p.at)}
 }
 
 func (k *Keeper) loop(ctx context.Context) {
@@ -129,6 +159,7 @@
 			// There is none yet; a watch hears of the first one. Asking again and again
 			// took five calls of each node.
 			listed, revision = true, w.Revision
+			k.proven(w)
 		case errors.Is(err, platform.ErrNotFound):
 			wait.Sleep(ctx, missing.Next())
 		default:
@@ -142,9 +173,7 @@
 	if listed {
 		return k.source.Changed(ctx, revision, k.wait)
 	}
-	asked := clock.Now()
-	c, next, err := k.source.Current(ctx)
-	return Watched{Catalog: c, Revision: next, ProvenAt: asked}, err
+	return k.source.Current(ctx)
 }
 
 // Version is the version in force; zero before the first reading.
@@ -155,24 +184,23 @@
 	return 0
 }
 
-// Await waits up to wait for a version above the given one, and returns the version
-// in force and how long ago it was known to be the newest.
-func (k *Keeper) Await(ctx context.Context, version uint64, wait time.Duration) (uint64, time.Duration) {
+// Await waits up to wait for a version above the given one, and returns what is known then.
+func (k *Keeper) Await(ctx context.Context, version uint64, wait time.Duration) Known {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		k.mu.Lock()
 		news := k.news
 		k.mu.Unlock()
-		if current := k.Version(); current > version {
-			return current, k.ProvenAge(clock.Now())
+		if current := k.known(); current.Version > version {
+			return current
 		}
 		select {
 		case <-news:
 		case <-timer.C:
-			return k.Version(), k.ProvenAge(clock.Now())
+			return k.known()
 		case <-ctx.Done():
-			return k.Version(), k.ProvenAge(clock.Now())
+			return k.known()
 		}
 	}
 }
@@ -186,8 +214,8 @@
 		}
 	}
 	k.adopt(w.Catalog)
-	if old := k.provenAt.Load(); old == nil || w.ProvenAt.After(*old) {
-		k.provenAt.Store(&w.ProvenAt)
+	if old := k.proof.Load(); old == nil || w.ProvenAt.After(old.at) {
+		k.proof.Store(&proof{at: w.ProvenAt, revision: w.Revision})
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/catalog/keeper_test.go
+++ b/internal/catalog/keeper_test.go
@@ -19,13 +19,13 @@
 }
 
 // Current implements Source.
-func (e *empty) Current(context.Context) (*Catalog, uint64, error) {
+func (e *empty) Current(context.Context) (Watched, error) {
 	e.calls.Add(1)
 	if time.Now().Before(e.written) {
-		return nil, 5, platform.ErrNotFound
+		return Watched{Revision: 5, ProvenAt: time.Now()}, platform.ErrNotFound
 	}
 	c, err := New(Content{Version: 1})
-	return c, 6, err
+	return Watched{Catalog: c, Revision: 6, ProvenAt: time.Now()}, err
 }
 
 // Changed implements Source; it waits for the first configuration, and then for none.
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -289,15 +289,15 @@
 	return out
 }
 
-// Sources are the fittest nodes of this failure domain, which read whole lists from the platform for
-// the others, and whether the nodes' records were read.
-func (c *Cluster) Sources() ([]Record, bool) {
+// Domain are the nodes of this failure domain, the fittest first and this one included, and
+// whether the nodes' records were read.
+func (c *Cluster) Domain() ([]Record, bool) {
 	if c.recordsAt.Load() == nil {
 		return nil, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.topology.candidates(c.config.Self.FailureDomain), true
+	return c.topology.domain(c.config.Self.FailureDomain), true
 }
 
 // KnownSince is when the nodes' records were first read; false before.
--- a/internal/cluster/topology.go
+++ b/internal/cluster/topology.go
@@ -71,6 +71,12 @@
 }
 
 func (t topology) candidates(domain string) []Record {
+	all := t.domain(domain)
+	return all[:min(len(all), hubCandidates)]
+}
+
+// domain are the nodes of a failure domain, the fittest first.
+func (t topology) domain(domain string) []Record {
 	var out []Record
 	if t.self.FailureDomain == domain {
 		out = append(out, t.self)
@@ -81,7 +87,7 @@
 		}
 	}
 	slices.SortFunc(out, before)
-	return out[:min(len(out), hubCandidates)]
+	return out
 }
 
 // isHub reports whether this node sums up others' states.
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -154,8 +154,8 @@
 // Size implements feed.Nodes.
 func (n liveNodes) Size() int { return (*n.cluster).Size() }
 
-// Sources implements feed.Nodes.
-func (n liveNodes) Sources() ([]cluster.Record, bool) { return (*n.cluster).Sources() }
+// Domain implements feed.Nodes.
+func (n liveNodes) Domain() ([]cluster.Record, bool) { return (*n.cluster).Domain() }
 
 func (b base) gatewayConfig() gateway.Config {
 	s := b.settings
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -136,7 +136,7 @@
 		"None."}
 	UpstreamRestarted = Event{4029, zerolog.InfoLevel, "an upstream VM started again under its ID; what was known of its former life has ended",
 		"None. Requests that the former life took may have run."}
-	ListAsked = Event{4030, zerolog.InfoLevel, "another node was asked for the whole list of upstream VMs",
+	SourceAsked = Event{4030, zerolog.InfoLevel, "another node was asked for the whole list of upstream VMs or the configuration",
 		"None; with an error the next source is asked, and then the platform."}
 	ListRead = Event{4031, zerolog.InfoLevel, "the whole list of upstream VMs was read; only what changes after it has lines of its own",
 		"None."}
@@ -195,7 +195,7 @@
 	PlanCommitted, PlanLost, OrderRefused, VMLost, VMReturned, PeerLost, PeerReturned, ControlSwitched, ViewUnreadable,
 	UpstreamAdded, UpstreamDraining, UpstreamGone, MembershipChanged, OrderSent,
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
-	DutyTaken, DutyLeft, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, ListAsked, ListRead,
+	DutyTaken, DutyLeft, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceAsked, ListRead,
 	RequestDone, RequestRefused, RequestFailed, BadInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerLeft, RepeatRefused, UpstreamEnded, RequestQuarantined,
 	SuspectsHeard, QuarantineUnread, QuarantineStored, RequestUnanswered,
--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -5,11 +5,14 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
 // catalogQuestion is how the configuration is followed. A leader's own watch waits for
@@ -26,9 +29,6 @@
 	version func() uint64
 	// decode reads the operators' document.
 	decode func([]byte) (*catalog.Catalog, error)
-	// stale is true when the revision of the last reading is too old to watch from.
-	// It belongs to the keeper's goroutine.
-	stale bool
 }
 
 // NewCatalog returns a source over the platform's.
@@ -38,10 +38,41 @@
 
 var _ catalog.Source = (*Catalog)(nil)
 
-// Current implements catalog.Source.
-func (c *Catalog) Current(ctx context.Context) (*catalog.Catalog, uint64, error) {
-	c.stale = false
-	return c.own.Current(ctx)
+// Current implements catalog.Source: with many nodes most have the configuration from others.
+func (c *Catalog) Current(ctx context.Context) (catalog.Watched, error) {
+	w, err := whole[catalog.Watched]{of: "configuration", leader: c.leader, ask: c.currentOf, own: c.current}.read(ctx)
+	if err == nil && w.Catalog == nil {
+		err = errors.Wrap(platform.ErrNotFound, "no configuration yet")
+	}
+	return w, err
+}
+
+// current reads the configuration at the platform. That there is none is no error here.
+func (c *Catalog) current(ctx context.Context) (catalog.Watched, error) {
+	w, err := c.own.Current(ctx)
+	if errors.Is(err, platform.ErrNotFound) && w.Revision > 0 {
+		err = nil
+	}
+	return w, err
+}
+
+// currentOf asks a source for its configuration.
+func (c *Catalog) currentOf(ctx context.Context, source cluster.Record, wait time.Duration) (catalog.Watched, error) {
+	asked := clock.Now()
+	resp, err := c.leader.client(source).FollowCatalog(ctx, connect.NewRequest(&marbleroadv1.FollowCatalogRequest{
+		WaitMs: uint32(wait.Milliseconds())}))
+	if err != nil {
+		return catalog.Watched{}, err
+	}
+	clock.Sync()
+	w := catalog.Watched{Revision: resp.Msg.GetRevision(), ProvenAt: asked.Add(milliseconds(resp.Msg.GetProvenAfterMs()))}
+	if w.Revision == 0 || clock.Since(w.ProvenAt) > catalogQuestion.mostAge+mostTransfer {
+		return catalog.Watched{}, errNoSource
+	}
+	if resp.Msg.GetVersion() > 0 {
+		w.Catalog, err = c.unpack(resp.Msg.GetDocument())
+	}
+	return w, err
 }
 
 // Changed implements catalog.Source.
@@ -59,20 +90,19 @@
 		}
 		return resp.Msg, milliseconds(resp.Msg.GetProvenAfterMs()), nil
 	})
-	c.stale = true
-	switch {
-	case err != nil || next.GetVersion() < known:
-		// A leader that is behind proves nothing.
-		return c.read(ctx)
-	case next.GetVersion() == known:
-		return catalog.Watched{Revision: revision, ProvenAt: provenAt}, nil
-	}
-	newer, err := c.unpack(next.GetDocument())
-	if err != nil {
+	out := catalog.Watched{Revision: max(revision, next.GetRevision()), ProvenAt: provenAt}
+	if next.GetVersion() > known {
+		// It is newer than what is in force here, also when its proof is old.
+		if out.Catalog, err = c.unpack(next.GetDocument()); err == nil {
+			return out, nil
+		}
 		c.leader.log.Emit(event.EntryUnreadable).Str("of", "configuration from the leader").Err(err).Send()
-		return c.read(ctx)
 	}
-	return catalog.Watched{Catalog: newer, Revision: revision, ProvenAt: provenAt}, nil
+	if err != nil || next.GetVersion() < known {
+		// A leader that is behind proves nothing. What came since is asked for at once.
+		return c.watch(ctx, revision, 0)
+	}
+	return out, nil
 }
 
 // unpack decodes a document as the leader sends it.
@@ -84,13 +114,8 @@
 	return c.decode(document)
 }
 
-// watch waits at the platform, from a reading of its own.
+// watch waits for changes at the platform itself, unless that is left to the leaders.
 func (c *Catalog) watch(ctx context.Context, revision uint64, wait time.Duration) (catalog.Watched, error) {
-	if c.stale {
-		w, err := c.read(ctx)
-		c.stale = err != nil
-		return w, err
-	}
 	if err := c.calls.allowed(clock.Now()); err != nil {
 		return catalog.Watched{}, err
 	}
@@ -98,14 +123,3 @@
 	c.calls.ended(clock.Now(), err)
 	return w, err
 }
-
-// read reads the configuration at the platform, unless that is left to the leaders.
-func (c *Catalog) read(ctx context.Context) (catalog.Watched, error) {
-	if err := c.calls.allowed(clock.Now()); err != nil {
-		return catalog.Watched{}, err
-	}
-	asked := clock.Now()
-	next, revision, err := c.own.Current(ctx)
-	c.calls.ended(clock.Now(), err)
-	return catalog.Watched{Catalog: next, Revision: revision, ProvenAt: asked}, err
-}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -58,9 +58,9 @@
 type Nodes interface {
 	Live(now time.Time) []cluster.Peer
 	Size() int
-	// Sources are the nodes of this failure domain that read whole lists for the others, and
+	// Domain are the nodes of this failure domain, the fittest first and this one included, and
 	// whether the records of all nodes were read.
-	Sources() ([]cluster.Record, bool)
+	Domain() ([]cluster.Record, bool)
 }
 
 // Leader finds the node to follow. It is shared by what is followed.
@@ -217,8 +217,8 @@
 // follow asks the leader within the bound and returns when its answer was proven; ask
 // returns that counted from the question. After any failure this node leaves the leader for a while.
 func follow[T any](ctx context.Context, l *Leader, leader cluster.Record, q question, ask func(context.Context) (T, time.Duration, error)) (T, time.Time, error) {
-	ctx, cancel := context.WithTimeout(ctx, q.wait+answerTime)
-	defer cancel()
+	ctx, progress := transport.WithProgress(ctx, q.wait+answerTime, answerTime, q.wait+mostTransfer)
+	defer progress.Stop()
 	asked := clock.Now()
 	answer, provenAfter, err := ask(ctx)
 	clock.Sync()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -97,15 +97,16 @@
 // versions makes the list a catalog.Source.
 type versions struct{ *list }
 
-func (v versions) Current(context.Context) (*catalog.Catalog, uint64, error) {
+func (v versions) Current(context.Context) (catalog.Watched, error) {
+	asked := time.Now()
 	v.calls.Add(1)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.down.Load() {
-		return nil, 0, platform.ErrUnavailable
+		return catalog.Watched{}, platform.ErrUnavailable
 	}
 	c, err := decodeVersion(strconv.AppendUint(nil, v.version, 10))
-	return c, v.version, err
+	return catalog.Watched{Catalog: c, Revision: v.version, ProvenAt: asked}, err
 }
 
 // decodeVersion reads a document that has the version alone.
@@ -120,8 +121,9 @@
 func (v versions) Changed(ctx context.Context, _ uint64, _ time.Duration) (catalog.Watched, error) {
 	asked := time.Now()
 	time.Sleep(5 * time.Millisecond)
-	c, revision, err := v.Current(ctx)
-	return catalog.Watched{Catalog: c, Revision: revision, ProvenAt: asked}, err
+	w, err := v.Current(ctx)
+	w.ProvenAt = asked
+	return w, err
 }
 
 // many is a cluster in which the leader is live.
@@ -129,8 +131,8 @@
 
 func (m many) Size() int { return followNodes + 1 }
 
-// Sources are none: each node reads the whole list.
-func (m many) Sources() ([]cluster.Record, bool) { return nil, true }
+// Domain is of no node: each reads the whole list.
+func (m many) Domain() ([]cluster.Record, bool) { return nil, true }
 func (m many) Live(now time.Time) []cluster.Peer {
 	return []cluster.Peer{{Record: m.leader, State: &marbleroadv1.NodeState{}, HeardAt: now}}
 }
@@ -326,8 +328,8 @@
 // groups.
 type domainOf []string
 
-func (d domainOf) Size() int                         { return followNodes + len(d) }
-func (d domainOf) Sources() ([]cluster.Record, bool) { return nil, true }
+func (d domainOf) Size() int                        { return followNodes + len(d) }
+func (d domainOf) Domain() ([]cluster.Record, bool) { return nil, true }
 func (d domainOf) Live(now time.Time) []cluster.Peer {
 	var out []cluster.Peer
 	for _, id := range d {
--- a/internal/feed/first.go
+++ b/internal/feed/first.go
@@ -1,13 +1,11 @@
 package feed
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
@@ -15,114 +13,177 @@
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/platform"
+	"github.com/marbleroad/marbleroad/internal/transport"
 	"github.com/marbleroad/marbleroad/internal/wait"
 )
 
 const (
-	// recordsLimit is how long a node that starts waits for the records of the others; it
-	// takes a few calls to the platform.
-	recordsLimit = 400 * time.Millisecond
+	// recordsLimit is how long a reading waits for the records of the other nodes, which say whom
+	// to ask.
+	recordsLimit = 3 * time.Second
 	// recordsPause is the time between two looks for them.
 	recordsPause = 10 * time.Millisecond
-	// listWait is how long a source may take to have a list that is young enough.
-	listWait = 1200 * time.Millisecond
-	// listMargin is added to it for the way of the list over a narrow link.
-	listMargin = 800 * time.Millisecond
-	// sourcesLimit is for how long sources are asked before a node reads for itself, and
-	// sourcesPause the time between two rounds: sources that start at the same time may not
-	// listen yet.
-	sourcesLimit = 2500 * time.Millisecond
-	sourcesPause = 100 * time.Millisecond
+	// sourceWait is how long a source may take to have what it is asked for, and sourcePause how
+	// long its answer may then stand still.
+	sourceWait  = 1200 * time.Millisecond
+	sourcePause = 800 * time.Millisecond
+	// mostTransfer bounds a whole answer of a source: a list and a configuration over a link that
+	// the source shares with all who ask it.
+	mostTransfer = 4 * time.Second
+	// tick is the time between two looks at who is to be asked next: sources that start at the
+	// same time may not listen yet.
+	tick = 100 * time.Millisecond
 )
 
-// errNoSource means that no other node has the list.
-var errNoSource = errors.New("no other node has the list of upstream VMs")
-
-// List implements fleet.Source. With many nodes a few of each failure domain read the whole list
-// from the platform, and the others have it from them: when all nodes start at once, the
-// platform's link could not carry a list for each.
-func (f *Fleet) List(ctx context.Context) (fleet.Watched, error) {
-	f.awaitRecords(ctx)
-	if !f.leader.readsLists() {
-		listed, err := f.listOfOthers(ctx)
-		if err == nil {
-			return listed, nil
-		}
-		if err := f.calls.allowed(clock.Now()); err != nil {
-			return fleet.Watched{}, err
+// errNoSource means that a source does not have what it was asked for.
+var errNoSource = errors.New("the other node does not have it")
+
+// errNotTaken means that no other node has what was asked for, and that this node leaves it to others to
+// read it.
+var errNotTaken = errors.Mark(errors.New("the nodes that read the platform for this one do not have it yet"), platform.ErrUnavailable)
+
+// whole is how one large object of the platform is read by a node that has nothing of it. With many nodes,
+// a few of each failure domain read it from the platform and the others have it from them: when all
+// nodes start at once, the platform's link could not carry it to each.
+type whole[T any] struct {
+	// of names the object in lines.
+	of     string
+	leader *Leader
+	// ask reads it from another node, which may wait that long until it has it; own reads it from the
+	// platform.
+	ask func(context.Context, cluster.Record, time.Duration) (T, error)
+	own func(context.Context) (T, error)
+}
+
+// read returns the object from another node, or from the platform when that is up to this node.
+func (w whole[T]) read(ctx context.Context) (T, error) {
+	w.leader.awaitRecords(ctx)
+	rank, ranked := w.leader.rank()
+	if !ranked {
+		return w.own(ctx)
+	}
+	if rank >= firstReaders {
+		got, err := w.readFromOthers(ctx, newAsking(w.leader.self, w.leader.domain(), rank))
+		if !errors.Is(err, errOwnTurn) {
+			return got, err
 		}
 	}
-	listed, err := f.own.List(ctx)
-	f.calls.ended(clock.Now(), err)
-	return listed, err
+	got, err := w.own(ctx)
+	if !errors.Is(err, platform.ErrUnavailable) {
+		return got, err
+	}
+	// The platform may refuse this node and serve others.
+	other, otherErr := w.readFromOthers(ctx, newBriefAsking(w.leader.self, w.leader.domain()))
+	if otherErr == nil {
+		return other, nil
+	}
+	return got, err
 }
 
-// listOfOthers asks the sources one after the other, and again those that fail.
-func (f *Fleet) listOfOthers(ctx context.Context) (fleet.Watched, error) {
-	for end := clock.Now().Add(sourcesLimit); clock.Now().Before(end); wait.Sleep(ctx, sourcesPause) {
-		for _, source := range f.leader.sources() {
-			if listed, err := f.askSource(ctx, source); err == nil || ctx.Err() != nil {
-				return listed, err
-			}
+// answer is what one source said.
+type answer[T any] struct {
+	source string
+	got    T
+	err    error
+}
+
+// readFromOthers asks sources until one has the object. errOwnTurn means that this node is to read it itself.
+func (w whole[T]) readFromOthers(ctx context.Context, asking *asking) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	begun := clock.Now()
+	answers := make(chan answer[T])
+	var none T
+	for ctx.Err() == nil {
+		elapsed := clock.Since(begun)
+		if ended, err := asking.over(elapsed); ended {
+			return none, err
+		}
+		if source, ok := asking.next(elapsed); ok {
+			go func() {
+				got, err := w.askOne(ctx, source, asking.wait)
+				select {
+				case answers <- answer[T]{source.ID, got, err}:
+				case <-ctx.Done():
+				}
+			}()
 		}
+		a, ok := receive(ctx, answers, tick)
+		if !ok {
+			continue
+		}
+		asking.answered(a.source, a.err)
+		if a.err == nil {
+			return a.got, nil
+		}
+		wait.Sleep(ctx, tick)
 	}
-	return fleet.Watched{}, errNoSource
+	return none, ctx.Err()
 }
 
-// awaitRecords has the first list wait for the nodes' records, which say whom to ask.
-func (f *Fleet) awaitRecords(ctx context.Context) {
-	if f.recordsAwaited {
-		return
+// receive waits up to most for a value.
+func receive[T any](ctx context.Context, from <-chan T, most time.Duration) (T, bool) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case v := <-from:
+		return v, true
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	f.recordsAwaited = true
+	var none T
+	return none, false
+}
+
+// askOne asks one source within the bounds of its answer.
+func (w whole[T]) askOne(ctx context.Context, source cluster.Record, wait time.Duration) (T, error) {
+	ctx, progress := transport.WithProgress(ctx, wait+sourcePause, sourcePause, wait+mostTransfer)
+	defer progress.Stop()
+	asked := clock.Now()
+	got, err := w.ask(ctx, source, wait)
+	w.leader.log.Emit(event.SourceAsked).Str("of", w.of).Str("source", source.ID).Dur("took_ms", clock.Since(asked)).Err(err).Send()
+	return got, errors.Wrapf(err, "ask %s", source.ID)
+}
+
+// awaitRecords waits for the nodes' records. Without them a node does not know whom to ask; if each
+// then read for itself, all would do so at the moment at which the platform is back.
+func (l *Leader) awaitRecords(ctx context.Context) {
 	for end := clock.Now().Add(recordsLimit); clock.Now().Before(end); wait.Sleep(ctx, recordsPause) {
-		if _, known := f.leader.nodes.Sources(); known || ctx.Err() != nil {
+		if _, known := l.nodes.Domain(); known || ctx.Err() != nil {
 			return
 		}
 	}
 }
 
-func (f *Fleet) askSource(ctx context.Context, source cluster.Record) (fleet.Watched, error) {
-	asked := clock.Now()
-	listed, err := f.listOf(ctx, source)
-	f.leader.log.Emit(event.ListAsked).Str("source", source.ID).Int("vms", len(listed.Changes)).Uint64("revision", listed.Revision).
-		Dur("took_ms", clock.Since(asked)).Err(err).Send()
-	return listed, err
+// domain are the nodes of the failure domain, the fittest first.
+func (l *Leader) domain() []cluster.Record {
+	records, _ := l.nodes.Domain()
+	return records
 }
 
-// listOf asks one source for its list.
-func (f *Fleet) listOf(ctx context.Context, source cluster.Record) (fleet.Watched, error) {
-	ctx, cancel := context.WithTimeout(ctx, listWait+listMargin)
-	defer cancel()
+// rank is this node's place among the nodes of its failure domain; false when it reads everything for
+// itself, since there are few nodes or nothing is known of them.
+func (l *Leader) rank() (int, bool) {
+	records, known := l.nodes.Domain()
+	if !known || l.nodes.Size() <= followNodes {
+		return 0, false
+	}
+	rank := slices.IndexFunc(records, func(r cluster.Record) bool { return r.ID == l.self.ID })
+	return rank, rank >= 0
+}
+
+// listOf asks a source for the list of upstream VMs.
+func (l *Leader) listOf(ctx context.Context, source cluster.Record, wait time.Duration) (fleet.Watched, error) {
 	asked := clock.Now()
-	resp, err := f.leader.client(source).FollowFleet(ctx, connect.NewRequest(&marbleroadv1.FollowFleetRequest{
-		WaitMs: uint32(listWait.Milliseconds())}))
+	resp, err := l.client(source).FollowFleet(ctx, connect.NewRequest(&marbleroadv1.FollowFleetRequest{
+		WaitMs: uint32(wait.Milliseconds())}))
 	clock.Sync()
 	switch {
 	case err != nil:
-		return fleet.Watched{}, errors.Wrapf(err, "ask %s for the list", source.ID)
+		return fleet.Watched{}, err
 	case resp.Msg.GetCompacted():
-		return fleet.Watched{}, errors.Wrapf(errNoSource, "ask %s", source.ID)
-	}
-	out := watched(resp.Msg, asked.Add(milliseconds(resp.Msg.GetProvenAfterMs())))
-	if age := clock.Since(out.ProvenAt); age > fleetQuestion.mostAge+listMargin {
-		return fleet.Watched{}, errors.Wrapf(errLeader, "its proof is %s old", age)
+		return fleet.Watched{}, errNoSource
 	}
-	return out, nil
-}
-
-// readsLists reports whether this node reads whole lists from the platform itself: it is one of few
-// nodes or a source of the others, or nothing is known of the others.
-func (l *Leader) readsLists() bool {
-	records, known := l.nodes.Sources()
-	return !known || len(records) == 0 || l.nodes.Size() <= followNodes || slices.ContainsFunc(records, l.isSelf)
-}
-
-func (l *Leader) isSelf(r cluster.Record) bool { return r.ID == l.self.ID }
-
-// sources are the nodes to ask for the whole list, in the order in which this node asks them.
-func (l *Leader) sources() []cluster.Record {
-	records, _ := l.nodes.Sources()
-	order := func(r cluster.Record) uint64 { return xxhash.Sum64String(r.ID + "/" + l.self.ID) }
-	return slices.SortedFunc(slices.Values(records), func(a, b cluster.Record) int { return cmp.Compare(order(a), order(b)) })
+	return watched(resp.Msg, asked.Add(milliseconds(resp.Msg.GetProvenAfterMs()))), nil
 }
--- a/internal/feed/first_test.go
+++ b/internal/feed/first_test.go
@@ -86,13 +86,14 @@
 type narrowDocuments struct{ *narrow }
 
 // Current implements catalog.Source.
-func (n narrowDocuments) Current(context.Context) (*catalog.Catalog, uint64, error) {
+func (n narrowDocuments) Current(context.Context) (catalog.Watched, error) {
 	n.documents.Add(1)
+	asked := time.Now()
 	if err := n.carry(); err != nil {
-		return nil, 0, err
+		return catalog.Watched{}, err
 	}
 	c, err := decodeVersion([]byte("1"))
-	return c, 1, err
+	return catalog.Watched{Catalog: c, Revision: 1, ProvenAt: asked}, err
 }
 
 // Changed implements catalog.Source; nothing changes.
@@ -108,8 +109,7 @@
 func (s started) Size() int                     { return len(s.records) }
 func (s started) Live(time.Time) []cluster.Peer { return nil }
 
-// Sources are the first three nodes.
-func (s started) Sources() ([]cluster.Record, bool) { return s.records[:3], true }
+func (s started) Domain() ([]cluster.Record, bool) { return s.records, true }
 
 // startSite starts the nodes of one failure domain at the same moment.
 func startSite(t *testing.T, link *narrow, count int) []*node {
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -32,9 +32,6 @@
 	own    fleet.Source
 	leader *Leader
 	calls  own
-	// recordsAwaited is true once the nodes' records were waited for. It belongs to the
-	// directory's goroutine.
-	recordsAwaited bool
 }
 
 // NewFleet returns a source over the platform's.
@@ -44,6 +41,11 @@
 
 var _ fleet.Source = (*Fleet)(nil)
 
+// List implements fleet.Source: with many nodes most have the list from others.
+func (f *Fleet) List(ctx context.Context) (fleet.Watched, error) {
+	return whole[fleet.Watched]{of: "list", leader: f.leader, ask: f.leader.listOf, own: f.own.List}.read(ctx)
+}
+
 // Watch implements fleet.Source.
 func (f *Fleet) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.Watched, error) {
 	leader, ok := f.leader.pick(clock.Now())
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -53,9 +53,10 @@
 // FollowCatalog implements part of ClusterService.
 func (s *Server) FollowCatalog(ctx context.Context, r *connect.Request[marbleroadv1.FollowCatalogRequest]) (*connect.Response[marbleroadv1.FollowCatalogResponse], error) {
 	arrived := clock.Now()
-	version, age := s.Keeper.Await(ctx, r.Msg.GetVersion(), min(milliseconds(r.Msg.GetWaitMs()), mostWait))
-	out := &marbleroadv1.FollowCatalogResponse{Version: version, ProvenAfterMs: after(arrived, clock.Now().Add(-age))}
-	if version <= r.Msg.GetVersion() {
+	known := s.Keeper.Await(ctx, r.Msg.GetVersion(), min(milliseconds(r.Msg.GetWaitMs()), mostWait))
+	out := &marbleroadv1.FollowCatalogResponse{Version: known.Version, Revision: known.Revision,
+		ProvenAfterMs: after(arrived, clock.Now().Add(-known.ProvenAge))}
+	if known.Version <= r.Msg.GetVersion() {
 		return connect.NewResponse(out), nil
 	}
 	// A still newer one may have been adopted since, which is as well proven.
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -17,7 +17,9 @@
 // fixed is a catalog that never changes.
 type fixed struct{ c *catalog.Catalog }
 
-func (f fixed) Current(context.Context) (*catalog.Catalog, uint64, error) { return f.c, 1, nil }
+func (f fixed) Current(context.Context) (catalog.Watched, error) {
+	return catalog.Watched{Catalog: f.c, Revision: 1, ProvenAt: time.Now()}, nil
+}
 func (f fixed) Changed(ctx context.Context, _ uint64, _ time.Duration) (catalog.Watched, error) {
 	<-ctx.Done()
 	return catalog.Watched{}, platform.ErrUnavailable
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,13 +24,13 @@
 }
 
 // WithProgress returns a context that ends when the answer does not begin within first, when nothing
-// of it arrives for pause, or when it is not whole after most. Its cause is then ErrSilent. The caller
-// calls Stop when the call is over.
+// of it arrives for pause, or when it is not whole after most. Its cause is then ErrSilent. Calls with a
+// client of Peers tell it of arrivals, others by Arrived and Reader. The caller calls Stop when the call is over.
 func WithProgress(ctx context.Context, first, pause, most time.Duration) (context.Context, *Progress) {
 	ctx, stop := context.WithCancelCause(ctx)
 	p := &Progress{pause: pause, end: time.Now().Add(most), stop: stop}
 	p.timer = time.AfterFunc(min(first, most), func() { stop(ErrSilent) })
-	return ctx, p
+	return context.WithValue(ctx, progressKey{}, p), p
 }
 
 // Arrived gives the answer another pause, within the bound of the whole.
@@ -61,3 +62,31 @@
 	}
 	return n, err
 }
+
+// progressKey is where a context holds its Progress.
+type progressKey struct{}
+
+// progressTransport tells the Progress of a call's context of each arrival.
+type progressTransport struct{ inner http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t progressTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.inner.RoundTrip(r)
+	p, ok := r.Context().Value(progressKey{}).(*Progress)
+	if err != nil || !ok {
+		return resp, err
+	}
+	p.Arrived()
+	resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{p.Reader(resp.Body), resp.Body}
+	return resp, nil
+}
+
+// CloseIdleConnections is called by http.Client.
+func (t progressTransport) CloseIdleConnections() {
+	if inner, ok := t.inner.(interface{ CloseIdleConnections() }); ok {
+		inner.CloseIdleConnections()
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -106,13 +106,13 @@
 	var protocols http.Protocols
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(p.tls == nil)
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: progressTransport{&http.Transport{
 		DialContext:     Metered(p.dialer.DialContext, &p.Traffic.Peers),
 		TLSClientConfig: p.tls.Clone(),
 		Protocols:       &protocols,
 		IdleConnTimeout: idleTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
-	}}
+	}}}
 }
 
 // ClientOptions are those of calls between nodes, whose answers have that many bytes
