A node that starts again reads the records of the others first

Its own record is there from its former life. It wrote it anew (refused), read the old one and only then those of the others: three calls before it knew whom to ask, 0.5 s with a store that takes 160 ms (computed), where the wait for the records was 0.4 s; with refused writes it never knew. While nothing is known the pause after a failed try is 0.6 s at most, since everything else waits for this.

A first start takes one call more (three in place of two), a restart two fewer (one in place of three). TestRestartedNodeKnowsTheOthersWithoutAWrite failed before (20 s, in vain).

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -89,6 +89,52 @@
 	}
 }
 
+// refusing is a store that takes no writes.
+type refusing struct {
+	platform.ObjectStore
+	list   []platform.Object
+	writes atomic.Int32
+}
+
+// Put implements platform.ObjectStore.
+func (r *refusing) Put(context.Context, string, []byte, uint64) (platform.Object, error) {
+	r.writes.Add(1)
+	return platform.Object{}, platform.ErrUnknown
+}
+
+// List implements platform.ObjectStore.
+func (r *refusing) List(context.Context, string) ([]platform.Object, uint64, error) {
+	return r.list, 1, nil
+}
+
+// TestRestartedNodeKnowsTheOthersWithoutAWrite: a node that started again wrote its record anew, met the
+// old one, read that and only then read those of the others: three calls before it knew whom to ask for
+// the list, and none of it while the platform refused writes.
+func TestRestartedNodeKnowsTheOthersWithoutAWrite(t *testing.T) {
+	log, err := event.New(io.Discard, "error", "n", "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peers, err := transport.NewPeers(settings.TLS{}, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := &refusing{list: []platform.Object{
+		{Key: nodesPrefix + "a", Value: []byte(`{"id":"a","address":"127.0.0.1:0"}`)},
+		{Key: nodesPrefix + "b", Value: []byte(`{"id":"b","address":"127.0.0.1:1"}`)},
+	}}
+	c := New(Config{Self: Record{ID: "a", Address: "127.0.0.1:0"}, Interval: time.Second}, log, store, peers,
+		func() *marbleroadv1.NodeState { return &marbleroadv1.NodeState{Node: "a"} })
+	if err := c.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Stop(context.Background()) })
+	until(t, "the other node to be known", func() bool { return c.Counted() == 2 })
+	if n := store.writes.Load(); n != 0 {
+		t.Errorf("%d writes of a record that stands", n)
+	}
+}
+
 func until(t *testing.T, what string, done func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(testWait); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,9 @@
 	// that it finds itself.
 	registerPause     = 150 * time.Millisecond
 	mostRegisterPause = 1200 * time.Millisecond
+	// mostUnknownPause is the longest pause, up to doubled by jitter, of a node that has not read the
+	// others' records.
+	mostUnknownPause = 300 * time.Millisecond
 	// firstNodesInterval is the time from the first reading of the nodes'
 	// records to the second, which finds nodes that started at the same time.
 	firstNodesInterval = time.Second
@@ -40,27 +44,67 @@
 	Processor float64 `json:"processor,omitempty"`
 }
 
-// registerLoop writes this node's record and then reads the others' now and then.
+// registerLoop reads the nodes' records, writes this node's own unless it is there, and then reads the
+// others' now and then. A node that starts again finds its record in place: it knows the others after
+// one call, also while the platform refuses writes.
 func (c *Cluster) registerLoop() {
 	defer c.done.Done()
 	backoff := registerBackoff()
+	registered := false
 	for c.ctx.Err() == nil {
-		err := c.register()
-		if err == nil {
-			break
+		found, err := c.readNodes()
+		registered = registered || found
+		switch {
+		case err != nil:
+			c.unread(err)
+		case registered:
+			c.know()
+			c.refreshLoop()
+			return
+		default:
+			if err = c.register(); err == nil {
+				// Nodes that start together register together.
+				registered = true
+				continue
+			}
+			c.log.Emit(event.RegisterFailed).Err(err).Send()
 		}
-		c.log.Emit(event.RegisterFailed).Err(err).Send()
-		wait.Sleep(c.ctx, backoff.Next())
+		wait.Sleep(c.ctx, c.registerPause(backoff))
 	}
+}
+
+// know notes that the others' records were read.
+func (c *Cluster) know() {
+	read := clock.Now()
+	c.recordsAt.CompareAndSwap(nil, &read)
+	c.plan()
+}
+
+func (c *Cluster) unread(err error) {
+	if c.ctx.Err() == nil {
+		c.log.Emit(event.NodesUnread).Err(err).Send()
+	}
+}
+
+// registerPause is the pause after a failed try. A node that does not know the others yet has
+// nothing to read from them either, so it sees soon that the platform is back.
+func (c *Cluster) registerPause(backoff *wait.Backoff) time.Duration {
+	pause := backoff.Next()
+	if c.recordsAt.Load() == nil {
+		return min(pause, mostUnknownPause+rand.N(mostUnknownPause))
+	}
+	return pause
+}
+
+// refreshLoop reads the records of nodes that came since.
+func (c *Cluster) refreshLoop() {
 	pause := firstNodesInterval
-	for c.ctx.Err() == nil {
-		next := pause
+	for wait.Sleep(c.ctx, pause) {
 		pause = nodesInterval
-		if err := c.readNodes(); err != nil && c.ctx.Err() == nil {
-			c.log.Emit(event.NodesUnread).Err(err).Send()
-			next, pause = nodesRetry, firstNodesInterval
+		if _, err := c.readNodes(); err != nil {
+			c.unread(err)
+			pause = nodesRetry
 		}
-		wait.Sleep(c.ctx, next)
 	}
 }
 
@@ -90,10 +134,11 @@
 	return err
 }
 
-func (c *Cluster) readNodes() error {
+// readNodes reads the records of all nodes. It reports whether this node's own is among them.
+func (c *Cluster) readNodes() (found bool, err error) {
 	objects, _, err := c.store.List(c.ctx, nodesPrefix)
 	if err != nil {
-		return err
+		return false, err
 	}
 	for _, o := range objects {
 		var r Record
@@ -101,12 +146,11 @@
 			c.log.Emit(event.NodesUnread).Str("key", o.Key).Err(err).Send()
 			continue
 		}
+		found = found || r == c.config.Self
 		c.add(r)
 	}
-	read := clock.Now()
-	c.recordsAt.CompareAndSwap(nil, &read)
 	c.plan()
-	return nil
+	return found, nil
 }
 
 // add takes a node's record; it reports whether the node is new.
