A keeper sees soon that the platform is back, and followers hear it at once

Cause: while the platform is silent each watch hangs for its wait of a second and a timeout (1.7 s), and the first one after the return waits for news, as does the question of a follower. Now neither waits while the platform counts as away, as the list of upstream VMs has it already.

TestReturnOfASilentPlatformIsSeenSoon (virtual time, 40 phases; bound: a timeout and the longest pause) failed before in its first phase (the proof 6.5 s old).

--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -171,11 +171,20 @@
 
 func (k *Keeper) ask(ctx context.Context, listed bool, revision uint64) (Watched, error) {
 	if listed {
-		return k.source.Changed(ctx, revision, k.wait)
+		return k.source.Changed(ctx, revision, k.watchWait())
 	}
 	return k.source.Current(ctx)
 }
 
+// watchWait is how long the next watch may wait for news. While the source is away it does not wait,
+// so that its return is seen at once.
+func (k *Keeper) watchWait() time.Duration {
+	if k.lost {
+		return 0
+	}
+	return k.wait
+}
+
 // Version is the version in force; zero before the first reading.
 func (k *Keeper) Version() uint64 {
 	if c := k.Catalog(); c != nil {
--- a/internal/catalog/keeper_test.go
+++ b/internal/catalog/keeper_test.go
@@ -69,3 +69,51 @@
 		}
 	})
 }
+
+// silent is a store that answers nothing until it is back: calls end with their timeout.
+type silent struct{ back time.Time }
+
+const callTimeout = 700 * time.Millisecond
+
+// Current implements Source.
+func (s silent) Current(context.Context) (Watched, error) {
+	c, err := New(Content{Version: 1})
+	return Watched{Catalog: c, Revision: 1, ProvenAt: time.Now()}, err
+}
+
+// Changed implements Source. A call from before the return stays unanswered.
+func (s silent) Changed(_ context.Context, revision uint64, wait time.Duration) (Watched, error) {
+	asked := time.Now()
+	if asked.Before(s.back) {
+		time.Sleep(callTimeout + wait)
+		return Watched{}, platform.ErrUnavailable
+	}
+	time.Sleep(wait)
+	return Watched{Revision: revision, ProvenAt: asked}, nil
+}
+
+// TestReturnOfASilentPlatformIsSeenSoon: while the platform was silent, each watch hung for its wait and
+// a timeout, and the first one after its return waited for news. Nodes refused callers' keys for 2.5 s
+// after it was back.
+func TestReturnOfASilentPlatformIsSeenSoon(t *testing.T) {
+	for i := range 40 {
+		synctest.Test(t, func(t *testing.T) {
+			log, err := event.New(io.Discard, "error", "n", "test")
+			if err != nil {
+				t.Fatal(err)
+			}
+			back := time.Now().Add(5*time.Second + time.Duration(i)*50*time.Millisecond)
+			k := NewKeeper(silent{back}, log, time.Second)
+			if err := k.Start(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Until(back) + callTimeout + 2*mostRetryPause)
+			if age := k.ProvenAge(time.Now()); age > callTimeout+2*mostRetryPause {
+				t.Errorf("back %v after the start: the proof is %v old", time.Duration(i)*50*time.Millisecond, age)
+			}
+			if err := k.Stop(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -84,7 +84,7 @@
 	known := c.version()
 	next, provenAt, err := follow(ctx, c.leader, leader, catalogQuestion, func(ctx context.Context) (*marbleroadv1.FollowCatalogResponse, time.Duration, error) {
 		resp, err := c.leader.client(leader).FollowCatalog(ctx, connect.NewRequest(&marbleroadv1.FollowCatalogRequest{
-			Version: known, WaitMs: uint32(catalogQuestion.wait.Milliseconds())}))
+			Version: known, WaitMs: uint32(min(wait, catalogQuestion.wait).Milliseconds())}))
 		if err != nil {
 			return nil, 0, err
 		}
