--- a/internal/feed/first.go
+++ b/internal/feed/first.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http/httptrace"
 	"slices"
 	"sync/atomic"
@@ -22,7 +23,8 @@
 
 const (
 	// recordsLimit is how long a reading waits for the records of the other nodes, which say whom
-	// to ask.
+	// to ask; up to as much comes on top at random, so that nodes which wait for the platform do not
+	// all give up when it is back.
 	recordsLimit = 3 * time.Second
 	// recordsPause is the time between two looks for them.
 	recordsPause = 10 * time.Millisecond
@@ -160,7 +162,7 @@
 // awaitRecords waits for the nodes' records. Without them a node does not know whom to ask; if each
 // then read for itself, all would do so at the moment at which the platform is back.
 func (l *Leader) awaitRecords(ctx context.Context) {
-	for end := clock.Now().Add(recordsLimit); clock.Now().Before(end); wait.Sleep(ctx, recordsPause) {
+	for end := clock.Now().Add(recordsLimit + rand.N(recordsLimit)); clock.Now().Before(end); wait.Sleep(ctx, recordsPause) {
 		if _, known := l.nodes.Domain(); known || ctx.Err() != nil {
 			return
 		}
