A node out of touch with the platform still gives its list and configuration to those that start

Now it is given at once, and who takes one with a proof older than 2 s asks the platform what came since, a small answer. If the platform does not answer that either, the node goes by what the other one knows (4032); keys still need a proof. Ruled out: a list taken with its old proof and nothing asked, since a node in touch would send to VMs that have left.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -140,6 +140,8 @@
 		"None; with an error the next source is asked, and then the platform."}
 	ListRead = Event{4031, zerolog.InfoLevel, "the whole list of upstream VMs was read; only what changes after it has lines of its own",
 		"None."}
+	TakenUnproven = Event{4032, zerolog.WarnLevel, "another node's list or configuration is in use here though its proof is old, since the platform does not answer this node",
+		"Check the platform (3001). Keys are refused until the configuration is proven."}
 	HubChanged = Event{4028, zerolog.InfoLevel, "this node begins or ends to sum up the states of others as a hub",
 		"None."}
 	RequestRefused = Event{5002, zerolog.InfoLevel, "request refused",
@@ -195,7 +197,7 @@
 	PlanCommitted, PlanLost, OrderRefused, VMLost, VMReturned, PeerLost, PeerReturned, ControlSwitched, ViewUnreadable,
 	UpstreamAdded, UpstreamDraining, UpstreamGone, MembershipChanged, OrderSent,
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
-	DutyTaken, DutyLeft, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceAsked, ListRead,
+	DutyTaken, DutyLeft, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceAsked, ListRead, TakenUnproven,
 	RequestDone, RequestRefused, RequestFailed, BadInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerLeft, RepeatRefused, UpstreamEnded, RequestQuarantined,
 	SuspectsHeard, QuarantineUnread, QuarantineStored, RequestUnanswered,
--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -41,12 +41,31 @@
 // Current implements catalog.Source: with many nodes most have the configuration from others.
 func (c *Catalog) Current(ctx context.Context) (catalog.Watched, error) {
 	w, err := whole[catalog.Watched]{of: "configuration", leader: c.leader, ask: c.currentOf, own: c.current}.read(ctx)
+	if err == nil && clock.Since(w.ProvenAt) > youngProof {
+		w, err = c.refresh(ctx, w)
+	}
 	if err == nil && w.Catalog == nil {
 		err = errors.Wrap(platform.ErrNotFound, "no configuration yet")
 	}
 	return w, err
 }
 
+// refresh brings another node's configuration up to date, as Fleet.refresh does a list.
+func (c *Catalog) refresh(ctx context.Context, w catalog.Watched) (catalog.Watched, error) {
+	since, err := c.own.Changed(ctx, w.Revision, 0)
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
+		return c.current(ctx)
+	case err != nil:
+		c.leader.log.Emit(event.TakenUnproven).Str("of", "configuration").Dur("age_ms", clock.Since(w.ProvenAt)).Err(err).Send()
+		return w, nil
+	}
+	if since.Catalog == nil {
+		since.Catalog = w.Catalog
+	}
+	return since, nil
+}
+
 // current reads the configuration at the platform. That there is none is no error here.
 func (c *Catalog) current(ctx context.Context) (catalog.Watched, error) {
 	w, err := c.own.Current(ctx)
@@ -66,7 +85,7 @@
 	}
 	clock.Sync()
 	w := catalog.Watched{Revision: resp.Msg.GetRevision(), ProvenAt: asked.Add(milliseconds(resp.Msg.GetProvenAfterMs()))}
-	if w.Revision == 0 || clock.Since(w.ProvenAt) > catalogQuestion.mostAge+mostTransfer {
+	if w.Revision == 0 {
 		return catalog.Watched{}, errNoSource
 	}
 	if resp.Msg.GetVersion() > 0 {
--- a/internal/feed/first.go
+++ b/internal/feed/first.go
@@ -35,6 +35,8 @@
 	// mostTransfer bounds a whole answer of a source: a list and a configuration over a link that
 	// the source shares with all who ask it.
 	mostTransfer = 4 * time.Second
+	// youngProof is the age of an answer's proof above which the platform is asked what came since.
+	youngProof = 2 * time.Second
 	// tick is the time between two looks at who is to be asked next: sources that start at the
 	// same time may not listen yet.
 	tick = 100 * time.Millisecond
--- a/internal/feed/first_test.go
+++ b/internal/feed/first_test.go
@@ -164,6 +164,57 @@
 	}
 }
 
+// TestSourceOutOfTouchStillHelps: a third of the nodes was refused by a slow platform, and nodes that started
+// asked these for a list that they had, in vain, since its proof was older than a second. They had it up
+// to 4.9 s after their start.
+func TestSourceOutOfTouchStillHelps(t *testing.T) {
+	s := &store{vms: map[string]fleet.VM{"v": {ID: "v"}, "left": {ID: "left"}}, revision: 2, version: 1, changes: make([]fleet.Change, 2)}
+	source := start(t, s, func(l *list) (fleet.Source, func(func() uint64) catalog.Source) {
+		return l, func(func() uint64) catalog.Source { return versions{l} }
+	})
+	waitFor(t, "the source", func() bool { return source.directory.Snapshot() != nil && source.keeper.Version() == 1 })
+	source.platform.down.Store(true)
+	s.remove("left")
+	s.put(fleet.VM{ID: "new"})
+	waitFor(t, "its proof to be old", func() bool {
+		return source.directory.Snapshot().ProvenAt.Add(youngProof + 100*time.Millisecond).Before(time.Now())
+	})
+	mux := http.NewServeMux()
+	mux.Handle(marbleroadv1connect.NewClusterServiceHandler(handler{&Server{Directory: source.directory, Keeper: source.keeper}}))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	domain := ranked(domainRecords(60))
+	domain[0].Address = strings.TrimPrefix(server.URL, "http://")
+	for name, down := range map[string]bool{"in touch": false, "out of touch": true} {
+		t.Run(name, func(t *testing.T) {
+			own := &list{store: s}
+			own.down.Store(down)
+			leader := NewLeader(domain[59], domain, func() bool { return false }, testLog(t), http.DefaultClient,
+				func(address string) string { return "http://" + address })
+			listed, err := leader.listOf(context.Background(), domain[0], 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			listed, err = NewFleet(own, leader).refresh(context.Background(), listed)
+			var ids []string
+			for _, c := range listed.Changes {
+				ids = append(ids, c.VM.ID)
+			}
+			slices.Sort(ids)
+			want := []string{"new", "v"}
+			if down {
+				want = []string{"left", "v"}
+			}
+			if err != nil || !slices.Equal(ids, want) {
+				t.Errorf("lists %v, want %v; error %v", ids, want, err)
+			}
+			if young := time.Since(listed.ProvenAt) < time.Second; young == down {
+				t.Errorf("the proof is %v old", time.Since(listed.ProvenAt))
+			}
+		})
+	}
+}
+
 // TestLargeConfigurationAtARestartOfAllNodes: 295 nodes that lost power together each read a
 // configuration of 4,129 routes from the platform. Reads that were not whole in time were thrown away
 // and made again, and the link was full of answers that nobody finished: first answers came 13.7 s
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -9,6 +9,7 @@
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/platform"
 )
@@ -43,7 +44,47 @@
 
 // List implements fleet.Source: with many nodes most have the list from others.
 func (f *Fleet) List(ctx context.Context) (fleet.Watched, error) {
-	return whole[fleet.Watched]{of: "list", leader: f.leader, ask: f.leader.listOf, own: f.own.List}.read(ctx)
+	listed, err := whole[fleet.Watched]{of: "list", leader: f.leader, ask: f.leader.listOf, own: f.own.List}.read(ctx)
+	if err != nil || clock.Since(listed.ProvenAt) <= youngProof {
+		return listed, err
+	}
+	return f.refresh(ctx, listed)
+}
+
+// refresh adds to another node's list what has changed since. That node may be out of touch with the
+// platform; if this one is too, it goes by what the other knows.
+func (f *Fleet) refresh(ctx context.Context, listed fleet.Watched) (fleet.Watched, error) {
+	since, err := f.own.Watch(ctx, listed.Revision, 0)
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
+		return f.own.List(ctx)
+	case err != nil:
+		f.leader.log.Emit(event.TakenUnproven).Str("of", "list").Dur("age_ms", clock.Since(listed.ProvenAt)).Err(err).Send()
+		return listed, nil
+	}
+	since.Changes = merge(listed.Changes, since.Changes)
+	since.Relayed = listed.Relayed
+	return since, nil
+}
+
+// merge is a list with later changes applied.
+func merge(list, later []fleet.Change) []fleet.Change {
+	last := make(map[string]fleet.Change, len(later))
+	for _, c := range later {
+		last[c.VM.ID] = c
+	}
+	out := make([]fleet.Change, 0, len(list)+len(last))
+	for _, c := range list {
+		if _, changed := last[c.VM.ID]; !changed {
+			out = append(out, c)
+		}
+	}
+	for _, c := range last {
+		if !c.Removed {
+			out = append(out, c)
+		}
+	}
+	return out
 }
 
 // Watch implements fleet.Source.
--- a/internal/fleet/recent.go
+++ b/internal/fleet/recent.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
@@ -104,18 +103,14 @@
 	}
 }
 
-// wholeAge is how old the proof of a list may be that a node begins with.
-const wholeAge = time.Second
-
-// AwaitWhole waits up to wait for a list with a young proof and returns all entries.
+// AwaitWhole waits up to wait for a list and returns all its entries, however old their proof is.
 // platform.ErrCompacted means that there is none.
 func (d *Directory) AwaitWhole(ctx context.Context, wait time.Duration) (Watched, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		news := d.recent.next()
-		s := d.Snapshot()
-		if s != nil && clock.Since(s.ProvenAt) <= wholeAge {
+		if s := d.Snapshot(); s != nil {
 			return s.whole(), nil
 		}
 		select {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -333,6 +333,10 @@
   's/mostReaders  = 16/mostReaders  = 4/' ./internal/feed TestReadersThatAreNotThere
 mutant "a silent source is waited for" internal/feed/asking.go \
   's/askedPatience   = 600/askedPatience = 60000/; s/connectPatience = 200/connectPatience = 60000/' ./internal/feed TestReadersThatAreNotThere
+mutant "what came since an old list is left out" internal/feed/fleet.go \
+  's/since\.Changes = merge\(listed\.Changes, since\.Changes\)/since.Changes = listed.Changes/' ./internal/feed TestSourceOutOfTouchStillHelps
+mutant "a list is given only while its proof is young" internal/fleet/recent.go \
+  's/s := d\.Snapshot\(\); s != nil \{/s := d.Snapshot(); s != nil \&\& time.Since(s.ProvenAt) < time.Second {/' ./internal/feed TestSourceOutOfTouchStillHelps
 mutant "an answer is bounded as a whole" internal/transport/progress.go \
   's/if p\.timer\.Stop\(\) \{/if false {/' ./platform TestAnswerThatKeepsComingIsReadToItsEnd
 mutant "an answer that creeps is never given up" internal/transport/progress.go \
