Duties fall to the strongest nodes of a failure domain, not to the first by ID

Hubs are the strongest already. Now duties and readers are too (cluster.FirstForDuty; of equals the first by ID, hubs are the last); hubs name the strongest of their members. Where nodes are alike, nothing changes. Ruled out: more levels of followers, which would add their waits to the time until a VM that leaves is known.

Tests in director, feed and cluster; two mutants that take the order by ID were seen failing.

--- a/internal/cluster/hubs_test.go
+++ b/internal/cluster/hubs_test.go
@@ -310,3 +310,19 @@
 		}
 	}
 }
+
+// TestStrongNodesAreNamed: duties fall to the strongest, so that others must know of these.
+func TestStrongNodesAreNamed(t *testing.T) {
+	now := time.Now()
+	var members []heard
+	for id, processor := range map[string]float64{"a": 0.2, "b": 0.2, "c": 0.2, "d": 0.2, "y": 0.8, "z": 0.8} {
+		members = append(members, heard{state: &marbleroadv1.NodeState{Node: id, FailureDomain: "x", Processor: processor}, at: now})
+	}
+	var names []string
+	for _, s := range leading(members, "x", "", now) {
+		names = append(names, s.GetNode())
+	}
+	if !slices.Equal(names, []string{"y", "z", "a"}) {
+		t.Errorf("named are %v", names)
+	}
+}
--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
@@ -97,7 +96,7 @@
 // the others need to know of them.
 func leading(members []heard, domain, except string, now time.Time) []*marbleroadv1.NodeState {
 	members = slices.DeleteFunc(slices.Clone(members), func(m heard) bool { return m.state.GetNode() == except })
-	slices.SortFunc(members, func(a, b heard) int { return strings.Compare(a.state.GetNode(), b.state.GetNode()) })
+	slices.SortFunc(members, func(a, b heard) int { return FirstForDuty(recordOf(a.state), recordOf(b.state)) })
 	var out []*marbleroadv1.NodeState
 	local := 0
 	for _, m := range members {
--- a/internal/cluster/topology.go
+++ b/internal/cluster/topology.go
@@ -59,6 +59,15 @@
 	return strings.Compare(b.ID, a.ID)
 }
 
+// FirstForDuty orders nodes by who takes a duty of which there is one in a failure domain: the
+// strongest first. Of equals the first by ID goes first, hubs are the last.
+func FirstForDuty(a, b Record) int {
+	if c := cmp.Compare(b.Processor, a.Processor); c != 0 {
+		return c
+	}
+	return strings.Compare(a.ID, b.ID)
+}
+
 // hubs lists the hubs of a failure domain, the fittest first. Where all candidates
 // failed, it may be this node that is cut off: the fittest are tried again.
 func (t topology) hubs(domain string) []Record {
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -97,6 +97,7 @@
 	groups = director.New(director.Config{
 		NodeID:        s.Node.ID,
 		FailureDomain: s.Node.FailureDomain,
+		Processor:     s.Node.Processor,
 		StallBound:    s.Gateway.StallBound,
 		Heartbeat:     s.Gateway.Heartbeat,
 	}, director.Parts{
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -38,6 +38,8 @@
 type Config struct {
 	NodeID        string
 	FailureDomain string
+	// Processor is the part of a processor core that the node may use.
+	Processor float64
 	// StallBound is how long a head may go on without one of its members
 	// before it counts itself as broken.
 	StallBound time.Duration
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -15,7 +15,7 @@
 
 func (n *node) peer(now time.Time) cluster.Peer {
 	return cluster.Peer{
-		Record:  cluster.Record{ID: n.d.config.NodeID, FailureDomain: n.domain},
+		Record:  cluster.Record{ID: n.d.config.NodeID, FailureDomain: n.domain, Processor: n.d.config.Processor},
 		State:   &marbleroadv1.NodeState{Node: n.d.config.NodeID, Directing: n.d.Directing(), Preparing: n.d.Preparing()},
 		HeardAt: now,
 	}
@@ -213,6 +213,19 @@
 	w.check(t)
 }
 
+// TestWeakNodeManagesNoGroups: the duty fell to the first live node by ID, also to one whose link carries
+// no more than the reading of 3,000 VMs and the questions of its followers take.
+func TestWeakNodeManagesNoGroups(t *testing.T) {
+	w := newWorld(t, 2, 8)
+	first, weak, strong := w.addNode(t, "n1"), w.addNode(t, "n2"), w.addNode(t, "n3")
+	first.d.config.Processor, weak.d.config.Processor, strong.d.config.Processor = 0.8, 0.2, 0.8
+	w.run(3*time.Second, func() bool { return len(first.d.Directing()) > 0 })
+	first.down = true
+	if !w.run(5*time.Second, func() bool { return len(strong.d.Directing()) > 0 }) || len(weak.d.Directing()) > 0 {
+		t.Errorf("the weak node manages %v, the strong one %v", weak.d.Directing(), strong.d.Directing())
+	}
+}
+
 // TestRandomFaults runs directors through deaths, cuts, lost and late orders,
 // and directors that are killed, frozen or alone.
 func TestRandomFaults(t *testing.T) {
--- a/internal/director/duty.go
+++ b/internal/director/duty.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/event"
 )
 
@@ -18,7 +19,7 @@
 	for _, domain := range sorted(s.domains()) {
 		nodes := byDomain[domain]
 		if domain == s.d.config.FailureDomain {
-			nodes = append(nodes, s.d.config.NodeID)
+			nodes = append(nodes, s.self())
 		}
 		if len(nodes) > 0 {
 			s.liveAt[domain] = now
@@ -37,15 +38,15 @@
 	return ok && now.Sub(known) >= settleTime && now.Sub(s.started) >= settleTime
 }
 
-// othersClaims returns the lowest live node that claims each failure domain, and
+// othersClaims returns the live node with the lowest ID that claims each failure domain, and
 // all live nodes by their failure domain.
-func (s *state) othersClaims(now time.Time) (claimed map[string]string, byDomain map[string][]string) {
-	claimed, byDomain = make(map[string]string), make(map[string][]string)
+func (s *state) othersClaims(now time.Time) (claimed map[string]string, byDomain map[string][]cluster.Record) {
+	claimed, byDomain = make(map[string]string), make(map[string][]cluster.Record)
 	for _, p := range s.d.parts.Nodes.Live(now) {
 		if p.State.GetStopping() {
 			continue
 		}
-		byDomain[p.FailureDomain] = append(byDomain[p.FailureDomain], p.ID)
+		byDomain[p.FailureDomain] = append(byDomain[p.FailureDomain], p.Record)
 		for _, domain := range p.State.GetDirecting() {
 			if claimed[domain] == "" || p.ID < claimed[domain] {
 				claimed[domain] = p.ID
@@ -73,7 +74,7 @@
 
 // mine decides whether this node manages a failure domain. nodes are the live
 // nodes there.
-func (s *state) mine(now time.Time, domain, claimedBy string, nodes []string, byDomain map[string][]string) bool {
+func (s *state) mine(now time.Time, domain, claimedBy string, nodes []cluster.Record, byDomain map[string][]cluster.Record) bool {
 	local := domain == s.d.config.FailureDomain
 	if s.claims(domain) {
 		return (claimedBy == "" || s.d.config.NodeID < claimedBy) && (local || len(nodes) == 0)
@@ -82,26 +83,27 @@
 		return false
 	}
 	if len(nodes) > 0 {
-		return local && lowest(nodes) == s.d.config.NodeID
+		return local && s.first(nodes)
 	}
 	since, seen := s.liveAt[domain]
 	if !seen {
 		s.liveAt[domain] = now
 		return false
 	}
-	all := []string{s.d.config.NodeID}
-	for _, ids := range byDomain {
-		all = append(all, ids...)
+	all := []cluster.Record{s.self()}
+	for _, records := range byDomain {
+		all = append(all, records...)
 	}
-	return now.Sub(since) > foreignAfter && lowest(all) == s.d.config.NodeID
+	return now.Sub(since) > foreignAfter && s.first(all)
 }
 
-func lowest(ids []string) string {
-	least := ids[0]
-	for _, id := range ids {
-		least = min(least, id)
-	}
-	return least
+// first reports whether a duty falls to this node among the nodes.
+func (s *state) first(nodes []cluster.Record) bool {
+	return slices.MinFunc(nodes, cluster.FirstForDuty).ID == s.d.config.NodeID
+}
+
+func (s *state) self() cluster.Record {
+	return cluster.Record{ID: s.d.config.NodeID, Processor: s.d.config.Processor}
 }
 
 func (s *state) claims(domain string) bool {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -14,7 +14,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -162,7 +161,7 @@
 }
 
 // leaders are the first live nodes of the failure domain: the one that manages its
-// groups, which reads for itself in any case, and then those with the lowest IDs.
+// groups, which reads for itself in any case, and then the first for duties.
 func (l *Leader) leaders(now time.Time) []cluster.Record {
 	all := []cluster.Record{l.self}
 	manager := ""
@@ -182,7 +181,7 @@
 		case b.ID == manager:
 			return 1
 		}
-		return strings.Compare(a.ID, b.ID)
+		return cluster.FirstForDuty(a, b)
 	})
 	return all[:min(len(all), mostLeaders)]
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -465,3 +465,31 @@
 		t.Errorf("the proof is up to %v old, %v must hold", oldest, most)
 	}
 }
+
+// unequal lists live nodes of the failure domain x with their parts of a processor.
+type unequal map[string]float64
+
+func (unequal) Size() int                        { return followNodes + 1 }
+func (unequal) Domain() ([]cluster.Record, bool) { return nil, true }
+func (u unequal) Live(now time.Time) []cluster.Peer {
+	var out []cluster.Peer
+	for id, processor := range u {
+		out = append(out, cluster.Peer{Record: cluster.Record{ID: id, FailureDomain: "x", Processor: processor}, State: &marbleroadv1.NodeState{}, HeardAt: now})
+	}
+	return out
+}
+
+// TestWeakNodesAreNotFollowed: who failed its followers was followed by the next node by ID, which
+// may have a link that a hundred followers fill.
+func TestWeakNodesAreNotFollowed(t *testing.T) {
+	now := time.Now()
+	l := NewLeader(cluster.Record{ID: "n", FailureDomain: "x", Processor: 0.2}, unequal{"a": 0.2, "b": 0.2, "y": 0.8, "z": 0.8},
+		func() bool { return false }, testLog(t), nil, nil)
+	for _, want := range []string{"y", "z", "a"} {
+		got, ok := l.pick(now)
+		if !ok || got.ID != want {
+			t.Fatalf("follows %q, expected %q", got.ID, want)
+		}
+		l.failed(now, got, errLeader)
+	}
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -58,7 +58,7 @@
 		func(s *Settings, t string) error { return name(t, &s.Node.ID) }},
 	{"node", "failure_domain", "", allowedName, "Failure domain that this VM is in.", all,
 		func(s *Settings, t string) error { return name(t, &s.Node.FailureDomain) }},
-	{"node", "processor", "0", "a number, 0 or more", "Part of a processor core that marbleroad-node may use; 0 for not said. Of many nodes the strongest sum up the others' states.", nil,
+	{"node", "processor", "0", "a number, 0 or more", "Part of a processor core that marbleroad-node may use; 0 for not said. The strongest nodes manage groups, read the platform for others and sum up their states.", nil,
 		func(s *Settings, t string) error { return amount(t, &s.Node.Processor) }},
 
 	{"platform", "url", "", "an http URL with an IP number, such as http://10.0.0.1:9000", "Where the platform's Object API and membership list are.", all,
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -337,6 +337,10 @@
   's/since\.Changes = merge\(listed\.Changes, since\.Changes\)/since.Changes = listed.Changes/' ./internal/feed TestSourceOutOfTouchStillHelps
 mutant "a list is given only while its proof is young" internal/fleet/recent.go \
   's/s := d\.Snapshot\(\); s != nil \{/s := d.Snapshot(); s != nil \&\& time.Since(s.ProvenAt) < time.Second {/' ./internal/feed TestSourceOutOfTouchStillHelps
+mutant "duties fall to the first by ID" internal/cluster/topology.go \
+  's/func FirstForDuty\(a, b Record\) int \{/func FirstForDuty(a, b Record) int {\n\ta.Processor, b.Processor = 0, 0/' ./internal/director TestWeakNodeManagesNoGroups
+mutant "the first by ID are followed" internal/cluster/topology.go \
+  's/func FirstForDuty\(a, b Record\) int \{/func FirstForDuty(a, b Record) int {\n\ta.Processor, b.Processor = 0, 0/' ./internal/feed TestWeakNodesAreNotFollowed
 mutant "an answer is bounded as a whole" internal/transport/progress.go \
   's/if p\.timer\.Stop\(\) \{/if false {/' ./platform TestAnswerThatKeepsComingIsReadToItsEnd
 mutant "an answer that creeps is never given up" internal/transport/progress.go \
