--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -50,22 +50,9 @@
 //	3006 the records of the nodes could not be read error="store answered 503"
 //	5007 budget={… nodes:9}   (a second later; no line was seen with nodes:1)
 func TestNodesAreNotCountedBeforeTheyAreKnown(t *testing.T) {
-	log, err := event.New(io.Discard, "error", "n", "test")
-	if err != nil {
-		t.Fatal(err)
-	}
-	peers, err := transport.NewPeers(settings.TLS{}, "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	store := &records{}
 	store.away.Store(true)
-	c := New(Config{Self: Record{ID: "a", Address: "127.0.0.1:0"}, Interval: time.Second}, log, store, peers,
-		func() *marbleroadv1.NodeState { return &marbleroadv1.NodeState{Node: "a"} })
-	if err := c.Start(context.Background()); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = c.Stop(context.Background()) })
+	c := startAlone(t, store)
 	until(t, "the records to be asked for", func() bool { return store.asked.Load() > 0 })
 	if n := c.Counted(); n != 0 {
 		t.Errorf("%d nodes are counted before their records were read", n)
@@ -109,6 +96,20 @@
 
 // TestRestartedNodeKnowsTheOthersWithoutAWrite: a node wrote its record anew before it read the others.
 func TestRestartedNodeKnowsTheOthersWithoutAWrite(t *testing.T) {
+	store := &refusing{list: []platform.Object{
+		{Key: nodesPrefix + "a", Value: []byte(`{"id":"a","address":"127.0.0.1:0"}`)},
+		{Key: nodesPrefix + "b", Value: []byte(`{"id":"b","address":"127.0.0.1:1"}`)},
+	}}
+	c := startAlone(t, store)
+	until(t, "the other node to be known", func() bool { return c.Counted() == 2 })
+	if n := store.writes.Load(); n != 0 {
+		t.Errorf("%d writes of a record that stands", n)
+	}
+}
+
+// startAlone starts the node a on a store.
+func startAlone(t *testing.T, store platform.ObjectStore) *Cluster {
+	t.Helper()
 	log, err := event.New(io.Discard, "error", "n", "test")
 	if err != nil {
 		t.Fatal(err)
@@ -117,20 +118,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	store := &refusing{list: []platform.Object{
-		{Key: nodesPrefix + "a", Value: []byte(`{"id":"a","address":"127.0.0.1:0"}`)},
-		{Key: nodesPrefix + "b", Value: []byte(`{"id":"b","address":"127.0.0.1:1"}`)},
-	}}
 	c := New(Config{Self: Record{ID: "a", Address: "127.0.0.1:0"}, Interval: time.Second}, log, store, peers,
 		func() *marbleroadv1.NodeState { return &marbleroadv1.NodeState{Node: "a"} })
 	if err := c.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Stop(context.Background()) })
-	until(t, "the other node to be known", func() bool { return c.Counted() == 2 })
-	if n := store.writes.Load(); n != 0 {
-		t.Errorf("%d writes of a record that stands", n)
-	}
+	return c
 }
 
 func until(t *testing.T, what string, done func() bool) {
