--- a/internal/feed/picker.go
+++ b/internal/feed/picker.go
@@ -102,20 +102,10 @@
 	if p.pending > 0 && elapsed-p.lastAsked < patience {
 		return cluster.Record{}, false
 	}
-	best := -1
-	for i := range p.order {
-		s := &p.order[i]
-		if s.pending || !p.brief && s.place >= readers(elapsed) {
-			continue
-		}
-		if best < 0 || s.before(&p.order[best]) {
-			best = i
-		}
-	}
-	if best < 0 {
+	s := p.best(elapsed)
+	if s == nil {
 		return cluster.Record{}, false
 	}
-	s := &p.order[best]
 	s.tries++
 	s.pending = true
 	p.pending++
@@ -123,6 +113,21 @@
 	return s.Record, true
 }
 
+// best is the source to ask first; nil while there is none.
+func (p *picker) best(elapsed time.Duration) *source {
+	var best *source
+	for i := range p.order {
+		s := &p.order[i]
+		if s.pending || !p.brief && s.place >= readers(elapsed) {
+			continue
+		}
+		if best == nil || s.before(best) {
+			best = s
+		}
+	}
+	return best
+}
+
 // before orders sources by who is asked first: those asked less often; of these the ones that began to
 // read last, since the earlier ones did not help.
 func (s *source) before(other *source) bool {
