--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -292,6 +292,7 @@
 		Once:      !j.c.Route.Repeatable(),
 		Echo:      true,
 		Dialect:   j.s.upstream,
+		Observe:   func(_ int, h http.Header) { j.observe(s, h) },
 	}
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/marbleroad/marbleroad/internal/backpressure"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/quarantine"
 	"github.com/marbleroad/marbleroad/internal/verdict"
@@ -99,6 +100,9 @@
 	// Mark and Judge make it a relay.Dialect.
 	Mark(h http.Header, requestID string)
 	Judge(resp *http.Response, requestID string) error
+	// Condition is what an answer says of the upstream's own condition. The error names what
+	// can't be read; the notice holds the rest.
+	Condition(h http.Header) (backpressure.Notice, error)
 }
 
 // hopHeaders concern one connection only and are not passed on.
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -72,6 +72,9 @@
 	Host string
 	// Dialect is how the upstream is spoken to; nil for marbleroad's own way.
 	Dialect Dialect
+	// Observe, if set, gets the status and header of an answer that is the upstream's own, also of
+	// one that refuses the request.
+	Observe func(status int, h http.Header)
 }
 
 // Dialect is one way of speaking to upstreams.
@@ -215,9 +218,13 @@
 	if err != nil {
 		return nil, classify(ctx, watch, err)
 	}
-	if err := o.judge(resp); err != nil {
+	judged := o.judge(resp)
+	if o.Observe != nil && ownAnswer(judged) {
+		o.Observe(resp.StatusCode, resp.Header)
+	}
+	if judged != nil {
 		_ = resp.Body.Close()
-		return nil, err
+		return nil, judged
 	}
 	return resp, nil
 }
@@ -238,6 +245,12 @@
 	return w.reused && !w.touched() && ctx.Err() == nil
 }
 
+// ownAnswer reports whether an answer that was judged so is of the upstream that was meant: it ran the
+// request or refused it.
+func ownAnswer(judged error) bool {
+	return judged == nil || verdict.As(judged).Code == CodeRefused
+}
+
 func (o Outgoing) judge(resp *http.Response) error {
 	if o.Dialect != nil {
 		return o.Dialect.Judge(resp, o.RequestID)
--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -107,6 +108,8 @@
 	StallFor atomic.Int64
 	// ForeignID has answers carry another request's ID.
 	ForeignID atomic.Bool
+	// Condition is what the VM says of itself in the headers of all answers to requests; nil for nothing.
+	Condition atomic.Pointer[http.Header]
 
 	mu sync.Mutex
 	// born is when this life began, in Unix milliseconds; written counts its entries.
@@ -287,6 +290,13 @@
 	}
 }
 
+// tellCondition adds what the VM says of itself.
+func (v *VM) tellCondition(h http.Header) {
+	if condition := v.Condition.Load(); condition != nil {
+		maps.Copy(h, *condition)
+	}
+}
+
 func (v *VM) report(w http.ResponseWriter) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -425,6 +435,7 @@
 		echo = "someone-elses"
 	}
 	w.Header().Set("Attempt-Id", echo)
+	v.tellCondition(w.Header())
 	if v.Refuse.Load() || !open {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
