Failing test: an upstream that names a limit gets as many requests as the others

TestLimitThatAnUpstreamNamesIsKept fails on this code: 27 of 60 requests went to a head that had named 0.5 a second, allowed 8. The figure is the rule's own: one and a half times the limit over four seconds, and five.

--- /dev/null
+++ b/internal/gateway/condition_test.go
@@ -0,0 +1,32 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// allowedOf is how many requests an upstream that names a limit may get within four seconds.
+func allowedOf(limit float64) int64 { return int64(1.5*4*limit + 5) }
+
+// TestLimitThatAnUpstreamNamesIsKept: the header was thrown away with the rest of the answer.
+func TestLimitThatAnUpstreamNamesIsKept(t *testing.T) {
+	s := newSite(t, options{pause: time.Microsecond})
+	limited := s.heads[0]
+	limited.Condition.Store(&http.Header{"Server-Limit": {"0.5"}})
+	began := time.Now()
+	for range 60 {
+		if resp := s.send(t, http.MethodPost, "/stream/x", map[string]string{"Model": "m"}); resp.StatusCode != http.StatusOK {
+			t.Fatalf("status %d: %s", resp.StatusCode, body(t, resp))
+		} else {
+			body(t, resp)
+		}
+	}
+	windows := int64(time.Since(began)/(4*time.Second)) + 1
+	if got, allowed := limited.Asked.Load(), windows*allowedOf(0.5); got > allowed {
+		t.Errorf("the upstream got %d of 60 requests, allowed %d", got, allowed)
+	}
+	if got := s.heads[1].Asked.Load(); got < 40 {
+		t.Errorf("the other upstream got %d of 60 requests", got)
+	}
+}
