A limit that an upstream VM names is kept by all nodes together

Cause: the word was not heard.

Change: internal/backpressure keeps the newest word on each life of a VM; it travels with the exchanges between nodes, and a named or ended limit goes at once. All senders choose in one place (first sends, repeats, resumed streams, kept places), which passes over a VM that takes nothing more. The limit is used by few nodes of the VM's failure domain (rendezvous hashing; of many nodes by hubs), each by a token bucket, and by the part of its failure domain's nodes that it hears, so sides of a cut add up to the whole; who comes to use it waits for 1.5 s first. An answer to a request sent after the limit was heard ends it. Calls that nothing else can serve are refused at once with the time to come back; more urgent ones get what is left first.

Not done: waiting for a place that frees soon. A call is refused at once.

--- /dev/null
+++ b/internal/backpressure/backpressure_test.go
@@ -0,0 +1,148 @@
+package backpressure
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var (
+	start = time.Unix(1_000_000, 0)
+	alone = Sharing{Self: "n", Nodes: []string{"n"}, Part: 1}
+	life  = Life{VM: "vm", Born: 7}
+)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func named(limit float64) Notice { return Notice{Limited: true, Limit: limit} }
+
+// sentWithin counts what a node sends that always has a request to send.
+func sentWithin(t *Table, from, to float64, s Sharing) int {
+	count := 0
+	for now := from; now < to; now += 0.01 {
+		if t.Check(at(now), life, 0, s).Back {
+			continue
+		}
+		t.Sent(life)
+		count++
+	}
+	return count
+}
+
+func TestLimitBoundsWhatIsSent(t *testing.T) {
+	for _, limit := range []float64{0, 0.4, 1.7, 30} {
+		table := NewTable()
+		table.Heard(at(0), at(0), life, named(limit))
+		for from := 0.0; from < 40; from += 4 {
+			if got, most := sentWithin(table, from, from+4, alone), 6*limit+5; float64(got) > most {
+				t.Errorf("%d requests in 4 s at a limit of %v", got, limit)
+			}
+		}
+	}
+}
+
+// TestAnswerOfBeforeDoesNotEndALimit: answers overtake each other.
+func TestAnswerOfBeforeDoesNotEndALimit(t *testing.T) {
+	table := NewTable()
+	table.Heard(at(2), at(1), life, named(1))
+	if change := table.Heard(at(3), at(1.5), life, Notice{}); change != Unchanged {
+		t.Errorf("an answer to a request that was sent before changed %d", change)
+	}
+	if change := table.Heard(at(4), at(3), life, Notice{}); change != LimitEnded {
+		t.Errorf("an answer to a request that was sent later changed %d", change)
+	}
+	if change := table.Told(at(4), Record{Life: life, Limited: true, Limit: 1, At: at(2)}); change != Unchanged {
+		t.Errorf("an older word of another node changed %d", change)
+	}
+}
+
+func TestLimitEndsWithItsLife(t *testing.T) {
+	table := NewTable()
+	table.Heard(at(0), at(0), life, named(0))
+	next := Life{VM: "vm", Born: 8}
+	if _, limited := table.Limit(next); limited {
+		t.Error("the next life has the limit of the one before")
+	}
+	table.Sweep(at(1), func(string) (Life, bool) { return next, true })
+	if _, limited := table.Limit(life); limited {
+		t.Error("the limit outlives its life")
+	}
+}
+
+// TestLimitOutlivesALapsedEntry: a VM is not listed for some seconds when the platform returns.
+func TestLimitOutlivesALapsedEntry(t *testing.T) {
+	table := NewTable()
+	table.Heard(at(0), at(0), life, named(1))
+	unlisted := func(string) (Life, bool) { return Life{}, false }
+	table.Sweep(at(1), unlisted)
+	table.Sweep(at(30), unlisted)
+	if _, limited := table.Limit(life); !limited {
+		t.Error("the limit is forgotten after 30 s")
+	}
+	table.Sweep(at(100), unlisted)
+	if _, limited := table.Limit(life); limited {
+		t.Error("the limit of a VM that is gone is kept")
+	}
+}
+
+// TestNodesThatAreCutOffShrinkTheirParts: each side of a cut takes itself for all.
+func TestNodesThatAreCutOffShrinkTheirParts(t *testing.T) {
+	left := Sharing{Self: "a", Nodes: []string{"a"}, Part: 1.0 / 3}
+	right := Sharing{Self: "b", Nodes: []string{"b"}, Part: 2.0 / 3}
+	if sum := left.rate("vm", 6) + right.rate("vm", 6); sum > 6 {
+		t.Errorf("both sides send %v of 6 a second", sum)
+	}
+}
+
+// TestNewHolderWaits: the node before it may not have heard of it yet.
+func TestNewHolderWaits(t *testing.T) {
+	table := NewTable()
+	table.Heard(at(0), at(0), life, named(4))
+	if got := sentWithin(table, 0, 1, alone); got != 0 {
+		t.Errorf("%d requests in the first second", got)
+	}
+	other := Sharing{Self: "n", Nodes: []string{"m"}, Part: 1}
+	sentWithin(table, 1, 10, other)
+	if got := sentWithin(table, 10, 11, alone); got != 0 {
+		t.Errorf("%d requests in the first second after another node", got)
+	}
+}
+
+// TestUrgentRequestsGoFirst: of requests of two ranks the more urgent ones get most of a limit.
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	table := NewTable()
+	table.Heard(at(0), at(0), life, named(2))
+	sent := make(map[float64]int)
+	for now := 0.0; now < 30; now += 0.01 {
+		for _, reserve := range []float64{0.3, 0} {
+			if !table.Check(at(now), life, reserve, alone).Back {
+				table.Sent(life)
+				sent[reserve]++
+			}
+		}
+	}
+	if sent[0] < 3*sent[0.3] {
+		t.Errorf("urgent and other requests: %d and %d", sent[0], sent[0.3])
+	}
+}
+
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable()
+	for i := range 2 * mostVMs {
+		table.Heard(at(float64(i)), at(float64(i)), Life{VM: fmt.Sprint(i)}, named(1))
+	}
+	if len(table.vms) != mostVMs {
+		t.Errorf("%d VMs are known", len(table.vms))
+	}
+	told := make(map[string]bool)
+	for range 2 * mostVMs / 32 {
+		for _, r := range table.Records(64) {
+			told[r.VM] = true
+		}
+	}
+	if len(told) != mostVMs {
+		t.Errorf("%d of %d VMs were told of", len(told), mostVMs)
+	}
+}
--- /dev/null
+++ b/internal/backpressure/table.go
@@ -0,0 +1,256 @@
+package backpressure
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Life names one life of a VM.
+type Life struct {
+	VM string
+	// Born is when the life began, Unix milliseconds; 0 while that is not known.
+	Born int64
+}
+
+// same reports whether two lives are the same one, as far as they say.
+func (l Life) same(other Life) bool {
+	return l.VM == other.VM && (l.Born == other.Born || l.Born == 0 || other.Born == 0)
+}
+
+// Record is what nodes tell each other of one VM's limit.
+type Record struct {
+	Life
+	// Limited is false when the VM was heard not to name a limit any more.
+	Limited bool
+	Limit   float64
+	// At is when a node heard it from the VM, by the clock of the node that holds the record.
+	At time.Time
+}
+
+// Change is what a word on a VM changed.
+type Change uint8
+
+// The changes.
+const (
+	Unchanged Change = iota
+	// LimitNamed means that the VM begins to name a limit, LimitChanged that it names another one,
+	// LimitEnded that it names none any more.
+	LimitNamed
+	LimitChanged
+	LimitEnded
+)
+
+// Hold is whether a request may be sent to a VM.
+type Hold struct {
+	// Back is true when it may not be sent now.
+	Back bool
+	// Wait is about how long it takes until one may be sent.
+	Wait time.Duration
+}
+
+const (
+	// mostVMs bounds a table, some 150 bytes a VM.
+	mostVMs = 4096
+	// keepEnded is for how long it is remembered that a VM names no limit any more: longer than
+	// older words travel.
+	keepEnded = 30 * time.Second
+	// keepUnlisted is for how long a VM is remembered that is not listed: an entry may lapse while
+	// the platform is away.
+	keepUnlisted = time.Minute
+)
+
+// condition is what is known of one life of a VM.
+type condition struct {
+	life  Life
+	limit limit
+	// unlistedAt is since when the VM is not listed; zero while it is.
+	unlistedAt time.Time
+}
+
+// Table is what one node knows of the conditions of VMs. It is not safe for concurrent use; its owner
+// holds a lock.
+type Table struct {
+	vms map[string]*condition
+	// turn counts the times that records were asked for.
+	turn int
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{vms: make(map[string]*condition)} }
+
+// Heard takes what an answer says of the VM, to a request that was sent then. An answer without a
+// limit ends one only if its request was sent after the limit was heard: answers overtake each other.
+func (t *Table) Heard(now, sent time.Time, life Life, n Notice) Change {
+	if !n.Limited {
+		return t.ended(now, sent, life)
+	}
+	return t.set(now, Record{Life: life, Limited: true, Limit: n.Limit, At: now})
+}
+
+func (t *Table) ended(now, sent time.Time, life Life) Change {
+	c := t.of(life)
+	if c == nil || !c.limit.named || !sent.After(c.limit.at) {
+		return Unchanged
+	}
+	return t.set(now, Record{Life: life, At: now})
+}
+
+// Told takes a record of another node; what is older than what is known changes nothing.
+func (t *Table) Told(now time.Time, r Record) Change {
+	if c := t.of(r.Life); c != nil && !r.At.After(c.limit.at) {
+		return Unchanged
+	}
+	return t.set(now, r)
+}
+
+// set takes the newest word on a limit.
+func (t *Table) set(now time.Time, r Record) Change {
+	c := t.of(r.Life)
+	if c == nil {
+		c = t.add(r.Life)
+	}
+	l := &c.limit
+	change := l.changeTo(r)
+	l.named, l.rate, l.at = r.Limited, r.Limit, r.At
+	if change != Unchanged {
+		l.changedAt = now
+	}
+	if change == LimitNamed {
+		l.heldSince = time.Time{}
+	}
+	return change
+}
+
+// changeTo is what a record changes.
+func (l *limit) changeTo(r Record) Change {
+	switch {
+	case r.Limited && !l.named:
+		return LimitNamed
+	case r.Limited && l.rate != r.Limit:
+		return LimitChanged
+	case l.named && !r.Limited:
+		return LimitEnded
+	}
+	return Unchanged
+}
+
+// of finds what is known of a life; nil when nothing is.
+func (t *Table) of(life Life) *condition {
+	c := t.vms[life.VM]
+	if c == nil || !c.life.same(life) {
+		return nil
+	}
+	return c
+}
+
+// add begins with a life, in place of a former one. A full table forgets what it heard longest ago.
+func (t *Table) add(life Life) *condition {
+	if len(t.vms) >= mostVMs {
+		t.forgetOldest()
+	}
+	c := &condition{life: life}
+	t.vms[life.VM] = c
+	return c
+}
+
+func (t *Table) forgetOldest() {
+	var oldest *condition
+	for _, c := range t.vms {
+		if oldest == nil || c.limit.at.Before(oldest.limit.at) {
+			oldest = c
+		}
+	}
+	delete(t.vms, oldest.life.VM)
+}
+
+// Limit is the limit that a VM names; false when it names none.
+func (t *Table) Limit(life Life) (Record, bool) {
+	c := t.of(life)
+	if c == nil || !c.limit.named {
+		return Record{}, false
+	}
+	return c.record(), true
+}
+
+func (c *condition) record() Record {
+	return Record{Life: c.life, Limited: c.limit.named, Limit: c.limit.rate, At: c.limit.at}
+}
+
+// Check reports whether a request may be sent to a VM that names a limit. reserve is the part of a
+// request, 0 to 0.3, that is kept for more urgent ones.
+func (t *Table) Check(now time.Time, life Life, reserve float64, s Sharing) Hold {
+	c := t.of(life)
+	if c == nil || !c.limit.named {
+		return Hold{}
+	}
+	rate := c.limit.refill(now, life.VM, s)
+	if rate == 0 {
+		return Hold{Back: true, Wait: interval(c.limit.rate)}
+	}
+	needed := 1 + min(reserve, mostReserve)
+	if c.limit.tokens >= needed {
+		return Hold{}
+	}
+	return Hold{Back: true, Wait: c.limit.wait(now, needed, rate)}
+}
+
+// interval is the time between two requests at a limit.
+func interval(limit float64) time.Duration {
+	return time.Duration(float64(time.Second) / max(limit, leastRate))
+}
+
+// Sent takes the token of a request that is sent to the VM.
+func (t *Table) Sent(life Life) {
+	if c := t.of(life); c != nil && c.limit.named {
+		c.limit.tokens--
+	}
+}
+
+// Unsent gives back the token of a request that was not sent after all.
+func (t *Table) Unsent(life Life) {
+	if c := t.of(life); c != nil && c.limit.named {
+		c.limit.tokens++
+	}
+}
+
+// Records are what other nodes are told, at most that many. Of more than that half are those that
+// changed last, and the others take turns.
+func (t *Table) Records(most int) []Record {
+	all := slices.Collect(maps.Values(t.vms))
+	slices.SortFunc(all, func(a, b *condition) int {
+		return cmp.Or(b.limit.changedAt.Compare(a.limit.changedAt), cmp.Compare(a.life.VM, b.life.VM))
+	})
+	if len(all) > most {
+		newest, others := all[:most/2], all[most/2:]
+		t.turn++
+		from := t.turn * (most / 2) % len(others)
+		all = slices.Concat(newest, others[from:min(from+most/2, len(others))])
+	}
+	out := make([]Record, 0, len(all))
+	for _, c := range all {
+		out = append(out, c.record())
+	}
+	return out
+}
+
+// Sweep forgets lives that have ended. listed returns the life that the platform lists under a VM's ID.
+func (t *Table) Sweep(now time.Time, listed func(vm string) (Life, bool)) {
+	for id, c := range t.vms {
+		life, there := listed(id)
+		switch {
+		case there && !life.same(c.life):
+			delete(t.vms, id)
+		case there:
+			c.unlistedAt = time.Time{}
+		case c.unlistedAt.IsZero():
+			c.unlistedAt = now
+		case now.Sub(c.unlistedAt) > keepUnlisted:
+			delete(t.vms, id)
+		}
+		if !c.limit.named && now.Sub(c.limit.at) > keepEnded {
+			delete(t.vms, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/backpressure/wire.go
@@ -0,0 +1,22 @@
+package backpressure
+
+import (
+	"time"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+)
+
+// Encode is a record as other nodes are told it, with its age in place of its time.
+func (r Record) Encode(now time.Time) *marbleroadv1.UpstreamCondition {
+	out := &marbleroadv1.UpstreamCondition{Vm: r.VM, Born: r.Born, LimitAgeMs: uint32(max(now.Sub(r.At).Milliseconds(), 0))}
+	if r.Limited {
+		out.Limit = &r.Limit
+	}
+	return out
+}
+
+// Decode is a record that was told in a message which was made then or later.
+func Decode(c *marbleroadv1.UpstreamCondition, madeAt time.Time) Record {
+	age := time.Duration(c.GetLimitAgeMs()) * time.Millisecond
+	return Record{Life: Life{VM: c.GetVm(), Born: c.GetBorn()}, Limited: c.Limit != nil, Limit: c.GetLimit(), At: madeAt.Add(-age)}
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -136,6 +136,8 @@
 	sums map[string]heard
 	// sharing holds what ends the exchanges under way, by node.
 	sharing map[string]*sharing
+	// sharings are those worked out lately, by failure domain.
+	sharings map[string]knownSharing
 	// topology and hub are of the newest plan.
 	topology topology
 	hub      bool
@@ -181,6 +183,7 @@
 		members:  make(map[string]heard),
 		sums:     make(map[string]heard),
 		sharing:  make(map[string]*sharing),
+		sharings: make(map[string]knownSharing),
 		topology: topology{self: c.Self},
 	}
 }
--- a/internal/cluster/hubs_test.go
+++ b/internal/cluster/hubs_test.go
@@ -80,6 +80,16 @@
 }
 
 func startNodes(t *testing.T, count int) *fleetOfNodes {
+	t.Helper()
+	f := newNodes(t, count)
+	for _, n := range f.nodes {
+		n.begin()
+	}
+	return f
+}
+
+// newNodes makes nodes that have not begun yet.
+func newNodes(t *testing.T, count int) *fleetOfNodes {
 	t.Helper()
 	log, err := event.New(io.Discard, "error", "n", "test")
 	if err != nil {
@@ -89,9 +99,6 @@
 	for i := range count {
 		f.add(i)
 	}
-	for _, n := range f.nodes {
-		n.begin()
-	}
 	return f
 }
 
--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -125,10 +125,11 @@
 func ageMS(now, at time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 0)) }
 
 // urgent tells whether two states of a node differ in what the others must learn
-// at once: groups that fell silent or are being taken apart, duties, a stop, the first callers.
+// at once: groups that fell silent or are being taken apart, duties, a stop, the first callers, upstream
+// VMs that begin or end to name a limit.
 func urgent(old, next *marbleroadv1.NodeState) bool {
 	if old.GetStopping() != next.GetStopping() || old.GetTrafficSeen() != next.GetTrafficSeen() || !slices.Equal(old.GetDirecting(), next.GetDirecting()) ||
-		!slices.Equal(old.GetDissolving(), next.GetDissolving()) {
+		!slices.Equal(old.GetDissolving(), next.GetDissolving()) || conditionsDiffer(old, next) {
 		return true
 	}
 	for _, f := range next.GetSuspicions() {
@@ -140,3 +141,23 @@
 	}
 	return false
 }
+
+// urgentConditions is of how many upstream VMs a state may tell for a new one to be urgent: with many in
+// need the news comes all the time, and goes with the usual exchanges.
+const urgentConditions = 32
+
+// conditionsDiffer reports whether a state tells of an upstream VM that the one before did not tell of,
+// or that such a VM begins or ends to name a limit.
+func conditionsDiffer(old, next *marbleroadv1.NodeState) bool {
+	if len(next.GetConditions()) > urgentConditions {
+		return false
+	}
+	for _, one := range next.GetConditions() {
+		if !slices.ContainsFunc(old.GetConditions(), func(k *marbleroadv1.UpstreamCondition) bool {
+			return k.GetVm() == one.GetVm() && k.GetBorn() == one.GetBorn() && (k.Limit == nil) == (one.Limit == nil)
+		}) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -5,6 +5,7 @@
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/admin"
+	"github.com/marbleroad/marbleroad/internal/backpressure"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
@@ -89,6 +90,7 @@
 		Nodes:      nodes.Counted,
 		LiveFor:    nodes.LiveFor,
 		Suspect:    func(group string, generation uint64) { groups.Suspect(group, generation) },
+		Sharing:    func(domain string) backpressure.Sharing { return nodes.Sharing(clock.Now(), domain) },
 		StepDown:   func() { groups.StepDown() },
 		Dissolving: func() []string { return groups.Dissolving() },
 		Nudge:      nodes.Nudge,
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -178,7 +178,9 @@
 		"See what ended it: a stop (1002), or a limit of the configuration. If it repeats, report it."}
 	UpstreamLimited = Event{5018, zerolog.WarnLevel, "an upstream VM names a limit of requests a second for all nodes together",
 		"See what ails the VM; the limit is kept until it names none any more."}
-	ConditionUnreadable = Event{5019, zerolog.WarnLevel, "what an upstream VM says of its condition can't be read and is ignored",
+	UpstreamUnlimited = Event{5019, zerolog.InfoLevel, "an upstream VM names no limit any more",
+		"None."}
+	ConditionUnreadable = Event{5020, zerolog.WarnLevel, "what an upstream VM says of its condition can't be read and is ignored",
 		"Have the VM's software corrected."}
 )
 
@@ -204,6 +206,6 @@
 	DutyTaken, DutyLeft, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceAsked, ListRead, TakenUnproven,
 	RequestDone, RequestRefused, RequestFailed, BadInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerLeft, RepeatRefused, UpstreamEnded, RequestQuarantined,
-	SuspectsHeard, QuarantineUnread, QuarantineStored, RequestUnanswered, UpstreamLimited, ConditionUnreadable,
+	SuspectsHeard, QuarantineUnread, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable,
 	BadKey, BadOperator,
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,6 +28,8 @@
 	noUpstream
 	// allFull means that all that could serve it have too much to do.
 	allFull
+	// heldBack means that all that could serve it have asked for fewer requests.
+	heldBack
 )
 
 // Codes of the gateway's own answers.
@@ -41,6 +43,7 @@
 	codeSlowBody   = "slow-body"
 	codeNoUpstream = "no-upstream"
 	codeOverload   = "overload"
+	codeHeldBack   = "upstreams-limited"
 	codeTimeout    = "timeout"
 	codeAborted    = "aborted"
 	// codeStopping is the answer to a call that the stop of this node would cut.
@@ -132,7 +135,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return j.final(j.timeout(ctx))
-	case fault.Code == codeNoUpstream || fault.Code == codeOverload:
+	case fault.Code == codeNoUpstream || fault.Code == codeOverload || fault.Code == codeHeldBack:
 		return j.final(fault)
 	case fault.Verdict != verdict.NotRun && !j.c.Route.Repeatable():
 		return j.final(fault)
@@ -292,7 +295,7 @@
 		Once:      !j.c.Route.Repeatable(),
 		Echo:      true,
 		Dialect:   j.s.upstream,
-		Observe:   func(_ int, h http.Header) { j.observe(s, h) },
+		Observe:   func(_ int, h http.Header) { j.observe(now, s, h) },
 	}
 }
 
@@ -305,9 +308,15 @@
 		Detail:     "nothing serves the request now",
 		RetryAfter: j.s.comeBack(j.c, why),
 	}
-	if why == allFull {
+	switch why {
+	case allFull:
 		fault.Code = codeOverload
 		fault.Detail = "all upstreams have too much to do"
+	case heldBack:
+		j.s.metrics.Count("requests.held_back", 1)
+		fault.Code = codeHeldBack
+		fault.Detail = "all upstreams that could serve the request have asked for fewer"
+		fault.RetryAfter = j.s.comeBackIn(j.c, rivals.held.least)
 	}
 	if j.last != nil {
 		fault.Detail += "; before that: " + j.last.Detail
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -33,6 +33,9 @@
 		}
 		b.WriteByte(' ')
 	}
+	if seen.held.count > 0 {
+		_, _ = fmt.Fprintf(&b, "held back %d, the first for %dms ", seen.held.count, seen.held.least.Milliseconds())
+	}
 	if b.Len() == 0 {
 		return "none"
 	}
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -7,6 +7,7 @@
 	"time"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/backpressure"
 	"github.com/marbleroad/marbleroad/internal/batch"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/fleet"
@@ -179,6 +180,10 @@
 	domainHeard map[string]time.Time
 	// cutAfter is that silence with as many nodes as there are.
 	cutAfter time.Duration
+	// conditions are what upstream VMs say of themselves; sharing is which nodes use what those of a
+	// failure domain still take.
+	conditions *backpressure.Table
+	sharing    func(domain string) backpressure.Sharing
 	// found are the stalls of this node that others are told of.
 	found []stall
 	// lookedAt is when silence was last looked at, heldUntil when this process was last known to
@@ -206,6 +211,8 @@
 		peerLoads:     make(map[string]int),
 		peerSuspects:  make(map[string]int),
 		domainHeard:   make(map[string]time.Time),
+		conditions:    backpressure.NewTable(),
+		sharing:       aloneSharing,
 	}
 }
 
@@ -236,6 +243,7 @@
 		p.heads[model] = append(p.heads[model], t)
 	}
 	b.endFormerLives(s)
+	b.forgetConditions(s)
 	b.pools = pools
 	b.targets = kept
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -52,11 +52,10 @@
 	}
 	key := demandKey{c.Service, c.Model}
 	asked := b.request(now, c, len(tried) > 0)
-	var candidates []*target
-	for _, t := range p.of(c.Model) {
-		if !tried[t.key()] {
-			candidates = append(candidates, t)
-		}
+	candidates, held := b.candidates(now, p.of(c.Model), tried, asked.Kept)
+	if len(candidates) == 0 && held.count > 0 {
+		b.refusedAt = now
+		return nil, alternatives{held: held}, heldBack
 	}
 	if len(candidates) == 0 {
 		// Nothing is learned of a model that callers made up.
@@ -64,6 +63,7 @@
 	}
 	again := len(tried) > 0 || c.LastEvent != ""
 	found := b.pick(now, candidates, question{key: key, asked: asked, judged: c.judged, offset: b.offset(key).Value(), again: again}, room)
+	found.held = held
 	why := found.refusal(p.service.Engine != nil)
 	if found.predictedLate && why == allFull {
 		b.offset(key).Ease()
@@ -81,6 +81,7 @@
 		s.predicted = r.first - b.offset(key).Value()
 	}
 	b.begin(now, s)
+	b.conditions.Sent(lifeOf(s.vm))
 	if tried != nil {
 		tried[s.key()] = true
 	}
@@ -104,6 +105,7 @@
 type alternatives struct {
 	rivals  []rival
 	outlook outlook
+	held    heldTargets
 }
 
 // picked is what was found among the candidates.
--- a/internal/gateway/condition.go
+++ b/internal/gateway/condition.go
@@ -2,12 +2,106 @@
 
 import (
 	"net/http"
+	"time"
 
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/backpressure"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/fleet"
 )
 
+// toldConditions is of how many upstream VMs' conditions one message tells, some 40 bytes each.
+const toldConditions = 64
+
+// aloneSharing is the sharing of a node that knows no others.
+func aloneSharing(string) backpressure.Sharing {
+	return backpressure.Sharing{Self: "self", Nodes: []string{"self"}, Part: 1}
+}
+
+func lifeOf(vm *fleet.VM) backpressure.Life { return backpressure.Life{VM: vm.ID, Born: vm.Born} }
+
+// heldTargets are targets that were passed over, since they asked for fewer requests.
+type heldTargets struct {
+	count int
+	// least is how long it takes until the first of them takes a request.
+	least time.Duration
+}
+
+func (h *heldTargets) add(wait time.Duration) {
+	if h.count == 0 || wait < h.least {
+		h.least = wait
+	}
+	h.count++
+}
+
+// candidates are the targets that a call may go to. kept is the part of what they take that is
+// kept for more urgent ones. mu is held.
+func (b *board) candidates(now time.Time, all []*target, tried map[string]bool, kept float64) ([]*target, heldTargets) {
+	var out []*target
+	var held heldTargets
+	for _, t := range all {
+		if tried[t.key()] {
+			continue
+		}
+		if hold := b.hold(now, t, kept); hold.Back {
+			held.add(hold.Wait)
+			continue
+		}
+		out = append(out, t)
+	}
+	return out, held
+}
+
+// hold reports whether the target's VM has asked for fewer requests than one more. mu is held.
+func (b *board) hold(now time.Time, t *target, kept float64) backpressure.Hold {
+	life := lifeOf(t.vm)
+	if _, limited := b.conditions.Limit(life); !limited {
+		return backpressure.Hold{}
+	}
+	return b.conditions.Check(now, life, kept, b.sharing(t.vm.FailureDomain))
+}
+
+// limitedRoom is how many more requests a target takes within a time, if its VM names a limit. mu is held.
+func (b *board) limitedRoom(t *target, within time.Duration) (float64, bool) {
+	limit, limited := b.conditions.Limit(lifeOf(t.vm))
+	return 1 + limit.Limit*within.Seconds(), limited
+}
+
+// forgetConditions drops what former lives of VMs said. mu is held.
+func (b *board) forgetConditions(s *fleet.Snapshot) {
+	b.conditions.Sweep(clock.Now(), func(id string) (backpressure.Life, bool) {
+		vm := s.VMs[id]
+		if vm == nil {
+			return backpressure.Life{}, false
+		}
+		return lifeOf(vm), true
+	})
+}
+
+// heardCondition takes what an answer to a send says of its VM, and returns what that changes.
+func (b *board) heardCondition(now, sent time.Time, s *send, n backpressure.Notice) backpressure.Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.conditions.Heard(now, sent, lifeOf(s.vm), n)
+}
+
+// toldCondition takes what another node tells.
+func (b *board) toldCondition(now time.Time, r backpressure.Record) backpressure.Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.conditions.Told(now, r)
+}
+
+// tellConditions adds the conditions to what others are told. mu is held.
+func (b *board) tellConditions(now time.Time, into *marbleroadv1.NodeState) {
+	for _, r := range b.conditions.Records(toldConditions) {
+		into.Conditions = append(into.Conditions, r.Encode(now))
+	}
+}
+
 // observe takes what an answer says of the upstream's own condition.
-func (j *job) observe(s *send, h http.Header) {
+func (j *job) observe(sent time.Time, s *send, h http.Header) {
 	notice, err := j.s.upstream.Condition(h)
 	if err != nil {
 		j.s.metrics.Count("upstreams.conditions.unreadable", 1)
@@ -15,6 +109,33 @@
 	}
 	if notice.Limited {
 		j.s.metrics.Count("upstreams.limits.heard", 1)
-		j.s.log.Emit(event.UpstreamLimited).Str("vm", s.vm.ID).Str("group", s.t.group).Str("request", j.c.ID).Float64("limit", notice.Limit).Send()
 	}
+	change := j.s.board.heardCondition(clock.Now(), sent, s, notice)
+	j.s.tellLimit(change, lifeOf(s.vm), notice.Limit, 0, j.c.ID)
+	if change == backpressure.LimitNamed || change == backpressure.LimitEnded {
+		j.s.parts.Nudge()
+	}
+}
+
+// hearConditions takes what another node tells of upstream VMs.
+func (s *Server) hearConditions(state *marbleroadv1.NodeState, heardAt time.Time) {
+	now := clock.Now()
+	for _, one := range state.GetConditions() {
+		r := backpressure.Decode(one, heardAt)
+		s.tellLimit(s.board.toldCondition(now, r), r.Life, r.Limit, now.Sub(r.At), "")
+	}
+}
+
+// tellLimit logs a change of a VM's limit, which was heard so long ago with a request's answer or from
+// another node.
+func (s *Server) tellLimit(change backpressure.Change, life backpressure.Life, limit float64, age time.Duration, request string) {
+	kind := event.UpstreamLimited
+	switch change {
+	case backpressure.Unchanged:
+		return
+	case backpressure.LimitEnded:
+		kind = event.UpstreamUnlimited
+	}
+	s.log.Emit(kind).Str("vm", life.VM).Int64("born", life.Born).Float64("limit", limit).Int64("age_ms", age.Milliseconds()).
+		Str("request", request).Bool("told", request == "").Send()
 }
--- a/internal/gateway/condition_test.go
+++ b/internal/gateway/condition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -30,3 +31,19 @@
 		t.Errorf("the other upstream got %d of 60 requests", got)
 	}
 }
+
+// TestCallIsRefusedAtOnceWhenAllUpstreamsAreAtTheirLimits: it would wait for a place until its time is up.
+func TestCallIsRefusedAtOnceWhenAllUpstreamsAreAtTheirLimits(t *testing.T) {
+	s := newSite(t, options{})
+	for _, vm := range s.plain {
+		vm.Condition.Store(&http.Header{"Server-Limit": {"0"}})
+	}
+	for range 2 {
+		body(t, s.send(t, http.MethodGet, "/read/x", nil))
+	}
+	waitFor(t, "both upstreams to have named their limits", func() bool {
+		resp := s.send(t, http.MethodGet, "/read/x", nil)
+		text := body(t, resp)
+		return resp.StatusCode == http.StatusServiceUnavailable && strings.Contains(text, "upstreams-limited") && resp.Header.Get("Retry-After") != ""
+	})
+}
--- a/internal/gateway/divide.go
+++ b/internal/gateway/divide.go
@@ -143,6 +143,9 @@
 	if b.cutOff(now, t.vm.FailureDomain) {
 		h.Load += cutShare * slots
 	}
+	if room, limited := b.limitedRoom(t, horizon); limited {
+		h.Most = min(h.Most, h.Load-h.Ends+room)
+	}
 	return h
 }
 
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -60,6 +60,16 @@
 	backShare = 4
 )
 
+// comeBackIn is the time to come back for a call that could be sent after a time, spread over as much again.
+func (s *Server) comeBackIn(c *Call, wait time.Duration) time.Duration {
+	wait = max(wait, fullBack)
+	base := wait + s.board.jitter(wait)
+	if c.Patience > 0 {
+		base = min(base, c.Patience/backShare)
+	}
+	return base
+}
+
 // comeBack is the time to come back for a refused call, spread so that refused callers
 // don't return at once.
 func (s *Server) comeBack(c *Call, why refusal) time.Duration {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/backpressure"
 	"github.com/marbleroad/marbleroad/internal/callers"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/clock"
@@ -86,6 +87,9 @@
 	Suspect func(group string, generation uint64)
 	// Dissolving lists the groups that this node is taking apart.
 	Dissolving func() []string
+	// Sharing tells with which nodes this one uses what upstream VMs of a failure domain take of all
+	// nodes; nil for a node alone.
+	Sharing func(domain string) backpressure.Sharing
 	// StepDown is called when a stop begins.
 	StepDown func()
 	// Nudge shares this node's state at once.
@@ -146,6 +150,9 @@
 		hard:     hard,
 		end:      end,
 	}
+	if p.Sharing != nil {
+		s.board.sharing = s.sharing
+	}
 	p.Quarantine.OnQuarantine(s.quarantined)
 	p.Quarantine.OnProved(p.Nudge)
 	return s
@@ -328,6 +335,7 @@
 // Hear takes another node's state, or a hub's sum of many, that was heard then.
 func (s *Server) Hear(state *marbleroadv1.NodeState, heardAt time.Time) {
 	s.board.hear(clock.Now(), state, heardAt, s.parts.LiveFor())
+	s.hearConditions(state, heardAt)
 	for _, suspicion := range state.GetSuspicions() {
 		s.parts.Suspect(suspicion.GetGroup(), suspicion.GetGeneration())
 	}
@@ -350,6 +358,14 @@
 
 func (s *Server) nodes() int { return s.parts.Nodes() }
 
+// sharing is which nodes use what VMs of a failure domain take; a node that stops leaves it to others.
+func (s *Server) sharing(domain string) backpressure.Sharing {
+	if s.stopping.Load() {
+		return backpressure.Sharing{}
+	}
+	return s.parts.Sharing(domain)
+}
+
 // watchStalls looks for heads whose streams have all fallen silent.
 func (s *Server) watchStalls() {
 	defer s.done.Done()
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -70,6 +70,7 @@
 			into.Loads = append(into.Loads, &marbleroadv1.GroupLoad{Group: t.group, InFlight: uint32(t.own), Suspects: uint32(t.suspects)})
 		}
 	}
+	b.tellConditions(now, into)
 	b.measure(now)
 	for key, m := range b.demand {
 		into.Demand = append(into.Demand, &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: m.rate, Arrivals: m.arrivals.Value(now)})
