--- a/internal/backpressure/notice.go
+++ b/internal/backpressure/notice.go
@@ -9,6 +9,8 @@
 // condition belongs to one life of a VM and ends with it.
 package backpressure
 
+import "time"
+
 // Notice is what one answer of an upstream VM says of the VM's condition. The zero value says that
 // nothing ails it.
 type Notice struct {
@@ -16,4 +18,8 @@
 	Limited bool
 	// Limit is how many requests a second the VM takes from all nodes together.
 	Limit float64
+	// Refused is true when the answer turns its request away.
+	Refused bool
+	// Rest is for how long the VM wants no request of this node; zero when it does not say.
+	Rest time.Duration
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -182,6 +182,8 @@
 		"None."}
 	ConditionUnreadable = Event{5020, zerolog.WarnLevel, "what an upstream VM says of its condition can't be read and is ignored",
 		"Have the VM's software corrected."}
+	UpstreamResting = Event{5021, zerolog.InfoLevel, "an upstream VM turned a request away and asked this node for rest",
+		"If it repeats, see what ails the VM."}
 )
 
 // Events of access.
@@ -206,6 +208,6 @@
 	DutyTaken, DutyLeft, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceAsked, ListRead, TakenUnproven,
 	RequestDone, RequestRefused, RequestFailed, BadInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerLeft, RepeatRefused, UpstreamEnded, RequestQuarantined,
-	SuspectsHeard, QuarantineUnread, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable,
+	SuspectsHeard, QuarantineUnread, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamResting,
 	BadKey, BadOperator,
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -295,7 +295,7 @@
 		Once:      !j.c.Route.Repeatable(),
 		Echo:      true,
 		Dialect:   j.s.upstream,
-		Observe:   func(_ int, h http.Header) { j.observe(now, s, h) },
+		Observe:   func(status int, h http.Header) { j.observe(now, s, status, h) },
 	}
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -102,7 +102,7 @@
 	Judge(resp *http.Response, requestID string) error
 	// Condition is what an answer says of the upstream's own condition. The error names what
 	// can't be read; the notice holds the rest.
-	Condition(h http.Header) (backpressure.Notice, error)
+	Condition(status int, h http.Header) (backpressure.Notice, error)
 }
 
 // hopHeaders concern one connection only and are not passed on.
--- a/internal/gateway/condition.go
+++ b/internal/gateway/condition.go
@@ -101,8 +101,8 @@
 }
 
 // observe takes what an answer says of the upstream's own condition.
-func (j *job) observe(sent time.Time, s *send, h http.Header) {
-	notice, err := j.s.upstream.Condition(h)
+func (j *job) observe(sent time.Time, s *send, status int, h http.Header) {
+	notice, err := j.s.upstream.Condition(status, h)
 	if err != nil {
 		j.s.metrics.Count("upstreams.conditions.unreadable", 1)
 		j.s.log.Emit(event.ConditionUnreadable).Str("vm", s.vm.ID).Str("request", j.c.ID).Err(err).Send()
@@ -110,6 +110,11 @@
 	if notice.Limited {
 		j.s.metrics.Count("upstreams.limits.heard", 1)
 	}
+	if notice.Rest > 0 {
+		j.s.metrics.Count("upstreams.rests.heard", 1)
+		j.s.log.Emit(event.UpstreamResting).Str("vm", s.vm.ID).Int64("born", s.vm.Born).Str("group", s.t.group).
+			Str("request", j.c.ID).Int64("rest_ms", notice.Rest.Milliseconds()).Send()
+	}
 	change := j.s.board.heardCondition(clock.Now(), sent, s, notice)
 	j.s.tellLimit(change, lifeOf(s.vm), notice.Limit, 0, j.c.ID)
 	if change == backpressure.LimitNamed || change == backpressure.LimitEnded {
