Failing test: an upstream that asks for rest goes on to get requests

TestUpstreamThatAsksForRestIsLeftAlone fails on this code: 16 of 40 requests went to a head after it had asked for 30 s of rest, allowed 2.

--- a/internal/gateway/condition_test.go
+++ b/internal/gateway/condition_test.go
@@ -47,3 +47,22 @@
 		return resp.StatusCode == http.StatusServiceUnavailable && strings.Contains(text, "upstreams-limited") && resp.Header.Get("Retry-After") != ""
 	})
 }
+
+// TestUpstreamThatAsksForRestIsLeftAlone: as it turned all requests away it looked empty, and drew more.
+func TestUpstreamThatAsksForRestIsLeftAlone(t *testing.T) {
+	s := newSite(t, options{pause: time.Microsecond})
+	resting := s.heads[0]
+	resting.Condition.Store(&http.Header{"Retry-After": {"30"}})
+	resting.Refuse.Store(true)
+	for range 40 {
+		if resp := s.send(t, http.MethodPost, "/stream/x", map[string]string{"Model": "m"}); resp.StatusCode != http.StatusOK {
+			t.Fatalf("status %d: %s", resp.StatusCode, body(t, resp))
+		} else {
+			body(t, resp)
+		}
+	}
+	const told, free = 1, 2
+	if got := resting.Asked.Load(); got > told+free {
+		t.Errorf("the upstream got %d requests in the rest that it had asked for", got-told)
+	}
+}
