An upstream that asks for rest is left alone

What callers saw: little at first, since each request that was turned away went on elsewhere in 5 ms; then refusals, once the budget for repeats was used up (13 in the worst second of the record, alerts from 9 s on).

Ruled out: forgotten at a change of the configuration (the counts rise before it), repeats alone (the record's are first sends).

Change: a rest is kept by the life of its VM, for this node alone: others were not asked, and a fleet that keeps away for one node's rest leaves the VM idle. After it one request goes first, and the others once one is taken. Bounded to an hour, after which the VM may ask anew. Tests: TestRestIsKept, TestAfterARestOneRequestGoesFirst, TestRestOfYearsIsBounded, TestRestIsThisNodesOwn.

--- a/internal/backpressure/backpressure_test.go
+++ b/internal/backpressure/backpressure_test.go
@@ -8,7 +8,7 @@
 
 var (
 	start = time.Unix(1_000_000, 0)
-	alone = Sharing{Self: "n", Nodes: []string{"n"}, Part: 1}
+	alone = func() Sharing { return Sharing{Self: "n", Nodes: []string{"n"}, Part: 1} }
 	life  = Life{VM: "vm", Born: 7}
 )
 
@@ -19,13 +19,13 @@
 func named(limit float64) Notice { return Notice{Limited: true, Limit: limit} }
 
 // sentWithin counts what a node sends that always has a request to send.
-func sentWithin(t *Table, from, to float64, s Sharing) int {
+func sentWithin(t *Table, from, to float64, s func() Sharing) int {
 	count := 0
 	for now := from; now < to; now += 0.01 {
 		if t.Check(at(now), life, 0, s).Back {
 			continue
 		}
-		t.Sent(life)
+		t.Sent(at(now), life)
 		count++
 	}
 	return count
@@ -103,7 +103,7 @@
 	if got := sentWithin(table, 0, 1, alone); got != 0 {
 		t.Errorf("%d requests in the first second", got)
 	}
-	other := Sharing{Self: "n", Nodes: []string{"m"}, Part: 1}
+	other := func() Sharing { return Sharing{Self: "n", Nodes: []string{"m"}, Part: 1} }
 	sentWithin(table, 1, 10, other)
 	if got := sentWithin(table, 10, 11, alone); got != 0 {
 		t.Errorf("%d requests in the first second after another node", got)
@@ -118,7 +118,7 @@
 	for now := 0.0; now < 30; now += 0.01 {
 		for _, reserve := range []float64{0.3, 0} {
 			if !table.Check(at(now), life, reserve, alone).Back {
-				table.Sent(life)
+				table.Sent(at(now), life)
 				sent[reserve]++
 			}
 		}
@@ -146,3 +146,52 @@
 		t.Errorf("%d of %d VMs were told of", len(told), mostVMs)
 	}
 }
+
+func resting(seconds float64) Notice {
+	return Notice{Refused: true, Rest: time.Duration(seconds * float64(time.Second))}
+}
+
+func TestRestIsKept(t *testing.T) {
+	table := NewTable()
+	table.Heard(at(0), at(0), life, resting(3))
+	table.Heard(at(0.1), at(0), life, resting(1))
+	table.Heard(at(0.2), at(0), life, Notice{})
+	if got := sentWithin(table, 0.2, 3, alone); got != 0 {
+		t.Errorf("%d requests in the rest", got)
+	}
+}
+
+// TestAfterARestOneRequestGoesFirst: all that waited would come at once.
+func TestAfterARestOneRequestGoesFirst(t *testing.T) {
+	table := NewTable()
+	table.Heard(at(0), at(0), life, resting(3))
+	if got := sentWithin(table, 3, 3.9, alone); got != 1 {
+		t.Errorf("%d requests before the first was answered", got)
+	}
+	table.Heard(at(4), at(3), life, Notice{Refused: true})
+	if got := sentWithin(table, 4.1, 4.9, alone); got != 1 {
+		t.Errorf("%d requests after one that was turned away", got)
+	}
+	table.Heard(at(5), at(4), life, Notice{})
+	if got := sentWithin(table, 5, 5.5, alone); got < 40 {
+		t.Errorf("%d requests after one that was taken", got)
+	}
+}
+
+// TestRestOfYearsIsBounded: a broken VM would be left alone until its life ends.
+func TestRestOfYearsIsBounded(t *testing.T) {
+	table := NewTable()
+	table.Heard(at(0), at(0), life, resting(1e9))
+	if hold := table.Check(at(3700), life, 0, alone); hold.Back {
+		t.Errorf("still held back for %v after an hour", hold.Wait)
+	}
+}
+
+// TestRestIsThisNodesOwn: a fleet that keeps away for one node's rest leaves the VM idle.
+func TestRestIsThisNodesOwn(t *testing.T) {
+	table := NewTable()
+	table.Heard(at(0), at(0), life, resting(3))
+	if records := table.Records(64); len(records) > 0 {
+		t.Errorf("others are told %v", records)
+	}
+}
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -65,6 +65,7 @@
 type condition struct {
 	life  Life
 	limit limit
+	rest  rest
 	// unlistedAt is since when the VM is not listed; zero while it is.
 	unlistedAt time.Time
 }
@@ -80,15 +81,31 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{vms: make(map[string]*condition)} }
 
+// Empty reports whether nothing is known of any VM.
+func (t *Table) Empty() bool { return len(t.vms) == 0 }
+
 // Heard takes what an answer says of the VM, to a request that was sent then. An answer without a
 // limit ends one only if its request was sent after the limit was heard: answers overtake each other.
 func (t *Table) Heard(now, sent time.Time, life Life, n Notice) Change {
+	t.heardRest(now, life, n)
 	if !n.Limited {
 		return t.ended(now, sent, life)
 	}
 	return t.set(now, Record{Life: life, Limited: true, Limit: n.Limit, At: now})
 }
 
+// heardRest takes what an answer means for the VM's rest.
+func (t *Table) heardRest(now time.Time, life Life, n Notice) {
+	c := t.of(life)
+	if c == nil && n.Rest <= 0 {
+		return
+	}
+	if c == nil {
+		c = t.add(life)
+	}
+	c.rest.heard(now, n)
+}
+
 func (t *Table) ended(now, sent time.Time, life Life) Change {
 	c := t.of(life)
 	if c == nil || !c.limit.named || !sent.After(c.limit.at) {
@@ -178,14 +195,20 @@
 	return Record{Life: c.life, Limited: c.limit.named, Limit: c.limit.rate, At: c.limit.at}
 }
 
-// Check reports whether a request may be sent to a VM that names a limit. reserve is the part of a
-// request, 0 to 0.3, that is kept for more urgent ones.
-func (t *Table) Check(now time.Time, life Life, reserve float64, s Sharing) Hold {
+// Check reports whether a request may be sent to a VM. reserve is the part of a request, 0 to 0.3, that is
+// kept for more urgent ones of what a VM with a limit takes; sharing is only asked for with a limit.
+func (t *Table) Check(now time.Time, life Life, reserve float64, sharing func() Sharing) Hold {
 	c := t.of(life)
-	if c == nil || !c.limit.named {
+	if c == nil {
+		return Hold{}
+	}
+	if wait := c.rest.wait(now); wait > 0 {
+		return Hold{Back: true, Wait: wait}
+	}
+	if !c.limit.named {
 		return Hold{}
 	}
-	rate := c.limit.refill(now, life.VM, s)
+	rate := c.limit.refill(now, life.VM, sharing())
 	if rate == 0 {
 		return Hold{Back: true, Wait: interval(c.limit.rate)}
 	}
@@ -201,16 +224,26 @@
 	return time.Duration(float64(time.Second) / max(limit, leastRate))
 }
 
-// Sent takes the token of a request that is sent to the VM.
-func (t *Table) Sent(life Life) {
-	if c := t.of(life); c != nil && c.limit.named {
+// Sent notes a request that is sent to the VM.
+func (t *Table) Sent(now time.Time, life Life) {
+	c := t.of(life)
+	if c == nil {
+		return
+	}
+	c.rest.sent(now)
+	if c.limit.named {
 		c.limit.tokens--
 	}
 }
 
-// Unsent gives back the token of a request that was not sent after all.
+// Unsent takes back what was noted of a request that was not sent after all.
 func (t *Table) Unsent(life Life) {
-	if c := t.of(life); c != nil && c.limit.named {
+	c := t.of(life)
+	if c == nil {
+		return
+	}
+	c.rest.triedAt = time.Time{}
+	if c.limit.named {
 		c.limit.tokens++
 	}
 }
@@ -219,6 +252,7 @@
 // changed last, and the others take turns.
 func (t *Table) Records(most int) []Record {
 	all := slices.Collect(maps.Values(t.vms))
+	all = slices.DeleteFunc(all, func(c *condition) bool { return c.limit.at.IsZero() })
 	slices.SortFunc(all, func(a, b *condition) int {
 		return cmp.Or(b.limit.changedAt.Compare(a.limit.changedAt), cmp.Compare(a.life.VM, b.life.VM))
 	})
@@ -249,8 +283,13 @@
 		case now.Sub(c.unlistedAt) > keepUnlisted:
 			delete(t.vms, id)
 		}
-		if !c.limit.named && now.Sub(c.limit.at) > keepEnded {
+		if c.over(now) {
 			delete(t.vms, id)
 		}
 	}
 }
+
+// over reports whether nothing that is known of the VM matters any more.
+func (c *condition) over(now time.Time) bool {
+	return !c.limit.named && now.Sub(c.limit.at) > keepEnded && !c.rest.known(now)
+}
--- a/internal/cluster/sharing_test.go
+++ b/internal/cluster/sharing_test.go
@@ -76,10 +76,10 @@
 		return
 	case !told:
 		v.strays++
-	case table.Check(now, v.life, 0, sharing).Back:
+	case table.Check(now, v.life, 0, func() backpressure.Sharing { return sharing }).Back:
 		return
 	default:
-		table.Sent(v.life)
+		table.Sent(now, v.life)
 		v.arrivals = append(v.arrivals, now)
 	}
 	if table.Heard(now, now, v.life, backpressure.Notice{Limited: true, Limit: v.limit}) == backpressure.LimitNamed {
--- a/internal/gateway/condition.go
+++ b/internal/gateway/condition.go
@@ -55,11 +55,10 @@
 
 // hold reports whether the target's VM has asked for fewer requests than one more. mu is held.
 func (b *board) hold(now time.Time, t *target, kept float64) backpressure.Hold {
-	life := lifeOf(t.vm)
-	if _, limited := b.conditions.Limit(life); !limited {
+	if b.conditions.Empty() {
 		return backpressure.Hold{}
 	}
-	return b.conditions.Check(now, life, kept, b.sharing(t.vm.FailureDomain))
+	return b.conditions.Check(now, lifeOf(t.vm), kept, func() backpressure.Sharing { return b.sharing(t.vm.FailureDomain) })
 }
 
 // limitedRoom is how many more requests a target takes within a time, if its VM names a limit. mu is held.
