--- a/internal/backpressure/notice.go
+++ b/internal/backpressure/notice.go
@@ -22,4 +22,6 @@
 	Refused bool
 	// Rest is for how long the VM wants no request of this node; zero when it does not say.
 	Rest time.Duration
+	// Leaving is true when the VM is about to end and wants no new request of anybody.
+	Leaving bool
 }
--- a/internal/gateway/condition.go
+++ b/internal/gateway/condition.go
@@ -114,6 +114,9 @@
 		j.s.log.Emit(event.UpstreamResting).Str("vm", s.vm.ID).Int64("born", s.vm.Born).Str("group", s.t.group).
 			Str("request", j.c.ID).Int64("rest_ms", notice.Rest.Milliseconds()).Send()
 	}
+	if notice.Leaving {
+		j.s.metrics.Count("upstreams.leaving.heard", 1)
+	}
 	change := j.s.board.heardCondition(clock.Now(), sent, s, notice)
 	j.s.tellLimit(change, lifeOf(s.vm), notice.Limit, 0, j.c.ID)
 	if change == backpressure.LimitNamed || change == backpressure.LimitEnded {
--- a/internal/gateway/condition_test.go
+++ b/internal/gateway/condition_test.go
@@ -66,3 +66,20 @@
 		t.Errorf("the upstream got %d requests in the rest that it had asked for", got-told)
 	}
 }
+
+// TestLeavingUpstreamGetsNothingMore: its entry may say so seconds later, or never.
+func TestLeavingUpstreamGetsNothingMore(t *testing.T) {
+	s := newSite(t, options{pause: time.Microsecond})
+	leaving := s.heads[0]
+	leaving.Condition.Store(&http.Header{"Server-Leaving": {"1"}})
+	for range 40 {
+		if resp := s.send(t, http.MethodPost, "/stream/x", map[string]string{"Model": "m"}); resp.StatusCode != http.StatusOK {
+			t.Fatalf("status %d: %s", resp.StatusCode, body(t, resp))
+		} else {
+			body(t, resp)
+		}
+	}
+	if got := leaving.Asked.Load(); got > 1 {
+		t.Errorf("the upstream got %d requests after it had said that it leaves", got-1)
+	}
+}
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -28,6 +28,7 @@
 	{"upstreams.ended", "counter", "Ends of VMs that were held against a request which they ran."},
 	{"upstreams.limits.heard", "counter", "Answers of upstream VMs that named a limit of requests a second."},
 	{"upstreams.rests.heard", "counter", "Answers of upstream VMs that turned a request away and asked for rest."},
+	{"upstreams.leaving.heard", "counter", "Answers of upstream VMs that said they were about to end."},
 	{"requests.held_back", "counter", "Calls that were refused because all upstream VMs that could serve them had asked for fewer requests."},
 	{"upstreams.conditions.unreadable", "counter", "Answers whose word on the upstream VM's condition could not be read."},
 	{"quarantine.requests", "counter", "Requests that were put in quarantine, by this node or another one."},
