An upstream that says it leaves gets no more requests, from any node

Draining was known only from the platform's list, which comes later or, while the store is away, not at all.

Members that are no heads answer no requests: what VMs answer to reports and orders is heard as well. What is under way there goes on. TestAgesAreByThisClock looks at the new package too.

--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -19,13 +19,16 @@
 	return l.VM == other.VM && (l.Born == other.Born || l.Born == 0 || other.Born == 0)
 }
 
-// Record is what nodes tell each other of one VM's limit.
+// Record is what nodes tell each other of one VM.
 type Record struct {
 	Life
+	// Leaving is true once the VM has said that it is about to end.
+	Leaving bool
 	// Limited is false when the VM was heard not to name a limit any more.
 	Limited bool
 	Limit   float64
-	// At is when a node heard it from the VM, by the clock of the node that holds the record.
+	// At is when a node heard of the limit from the VM, by the clock of the node that holds the record;
+	// zero when nothing was heard of limits.
 	At time.Time
 }
 
@@ -66,6 +69,8 @@
 	life  Life
 	limit limit
 	rest  rest
+	// leavingAt is when this node learned that the VM leaves; zero while it does not.
+	leavingAt time.Time
 	// unlistedAt is since when the VM is not listed; zero while it is.
 	unlistedAt time.Time
 }
@@ -114,8 +119,31 @@
 	return t.set(now, Record{Life: life, At: now})
 }
 
-// Told takes a record of another node; what is older than what is known changes nothing.
+// Leaves notes that the VM is about to end, as it said itself or another node told. It reports whether
+// that is news. Only the end of its life ends it.
+func (t *Table) Leaves(now time.Time, life Life) bool {
+	c := t.of(life)
+	if c == nil {
+		c = t.add(life)
+	}
+	if !c.leavingAt.IsZero() {
+		return false
+	}
+	c.leavingAt = now
+	return true
+}
+
+// Leaving reports whether the VM is about to end.
+func (t *Table) Leaving(life Life) bool {
+	c := t.of(life)
+	return c != nil && !c.leavingAt.IsZero()
+}
+
+// Told takes what a record of another node says of a limit; what is older than what is known changes nothing.
 func (t *Table) Told(now time.Time, r Record) Change {
+	if r.At.IsZero() {
+		return Unchanged
+	}
 	if c := t.of(r.Life); c != nil && !r.At.After(c.limit.at) {
 		return Unchanged
 	}
@@ -192,7 +220,7 @@
 }
 
 func (c *condition) record() Record {
-	return Record{Life: c.life, Limited: c.limit.named, Limit: c.limit.rate, At: c.limit.at}
+	return Record{Life: c.life, Leaving: !c.leavingAt.IsZero(), Limited: c.limit.named, Limit: c.limit.rate, At: c.limit.at}
 }
 
 // Check reports whether a request may be sent to a VM. reserve is the part of a request, 0 to 0.3, that is
@@ -252,9 +280,9 @@
 // changed last, and the others take turns.
 func (t *Table) Records(most int) []Record {
 	all := slices.Collect(maps.Values(t.vms))
-	all = slices.DeleteFunc(all, func(c *condition) bool { return c.limit.at.IsZero() })
+	all = slices.DeleteFunc(all, func(c *condition) bool { return c.limit.at.IsZero() && c.leavingAt.IsZero() })
 	slices.SortFunc(all, func(a, b *condition) int {
-		return cmp.Or(b.limit.changedAt.Compare(a.limit.changedAt), cmp.Compare(a.life.VM, b.life.VM))
+		return cmp.Or(b.changedAt().Compare(a.changedAt()), cmp.Compare(a.life.VM, b.life.VM))
 	})
 	if len(all) > most {
 		newest, others := all[:most/2], all[most/2:]
@@ -291,5 +319,8 @@
 
 // over reports whether nothing that is known of the VM matters any more.
 func (c *condition) over(now time.Time) bool {
-	return !c.limit.named && now.Sub(c.limit.at) > keepEnded && !c.rest.known(now)
+	return !c.limit.named && now.Sub(c.limit.at) > keepEnded && !c.rest.known(now) && c.leavingAt.IsZero()
 }
+
+// changedAt is when this node learned the newest of what others are told.
+func (c *condition) changedAt() time.Time { return latest(c.limit.changedAt, c.leavingAt) }
--- a/internal/backpressure/wire.go
+++ b/internal/backpressure/wire.go
@@ -8,7 +8,11 @@
 
 // Encode is a record as other nodes are told it, with its age in place of its time.
 func (r Record) Encode(now time.Time) *marbleroadv1.UpstreamCondition {
-	out := &marbleroadv1.UpstreamCondition{Vm: r.VM, Born: r.Born, LimitAgeMs: uint32(max(now.Sub(r.At).Milliseconds(), 0))}
+	out := &marbleroadv1.UpstreamCondition{Vm: r.VM, Born: r.Born, Leaving: r.Leaving}
+	if !r.At.IsZero() {
+		age := uint32(max(now.Sub(r.At).Milliseconds(), 0))
+		out.LimitAgeMs = &age
+	}
 	if r.Limited {
 		out.Limit = &r.Limit
 	}
@@ -17,6 +21,10 @@
 
 // Decode is a record that was told in a message which was made then or later.
 func Decode(c *marbleroadv1.UpstreamCondition, madeAt time.Time) Record {
-	age := time.Duration(c.GetLimitAgeMs()) * time.Millisecond
-	return Record{Life: Life{VM: c.GetVm(), Born: c.GetBorn()}, Limited: c.Limit != nil, Limit: c.GetLimit(), At: madeAt.Add(-age)}
+	out := Record{Life: Life{VM: c.GetVm(), Born: c.GetBorn()}, Leaving: c.GetLeaving()}
+	if c.LimitAgeMs != nil {
+		age := time.Duration(c.GetLimitAgeMs()) * time.Millisecond
+		out.Limited, out.Limit, out.At = c.Limit != nil, c.GetLimit(), madeAt.Add(-age)
+	}
+	return out
 }
--- a/internal/clock/users_test.go
+++ b/internal/clock/users_test.go
@@ -20,7 +20,7 @@
 // suspension, so these packages don't use it. The archive's times of day are no ages.
 func TestAgesAreByThisClock(t *testing.T) {
 	looked := 0
-	for _, folder := range []string{"gateway", "feed", "catalog", "cluster", "fleet", "director", "quarantine", "retry", "placement", "batch", "inspect", "../platform", "control", "presence", "entry", "routing", "quota", "admission", "ledger"} {
+	for _, folder := range []string{"gateway", "feed", "catalog", "cluster", "fleet", "director", "quarantine", "retry", "backpressure", "placement", "batch", "inspect", "../platform", "control", "presence", "entry", "routing", "quota", "admission", "ledger"} {
 		files, err := filepath.Glob("../" + folder + "/*.go")
 		if err != nil {
 			t.Fatal(err)
--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -126,7 +126,7 @@
 
 // urgent tells whether two states of a node differ in what the others must learn
 // at once: groups that fell silent or are being taken apart, duties, a stop, the first callers, upstream
-// VMs that begin or end to name a limit.
+// VMs that begin or end to name a limit, or leave.
 func urgent(old, next *marbleroadv1.NodeState) bool {
 	if old.GetStopping() != next.GetStopping() || old.GetTrafficSeen() != next.GetTrafficSeen() || !slices.Equal(old.GetDirecting(), next.GetDirecting()) ||
 		!slices.Equal(old.GetDissolving(), next.GetDissolving()) || conditionsDiffer(old, next) {
@@ -147,14 +147,14 @@
 const urgentConditions = 32
 
 // conditionsDiffer reports whether a state tells of an upstream VM that the one before did not tell of,
-// or that such a VM begins or ends to name a limit.
+// or that such a VM begins or ends to name a limit, or leaves.
 func conditionsDiffer(old, next *marbleroadv1.NodeState) bool {
 	if len(next.GetConditions()) > urgentConditions {
 		return false
 	}
 	for _, one := range next.GetConditions() {
 		if !slices.ContainsFunc(old.GetConditions(), func(k *marbleroadv1.UpstreamCondition) bool {
-			return k.GetVm() == one.GetVm() && k.GetBorn() == one.GetBorn() && (k.Limit == nil) == (one.Limit == nil)
+			return k.GetVm() == one.GetVm() && k.GetBorn() == one.GetBorn() && (k.Limit == nil) == (one.Limit == nil) && k.GetLeaving() == one.GetLeaving()
 		}) {
 			return true
 		}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -96,6 +96,8 @@
 		Nudge:      nodes.Nudge,
 		Quarantine: suspects,
 	})
+	engines := platform.NewEngine(newTransport(s.Cluster.Listen, reportIdle, &b.peers.Traffic.Upstreams))
+	engines.OnCondition(server.HearVM)
 	groups = director.New(director.Config{
 		NodeID:        s.Node.ID,
 		FailureDomain: s.Node.FailureDomain,
@@ -105,7 +107,7 @@
 	}, director.Parts{
 		Log:      b.log,
 		Metrics:  b.metrics,
-		Engine:   platform.NewEngine(newTransport(s.Cluster.Listen, reportIdle, &b.peers.Traffic.Upstreams)),
+		Engine:   engines,
 		Catalogs: keeper,
 		Fleet:    directory,
 		Nodes:    nodes,
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -184,6 +184,8 @@
 		"Have the VM's software corrected."}
 	UpstreamResting = Event{5021, zerolog.InfoLevel, "an upstream VM turned a request away and asked this node for rest",
 		"If it repeats, see what ails the VM."}
+	UpstreamLeaving = Event{5022, zerolog.InfoLevel, "an upstream VM says in its answers that it leaves; it gets no more requests",
+		"None."}
 )
 
 // Events of access.
@@ -208,6 +210,6 @@
 	DutyTaken, DutyLeft, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceAsked, ListRead, TakenUnproven,
 	RequestDone, RequestRefused, RequestFailed, BadInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerLeft, RepeatRefused, UpstreamEnded, RequestQuarantined,
-	SuspectsHeard, QuarantineUnread, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamResting,
+	SuspectsHeard, QuarantineUnread, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamResting, UpstreamLeaving,
 	BadKey, BadOperator,
 }
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -77,6 +77,8 @@
 	recent   *recentChanges
 	onChange []func(*Snapshot)
 
+	leavers leavers
+
 	running wait.Loop
 	// rejected counts the entries that named no VM to use.
 	rejected atomic.Int64
@@ -155,6 +157,7 @@
 		}
 		d.failing.Succeeded()
 		changed = d.expire(clock.Now()) || changed
+		changed = d.leavers.takeNews() || changed
 		d.publish(provenAt, changed)
 		wait.Sleep(ctx, d.beforeExpiry(d.settle()))
 	}
@@ -395,6 +398,7 @@
 	for id, vm := range d.vms {
 		vms[id] = vm
 	}
+	d.leavers.mark(vms)
 	next := NewSnapshot(vms, d.revision, provenAt)
 	next.Heard = maps.Clone(d.heard)
 	d.snapshot.Store(next)
--- a/internal/gateway/condition.go
+++ b/internal/gateway/condition.go
@@ -41,7 +41,7 @@
 	var out []*target
 	var held heldTargets
 	for _, t := range all {
-		if tried[t.key()] {
+		if tried[t.key()] || b.conditions.Leaving(lifeOf(t.vm)) {
 			continue
 		}
 		if hold := b.hold(now, t, kept); hold.Back {
@@ -103,8 +103,7 @@
 func (j *job) observe(sent time.Time, s *send, status int, h http.Header) {
 	notice, err := j.s.upstream.Condition(status, h)
 	if err != nil {
-		j.s.metrics.Count("upstreams.conditions.unreadable", 1)
-		j.s.log.Emit(event.ConditionUnreadable).Str("vm", s.vm.ID).Str("request", j.c.ID).Err(err).Send()
+		j.s.unreadable(s.vm.ID, j.c.ID, err)
 	}
 	if notice.Limited {
 		j.s.metrics.Count("upstreams.limits.heard", 1)
@@ -116,6 +115,7 @@
 	}
 	if notice.Leaving {
 		j.s.metrics.Count("upstreams.leaving.heard", 1)
+		j.s.takeOut(lifeOf(s.vm), j.c.ID)
 	}
 	change := j.s.board.heardCondition(clock.Now(), sent, s, notice)
 	j.s.tellLimit(change, lifeOf(s.vm), notice.Limit, 0, j.c.ID)
@@ -130,7 +130,41 @@
 	for _, one := range state.GetConditions() {
 		r := backpressure.Decode(one, heardAt)
 		s.tellLimit(s.board.toldCondition(now, r), r.Life, r.Limit, now.Sub(r.At), "")
+		if r.Leaving {
+			s.takeOut(r.Life, "")
+		}
+	}
+}
+
+// HearVM takes what a VM says of itself in an answer to this node's own questions and orders. Such an
+// answer ends nothing: it may be of another part of the VM than those to requests.
+func (s *Server) HearVM(vm *fleet.VM, n backpressure.Notice, fault error) {
+	if fault != nil {
+		s.unreadable(vm.ID, "", fault)
+	}
+	if n.Leaving {
+		s.takeOut(lifeOf(vm), "")
+	}
+}
+
+// unreadable tells of what a VM says of its condition and can't be read.
+func (s *Server) unreadable(vm, request string, fault error) {
+	s.metrics.Count("upstreams.conditions.unreadable", 1)
+	s.log.Emit(event.ConditionUnreadable).Str("vm", vm).Str("request", request).Err(fault).Send()
+}
+
+// takeOut takes a VM that is about to end out of use, by its own word with a request's answer or as another
+// node told, and has the others know.
+func (s *Server) takeOut(life backpressure.Life, request string) {
+	s.board.mu.Lock()
+	news := s.board.conditions.Leaves(clock.Now(), life)
+	s.board.mu.Unlock()
+	if !news {
+		return
 	}
+	s.parts.Directory.Leaving(life.VM, life.Born)
+	s.log.Emit(event.UpstreamLeaving).Str("vm", life.VM).Int64("born", life.Born).Str("request", request).Bool("told", request == "").Send()
+	s.parts.Nudge()
 }
 
 // tellLimit logs a change of a VM's limit, which was heard so long ago with a request's answer or from
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -110,3 +110,24 @@
 		}
 	}
 }
+
+// TestLeavingUpstreamIsLeftByNodesThatAreTold: each node would send it one request more.
+func TestLeavingUpstreamIsLeftByNodesThatAreTold(t *testing.T) {
+	now := time.Now()
+	teller, c := testBoard(t, now, noneDissolving)
+	teller.conditions.Leaves(now, backpressure.Life{VM: "a"})
+	state := &marbleroadv1.NodeState{}
+	teller.tellConditions(now, state)
+	told, _ := testBoard(t, now, noneDissolving)
+	for _, one := range state.GetConditions() {
+		if r := backpressure.Decode(one, now); r.Leaving {
+			told.conditions.Leaves(now, r.Life)
+		}
+	}
+	if sendTo(told, now, c, "a") != nil {
+		t.Error("a request went to an upstream that leaves")
+	}
+	if !told.conditions.Leaving(backpressure.Life{VM: "a", Born: 9}) {
+		t.Error("a life that does not say when it began is not the one that leaves")
+	}
+}
