--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -71,6 +71,8 @@
 	rest  rest
 	// leavingAt is when this node learned that the VM leaves; zero while it does not.
 	leavingAt time.Time
+	// unreadable is true once something that the VM said could not be read.
+	unreadable bool
 	// unlistedAt is since when the VM is not listed; zero while it is.
 	unlistedAt time.Time
 }
@@ -119,6 +121,17 @@
 	return t.set(now, Record{Life: life, At: now})
 }
 
+// Unreadable notes that something that the VM said could not be read. It reports whether that is the first.
+func (t *Table) Unreadable(life Life) bool {
+	c := t.of(life)
+	if c == nil {
+		c = t.add(life)
+	}
+	first := !c.unreadable
+	c.unreadable = true
+	return first
+}
+
 // Leaves notes that the VM is about to end, as it said itself or another node told. It reports whether
 // that is news. Only the end of its life ends it.
 func (t *Table) Leaves(now time.Time, life Life) bool {
@@ -139,6 +152,15 @@
 	return c != nil && !c.leavingAt.IsZero()
 }
 
+// Resting is for how long the VM still wants no request of this node; zero when it does not say.
+func (t *Table) Resting(now time.Time, life Life) time.Duration {
+	c := t.of(life)
+	if c == nil {
+		return 0
+	}
+	return max(c.rest.until.Sub(now), 0)
+}
+
 // Told takes what a record of another node says of a limit; what is older than what is known changes nothing.
 func (t *Table) Told(now time.Time, r Record) Change {
 	if r.At.IsZero() {
@@ -319,7 +341,7 @@
 
 // over reports whether nothing that is known of the VM matters any more.
 func (c *condition) over(now time.Time) bool {
-	return !c.limit.named && now.Sub(c.limit.at) > keepEnded && !c.rest.known(now) && c.leavingAt.IsZero()
+	return !c.limit.named && now.Sub(c.limit.at) > keepEnded && !c.rest.known(now) && c.leavingAt.IsZero() && !c.unreadable
 }
 
 // changedAt is when this node learned the newest of what others are told.
--- a/internal/ctl/node.go
+++ b/internal/ctl/node.go
@@ -100,7 +100,7 @@
 }
 
 func nodeUpstreams(v inspect.View) (grid, any) {
-	g := grid{header: []string{"vm", "address", "service", "failure domain", "fabric", "state", "group", "rank", "staged"}}
+	g := grid{header: []string{"vm", "address", "service", "failure domain", "fabric", "state", "group", "rank", "staged", "condition"}}
 	for _, vm := range v.Upstreams {
 		state, rank := vm.State, strconv.Itoa(vm.Rank)
 		if vm.Draining {
@@ -109,7 +109,7 @@
 		if vm.Group == "" {
 			rank = ""
 		}
-		g.add(vm.ID, vm.Address, vm.Service, vm.FailureDomain, vm.Fabric, state, vm.Group, rank, strings.Join(vm.Staged, " "))
+		g.add(vm.ID, vm.Address, vm.Service, vm.FailureDomain, vm.Fabric, state, vm.Group, rank, strings.Join(vm.Staged, " "), vm.Condition)
 	}
 	return g, v.Upstreams
 }
--- a/internal/ctl/node_test.go
+++ b/internal/ctl/node_test.go
@@ -27,7 +27,8 @@
 			{Name: "g-2", Generation: 70, Service: "llm", Model: "big", Size: 2, Members: []string{"v3"}, State: "open", Running: 1, Shunned: "its streams fell silent"},
 		},
 		Upstreams: []inspect.VM{
-			{ID: "v1", Address: "10.0.0.1:80", Service: "llm", FailureDomain: "a", Fabric: "a-d0", Group: "g-1", State: "open", Staged: []string{"small"}},
+			{ID: "v1", Address: "10.0.0.1:80", Service: "llm", FailureDomain: "a", Fabric: "a-d0", Group: "g-1", State: "open", Staged: []string{"small"},
+				Condition: "takes 1.7/s, heard 400ms ago"},
 			{ID: "v9", Address: "10.0.0.9:80", Service: "api", FailureDomain: "a", Draining: true, State: "unassigned"},
 		},
 		Suspects: []inspect.Suspect{
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -129,6 +129,7 @@
 		Cluster:       nodes,
 		Directing:     groups.Directing,
 		Load:          server.Load,
+		Condition:     server.Condition,
 		Suspects:      suspects,
 	}))
 	operators.Take(inspect.ReleasePath, inspect.Release(suspects))
--- a/internal/gateway/condition.go
+++ b/internal/gateway/condition.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
@@ -103,7 +105,7 @@
 func (j *job) observe(sent time.Time, s *send, status int, h http.Header) {
 	notice, err := j.s.upstream.Condition(status, h)
 	if err != nil {
-		j.s.unreadable(s.vm.ID, j.c.ID, err)
+		j.s.unreadable(lifeOf(s.vm), j.c.ID, err)
 	}
 	if notice.Limited {
 		j.s.metrics.Count("upstreams.limits.heard", 1)
@@ -136,21 +138,44 @@
 	}
 }
 
+// Condition tells what a VM said of its own condition, for operators; empty when nothing ails it.
+func (s *Server) Condition(vm *fleet.VM) string {
+	now, life := clock.Now(), lifeOf(vm)
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	var said []string
+	if s.board.conditions.Leaving(life) {
+		said = append(said, "leaves")
+	}
+	if rest := s.board.conditions.Resting(now, life); rest > 0 {
+		said = append(said, fmt.Sprintf("rests %v more", rest.Round(time.Millisecond)))
+	}
+	if limit, limited := s.board.conditions.Limit(life); limited {
+		said = append(said, fmt.Sprintf("takes %v/s, heard %v ago", limit.Limit, now.Sub(limit.At).Round(time.Millisecond)))
+	}
+	return strings.Join(said, ", ")
+}
+
 // HearVM takes what a VM says of itself in an answer to this node's own questions and orders. Such an
 // answer ends nothing: it may be of another part of the VM than those to requests.
 func (s *Server) HearVM(vm *fleet.VM, n backpressure.Notice, fault error) {
 	if fault != nil {
-		s.unreadable(vm.ID, "", fault)
+		s.unreadable(lifeOf(vm), "", fault)
 	}
 	if n.Leaving {
 		s.takeOut(lifeOf(vm), "")
 	}
 }
 
-// unreadable tells of what a VM says of its condition and can't be read.
-func (s *Server) unreadable(vm, request string, fault error) {
+// unreadable tells, once for each life of a VM, of what it says of its condition and can't be read.
+func (s *Server) unreadable(life backpressure.Life, request string, fault error) {
 	s.metrics.Count("upstreams.conditions.unreadable", 1)
-	s.log.Emit(event.ConditionUnreadable).Str("vm", vm).Str("request", request).Err(fault).Send()
+	s.board.mu.Lock()
+	first := s.board.conditions.Unreadable(life)
+	s.board.mu.Unlock()
+	if first {
+		s.log.Emit(event.ConditionUnreadable).Str("vm", life.VM).Int64("born", life.Born).Str("request", request).Err(fault).Send()
+	}
 }
 
 // takeOut takes a VM that is about to end out of use, by its own word with a request's answer or as another
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -110,6 +110,8 @@
 	Rank          int      `json:"rank"`
 	State         string   `json:"state"`
 	Staged        []string `json:"staged"`
+	// Condition is what the VM said of its own condition; empty when nothing ails it.
+	Condition string `json:"condition,omitempty"`
 }
 
 // Sources are where a view comes from.
@@ -123,6 +125,8 @@
 	Directing     func() []string
 	// Load tells the requests at a head and why none are sent there.
 	Load func(vm, group string) (running int, shunned string)
+	// Condition tells what a VM said of its own condition.
+	Condition func(vm *fleet.VM) string
 	// Suspects knows the requests under which upstreams ended.
 	Suspects *quarantine.Table
 }
@@ -155,7 +159,7 @@
 	}
 	if list := s.Directory.Snapshot(); list != nil {
 		v.ListAge, v.ListRevision = now.Sub(list.ProvenAt), list.Revision
-		v.Upstreams = upstreams(list)
+		v.Upstreams = s.upstreams(list)
 		v.Groups = s.groups(list, current)
 	}
 	return v
@@ -177,11 +181,11 @@
 	return out
 }
 
-func upstreams(list *fleet.Snapshot) []VM {
+func (s Sources) upstreams(list *fleet.Snapshot) []VM {
 	out := make([]VM, 0, len(list.VMs))
 	for _, vm := range list.VMs {
 		out = append(out, VM{ID: vm.ID, Address: vm.Address, Service: vm.Service, FailureDomain: vm.FailureDomain, Fabric: vm.Fabric,
-			Draining: vm.Draining, Group: vm.Group, Rank: vm.Rank, State: vm.State.String(), Staged: vm.Staged})
+			Draining: vm.Draining, Group: vm.Group, Rank: vm.Rank, State: vm.State.String(), Staged: vm.Staged, Condition: s.Condition(vm)})
 	}
 	sort.Slice(out, func(i, k int) bool { return out[i].ID < out[k].ID })
 	return out
