An engine that asks for rest is left alone by entries as well

RestFilter leaves out upstreams that asked this entry for rest, also where nothing else is left; the call is then refused at once. Bounded to an hour.

--- a/internal/entry/desk.go
+++ b/internal/entry/desk.go
@@ -104,6 +104,13 @@
 	return d.tracker.End(now, id, failed, peers)
 }
 
+// rest notes that an upstream wants no request for so long.
+func (d *desk) rest(now time.Time, id string, rest time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tracker.Rest(now, id, rest)
+}
+
 func (d *desk) takeRetry() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -267,7 +267,7 @@
 	defer span.End()
 	c.trail.add("sent to %s at %s", up.ID, up.Address)
 	began := clock.Now()
-	resp, err := s.sender.Send(ctx, s.outgoing(ctx, c, up))
+	resp, err := s.sender.Send(ctx, s.outgoing(ctx, c, d, up))
 	if err != nil {
 		fault := verdict.As(err)
 		span.SetAttributes(attribute.String("verdict", fault.Verdict.String()))
@@ -284,7 +284,7 @@
 
 // outgoing builds the request for the upstream. Headers that are for this hop
 // only, and the caller's key, stay behind.
-func (s *Server) outgoing(ctx context.Context, c *call, up view.Upstream) relay.Outgoing {
+func (s *Server) outgoing(ctx context.Context, c *call, d *desk, up view.Upstream) relay.Outgoing {
 	h := make(http.Header)
 	copyHeaders(h, c.header, requestHeaders)
 	s.tracer.Inject(ctx, h)
@@ -303,5 +303,23 @@
 		RequestID: c.id,
 		Once:      c.once,
 		Echo:      model,
+		Observe:   func(status int, h http.Header) { s.observe(c, d, up, status, h) },
 	}
 }
+
+// observe takes what an answer says of the upstream's own condition.
+func (s *Server) observe(c *call, d *desk, up view.Upstream, status int, h http.Header) {
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return
+	}
+	rest, err := relay.RetryAfter(h)
+	if err != nil {
+		s.log.Emit(event.ConditionUnreadable).Str("vm", up.ID).Str("request", c.id).Err(err).Send()
+	}
+	if rest <= 0 {
+		return
+	}
+	d.rest(clock.Now(), up.ID, rest)
+	c.trail.add("upstream %s asked for %v of rest", up.ID, rest)
+	s.log.Emit(event.UpstreamResting).Str("vm", up.ID).Str("request", c.id).Int64("rest_ms", rest.Milliseconds()).Send()
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -20,6 +20,8 @@
 	Slowness float64
 	// Ejected is true while the upstream is left out for failing or being slow.
 	Ejected bool
+	// Resting is true while the upstream has asked this entry for no requests.
+	Resting bool
 	// HasPrefix is the part of the prompt, 0 to 1, believed to be in its cache.
 	HasPrefix float64
 }
@@ -61,6 +63,12 @@
 	return r.Now.Before(c.Until) && !r.Tried[c.ID]
 }
 
+// RestFilter keeps upstreams that have not asked this entry for rest.
+type RestFilter struct{}
+
+// Keep implements Filter.
+func (RestFilter) Keep(_ Request, c Candidate) bool { return !c.Resting }
+
 // ExpectedFirstTokenScorer estimates the time to the first token: the wait for
 // a slot, from the entry's own requests in flight and the upstream's lagging
 // report, and the reading of the part of the prompt that is not in its cache.
@@ -170,7 +178,7 @@
 		noise    = 0.005
 	)
 	return Policy{
-		Filters: []Filter{TrustFilter{}},
+		Filters: []Filter{TrustFilter{}, RestFilter{}},
 		Scorer:  ExpectedFirstTokenScorer{ServiceTime: serviceTime, Prefill: prefill, Crowding: crowding},
 		Picker:  LowestScorePicker{Margin: margin, Noise: noise},
 	}
--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -46,6 +46,7 @@
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
+	restsUntil   time.Time
 }
 
 // Tracker learns from outcomes. It is not safe for concurrent use; its owner
@@ -90,6 +91,7 @@
 			Own:       s.own,
 			Slowness:  s.slowness(median),
 			Ejected:   now.Before(s.ejectedUntil),
+			Resting:   now.Before(s.restsUntil),
 			HasPrefix: t.cached(u.ID, blocks),
 		}
 	}
@@ -201,6 +203,17 @@
 	return true
 }
 
+// longestRest bounds the rest of an upstream; then it is asked again, and may ask for more.
+const longestRest = time.Hour
+
+// Rest notes that an upstream wants no request of this entry for so long.
+func (t *Tracker) Rest(now time.Time, id string, rest time.Duration) {
+	s := t.stats(id)
+	if until := now.Add(min(rest, longestRest)); until.After(s.restsUntil) {
+		s.restsUntil = until
+	}
+}
+
 // TakeRetry reports whether the retry budget allows one more retry.
 func (t *Tracker) TakeRetry() bool {
 	if t.retries < 1 {
