A word on a VM's former life changes nothing

Nodes that have not seen a VM start again go on telling what its former life said; each such word took the place of what the new life had said, until the next list. Found by reading. Such words are passed over by the list and by what is known. TestWordOnAFormerLifeChangesNothing fails without it.

--- a/internal/backpressure/backpressure_test.go
+++ b/internal/backpressure/backpressure_test.go
@@ -53,7 +53,7 @@
 	if change := table.Heard(at(4), at(3), life, Notice{}); change != LimitEnded {
 		t.Errorf("an answer to a request that was sent later changed %d", change)
 	}
-	if change := table.Told(at(4), Record{Life: life, Limited: true, Limit: 1, At: at(2)}); change != Unchanged {
+	if change, _ := table.Told(at(4), Record{Life: life, Limited: true, Limit: 1, At: at(2)}); change != Unchanged {
 		t.Errorf("an older word of another node changed %d", change)
 	}
 }
@@ -195,3 +195,15 @@
 		t.Errorf("others are told %v", records)
 	}
 }
+
+// TestWordOnAFormerLifeChangesNothing: other nodes go on telling it until they see the new life.
+func TestWordOnAFormerLifeChangesNothing(t *testing.T) {
+	table := NewTable()
+	table.Heard(at(0), at(0), Life{VM: "vm", Born: 8}, named(1))
+	if change, leaves := table.Told(at(1), Record{Life: life, Leaving: true, Limited: true, Limit: 9, At: at(1)}); change != Unchanged || leaves {
+		t.Errorf("the word changed %d, leaves %v", change, leaves)
+	}
+	if r, limited := table.Limit(Life{VM: "vm", Born: 8}); !limited || r.Limit != 1 {
+		t.Errorf("the new life's limit is %+v", r)
+	}
+}
--- a/internal/backpressure/rest.go
+++ b/internal/backpressure/rest.go
@@ -13,9 +13,9 @@
 // rest is what one VM asked this node for.
 type rest struct {
 	until time.Time
-	// tried is true from a rest on until the VM takes a request, triedAt when the newest was sent
+	// onTrial is true from a rest on until the VM takes a request, triedAt when the newest was sent
 	// since; zero for none.
-	tried   bool
+	onTrial bool
 	triedAt time.Time
 }
 
@@ -23,10 +23,10 @@
 func (r *rest) heard(now time.Time, n Notice) {
 	switch {
 	case n.Rest > 0:
-		r.tried, r.triedAt = true, time.Time{}
+		r.onTrial, r.triedAt = true, time.Time{}
 		r.until = latest(r.until, now.Add(min(n.Rest, longestRest)))
 	case !n.Refused && !now.Before(r.until):
-		r.tried = false
+		r.onTrial = false
 	}
 }
 
@@ -35,7 +35,7 @@
 	if now.Before(r.until) {
 		return r.until.Sub(now)
 	}
-	if !r.tried || r.triedAt.IsZero() {
+	if !r.onTrial || r.triedAt.IsZero() {
 		return 0
 	}
 	return max(r.triedAt.Add(trialTime).Sub(now), 0)
@@ -43,13 +43,13 @@
 
 // sent notes a request.
 func (r *rest) sent(now time.Time) {
-	if r.tried {
+	if r.onTrial {
 		r.triedAt = now
 	}
 }
 
 // known reports whether the rest still matters.
-func (r *rest) known(now time.Time) bool { return r.tried || now.Before(r.until) }
+func (r *rest) known(now time.Time) bool { return r.onTrial || now.Before(r.until) }
 
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -161,15 +161,21 @@
 	return max(c.rest.until.Sub(now), 0)
 }
 
-// Told takes what a record of another node says of a limit; what is older than what is known changes nothing.
-func (t *Table) Told(now time.Time, r Record) Change {
-	if r.At.IsZero() {
-		return Unchanged
+// Told takes a record of another node, and reports what it changes and whether the VM is now known to
+// leave. What is older than what is known changes nothing, nor does a word on another life than the one that is
+// known: it may be the former one.
+func (t *Table) Told(now time.Time, r Record) (change Change, leaves bool) {
+	c := t.of(r.Life)
+	if c == nil && t.vms[r.VM] != nil {
+		return Unchanged, false
 	}
-	if c := t.of(r.Life); c != nil && !r.At.After(c.limit.at) {
-		return Unchanged
+	if r.Leaving {
+		leaves = t.Leaves(now, r.Life)
+	}
+	if r.At.IsZero() || (c != nil && !r.At.After(c.limit.at)) {
+		return Unchanged, leaves
 	}
-	return t.set(now, r)
+	return t.set(now, r), leaves
 }
 
 // set takes the newest word on a limit.
--- a/internal/gateway/condition.go
+++ b/internal/gateway/condition.go
@@ -88,7 +88,7 @@
 }
 
 // toldCondition takes what another node tells.
-func (b *board) toldCondition(now time.Time, r backpressure.Record) backpressure.Change {
+func (b *board) toldCondition(now time.Time, r backpressure.Record) (change backpressure.Change, leaves bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.conditions.Told(now, r)
@@ -117,7 +117,7 @@
 	}
 	if notice.Leaving {
 		j.s.metrics.Count("upstreams.leaving.heard", 1)
-		j.s.takeOut(lifeOf(s.vm), j.c.ID)
+		j.s.heardLeaving(lifeOf(s.vm), j.c.ID)
 	}
 	change := j.s.board.heardCondition(clock.Now(), sent, s, notice)
 	j.s.tellLimit(change, lifeOf(s.vm), notice.Limit, 0, j.c.ID)
@@ -131,13 +131,27 @@
 	now := clock.Now()
 	for _, one := range state.GetConditions() {
 		r := backpressure.Decode(one, heardAt)
-		s.tellLimit(s.board.toldCondition(now, r), r.Life, r.Limit, now.Sub(r.At), "")
-		if r.Leaving {
+		if s.hasEnded(r.Life) {
+			continue
+		}
+		change, leaves := s.board.toldCondition(now, r)
+		s.tellLimit(change, r.Life, r.Limit, now.Sub(r.At), "")
+		if leaves {
 			s.takeOut(r.Life, "")
 		}
 	}
 }
 
+// hasEnded reports whether the list shows another life of the VM.
+func (s *Server) hasEnded(life backpressure.Life) bool {
+	snapshot := s.parts.Directory.Snapshot()
+	if snapshot == nil {
+		return false
+	}
+	vm := snapshot.VMs[life.VM]
+	return vm != nil && !vm.SameLife(&fleet.VM{Born: life.Born})
+}
+
 // Condition tells what a VM said of its own condition, for operators; empty when nothing ails it.
 func (s *Server) Condition(vm *fleet.VM) string {
 	now, life := clock.Now(), lifeOf(vm)
@@ -163,7 +177,7 @@
 		s.unreadable(lifeOf(vm), "", fault)
 	}
 	if n.Leaving {
-		s.takeOut(lifeOf(vm), "")
+		s.heardLeaving(lifeOf(vm), "")
 	}
 }
 
@@ -178,15 +192,18 @@
 	}
 }
 
-// takeOut takes a VM that is about to end out of use, by its own word with a request's answer or as another
-// node told, and has the others know.
-func (s *Server) takeOut(life backpressure.Life, request string) {
+// heardLeaving takes a VM's own word that it is about to end, in the answer to a request if there is one.
+func (s *Server) heardLeaving(life backpressure.Life, request string) {
 	s.board.mu.Lock()
 	news := s.board.conditions.Leaves(clock.Now(), life)
 	s.board.mu.Unlock()
-	if !news {
-		return
+	if news {
+		s.takeOut(life, request)
 	}
+}
+
+// takeOut takes a VM that is about to end out of use, and has the other nodes know.
+func (s *Server) takeOut(life backpressure.Life, request string) {
 	s.parts.Directory.Leaving(life.VM, life.Born)
 	s.log.Emit(event.UpstreamLeaving).Str("vm", life.VM).Int64("born", life.Born).Str("request", request).Bool("told", request == "").Send()
 	s.parts.Nudge()
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -120,8 +120,8 @@
 	teller.tellConditions(now, state)
 	told, _ := testBoard(t, now, noneDissolving)
 	for _, one := range state.GetConditions() {
-		if r := backpressure.Decode(one, now); r.Leaving {
-			told.conditions.Leaves(now, r.Life)
+		if _, leaves := told.toldCondition(now, backpressure.Decode(one, now)); !leaves {
+			t.Error("the word is no news")
 		}
 	}
 	if sendTo(told, now, c, "a") != nil {
