Soak: upstreams name limits, ask for rest, say that they leave; three checks judge it from what they saw

The stand-ins say so in the headers of their answers, drawn and in each calm tail. Checks: no more than one and a half times the limit and five in 4 s from nodes that it answered; at most two requests from a node within a rest; none from a node that it answered, later than the drain bound after it began to say so. Nodes that were restarted or paused since are excused.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -53,7 +53,7 @@
 	for _, c := range h.calls {
 		j.calls[c.id] = c
 	}
-	for _, look := range []func(){j.answers, j.notRun, j.once, j.asked, j.groups, j.leaving, j.changes, j.revoked, j.repeats, j.leavers, j.refusals, j.held, j.cuts, j.blames, j.crashing} {
+	for _, look := range []func(){j.answers, j.notRun, j.once, j.asked, j.groups, j.leaving, j.changes, j.revoked, j.repeats, j.leavers, j.refusals, j.held, j.cuts, j.blames, j.crashing, j.needs} {
 		look()
 	}
 	return j.found
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -243,6 +243,12 @@
 		w.during(f, anUpstream, func() { refuse(live, true) }, func() { refuse(live, false) })
 	case UpstreamCuts:
 		on(func() { u.vm.CutAfter.Store(3) }, func() { u.vm.CutAfter.Store(0) })
+	case UpstreamLimits:
+		w.says(f, serving(live, f.Target), limitHeader(), false)
+	case UpstreamRests:
+		w.says(f, serving(live, f.Target), restHeader(), true)
+	case UpstreamSays:
+		w.saysItLeaves(f, serving(live, f.Target))
 	case UpstreamForeign:
 		on(func() { u.vm.ForeignID.Store(true) }, func() { u.vm.ForeignID.Store(false) })
 	default:
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -95,6 +95,8 @@
 	versions []accepted
 	// taken are joins of VMs whose old head was open.
 	taken []groupengine.Observation
+	// needs are what VMs said of their own condition.
+	needs []need
 }
 
 func (h *history) observe(o groupengine.Observation) {
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -45,6 +45,9 @@
 	AllRefuse       Kind = "all-upstreams-refuse"
 	UpstreamCuts    Kind = "upstream-cuts-streams"
 	UpstreamForeign Kind = "upstream-answers-others"
+	UpstreamLimits  Kind = "upstream-names-a-limit"
+	UpstreamRests   Kind = "upstream-asks-for-rest"
+	UpstreamSays    Kind = "upstream-says-it-leaves"
 	PlainDrains     Kind = "plain-upstream-drains"
 	PlainCut        Kind = "plain-upstream-cut"
 	CallersMany     Kind = "callers-many"
@@ -112,6 +115,9 @@
 	{RequestCrashes, 2, 2 * time.Second, 8 * time.Second},
 	{RouteAdded, 3, 0, 0},
 	{KeyRevoked, 1, 0, 0},
+	{UpstreamLimits, 3, 5 * time.Second, 9 * time.Second},
+	{UpstreamRests, 2, time.Second, 4 * time.Second},
+	{UpstreamSays, 2, 4 * time.Second, 7 * time.Second},
 }
 
 // draw makes a schedule of a length: single faults, and series of one kind that overlap. Two
@@ -175,8 +181,8 @@
 const calmBegin = 4 * time.Second
 
 // calmTail ends each schedule with what the checks that need an undisturbed node judge: a crowd,
-// upstreams that leave or hang while callers leave, a graceful stop by itself, and a request that
-// ends its upstreams.
+// upstreams that leave or hang while callers leave, a graceful stop by itself, upstreams that name a limit, ask
+// for rest or say that they leave, and a request that ends its upstreams.
 func calmTail(random *rand.Rand, length time.Duration) []Fault {
 	at := func(s float64) time.Duration { return length + calmBegin + time.Duration(s*float64(time.Second)) }
 	return []Fault{
@@ -186,7 +192,10 @@
 		{at(3.2), PlainDrains, 0, 4500 * time.Millisecond},
 		{at(3.2), CallersLeave, 0, 3 * time.Second},
 		{at(3.4), RouteAdded, 0, 0},
+		{at(8.5), UpstreamLimits, random.IntN(64), 9500 * time.Millisecond},
 		{at(13), NodeStop, random.IntN(64), 300 * time.Millisecond},
+		{at(17), UpstreamRests, random.IntN(64), 2 * time.Second},
+		{at(18), UpstreamSays, random.IntN(64), 8 * time.Second},
 		{at(18), RequestCrashes, 1000, 8 * time.Second},
 	}
 }
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -107,8 +107,9 @@
 	server *http.Server
 	way    *lever
 	plain  bool
-	// leaving and gone are guarded by the world's lock.
-	leaving, gone bool
+	// leaving, gone and says, which is true while the VM says something of itself, are guarded by the
+	// world's lock.
+	leaving, gone, says bool
 }
 
 // lever is a proxy whose faults may overlap: the gravest that is on holds.
