A VM whose entry is written late is not taken from its group

Cause: the failure domain was cut off from the platform for 6 s; its director formed a group anew and followed it by the VMs' own words. When the platform was back, the VM's entry of before came, written late, and counted as the newest word: by it the VM was in the first group, which had been given up, and was free. Change: a VM takes no lower generation than it had, so an entry with a lower one than the VM's own word is older, whenever it came. TestEntryOfAFormerGroupFreesNoVM failed before (in "former", free); mutant seen failing.

--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -32,12 +32,18 @@
 // membership is a VM's place by its newest word.
 func (s *state) membership(vm *fleet.VM) fleet.Membership {
 	v := s.vms[vm.ID]
-	if v != nil && v.seenAt.After(v.entryAt) {
+	if v != nil && (v.seenAt.After(v.entryAt) || v.outdates(vm.Membership)) {
 		return v.seen
 	}
 	return vm.Membership
 }
 
+// outdates reports whether an entry tells of a former group, though it came later than the VM's own word: it may
+// be written late, and a VM takes no lower generation than it had.
+func (v *vmState) outdates(entry fleet.Membership) bool {
+	return entry.Group != "" && entry.Generation < v.seen.Generation
+}
+
 // noteServed notes once where groups were open at first sight. A new life that has seen no request yet
 // took a restart of all nodes for the time before the first callers, and loaded without bound.
 func (s *state) noteServed() {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -381,6 +381,44 @@
   's/MaxIdleConns:        mostIdle,//' ./internal/daemon TestIdleConnectionsAreBounded
 mutant "heads are filled beyond their room" internal/spread/spread.go \
   's/return min\(max\(level-h\.left\(\), 0\), h\.room\(\)\)/return max(level-h.left(), 0)/' ./internal/spread TestSharesKeepToTheRoom
+mutant "backpressure: a limit is not kept" internal/backpressure/table.go \
+  's/if !c\.limit\.named \{\n\t\treturn Hold\{\}/if true {\n\t\treturn Hold{}/' ./internal/gateway TestLimitThatAnUpstreamNamesIsKept
+mutant "backpressure: each node uses the whole limit" internal/cluster/sharing.go \
+  's/if known > 0 \{/out.Nodes = []string{out.Self}\n\tif known > 0 {/' ./internal/cluster TestLimitHoldsOverAllNodes
+mutant "backpressure: nodes that are cut off use as much as before" internal/backpressure/sharing.go \
+  's/ \* min\(s\.Part, 1\)//' ./internal/backpressure TestNodesThatAreCutOffShrinkTheirParts
+mutant "backpressure: a new holder does not wait" internal/backpressure/limit.go \
+  's/now\.Add\(handover\), 0/now, 0/' ./internal/backpressure TestNewHolderWaits
+mutant "backpressure: an older answer ends a limit" internal/backpressure/table.go \
+  's/ \|\| !sent\.After\(c\.limit\.at\)//' ./internal/backpressure TestAnswerOfBeforeDoesNotEndALimit
+mutant "backpressure: a limit is lost with its target" internal/gateway/condition.go \
+  's/b\.conditions\.Sweep\(/b.conditions = backpressure.NewTable()\n\tb.conditions.Sweep(/' ./internal/gateway TestLimitOutlivesAConfigurationChange
+mutant "backpressure: others are not told of limits" internal/gateway/condition.go \
+  's/into\.Conditions = append\(into\.Conditions, r\.Encode\(now\)\)/_ = r/' ./internal/gateway TestLimitIsKeptByNodesThatAreToldOfIt
+mutant "backpressure: looks for a place use a limit up" internal/gateway/move.go \
+  's/\t\tb\.conditions\.Unsent\(lifeOf\(to\.vm\)\)\n//' ./internal/gateway TestPlaceThatIsNotPaidForTakesNothingOfALimit
+mutant "backpressure: kept places go beside a limit" internal/gateway/condition.go \
+  's/hold := b\.hold\(now, t, kept\); hold\.Back/hold := b.hold(now, t, kept); hold.Back \&\& len(tried) == 0/' ./internal/gateway TestNoPlaceIsKeptAtALimitedHead
+mutant "backpressure: all ranks get the same of a limit" internal/backpressure/table.go \
+  's/needed := 1 \+ min\(reserve, mostReserve\)/needed := 1.0\n\t_ = reserve/' ./internal/backpressure TestUrgentRequestsGoFirst
+mutant "backpressure: a word on a former life counts" internal/backpressure/table.go \
+  's/if c == nil && t\.vms\[r\.VM\] != nil \{/if false {/' ./internal/backpressure TestWordOnAFormerLifeChangesNothing
+mutant "backpressure: a rest is not kept" internal/backpressure/rest.go \
+  's/if now\.Before\(r\.until\) \{/if false {/' ./internal/gateway TestUpstreamThatAsksForRestIsLeftAlone
+mutant "backpressure: all come at once after a rest" internal/backpressure/rest.go \
+  's/if r\.onTrial \{/if false {/' ./internal/backpressure TestAfterARestOneRequestGoesFirst
+mutant "backpressure: a rest has no bound" internal/backpressure/rest.go \
+  's/min\(n\.Rest, longestRest\)/n.Rest/' ./internal/backpressure TestRestOfYearsIsBounded
+mutant "backpressure: a VM that leaves stays in the choice" internal/gateway/condition.go \
+  's/ \|\| b\.conditions\.Leaving\(lifeOf\(t\.vm\)\)//' ./internal/gateway TestLeavingUpstreamIsLeftByNodesThatAreTold
+mutant "backpressure: a VM that leaves is listed as its entry says" internal/fleet/directory.go \
+  's/\td\.leavers\.mark\(vms\)\n//' ./internal/fleet TestLeavingVMDrainsWhateverItsEntrySays
+mutant "backpressure: what reports say is not heard" platform/engine.go \
+  's/\te\.hear\(vm, resp\)\n//g' ./platform TestVMThatLeavesSaysSoInReports
+mutant "backpressure: entries send to engines that rest" internal/routing/routing.go \
+  's/, RestFilter\{\}//' ./internal/routing TestRestingUpstreamIsNotChosen
+mutant "an entry that is written late counts as the newest word" internal/director/watch.go \
+  's/ \|\| v\.outdates\(vm\.Membership\)//' ./internal/director TestEntryOfAFormerGroupFreesNoVM
 
 echo "$survivors survived or not applied"
 [ "$survivors" = 0 ]
