--- a/internal/cluster/hubs_test.go
+++ b/internal/cluster/hubs_test.go
@@ -39,6 +39,8 @@
 	*Cluster
 	fleet *fleetOfNodes
 	cut   atomic.Bool
+	// late is how much longer than usual the node's calls take, nanoseconds.
+	late atomic.Int64
 	// load is what the node tells of one group, exchanges its calls so far.
 	load      atomic.Uint32
 	directing atomic.Pointer[[]string]
@@ -72,7 +74,7 @@
 		<-ctx.Done()
 		return nil, errors.Wrap(ctx.Err(), "the link is cut")
 	}
-	time.Sleep(linkDelay)
+	time.Sleep(linkDelay + time.Duration(n.late.Load()))
 	n.told.Add(int64(len(r.GetQuarantine().GetRecords())))
 	answer := other.answer(r)
 	other.told.Add(int64(len(answer.GetQuarantine().GetRecords())))
--- a/internal/cluster/sharing_test.go
+++ b/internal/cluster/sharing_test.go
@@ -31,6 +31,8 @@
 
 	mu     sync.Mutex
 	tables map[string]*backpressure.Table
+	// nodes are those that callers come to.
+	nodes []*testNode
 	// arrivals are from nodes that know the limit, strays from others.
 	arrivals []time.Time
 	strays   int
@@ -43,6 +45,7 @@
 	table := backpressure.NewTable()
 	v.mu.Lock()
 	v.tables[n.config.Self.ID] = table
+	v.nodes = append(v.nodes, n)
 	v.mu.Unlock()
 	plain := n.state
 	n.state = func() *marbleroadv1.NodeState {
@@ -105,32 +108,34 @@
 }
 
 // serve has callers come to random nodes for a time, so many a second over all of them.
-func (v *limitedVM) serve(nodes []*testNode, rate float64, length time.Duration, random *rand.Rand) {
+func (v *limitedVM) serve(rate float64, length time.Duration, random *rand.Rand) {
 	const usualPart = 0.05
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
-		v.ask(nodes[random.IntN(len(nodes))], usualPart, random)
+		v.ask(v.anyNode(random), usualPart, random)
 	}
 }
 
+func (v *limitedVM) anyNode(random *rand.Rand) *testNode {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.nodes[random.IntN(len(v.nodes))]
+}
+
 // limitOver plays a VM with a limit before so many nodes; trouble comes to nodes while callers do.
 func limitOver(t *testing.T, count int, limit float64, seed uint64, way func(*testNode) backpressure.Sharing, trouble func(*limitedVM, *rand.Rand)) (worst int, used float64) {
 	t.Helper()
 	random := rand.New(rand.NewPCG(seed, uint64(count)))
 	f := newNodes(t, count)
 	v := &limitedVM{life: backpressure.Life{VM: "vm", Born: 7}, limit: limit, fleet: f, tables: make(map[string]*backpressure.Table), sharing: way}
-	for _, n := range f.nodes {
-		v.follow(n)
+	for i := range count {
+		v.follow(f.node(fmt.Sprintf("n%03d", i)))
 	}
 	for _, n := range f.nodes {
 		n.begin()
 	}
 	defer f.end()
 	time.Sleep(5 * time.Second)
-	var nodes []*testNode
-	for i := range count {
-		nodes = append(nodes, f.node(fmt.Sprintf("n%03d", i)))
-	}
 	began := time.Now()
 	const length = 24 * time.Second
 	done := make(chan struct{})
@@ -138,7 +143,7 @@
 		defer close(done)
 		trouble(v, random)
 	}()
-	v.serve(nodes, float64(callersPerNode*count), length, rand.New(rand.NewPCG(seed, 1)))
+	v.serve(float64(callersPerNode*count), length, rand.New(rand.NewPCG(seed, 1)))
 	<-done
 	return v.worst(began), float64(len(v.arrivals)) / length.Seconds() / limit
 }
@@ -180,10 +185,28 @@
 	}
 }
 
+// delayNews has each node's calls to others take nearly as long as they may.
+func delayNews(v *limitedVM, _ *rand.Rand) {
+	for _, n := range v.nodes {
+		n.late.Store(int64(shareTimeout - shareTimeout/10))
+	}
+}
+
+// addNodes has nodes join, some of the VM's failure domain among them, and cuts some of the others off for good.
+func addNodes(v *limitedVM, random *rand.Rand) {
+	for i := range 5 {
+		time.Sleep(2 * time.Second)
+		v.anyNode(random).cut.Store(true)
+		n := v.fleet.add(len(v.fleet.nodes) + i)
+		v.follow(n)
+		n.begin()
+	}
+}
+
 // TestLimitHoldsOverAllNodes: 8 and 295 nodes keep to one VM's limit in sum, also while some are cut off
 // from each other and still reach the VM, or start again and know nothing.
 func TestLimitHoldsOverAllNodes(t *testing.T) {
-	troubles := map[string]func(*limitedVM, *rand.Rand){"calm": calm, "cut": cutNodes, "halves": cutHalf, "restarts": restartNodes}
+	troubles := map[string]func(*limitedVM, *rand.Rand){"calm": calm, "cut": cutNodes, "halves": cutHalf, "restarts": restartNodes, "late": delayNews, "joins": addNodes}
 	for _, count := range []int{8, 295} {
 		for _, limit := range []float64{1.7, 20} {
 			for name, trouble := range troubles {
--- a/test/soak/conditions.go
+++ b/test/soak/conditions.go
@@ -30,15 +30,29 @@
 	from, to time.Time
 }
 
-// says has a VM say something of itself for as long as a fault lasts, if it says nothing yet.
-func (w *world) says(f Fault, u *upstream, h http.Header, refuse bool) {
+// beginSaying has one fault at a time have a VM say something of itself.
+func (w *world) beginSaying(u *upstream) bool {
 	w.mu.Lock()
-	busy := u.says
+	defer w.mu.Unlock()
+	if u.says {
+		return false
+	}
 	u.says = true
-	w.mu.Unlock()
-	if busy {
+	return true
+}
+
+func (w *world) endSaying(u *upstream) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u.says = false
+}
+
+// says has a VM say something of itself for as long as a fault lasts, if it says nothing yet.
+func (w *world) says(f Fault, u *upstream, h http.Header, refuse bool) {
+	if !w.beginSaying(u) {
 		return
 	}
+	defer w.endSaying(u)
 	from := time.Now()
 	u.vm.Condition.Store(&h)
 	if refuse {
@@ -50,19 +64,12 @@
 	if refuse {
 		u.vm.Refuse.Store(false)
 	}
-	w.mu.Lock()
-	u.says = false
-	w.mu.Unlock()
 	w.history.disturbed(span{node: anUpstream, from: from, to: time.Now(), what: f.Kind})
 }
 
 // saysItLeaves has a VM say so with its answers alone; its entry goes when it ends.
 func (w *world) saysItLeaves(f Fault, u *upstream) {
-	w.mu.Lock()
-	busy := u.says
-	u.says = true
-	w.mu.Unlock()
-	if busy {
+	if !w.beginSaying(u) {
 		return
 	}
 	w.retire(u, f, func() {
