What others are told of upstreams' conditions is sorted when it changes, not at each exchange

A hub answers some hundred exchanges a second; with 4,096 VMs in need each cost 2.1 ms under the board's lock.

--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -81,6 +80,8 @@
 // holds a lock.
 type Table struct {
 	vms map[string]*condition
+	// told are those that others are told of, what changed last first; nil while it must be sorted anew.
+	told []*condition
 	// turn counts the times that records were asked for.
 	turn int
 }
@@ -143,6 +144,7 @@
 		return false
 	}
 	c.leavingAt = now
+	t.told = nil
 	return true
 }
 
@@ -189,6 +191,7 @@
 	l.named, l.rate, l.at = r.Limited, r.Limit, r.At
 	if change != Unchanged {
 		l.changedAt = now
+		t.told = nil
 	}
 	if change == LimitNamed {
 		l.heldSince = time.Time{}
@@ -225,6 +228,7 @@
 	}
 	c := &condition{life: life}
 	t.vms[life.VM] = c
+	t.told = nil
 	return c
 }
 
@@ -235,7 +239,12 @@
 			oldest = c
 		}
 	}
-	delete(t.vms, oldest.life.VM)
+	t.forget(oldest.life.VM)
+}
+
+func (t *Table) forget(vm string) {
+	delete(t.vms, vm)
+	t.told = nil
 }
 
 // Limit is the limit that a VM names; false when it names none.
@@ -307,11 +316,10 @@
 // Records are what other nodes are told, at most that many. Of more than that half are those that
 // changed last, and the others take turns.
 func (t *Table) Records(most int) []Record {
-	all := slices.Collect(maps.Values(t.vms))
-	all = slices.DeleteFunc(all, func(c *condition) bool { return c.limit.at.IsZero() && c.leavingAt.IsZero() })
-	slices.SortFunc(all, func(a, b *condition) int {
-		return cmp.Or(b.changedAt().Compare(a.changedAt()), cmp.Compare(a.life.VM, b.life.VM))
-	})
+	if t.told == nil {
+		t.told = t.sorted()
+	}
+	all := t.told
 	if len(all) > most {
 		newest, others := all[:most/2], all[most/2:]
 		t.turn++
@@ -325,22 +333,36 @@
 	return out
 }
 
+// sorted are the conditions that others are told of, what changed last first.
+func (t *Table) sorted() []*condition {
+	out := make([]*condition, 0, len(t.vms))
+	for _, c := range t.vms {
+		if !c.limit.at.IsZero() || !c.leavingAt.IsZero() {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b *condition) int {
+		return cmp.Or(b.changedAt().Compare(a.changedAt()), cmp.Compare(a.life.VM, b.life.VM))
+	})
+	return out
+}
+
 // Sweep forgets lives that have ended. listed returns the life that the platform lists under a VM's ID.
 func (t *Table) Sweep(now time.Time, listed func(vm string) (Life, bool)) {
 	for id, c := range t.vms {
 		life, there := listed(id)
 		switch {
 		case there && !life.same(c.life):
-			delete(t.vms, id)
+			t.forget(id)
 		case there:
 			c.unlistedAt = time.Time{}
 		case c.unlistedAt.IsZero():
 			c.unlistedAt = now
 		case now.Sub(c.unlistedAt) > keepUnlisted:
-			delete(t.vms, id)
+			t.forget(id)
 		}
 		if c.over(now) {
-			delete(t.vms, id)
+			t.forget(id)
 		}
 	}
 }
