A group formed while the platform is away is kept when it opens

Cause: who is in a group was learned from the list alone, also by the director that had formed it. TestGroupFormedWhileThePlatformIsAwayIsKept failed before; mutant seen failing.

--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -157,6 +157,7 @@
 
 func (s *state) opened(f *formation) {
 	delete(s.forms, f.name)
+	s.groups[f.name].joinedBy(f.members, s.snapshot.VMs)
 	s.d.parts.Log.Emit(event.GroupOpened).Str("group", f.name).Uint64("generation", f.generation).
 		Str("model", f.model.Name).Strs("members", f.members).Send()
 }
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -111,6 +111,18 @@
 	}
 }
 
+// joinedBy notes the members that a group was formed of: their entries may not say so for a while.
+func (w *watchedGroup) joinedBy(members []string, vms map[string]*fleet.VM) {
+	if w.members == nil {
+		w.members = make(map[int]*fleet.VM)
+	}
+	for rank, id := range members {
+		if vm := vms[id]; vm != nil && w.members[rank] == nil {
+			w.members[rank] = vm
+		}
+	}
+}
+
 // domainOf is the failure domain of a group's VMs.
 func domainOf(g *fleet.Group) string {
 	for _, vm := range g.Members {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -419,6 +419,8 @@
   's/, RestFilter\{\}//' ./internal/routing TestRestingUpstreamIsNotChosen
 mutant "an entry that is written late counts as the newest word" internal/director/watch.go \
   's/ \|\| v\.outdates\(vm\.Membership\)//' ./internal/director TestEntryOfAFormerGroupFreesNoVM
+mutant "a group is known by its members' entries alone" internal/director/groups.go \
+  's/\ts\.groups\[f\.name\]\.joinedBy\(f\.members, s\.snapshot\.VMs\)\n//' ./internal/director TestGroupFormedWhileThePlatformIsAwayIsKept
 
 echo "$survivors survived or not applied"
 [ "$survivors" = 0 ]
