A limit is used by as many nodes as its bound bears, chosen by their records

Causes: with hubs only two nodes used a limit, and few callers come to each; and requests were divided as if all nodes sent to a limited head, so its holders sent it a few in a hundred of theirs. Change: holders are chosen among the records of the VM's failure domain, live or not. These are the same at all nodes, so sides of a cut choose alike and need not shrink; a dead holder leaves its part unused. There are as many as may each send a request at the same moment within the bound (TestHoldersKeepToALimitInSum, before: the mutant that takes all nodes). A limited head's room is that of its holders. TestNodesThatAreCutOffShrinkTheirParts goes with its mechanism; TestHoldersKeepToALimitInSum and the cut nodes of TestLimitHoldsOverAllNodes hold the same promise.

--- a/internal/backpressure/backpressure_test.go
+++ b/internal/backpressure/backpressure_test.go
@@ -8,7 +8,7 @@
 
 var (
 	start = time.Unix(1_000_000, 0)
-	alone = func() Sharing { return Sharing{Self: "n", Nodes: []string{"n"}, Part: 1} }
+	alone = func() Sharing { return Sharing{Self: "n", Nodes: []string{"n"}} }
 	life  = Life{VM: "vm", Born: 7}
 )
 
@@ -87,12 +87,27 @@
 	}
 }
 
-// TestNodesThatAreCutOffShrinkTheirParts: each side of a cut takes itself for all.
-func TestNodesThatAreCutOffShrinkTheirParts(t *testing.T) {
-	left := Sharing{Self: "a", Nodes: []string{"a"}, Part: 1.0 / 3}
-	right := Sharing{Self: "b", Nodes: []string{"b"}, Part: 2.0 / 3}
-	if sum := left.rate("vm", 6) + right.rate("vm", 6); sum > 6 {
-		t.Errorf("both sides send %v of 6 a second", sum)
+// TestHoldersKeepToALimitInSum: all of them may have a whole request to send at the same moment, beside a
+// node of another failure domain that hears none of them.
+func TestHoldersKeepToALimitInSum(t *testing.T) {
+	var nodes []string
+	for i := range 300 {
+		nodes = append(nodes, fmt.Sprint("n", i))
+	}
+	for _, limit := range []float64{0, 0.1, 0.4, 1, 1.7, 12, 300} {
+		sum := 0.0
+		for _, self := range nodes {
+			rate := Sharing{Self: self, Nodes: nodes}.rate("vm", limit)
+			foreign := Sharing{Self: self, Nodes: nodes, Foreign: true}.rate("vm", limit)
+			for _, r := range []float64{rate, foreign} {
+				if r > 0 {
+					sum += 4*r + mostBurst + r*burstTime.Seconds()
+				}
+			}
+		}
+		if most := 6*limit + 5; sum > most {
+			t.Errorf("limit %v: up to %.1f requests in 4 s, allowed %.1f", limit, sum, most)
+		}
 	}
 }
 
@@ -103,7 +118,7 @@
 	if got := sentWithin(table, 0, 1, alone); got != 0 {
 		t.Errorf("%d requests in the first second", got)
 	}
-	other := func() Sharing { return Sharing{Self: "n", Nodes: []string{"m"}, Part: 1} }
+	other := func() Sharing { return Sharing{Self: "n", Nodes: []string{"m"}} }
 	sentWithin(table, 1, 10, other)
 	if got := sentWithin(table, 10, 11, alone); got != 0 {
 		t.Errorf("%d requests in the first second after another node", got)
--- a/internal/backpressure/bench_test.go
+++ b/internal/backpressure/bench_test.go
@@ -17,7 +17,7 @@
 // BenchmarkCheck is what one candidate with a limit costs a decision.
 func BenchmarkCheck(b *testing.B) {
 	table := inNeed(mostVMs)
-	nodes := Sharing{Self: "n0", Nodes: []string{"n0", "n1", "n2", "n3"}, Part: 1}
+	nodes := Sharing{Self: "n0", Nodes: []string{"n0", "n1", "n2", "n3"}}
 	sharing := func() Sharing { return nodes }
 	b.ReportAllocs()
 	for i := range b.N {
--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -8,8 +8,10 @@
 	handover = 1500 * time.Millisecond
 	// burstTime is the time whose requests a node may send at one moment, beside one.
 	burstTime = 250 * time.Millisecond
-	// mostReserve is the largest part of a request that can be kept for more urgent ones.
+	// mostReserve is the largest part of a request that can be kept for more urgent ones, mostBurst what one
+	// node may send at one moment, beside what burstTime allows.
 	mostReserve = 0.3
+	mostBurst   = 1 + mostReserve
 )
 
 // limit is what is known of one VM's limit, and this node's use of it as a token bucket.
@@ -21,7 +23,8 @@
 	// changedAt is when this node learned what differs from before.
 	changedAt time.Time
 
-	// tokens are as of refilledAt, heldSince is since when this node uses the limit; zero while it does not.
+	// own is this node's part of the rate, tokens what it may send at once as of refilledAt, heldSince is since when this node uses the limit; zero while it does not.
+	own        float64
 	tokens     float64
 	refilledAt time.Time
 	heldSince  time.Time
@@ -30,6 +33,7 @@
 // refill brings the tokens up to date and returns this node's rate.
 func (l *limit) refill(now time.Time, vm string, s Sharing) float64 {
 	rate := s.rate(vm, l.rate)
+	l.own = rate
 	if rate <= 0 {
 		l.tokens, l.heldSince = 0, time.Time{}
 		return 0
@@ -41,7 +45,7 @@
 		l.tokens += rate * elapsed.Seconds()
 		l.refilledAt = now
 	}
-	l.tokens = min(l.tokens, 1+mostReserve+rate*burstTime.Seconds())
+	l.tokens = min(l.tokens, mostBurst+rate*burstTime.Seconds())
 	return rate
 }
 
--- a/internal/backpressure/sharing.go
+++ b/internal/backpressure/sharing.go
@@ -7,26 +7,29 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Sharing is how a node sees the nodes that use a VM's limit together.
+// Sharing is how a node sees the nodes that use the limits of a failure domain's VMs together.
 type Sharing struct {
 	// Self is this node.
 	Self string
-	// Nodes are those that may use the limit, as far as this node hears them; without this one it
+	// Nodes are those among which the holders of a limit are chosen, live or not; without this one it
 	// uses none of it.
 	Nodes []string
-	// Part is the part, 0 to 1, of all nodes of the failure domain that this node hears, itself
-	// included. Nodes that are cut off from each other hear different ones, so the parts of the
-	// limit that they use add up to the whole of it at most.
-	Part float64
+	// Foreign is true when these are nodes of other failure domains, since none of the VMs' own is heard. It
+	// may only be cut off from them.
+	Foreign bool
 }
 
 const (
-	// holderRate is about how many requests a second one node can be counted on to have for one VM:
-	// a larger limit is used by more nodes.
-	holderRate = 8
-	// usedPart is the part of a limit that is used. The rest covers cuts that one side alone sees,
-	// where parts of nodes overlap.
+	// usedPart is the part of a limit that its holders use. The rest covers nodes that have joined and that
+	// the holders before them have not heard of.
 	usedPart = 0.9
+	// foreignPart is the part of a limit that another failure domain's node uses, beside holders that may
+	// go on behind a cut.
+	foreignPart = 0.25
+	// burstPart and sureBurst are how much at one moment the holders may send together: as many seconds'
+	// worth of the limit, and so many requests.
+	burstPart = 1
+	sureBurst = 1.5
 	// leastRate is what is sent at the least, requests a second: without requests nobody learns that
 	// the VM has recovered.
 	leastRate = 0.1
@@ -38,15 +41,21 @@
 	if !slices.Contains(holders, s.Self) {
 		return 0
 	}
-	own := limit * usedPart * min(s.Part, 1) / float64(len(holders))
-	return max(own, leastRate/float64(len(holders)))
+	part := usedPart
+	if s.Foreign {
+		part = foreignPart
+	}
+	return max(limit*part, leastRate) / float64(len(holders))
 }
 
-// holders are the nodes that use the limit: as few as it keeps busy, since each of them may send a
-// request at a moment when the others do. They are chosen by rendezvous hashing, so that a node that comes
-// or goes changes the choice for few VMs.
+// holders are the nodes that use the limit: many, so that enough callers come to them, but no more than may
+// send a request at the same moment. They are chosen by rendezvous hashing, so that a node that comes or
+// goes changes the choice for few VMs.
 func (s Sharing) holders(vm string, limit float64) []string {
-	wanted := 1 + int(min(limit/holderRate, float64(len(s.Nodes))))
+	wanted := 1
+	if !s.Foreign {
+		wanted += int(min((burstPart*limit+sureBurst)/mostBurst, float64(len(s.Nodes))))
+	}
 	if wanted >= len(s.Nodes) {
 		return s.Nodes
 	}
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -256,6 +256,16 @@
 	return c.record(), true
 }
 
+// Room is how many requests this node may send to a VM within a time, as of the newest check; false
+// when the VM names no limit.
+func (t *Table) Room(life Life, within time.Duration) (float64, bool) {
+	c := t.of(life)
+	if c == nil || !c.limit.named {
+		return 0, false
+	}
+	return c.limit.tokens + c.limit.own*within.Seconds(), true
+}
+
 func (c *condition) record() Record {
 	return Record{Life: c.life, Leaving: !c.leavingAt.IsZero(), Limited: c.limit.named, Limit: c.limit.rate, At: c.limit.at}
 }
--- a/internal/gateway/condition.go
+++ b/internal/gateway/condition.go
@@ -18,7 +18,7 @@
 
 // aloneSharing is the sharing of a node that knows no others.
 func aloneSharing(string) backpressure.Sharing {
-	return backpressure.Sharing{Self: "self", Nodes: []string{"self"}, Part: 1}
+	return backpressure.Sharing{Self: "self", Nodes: []string{"self"}}
 }
 
 func lifeOf(vm *fleet.VM) backpressure.Life { return backpressure.Life{VM: vm.ID, Born: vm.Born} }
@@ -63,10 +63,14 @@
 	return b.conditions.Check(now, lifeOf(t.vm), kept, func() backpressure.Sharing { return b.sharing(t.vm.FailureDomain) })
 }
 
-// limitedRoom is how many more requests a target takes within a time, if its VM names a limit. mu is held.
+// limitedRoom is how many more requests a target takes within a time, if its VM names a limit: as many of each
+// node as of this one, since requests are divided as if all nodes did alike. mu is held.
 func (b *board) limitedRoom(t *target, within time.Duration) (float64, bool) {
-	limit, limited := b.conditions.Limit(lifeOf(t.vm))
-	return 1 + limit.Limit*within.Seconds(), limited
+	own, limited := b.conditions.Room(lifeOf(t.vm), within)
+	if !limited {
+		return 0, false
+	}
+	return own * float64(b.nodesHeard()+1), true
 }
 
 // forgetConditions drops what former lives of VMs said. mu is held.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -384,9 +384,11 @@
 mutant "backpressure: a limit is not kept" internal/backpressure/table.go \
   's/if !c\.limit\.named \{\n\t\treturn Hold\{\}/if true {\n\t\treturn Hold{}/' ./internal/gateway TestLimitThatAnUpstreamNamesIsKept
 mutant "backpressure: each node uses the whole limit" internal/cluster/sharing.go \
-  's/if known > 0 \{/out.Nodes = []string{out.Self}\n\tif known > 0 {/' ./internal/cluster TestLimitHoldsOverAllNodes
-mutant "backpressure: nodes that are cut off use as much as before" internal/backpressure/sharing.go \
-  's/ \* min\(s\.Part, 1\)//' ./internal/backpressure TestNodesThatAreCutOffShrinkTheirParts
+  's/if !heard \{/out.Nodes = []string{out.Self}\n\tif false {/' ./internal/cluster TestLimitHoldsOverAllNodes
+mutant "backpressure: every node of the failure domain is a holder" internal/backpressure/sharing.go \
+  's/if wanted >= len\(s\.Nodes\) \{/if true {/' ./internal/backpressure TestHoldersKeepToALimitInSum
+mutant "backpressure: a foreign node uses the whole limit" internal/backpressure/sharing.go \
+  's/if !s\.Foreign \{\n\t\twanted/if true {\n\t\twanted/' ./internal/backpressure TestHoldersKeepToALimitInSum
 mutant "backpressure: a new holder does not wait" internal/backpressure/limit.go \
   's/now\.Add\(handover\), 0/now, 0/' ./internal/backpressure TestNewHolderWaits
 mutant "backpressure: an older answer ends a limit" internal/backpressure/table.go \
