A word on a VM that is gone is not told round for ever

Found by reading: a node that forgot a VM a minute after it had gone was told of it anew by those that still knew it, and so on; records of gone VMs would have stayed (4,096 at most) and have been logged each minute. Of a VM that is not listed, a told word now changes only what is known already. TestWordOnAVMThatIsGoneEndsAtAllNodes failed before; mutant seen failing.

--- a/internal/backpressure/backpressure_test.go
+++ b/internal/backpressure/backpressure_test.go
@@ -53,7 +53,7 @@
 	if change := table.Heard(at(4), at(3), life, Notice{}); change != LimitEnded {
 		t.Errorf("an answer to a request that was sent later changed %d", change)
 	}
-	if change, _ := table.Told(at(4), Record{Life: life, Limited: true, Limit: 1, At: at(2)}); change != Unchanged {
+	if change, _ := table.Told(at(4), Record{Life: life, Limited: true, Limit: 1, At: at(2)}, true); change != Unchanged {
 		t.Errorf("an older word of another node changed %d", change)
 	}
 }
@@ -215,10 +215,32 @@
 func TestWordOnAFormerLifeChangesNothing(t *testing.T) {
 	table := NewTable()
 	table.Heard(at(0), at(0), Life{VM: "vm", Born: 8}, named(1))
-	if change, leaves := table.Told(at(1), Record{Life: life, Leaving: true, Limited: true, Limit: 9, At: at(1)}); change != Unchanged || leaves {
+	if change, leaves := table.Told(at(1), Record{Life: life, Leaving: true, Limited: true, Limit: 9, At: at(1)}, true); change != Unchanged || leaves {
 		t.Errorf("the word changed %d, leaves %v", change, leaves)
 	}
 	if r, limited := table.Limit(Life{VM: "vm", Born: 8}); !limited || r.Limit != 1 {
 		t.Errorf("the new life's limit is %+v", r)
 	}
 }
+
+// TestWordOnAVMThatIsGoneEndsAtAllNodes: nodes that forgot it were told anew by those that had not yet.
+func TestWordOnAVMThatIsGoneEndsAtAllNodes(t *testing.T) {
+	unlisted := func(string) (Life, bool) { return Life{}, false }
+	tables := []*Table{NewTable(), NewTable()}
+	tables[0].Heard(at(0), at(0), life, named(1))
+	tables[0].Leaves(at(0), life)
+	tables[1].Told(at(1), tables[0].Records(64)[0], true)
+	for now := 2.0; now < 300; now += 0.5 {
+		for i, table := range tables {
+			for _, r := range tables[1-i].Records(64) {
+				table.Told(at(now), r, false)
+			}
+			if int(2*now)%3 == i {
+				table.Sweep(at(now), unlisted)
+			}
+		}
+	}
+	if !tables[0].Empty() || !tables[1].Empty() {
+		t.Errorf("still known: %v, %v", tables[0].Records(64), tables[1].Records(64))
+	}
+}
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -165,10 +165,11 @@
 
 // Told takes a record of another node, and reports what it changes and whether the VM is now known to
 // leave. What is older than what is known changes nothing, nor does a word on another life than the one that is
-// known: it may be the former one.
-func (t *Table) Told(now time.Time, r Record) (change Change, leaves bool) {
+// known: it may be the former one. listed says whether the platform lists that life: of one that it doesn't, only
+// what is known already changes, or nodes that forget it would be told of it anew for ever.
+func (t *Table) Told(now time.Time, r Record, listed bool) (change Change, leaves bool) {
 	c := t.of(r.Life)
-	if c == nil && t.vms[r.VM] != nil {
+	if c == nil && (!listed || t.vms[r.VM] != nil) {
 		return Unchanged, false
 	}
 	if r.Leaving {
--- a/internal/cluster/sharing_test.go
+++ b/internal/cluster/sharing_test.go
@@ -61,7 +61,7 @@
 		v.mu.Lock()
 		defer v.mu.Unlock()
 		for _, c := range s.GetConditions() {
-			table.Told(time.Now(), backpressure.Decode(c, at))
+			table.Told(time.Now(), backpressure.Decode(c, at), true)
 		}
 	})
 }
--- a/internal/gateway/condition.go
+++ b/internal/gateway/condition.go
@@ -92,10 +92,10 @@
 }
 
 // toldCondition takes what another node tells.
-func (b *board) toldCondition(now time.Time, r backpressure.Record) (change backpressure.Change, leaves bool) {
+func (b *board) toldCondition(now time.Time, r backpressure.Record, listed bool) (change backpressure.Change, leaves bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.conditions.Told(now, r)
+	return b.conditions.Told(now, r, listed)
 }
 
 // tellConditions adds the conditions to what others are told. mu is held.
@@ -135,10 +135,7 @@
 	now := clock.Now()
 	for _, one := range state.GetConditions() {
 		r := backpressure.Decode(one, heardAt)
-		if s.hasEnded(r.Life) {
-			continue
-		}
-		change, leaves := s.board.toldCondition(now, r)
+		change, leaves := s.board.toldCondition(now, r, s.lists(r.Life))
 		s.tellLimit(change, r.Life, r.Limit, now.Sub(r.At), "")
 		if leaves {
 			s.takeOut(r.Life, "")
@@ -146,14 +143,14 @@
 	}
 }
 
-// hasEnded reports whether the list shows another life of the VM.
-func (s *Server) hasEnded(life backpressure.Life) bool {
+// lists reports whether the platform lists a life of a VM.
+func (s *Server) lists(life backpressure.Life) bool {
 	snapshot := s.parts.Directory.Snapshot()
 	if snapshot == nil {
 		return false
 	}
 	vm := snapshot.VMs[life.VM]
-	return vm != nil && !vm.SameLife(&fleet.VM{Born: life.Born})
+	return vm != nil && vm.SameLife(&fleet.VM{Born: life.Born})
 }
 
 // Condition tells what a VM said of its own condition, for operators; empty when nothing ails it.
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -53,7 +53,7 @@
 		teller.tellConditions(at, state)
 		teller.mu.Unlock()
 		for _, one := range state.GetConditions() {
-			told.toldCondition(at, backpressure.Decode(one, at))
+			told.toldCondition(at, backpressure.Decode(one, at), true)
 		}
 	}
 	pass(now.Add(time.Second))
@@ -120,7 +120,7 @@
 	teller.tellConditions(now, state)
 	told, _ := testBoard(t, now, noneDissolving)
 	for _, one := range state.GetConditions() {
-		if _, leaves := told.toldCondition(now, backpressure.Decode(one, now)); !leaves {
+		if _, leaves := told.toldCondition(now, backpressure.Decode(one, now), true); !leaves {
 			t.Error("the word is no news")
 		}
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -404,7 +404,9 @@
 mutant "backpressure: all ranks get the same of a limit" internal/backpressure/table.go \
   's/needed := 1 \+ min\(reserve, mostReserve\)/needed := 1.0\n\t_ = reserve/' ./internal/backpressure TestUrgentRequestsGoFirst
 mutant "backpressure: a word on a former life counts" internal/backpressure/table.go \
-  's/if c == nil && t\.vms\[r\.VM\] != nil \{/if false {/' ./internal/backpressure TestWordOnAFormerLifeChangesNothing
+  's/ \|\| t\.vms\[r\.VM\] != nil//' ./internal/backpressure TestWordOnAFormerLifeChangesNothing
+mutant "backpressure: a word on a VM that is gone goes round for ever" internal/backpressure/table.go \
+  's/!listed \|\| //' ./internal/backpressure TestWordOnAVMThatIsGoneEndsAtAllNodes
 mutant "backpressure: a rest is not kept" internal/backpressure/rest.go \
   's/if now\.Before\(r\.until\) \{/if false {/' ./internal/gateway TestUpstreamThatAsksForRestIsLeftAlone
 mutant "backpressure: all come at once after a rest" internal/backpressure/rest.go \
