--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -64,6 +64,9 @@
 cat "$run/plain"
 echo
 echo
+echo "== What upstreams say of themselves (column condition)"
+"$bin/marbleroadctl" node upstreams --node 127.0.13.1:18355 | grep -E 'CONDITION|tiles'
+echo
 echo "== What was decided about the stream"
 "$bin/marbleroadctl" explain --around 0s --log "$run/obuda-1.log" "$(grep -o '"request":"demo-stream-[0-9]*"' "$run/obuda-1.log" | tail -1 | cut -d'"' -f4)"
 echo
--- a/test/standin/cmd/platformstandin/main.go
+++ b/test/standin/cmd/platformstandin/main.go
@@ -23,14 +23,15 @@
 	domains := flag.String("domains", "obuda=127.0.4,csepel=127.0.5", "failure domains with the first three numbers of their upstreams' addresses")
 	engines := flag.Int("engines", 5, "model VMs in each failure domain")
 	port := flag.Int("port", 18200, "port of the upstreams")
+	limit := flag.Float64("limit", 2, "requests a second that the plain VMs say they take from all nodes together; 0 for no limit")
 	flag.Parse()
-	if err := run(*listen, *domains, *engines, *port); err != nil {
+	if err := run(*listen, *domains, *engines, *port, *limit); err != nil {
 		fmt.Fprintln(os.Stderr, "platformstandin:", err)
 		os.Exit(1)
 	}
 }
 
-func run(listen, domains string, engines, port int) error {
+func run(listen, domains string, engines, port int, limit float64) error {
 	store := objectstore.New()
 	store.Put("config", "main", configuration())
 	if err := serve(listen, store); err != nil {
@@ -44,11 +45,11 @@
 		for n := 1; n <= engines; n++ {
 			c := groupengine.Config{ID: fmt.Sprintf("%s-gpu-%d", domain, n), Service: "bulletins", Domain: domain + "-f1",
 				Load: 300 * time.Millisecond, Events: 12, Pause: 40 * time.Millisecond}
-			if err := add(store, c, domain, fmt.Sprintf("%s.%d:%d", network, n, port)); err != nil {
+			if err := add(store, c, domain, fmt.Sprintf("%s.%d:%d", network, n, port), 0); err != nil {
 				return err
 			}
 		}
-		if err := add(store, groupengine.Config{ID: domain + "-tiles-1", Service: "tiles"}, domain, fmt.Sprintf("%s.100:%d", network, port)); err != nil {
+		if err := add(store, groupengine.Config{ID: domain + "-tiles-1", Service: "tiles"}, domain, fmt.Sprintf("%s.100:%d", network, port), limit); err != nil {
 			return err
 		}
 	}
@@ -58,9 +59,14 @@
 	return nil
 }
 
-func add(store *objectstore.Store, c groupengine.Config, domain, address string) error {
+// add starts a VM, which names a limit unless it is zero.
+func add(store *objectstore.Store, c groupengine.Config, domain, address string, limit float64) error {
 	c.Zone, c.Address = domain, address
-	return serve(address, groupengine.New(c, store))
+	vm := groupengine.New(c, store)
+	if limit > 0 {
+		vm.Condition.Store(&http.Header{"Server-Limit": {fmt.Sprint(limit)}})
+	}
+	return serve(address, vm)
 }
 
 func serve(address string, h http.Handler) error {
