The bound of a rest stands once

It stood in internal/backpressure and in internal/routing with the same value and reason. Found by reading the diff; nothing changes in what is decided. Tests of both packages and of the entry pass; the bound's mutant is seen failing still.

--- a/internal/backpressure/rest.go
+++ b/internal/backpressure/rest.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// longestRest bounds a rest: then the VM is asked again, and may ask for more.
-	longestRest = time.Hour
+	// LongestRest bounds a rest: then the VM is asked again, and may ask for more.
+	LongestRest = time.Hour
 	// trialTime is the time between two requests to a VM that has had its rest, until it takes one: all
 	// that wait would else come at once.
 	trialTime = time.Second
@@ -24,7 +24,7 @@
 	switch {
 	case n.Rest > 0:
 		r.onTrial, r.triedAt = true, time.Time{}
-		r.until = latest(r.until, now.Add(min(n.Rest, longestRest)))
+		r.until = latest(r.until, now.Add(min(n.Rest, LongestRest)))
 	case !n.Refused && !now.Before(r.until):
 		r.onTrial = false
 	}
--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
+	"github.com/marbleroad/marbleroad/internal/backpressure"
 	"github.com/marbleroad/marbleroad/internal/view"
 )
 
@@ -203,13 +204,10 @@
 	return true
 }
 
-// longestRest bounds the rest of an upstream; then it is asked again, and may ask for more.
-const longestRest = time.Hour
-
 // Rest notes that an upstream wants no request of this entry for so long.
 func (t *Tracker) Rest(now time.Time, id string, rest time.Duration) {
 	s := t.stats(id)
-	if until := now.Add(min(rest, longestRest)); until.After(s.restsUntil) {
+	if until := now.Add(min(rest, backpressure.LongestRest)); until.After(s.restsUntil) {
 		s.restsUntil = until
 	}
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -412,7 +412,7 @@
 mutant "backpressure: all come at once after a rest" internal/backpressure/rest.go \
   's/if r\.onTrial \{/if false {/' ./internal/backpressure TestAfterARestOneRequestGoesFirst
 mutant "backpressure: a rest has no bound" internal/backpressure/rest.go \
-  's/min\(n\.Rest, longestRest\)/n.Rest/' ./internal/backpressure TestRestOfYearsIsBounded
+  's/min\(n\.Rest, LongestRest\)/n.Rest/' ./internal/backpressure TestRestOfYearsIsBounded
 mutant "backpressure: a VM that leaves stays in the choice" internal/gateway/condition.go \
   's/ \|\| b\.conditions\.Leaving\(lifeOf\(t\.vm\)\)//' ./internal/gateway TestLeavingUpstreamIsLeftByNodesThatAreTold
 mutant "backpressure: a VM that leaves is listed as its entry says" internal/fleet/directory.go \
