Warm-ups, evacuated failure domains and slow callers

Cause: nodes knew nothing of how long an upstream tolerates only few requests after a start, of evacuated failure domains, or of callers that do not read. On the untouched code (issue) a starting upstream got 28 requests in a second of 26 allowed, and an evacuated failure domain 630 requests after the bound; a blocked caller left the rest of its stream unread and made its head look silent.

Warm-up: internal/backpressure shares a warming VM's rate among nodes of its failure domain, as it shares limits, with the number of holders bounded by what may arrive within one second. The warm-up comes from the entry (followers receive the time left), from responses (sent to other nodes), and from the end of an evacuation. The token bucket is a type of its own that limits and warm-ups use.

Targets there are dropped (requests in progress continue), no groups are formed or loaded, groups there stay for the return. No calls where the deployment has none.

Slow callers: once a write to a caller blocks for 300 ms the rest of the stream is read ahead, 256 KB for one answer and a quarter of the node's memory for all; the slot at the upstream is free as soon as its response is read. Bodies over 16 KB are reserved too.

Ruled out: dividing the rate by the number of nodes (each node's burst of one exceeds the bound from some 20 nodes on); marking evacuated VMs as draining (groups would be taken apart and formed again).

Tests of the director and of warm-ups were seen failing with their mechanism removed.

--- a/internal/backpressure/notice.go
+++ b/internal/backpressure/notice.go
@@ -26,4 +26,6 @@
 	Backoff time.Duration
 	// Leaving is true when the VM is about to terminate and takes no new requests from any node.
 	Leaving bool
+	// Warmup is how much longer the VM is warming up; zero when it is not, or reports nothing.
+	Warmup time.Duration
 }
--- a/internal/backpressure/sharing.go
+++ b/internal/backpressure/sharing.go
@@ -60,6 +60,16 @@
 	if !s.Remote {
 		count += int(min((combinedBurstSeconds*limit+combinedBurstRequests)/maxBurst, float64(len(s.Nodes))))
 	}
+	return s.ranked(vm, count)
+}
+
+// among reports whether this node is one of the given number of holders.
+func (s Sharing) among(vm string, count int) bool {
+	return slices.Contains(s.ranked(vm, count), s.Self)
+}
+
+// ranked returns the nodes that come first for a VM by rendezvous hashing.
+func (s Sharing) ranked(vm string, count int) []string {
 	if count >= len(s.Nodes) {
 		return s.Nodes
 	}
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -30,6 +31,8 @@
 	// At is when a node received the report on the limit from the VM, by the clock of the node that
 	// holds the record. It is zero when nothing was reported about limits.
 	At time.Time
+	// WarmUntil is the time at which the VM has warmed up; zero if it is not warming up.
+	WarmUntil time.Time
 }
 
 // Change is how an update changed what is known of a VM's limit.
@@ -68,6 +71,7 @@
 type condition struct {
 	incarnation Incarnation
 	limit       limit
+	warmup      warmup
 	backoff     backoff
 	// leavingAt is when this node learned that the VM is leaving; zero while it is not.
 	leavingAt time.Time
@@ -266,23 +270,34 @@
 }
 
 // Headroom returns how many requests this node may send to a VM within a period, as of the newest
-// check; false when the VM reports no limit.
-func (t *Table) Headroom(incarnation Incarnation, within time.Duration) (float64, bool) {
+// check; false when neither a limit nor a warm-up bounds them.
+func (t *Table) Headroom(now time.Time, incarnation Incarnation, within time.Duration) (headroom float64, bounded bool) {
 	c := t.find(incarnation)
-	if c == nil || !c.limit.active {
+	if c == nil {
 		return 0, false
 	}
-	return c.limit.tokens + c.limit.localRate*within.Seconds(), true
+	headroom = math.Inf(1)
+	if c.limit.active {
+		headroom, bounded = c.limit.within(within), true
+	}
+	if c.warmup.active(now) {
+		headroom, bounded = min(headroom, c.warmup.within(within)), true
+	}
+	return headroom, bounded
 }
 
 // record returns the part of the condition that nodes send each other.
 func (c *condition) record() Record {
-	return Record{Incarnation: c.incarnation, Leaving: !c.leavingAt.IsZero(), Limited: c.limit.active, Limit: c.limit.rate, At: c.limit.reportedAt}
+	r := Record{Incarnation: c.incarnation, Leaving: !c.leavingAt.IsZero(), Limited: c.limit.active, Limit: c.limit.rate, At: c.limit.reportedAt}
+	if c.warmup.reported {
+		r.WarmUntil = c.warmup.Until
+	}
+	return r
 }
 
 // Check reports whether a request may be sent to a VM. reserve is the fraction of a request, 0 to 0.3,
-// that is kept in reserve for more urgent requests when the VM has a limit. sharing is called only if
-// the VM has a limit.
+// that is kept in reserve for more urgent requests when the VM has a limit or is warming up. sharing is
+// called only then.
 func (t *Table) Check(now time.Time, incarnation Incarnation, reserve float64, sharing func() Sharing) Throttle {
 	c := t.find(incarnation)
 	if c == nil {
@@ -291,18 +306,13 @@
 	if wait := c.backoff.remaining(now); wait > 0 {
 		return Throttle{Throttled: true, Wait: wait}
 	}
-	if !c.limit.active {
+	if !c.limit.active && !c.warmup.active(now) {
 		return Throttle{}
 	}
-	rate := c.limit.refill(now, incarnation.VM, sharing())
-	if rate == 0 {
-		return Throttle{Throttled: true, Wait: requestInterval(c.limit.rate)}
-	}
-	needed := 1 + min(reserve, maxReserve)
-	if c.limit.tokens >= needed {
-		return Throttle{}
-	}
-	return Throttle{Throttled: true, Wait: c.limit.waitFor(now, needed, rate)}
+	tokens, nodes := 1+min(reserve, maxReserve), sharing()
+	byLimit := c.limit.check(now, incarnation.VM, tokens, nodes)
+	byWarmup := c.warmup.check(now, incarnation.VM, tokens, nodes)
+	return Throttle{Throttled: byLimit.Throttled || byWarmup.Throttled, Wait: max(byLimit.Wait, byWarmup.Wait)}
 }
 
 // requestInterval returns the time between two requests at a limit.
@@ -320,6 +330,9 @@
 	if c.limit.active {
 		c.limit.tokens--
 	}
+	if c.warmup.active(now) {
+		c.warmup.tokens--
+	}
 }
 
 // UndoSent reverts RecordSent for a request that was not sent after all.
@@ -332,6 +345,8 @@
 	if c.limit.active {
 		c.limit.tokens++
 	}
+	// Once the VM has warmed up, the tokens have no effect.
+	c.warmup.tokens++
 }
 
 // Records returns the records to send to other nodes, at most maxRecords. If there are more, one half
@@ -358,7 +373,7 @@
 func (t *Table) sortedShared() []*condition {
 	out := make([]*condition, 0, len(t.vms))
 	for _, c := range t.vms {
-		if !c.limit.reportedAt.IsZero() || !c.leavingAt.IsZero() {
+		if !c.limit.reportedAt.IsZero() || !c.leavingAt.IsZero() || c.warmup.reported {
 			out = append(out, c)
 		}
 	}
@@ -391,8 +406,11 @@
 
 // expired reports whether nothing that is known of the VM is relevant any more.
 func (c *condition) expired(now time.Time) bool {
-	return !c.limit.active && now.Sub(c.limit.reportedAt) > clearedRetention && !c.backoff.relevant(now) && c.leavingAt.IsZero() && !c.unreadable
+	return !c.limit.active && now.Sub(c.limit.reportedAt) > clearedRetention && !c.backoff.relevant(now) &&
+		!c.warmup.active(now) && c.leavingAt.IsZero() && !c.unreadable
 }
 
 // changedAt returns when this node learned of the newest change that is sent to other nodes.
-func (c *condition) changedAt() time.Time { return latest(c.limit.changedAt, c.leavingAt) }
+func (c *condition) changedAt() time.Time {
+	return latest(latest(c.limit.changedAt, c.leavingAt), c.warmup.changedAt)
+}
--- a/internal/backpressure/wire.go
+++ b/internal/backpressure/wire.go
@@ -16,6 +16,10 @@
 	if r.Limited {
 		out.Limit = &r.Limit
 	}
+	if now.Before(r.WarmUntil) {
+		left := uint32(min(r.WarmUntil.Sub(now), MaxWarmup).Milliseconds())
+		out.WarmupMs = &left
+	}
 	return out
 }
 
@@ -27,5 +31,8 @@
 		age := time.Duration(c.GetLimitAgeMs()) * time.Millisecond
 		out.Limited, out.Limit, out.At = c.Limit != nil, c.GetLimit(), notBefore.Add(-age)
 	}
+	if c.WarmupMs != nil {
+		out.WarmUntil = notBefore.Add(min(time.Duration(c.GetWarmupMs())*time.Millisecond, MaxWarmup))
+	}
 	return out
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -127,6 +127,14 @@
 	return Model{}, false
 }
 
+// Warmup describes a service whose upstreams crash if they get too many requests soon after a start.
+type Warmup struct {
+	// Duration is how long an upstream takes to warm up.
+	Duration time.Duration
+	// Rate is how many requests per second it tolerates until then; zero for no limit.
+	Rate float64
+}
+
 // Service is a set of interchangeable upstreams.
 type Service struct {
 	Name string
@@ -136,6 +144,8 @@
 	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// Warmup describes how the upstreams behave after a start.
+	Warmup Warmup
 	// LongestTimeout is the longest timeout of any route to the service; New fills it in.
 	LongestTimeout time.Duration
 	// TopPriority is the highest priority (lowest number) of any route to the service
--- a/internal/ctl/explainlog.go
+++ b/internal/ctl/explainlog.go
@@ -54,14 +54,15 @@
 }
 
 // relatesTo reports whether the line concerns one of the subjects (names of groups and
-// VMs), or a start, a stop, the configuration or the platform connection of the node.
+// VMs), or a start, a stop, the configuration, the evacuations or the platform connection of the node.
 func (l logLine) relatesTo(node string, subjects map[string]bool) bool {
 	switch l.event {
-	case event.PlatformDown.ID, event.PlatformUp.ID, event.Started.ID, event.Stopping.ID, event.CatalogAdopted.ID:
+	case event.PlatformDown.ID, event.PlatformUp.ID, event.Started.ID, event.Stopping.ID, event.CatalogAdopted.ID,
+		event.EvacuationStarted.ID, event.EvacuationEnded.ID:
 		return l.node == node
 	case event.VMLost.ID, event.GroupDissolving.ID, event.GroupReleased.ID, event.HeadStalled.ID, event.HeadLost.ID,
 		event.UpstreamRemoved.ID, event.UpstreamMissing.ID, event.UpstreamDraining.ID, event.GroupSuspected.ID, event.UpstreamEjected.ID,
-		event.UpstreamLimited.ID, event.UpstreamUnlimited.ID, event.UpstreamBackoff.ID, event.UpstreamLeaving.ID:
+		event.UpstreamLimited.ID, event.UpstreamUnlimited.ID, event.UpstreamBackoff.ID, event.UpstreamLeaving.ID, event.UpstreamWarming.ID:
 		return subjects[fmt.Sprint(l.fields["group"])] || subjects[fmt.Sprint(l.fields["vm"])]
 	}
 	return false
--- a/internal/ctl/node_test.go
+++ b/internal/ctl/node_test.go
@@ -18,7 +18,7 @@
 
 func testView() inspect.View {
 	return inspect.View{
-		Node: "front-a-1", FailureDomain: "a", Ready: true, ListAge: 420 * time.Millisecond, ListRevision: 812, Directing: []string{"a"},
+		Node: "front-a-1", FailureDomain: "a", Ready: true, ListAge: 420 * time.Millisecond, ListRevision: 812, Directing: []string{"a"}, Evacuated: []string{"c"},
 		Configuration: inspect.Configuration{Version: 46, VerifiedAge: 800 * time.Millisecond, Services: []string{"llm"}, Teams: []string{"ops"},
 			Routes: []inspect.Route{{Name: "r-1", Host: "h.example", Prefix: "/a/", Kind: "stream", Priority: 1, Timeout: 8 * time.Second, Services: []string{"llm"}}}},
 		Nodes: []inspect.Node{{ID: "front-b-1", FailureDomain: "b", Age: 210 * time.Millisecond, Directing: []string{"b"}, Stopping: true}},
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -41,6 +41,8 @@
 	// stopMargin is the part of the stop's grace period that is reserved for the
 	// process to exit.
 	stopMargin = 700 * time.Millisecond
+	// bytesPerMegabyte converts the unit of the settings.
+	bytesPerMegabyte = 1 << 20
 	// storeIdleConns and reportIdleConns bound the idle connections to one host,
 	// for calls to the platform's store and for calls to upstreams.
 	storeIdleConns  = 4
@@ -60,12 +62,17 @@
 	feedLeader := feed.NewLeader(self, deferredNodes{&nodes}, func() bool { return len(groupDirector.Directing()) > 0 }, b.log, b.peers.Client(), b.peers.URL)
 	var catalogCache *catalog.Cache
 	catalogCache = catalog.NewCache(feed.NewCatalog(platform.NewConfiguration(store), feedLeader, func() uint64 { return catalogCache.Version() }, platform.DecodeConfiguration), b.log, catalogWatchWait)
-	directory := fleet.NewDirectory(feed.NewFleet(platform.NewDirectory(store), feedLeader), b.log, fleet.WatchWait, func() time.Duration {
+	vmList := platform.NewDirectory(store, s.Platform.Evacuations)
+	fleetSource := feed.NewFleet(vmList, feedLeader)
+	directory := fleet.NewDirectory(fleetSource, b.log, fleet.WatchWait, func() time.Duration {
 		if groupDirector.Busy() {
 			return min(busyWatchPause*time.Duration(max(nodes.Size(), busyPauseNodes))/busyPauseNodes, maxBusyWatchPause)
 		}
 		return feed.IdleWatchPause
 	})
+	if s.Platform.Evacuations {
+		directory.FollowEvacuations(fleetSource.WithEvacuations(vmList))
+	}
 	localState := func() *marbleroadv1.NodeState {
 		state := &marbleroadv1.NodeState{
 			Node:          self.ID,
@@ -191,5 +198,7 @@
 			Extra:  s.Gateway.RepeatExtra,
 			Window: s.Gateway.RepeatWindow,
 		},
+		Memory:  int64(s.Node.Memory * bytesPerMegabyte),
+		Warmups: gateway.WarmupBounds{Excess: s.Gateway.WarmupExcess, Slack: s.Gateway.WarmupSlack},
 	}
 }
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -492,3 +492,28 @@
 		t.Error("a head that has long been without a member does not count as broken")
 	}
 }
+
+// TestNoGroupsAreFormedInEvacuatedDomain: an evacuated failure domain gets no loads and no new groups, its
+// open groups stay for its return, and groups are formed again afterwards.
+func TestNoGroupsAreFormedInEvacuatedDomain(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	n := w.addNode(t, "n1")
+	w.formAndStage(n)
+	open := w.servingGroups()
+	if open == 0 {
+		t.Fatal("no group serves before the evacuation")
+	}
+	w.evacuated = map[string]bool{"a": true}
+	for i := range 4 {
+		id := vmID(1, i)
+		w.vms[id] = &engineVM{VM: fleet.VM{ID: id, Address: id, Service: "llm", FailureDomain: "a", Fabric: "1", Slots: 8, Born: 1, Staged: []string{"big", "small"}}}
+	}
+	if w.run(8*time.Second, func() bool { return w.servingGroups() != open }) {
+		t.Errorf("%d groups serve during the evacuation, %d before", w.servingGroups(), open)
+	}
+	w.evacuated = nil
+	if !w.run(8*time.Second, func() bool { return w.servingGroups() > open }) {
+		t.Error("no group was formed after the evacuation")
+	}
+	w.check(t)
+}
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -107,9 +107,15 @@
 
 // mayJoin reports whether a VM may be sent to its new group now. Before the first callers,
 // loads are not limited. Once callers have arrived, only as many loads run at a time as run
-// at full speed, also for groups that were planned earlier.
+// at full speed, also for groups that were planned earlier. None starts in an evacuated failure domain.
 func (s *state) mayJoin(vm *fleet.VM, f *formation) bool {
-	if !s.needsLoad(vm, f) || s.beforeTraffic(vm.FailureDomain) {
+	if !s.needsLoad(vm, f) {
+		return true
+	}
+	if s.snapshot.Evacuated[vm.FailureDomain] {
+		return false
+	}
+	if s.beforeTraffic(vm.FailureDomain) {
 		return true
 	}
 	service := s.catalog.Service(f.service)
--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -16,6 +16,9 @@
 
 // placeGroups forms new groups out of free VMs and stages models before they are needed.
 func (s *state) placeGroups(now time.Time, domain string) {
+	if s.snapshot.Evacuated[domain] {
+		return
+	}
 	for _, name := range sorted(s.catalog.Services()) {
 		service := s.catalog.Service(name)
 		if service.Engine == nil {
@@ -97,7 +100,7 @@
 		if other == domain {
 			break
 		}
-		if claimed[other] == "" {
+		if claimed[other] == "" || s.snapshot.Evacuated[other] {
 			continue
 		}
 		in := s.placementInput(now, other, service, e, s.unattached)
@@ -219,12 +222,12 @@
 }
 
 // groupCounts counts, over all failure domains, the groups of each model that serve or soon
-// will.
+// will. Groups of evacuated failure domains don't serve.
 func (s *state) groupCounts(now time.Time, service string) map[string]int {
 	out := make(map[string]int)
 	for name, g := range s.snapshot.Groups {
 		gs := s.groups[name]
-		if g.Service == service && !gs.released && !gs.dissolving && s.formations[name] == nil && s.countsAsSupply(g) {
+		if g.Service == service && !gs.released && !gs.dissolving && !s.snapshot.Evacuated[gs.domain] && s.formations[name] == nil && s.countsAsSupply(g) {
 			out[g.Model]++
 		}
 	}
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -19,9 +19,11 @@
 // goroutines. It checks two safety properties of groups: no VM is taken from a group whose head may
 // serve, and no head opens before every member was ready.
 type world struct {
-	now     time.Time
-	catalog *catalog.Catalog
-	vms     map[string]*engineVM
+	// evacuated are the failure domains that operators have evacuated.
+	evacuated map[string]bool
+	now       time.Time
+	catalog   *catalog.Catalog
+	vms       map[string]*engineVM
 	// readyMembers holds, by group, the VMs that have been ready in it.
 	readyMembers map[string]map[string]bool
 	sizes        map[string]int
@@ -405,6 +407,7 @@
 	}
 	w.snapshot = fleet.NewSnapshot(vms, w.revision, w.now)
 	w.snapshot.LastSeen = renewedAt
+	w.snapshot.Evacuated = w.evacuated
 }
 
 // servingGroups counts the complete groups whose head is open.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -138,6 +138,10 @@
 		"None."}
 	UnverifiedStateAdopted = Event{4032, zerolog.WarnLevel, "another node's list or configuration is in use although it was verified long ago, since the platform does not respond to this node",
 		"Check the platform (3001). Keys are refused until the configuration is verified."}
+	EvacuationStarted = Event{4033, zerolog.InfoLevel, "a failure domain is evacuated: its upstream VMs get no new requests and no groups are formed there",
+		"None; the evacuation ends when its entry on the platform is removed."}
+	EvacuationEnded = Event{4034, zerolog.InfoLevel, "the evacuation of a failure domain has ended; its upstream VMs count as warming up",
+		"None."}
 )
 
 // Events of requests.
@@ -187,6 +191,10 @@
 		"If it repeats, check the VM's health."}
 	UpstreamLeaving = Event{5022, zerolog.InfoLevel, "an upstream VM reports in a response that it is leaving; it gets no more requests",
 		"None."}
+	UpstreamWarming = Event{5023, zerolog.InfoLevel, "an upstream VM reports in a response that it is warming up; until then all nodes together send it a bounded rate of requests",
+		"None."}
+	CallerSlow = Event{5024, zerolog.InfoLevel, "a caller reads its response slowly; the rest is read ahead, and the response ends early if the caller falls too far behind",
+		"None, unless it is frequent: then the callers' network is the likely cause."}
 )
 
 // Events of authentication.
@@ -209,8 +217,9 @@
 	UpstreamAdded, UpstreamDraining, UpstreamRemoved, MembershipChanged, OrderSent,
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
 	DirectorRoleAcquired, DirectorRoleReleased, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceQueried, ListRead, UnverifiedStateAdopted,
+	EvacuationStarted, EvacuationEnded,
 	RequestDone, RequestRefused, RequestFailed, InvalidInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerDisconnected, RetryRefused, UpstreamTerminated, RequestQuarantined,
-	SuspectsReceived, QuarantineUnavailable, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamBackoff, UpstreamLeaving,
+	SuspectsReceived, QuarantineUnavailable, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamBackoff, UpstreamLeaving, UpstreamWarming, CallerSlow,
 	InvalidKey, InvalidOperatorToken,
 }
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -33,6 +33,8 @@
 	source   fleet.Source
 	selector *Leader
 	calls    platformCalls
+	// evacuations reads the evacuated failure domains; nil if failure domains can't be evacuated.
+	evacuations fleet.EvacuationSource
 }
 
 // NewFleet returns a source that reads from the leader, and falls back to the platform's source.
@@ -40,7 +42,32 @@
 	return &Fleet{source: source, selector: selector, calls: platformCalls{selector: selector}}
 }
 
-var _ fleet.Source = (*Fleet)(nil)
+// WithEvacuations makes the source read the evacuated failure domains too.
+func (f *Fleet) WithEvacuations(source fleet.EvacuationSource) *Fleet {
+	f.evacuations = source
+	return f
+}
+
+var (
+	_ fleet.Source           = (*Fleet)(nil)
+	_ fleet.EvacuationSource = (*Fleet)(nil)
+)
+
+// Evacuations implements fleet.EvacuationSource.
+func (f *Fleet) Evacuations(ctx context.Context) (fleet.Evacuations, error) {
+	return f.evacuations.Evacuations(ctx)
+}
+
+// WatchEvacuations implements fleet.EvacuationSource.
+func (f *Fleet) WatchEvacuations(ctx context.Context, known fleet.Evacuations, wait time.Duration) (fleet.Evacuations, error) {
+	return f.evacuations.WatchEvacuations(ctx, known, wait)
+}
+
+// ReadsEvacuations implements fleet.EvacuationSource. A node that follows no leader reads for itself.
+func (f *Fleet) ReadsEvacuations() bool {
+	_, follows := f.selector.pick(clock.Now())
+	return !follows
+}
 
 // List implements fleet.Source. With many nodes, most of them read the list from others.
 func (f *Fleet) List(ctx context.Context) (fleet.WatchResult, error) {
@@ -64,6 +91,7 @@
 	}
 	since.Changes = merge(listed.Changes, since.Changes)
 	since.Relayed = listed.Relayed
+	since.Evacuations = listed.Evacuations
 	return since, nil
 }
 
@@ -116,6 +144,9 @@
 	for _, c := range response.GetChanges() {
 		out.Changes = append(out.Changes, decodeChange(c))
 	}
+	if e := response.GetEvacuations(); e != nil {
+		out.Evacuations = &fleet.Evacuations{Domains: e.GetFailureDomains(), Revision: e.GetRevision()}
+	}
 	return out
 }
 
@@ -157,6 +188,7 @@
 		Slots:         int(m.GetSlots()),
 		Draining:      m.GetDraining(),
 		Staged:        m.GetStaged(),
+		WarmupLeft:    milliseconds(m.GetWarmupMs()),
 		Membership: fleet.Membership{
 			Group:      m.GetGroup(),
 			Generation: m.GetGeneration(),
@@ -184,5 +216,6 @@
 		Rank:          uint32(vm.Rank),
 		State:         uint32(vm.State),
 		Model:         vm.Model,
+		WarmupMs:      uint32(max(clock.Until(vm.WarmUntil), 0).Milliseconds()),
 	}
 }
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -36,6 +36,9 @@
 		return nil, err
 	}
 	out := &marbleroadv1.FollowFleetResponse{Revision: w.Revision, ProvenAfterMs: verifiedAfterMS(arrived, w.VerifiedAt)}
+	if e, known := s.Directory.Evacuations(); known {
+		out.Evacuations = &marbleroadv1.Evacuations{FailureDomains: e.Domains, Revision: e.Revision}
+	}
 	for _, c := range w.Changes {
 		out.Changes = append(out.Changes, &marbleroadv1.FleetChange{Vm: encodeVM(c.VM), Removed: c.Removed})
 	}
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -45,6 +45,8 @@
 	VerifiedAt time.Time
 	// Relayed is true if another node responded; heartbeats are then not included.
 	Relayed bool
+	// Evacuations are the evacuated failure domains; nil if they were not read.
+	Evacuations *Evacuations
 }
 
 // WatchWait is how long one watch of the list waits for changes. A watch that is in progress
@@ -80,8 +82,13 @@
 
 	// leaving holds the VMs that have themselves announced that they leave.
 	leaving leavingVMs
+	// evacuated holds the evacuated failure domains, which evacuationSource reads; it is nil if
+	// failure domains can't be evacuated.
+	evacuated        evacuatedDomains
+	evacuationSource EvacuationSource
 
-	running wait.Loop
+	running        wait.Loop
+	evacuationLoop wait.Loop
 	// rejected counts the invalid entries.
 	rejected atomic.Int64
 
@@ -141,12 +148,18 @@
 // Start implements kernel.Service.
 func (d *Directory) Start(context.Context) error {
 	d.running.Start(d.loop)
+	if d.evacuationSource != nil {
+		d.evacuationLoop.Start(d.followEvacuations)
+	}
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (d *Directory) Stop(context.Context) error {
 	d.running.Stop()
+	if d.evacuationSource != nil {
+		d.evacuationLoop.Stop()
+	}
 	return nil
 }
 
@@ -165,6 +178,7 @@
 		d.backoff.Reset()
 		changed = d.dropExpired(clock.Now()) || changed
 		changed = d.leaving.takeUpdate() || changed
+		changed = d.evacuated.takeUpdate() || changed
 		d.publish(verifiedAt, changed)
 		wait.Sleep(ctx, d.capAtExpiry(d.debounce()))
 	}
@@ -179,6 +193,7 @@
 			return sentAt, false, err
 		}
 		d.recordResponse(w.VerifiedAt)
+		d.adoptEvacuations(w.Evacuations)
 		d.revision, d.listed = w.Revision, true
 		d.replaceAll(w.Changes)
 		d.recent.restart(w.Revision)
@@ -191,6 +206,7 @@
 		return sentAt, false, err
 	}
 	d.recordResponse(w.VerifiedAt)
+	d.adoptEvacuations(w.Evacuations)
 	if w.Relayed {
 		clear(d.lastSeen)
 	}
@@ -301,7 +317,8 @@
 	delete(d.invalid, vm.ID)
 	d.revisions[vm.ID] = vm.Revision
 	old := d.vms[vm.ID]
-	if old != nil && old.sameContent(vm) {
+	warming := vm.setWarmUntil(clock.Now(), old)
+	if old != nil && old.sameContent(vm) && !warming {
 		return false
 	}
 	d.vms[vm.ID] = vm
@@ -412,6 +429,7 @@
 	}
 	d.leaving.mark(vms)
 	next := NewSnapshot(vms, d.revision, verifiedAt)
+	next.Evacuated = d.evacuated.domains()
 	next.LastSeen = maps.Clone(d.lastSeen)
 	d.snapshot.Store(next)
 	for _, f := range d.onChange {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,6 +74,10 @@
 	Draining bool
 	// Staged are the models of which the VM's host holds a copy.
 	Staged []string
+	// WarmupLeft is how much longer the VM is warming up, as of when a source returned the entry.
+	// The directory sets WarmUntil, the end of the warm-up, from it.
+	WarmupLeft time.Duration
+	WarmUntil  time.Time
 	Membership
 }
 
@@ -90,6 +94,27 @@
 		v.Draining == other.Draining && v.Membership == other.Membership && slices.Equal(v.Staged, other.Staged)
 }
 
+// minWarmupExtension is how much later than known a warm-up must end to count as a new one. The
+// time left is reported with the delay of the list, by which its end appears later.
+const minWarmupExtension = time.Second
+
+// setWarmUntil sets the end of the VM's warm-up from the time left. The known end of the same
+// incarnation's warm-up stays, unless the VM has started a new one. setWarmUntil reports whether it
+// has.
+func (v *VM) setWarmUntil(now time.Time, old *VM) bool {
+	if v.WarmupLeft > 0 {
+		v.WarmUntil = now.Add(v.WarmupLeft)
+	}
+	if old == nil || !old.SameIncarnation(v) {
+		return v.WarmupLeft > 0
+	}
+	if v.WarmUntil.After(old.WarmUntil.Add(minWarmupExtension)) && v.WarmUntil.After(now) {
+		return true
+	}
+	v.WarmUntil = old.WarmUntil
+	return false
+}
+
 // HasStaged reports whether the VM's host holds a copy of the model.
 func (v *VM) HasStaged(model string) bool {
 	for _, m := range v.Staged {
@@ -142,6 +167,8 @@
 	VerifiedAt time.Time
 	// LastSeen is when each VM was last seen to renew or change its entry.
 	LastSeen map[string]time.Time
+	// Evacuated holds the failure domains to whose VMs no requests may be sent.
+	Evacuated map[string]bool
 	// entries holds data derived from VMs alone. Snapshots that differ only in VerifiedAt, Revision
 	// and LastSeen share it.
 	entries *entrySet
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -13,14 +13,14 @@
 
 // relay passes an upstream's response to the caller. It returns a statusError for a response that is not passed
 // on: an error response that is worth a repeat, or any response but 200 to a stream that has already started.
-func (j *job) relay(resp *http.Response, s *send, sentAt time.Time) error {
+func (j *job) relay(resp *http.Response, s *send) error {
 	if j.out != nil && resp.StatusCode == http.StatusOK {
 		return j.relayStream(resp, s)
 	}
 	if j.out != nil && j.out.started {
 		return statusError(resp.StatusCode)
 	}
-	return j.relayFull(resp, sentAt)
+	return j.relayFull(resp, s)
 }
 
 // relayStream passes on the events of a stream. It sends the header with the first event, so that a stream that
@@ -28,33 +28,53 @@
 // another upstream.
 func (j *job) relayStream(resp *http.Response, s *send) error {
 	j.status = resp.StatusCode
-	events := newEventReader(resp.Body)
+	source := j.newStreamSource(resp, s)
+	defer source.close()
 	for {
-		raw, id, err := events.next()
-		if errors.Is(err, io.EOF) {
+		raw, id, err := source.next()
+		if isStreamEnd(err) {
 			j.startResponse(resp)
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		now := clock.Now()
-		j.s.targets.recordEvent(now, s)
-		if j.firstByte == 0 {
-			j.firstByte = now.Sub(j.c.Arrived)
-		} else {
-			pause := now.Sub(j.lastEventAt)
-			j.longestPause = max(j.longestPause, pause)
-			j.s.metrics.Observe("request.pause."+j.c.Service, pause)
-		}
-		j.lastEventAt = now
 		j.startResponse(resp)
-		if err := j.out.write(raw, id); err != nil {
+		if err := source.write(func() error { return j.out.write(raw, id) }); err != nil {
 			return err
 		}
 	}
 }
 
+// newStreamSource returns the source of the events in a response. Events count from when they are read, so that
+// a slow caller does not make its upstream look slow.
+func (j *job) newStreamSource(resp *http.Response, s *send) *streamSource {
+	return &streamSource{
+		events:  newEventReader(resp.Body),
+		pool:    j.s.buffers,
+		control: j.out.flush,
+		onEvent: func(now time.Time) { j.recordEvent(now, s) },
+		onEnd:   func(now time.Time) { j.s.targets.recordComplete(now, s) },
+		onSlow:  func() { j.s.reportSlowCaller(j.c.ID) },
+	}
+}
+
+// recordEvent records an event that was read from the upstream.
+func (j *job) recordEvent(now time.Time, s *send) {
+	j.s.targets.recordEvent(now, s)
+	if j.firstByte == 0 {
+		j.firstByte = now.Sub(j.c.Arrived)
+	} else {
+		pause := now.Sub(j.lastEventAt)
+		j.longestPause = max(j.longestPause, pause)
+		j.s.metrics.Observe("request.pause."+j.c.Service, pause)
+	}
+	j.lastEventAt = now
+}
+
+// isStreamEnd reports whether an error means the regular end of a stream.
+func isStreamEnd(err error) bool { return errors.Is(err, io.EOF) && !errors.Is(err, errTruncated) }
+
 // startResponse sends the header of the first upstream's response to the caller. Later calls do nothing.
 func (j *job) startResponse(resp *http.Response) {
 	if j.out.started {
@@ -69,10 +89,12 @@
 const maxBufferedResponse = 1 << 20
 
 // relayFull passes on a response that is not a stream. One of up to maxBufferedResponse bytes is passed on only
-// when it is complete; a longer one that breaks off later results in errPartialResponse.
-func (j *job) relayFull(resp *http.Response, sentAt time.Time) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
-	if err != nil {
+// when it is complete, unless the node's buffers are full; a longer one that breaks off later results in
+// errPartialResponse.
+func (j *job) relayFull(resp *http.Response, s *send) error {
+	body, complete, err := readBuffered(resp.Body, j.s.buffers, maxBufferedResponse)
+	defer body.release()
+	if err != nil && !errors.Is(err, errBuffersFull) {
 		return errors.CombineErrors(errTruncated, err)
 	}
 	if resp.StatusCode >= http.StatusInternalServerError && j.shouldRepeat() {
@@ -80,19 +102,28 @@
 	}
 	j.firstByte = clock.Since(j.c.Arrived)
 	j.status = resp.StatusCode
+	if complete {
+		j.s.targets.recordComplete(clock.Now(), s)
+	}
 	j.s.closeIfStopping(j.w)
 	copyHeader(j.w, resp)
-	if len(body) <= maxBufferedResponse {
-		j.w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	if complete {
+		j.w.Header().Set("Content-Length", fmt.Sprint(len(body.data)))
 	}
 	if resp.Request != nil && resp.Request.Method == http.MethodHead {
 		j.w.Header()["Content-Length"] = resp.Header["Content-Length"]
 	}
 	j.w.WriteHeader(resp.StatusCode)
-	if _, err := j.w.Write(body); err != nil {
+	return j.s.writeToCaller(j.w, j.c.ID, func() error { return j.writeFull(body, complete, resp) })
+}
+
+// writeFull writes the buffered part of a response to the caller, and the rest as it arrives unless the response
+// is complete.
+func (j *job) writeFull(body *bufferedBody, complete bool, resp *http.Response) error {
+	if _, err := j.w.Write(body.data); err != nil {
 		return errors.CombineErrors(errCallerDisconnected, err)
 	}
-	if len(body) <= maxBufferedResponse {
+	if complete {
 		return nil
 	}
 	if _, err := io.Copy(j.w, resp.Body); err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,7 +42,9 @@
 	codeTooLarge       = "too-large"
 	codeBadBody        = "bad-body"
 	codeSlowBody       = "slow-body"
-	codeTimeout        = "timeout"
+	// codeNoBuffer rejects a request whose body does not fit into the buffers of this node.
+	codeNoBuffer = "no-buffer"
+	codeTimeout  = "timeout"
 	// codeNoUpstream, codeOverload and codeThrottled reject a call for which no upstream was chosen, for the
 	// reasons noUpstream, allFull and allThrottled.
 	codeNoUpstream = "no-upstream"
@@ -257,10 +259,10 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	j.mayHaveRun++
-	if err := j.relay(resp, s, now); err != nil {
+	if err := j.relay(resp, s); err != nil {
 		return j.handleBroken(ctx, s, err)
 	}
-	j.s.targets.recordSuccess(s, clock.Since(now))
+	j.s.targets.recordComplete(clock.Now(), s)
 	j.recordCompletion()
 	return nil
 }
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -10,6 +10,7 @@
 	"github.com/marbleroad/marbleroad/internal/backpressure"
 	"github.com/marbleroad/marbleroad/internal/batch"
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/quarantine"
 	"github.com/marbleroad/marbleroad/internal/retry"
@@ -212,6 +213,10 @@
 	// remaining capacity of limited VMs in a failure domain.
 	conditions *backpressure.Table
 	sharing    func(domain string) backpressure.Sharing
+	// warmups bounds the requests to upstreams that are warming up. evacuated holds the failure domains
+	// that were evacuated in the newest snapshot.
+	warmups   WarmupBounds
+	evacuated map[string]bool
 	// recentStalls are the stalls found by this node that are still reported to other nodes.
 	recentStalls []stall
 	// lastCheck is the time of the last check for silent heads. stalledUntil is the end of the last known
@@ -244,8 +249,8 @@
 	}
 }
 
-// rebuild applies a new catalog or fleet snapshot. Targets that remain keep their state; draining VMs are
-// not targets. Requests at a VM that has restarted are canceled, whereas those at a target that has merely
+// rebuild applies a new catalog or fleet snapshot. Targets that remain keep their state; draining VMs and
+// those of evacuated failure domains are not targets. Requests at a VM that has restarted are canceled, whereas those at a target that has merely
 // been removed continue.
 func (tt *targetTable) rebuild(c *catalog.Catalog, s *fleet.Snapshot) {
 	tt.mu.Lock()
@@ -257,7 +262,7 @@
 	}
 	for _, vm := range s.VMs {
 		p := pools[vm.Service]
-		if p == nil || vm.Draining {
+		if p == nil || vm.Draining || s.Evacuated[vm.FailureDomain] {
 			continue
 		}
 		t, model, ok := newTarget(p.service, s, vm)
@@ -274,6 +279,7 @@
 	}
 	tt.cancelRestarted(s)
 	tt.sweepConditions(s)
+	tt.markWarming(clock.Now(), c, s)
 	tt.pools = pools
 	tt.targets = targets
 }
@@ -349,8 +355,12 @@
 	}
 }
 
-// removeSend removes a send from the counts of its target. The caller holds mu.
+// removeSend removes a send from the counts of its target, unless it is complete and has been removed already.
+// The caller holds mu.
 func (tt *targetTable) removeSend(s *send) {
+	if _, running := s.target.running[s]; !running {
+		return
+	}
 	s.target.localInFlight--
 	if s.started {
 		s.target.startedStreams--
@@ -361,12 +371,29 @@
 	delete(s.target.running, s)
 }
 
+// recordComplete records that the response to a send was read to its end: the upstream is done with it, even
+// if the caller takes longer to read it. Further calls have no effect.
+func (tt *targetTable) recordComplete(now time.Time, s *send) {
+	tt.mu.Lock()
+	defer tt.mu.Unlock()
+	if _, running := s.target.running[s]; !running {
+		return
+	}
+	tt.removeSend(s)
+	tt.recordSuccessLocked(s, now.Sub(s.sentAt))
+}
+
 // recordSuccess records a complete response, which took elapsed since its send started. It resets the
 // failures and ejections of the target. The response to a caller that resumes a stream (LastEvent) does not
 // count for the service time of the model.
 func (tt *targetTable) recordSuccess(s *send, elapsed time.Duration) {
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
+	tt.recordSuccessLocked(s, elapsed)
+}
+
+// recordSuccessLocked does the work of recordSuccess. The caller holds mu.
+func (tt *targetTable) recordSuccessLocked(s *send, elapsed time.Duration) {
 	t := s.target
 	t.failures, t.ejections, t.unresponsiveCount = 0, 0, 0
 	if t.responseTime == 0 {
--- a/internal/gateway/condition.go
+++ b/internal/gateway/condition.go
@@ -70,10 +70,10 @@
 }
 
 // limitHeadroom returns how many more requests a target accepts within the horizon if its VM has named a
-// limit. It assumes that every node has as much left as this one, since requests are divided as if all
+// limit or is warming up. It assumes that every node has as much left as this one, since requests are divided as if all
 // nodes behaved alike. The caller holds mu.
-func (tt *targetTable) limitHeadroom(t *target, horizon time.Duration) (float64, bool) {
-	local, limited := tt.conditions.Headroom(incarnationOf(t.vm), horizon)
+func (tt *targetTable) limitHeadroom(now time.Time, t *target, horizon time.Duration) (float64, bool) {
+	local, limited := tt.conditions.Headroom(now, incarnationOf(t.vm), horizon)
 	if !limited {
 		return 0, false
 	}
@@ -134,6 +134,7 @@
 		j.s.metrics.Count("upstreams.leaving.heard", 1)
 		j.s.recordLeaving(incarnationOf(s.vm), j.c.ID)
 	}
+	j.s.recordWarmup(s.vm, signals.Warmup, j.c.ID)
 	change := j.s.targets.recordCondition(clock.Now(), sent, s, signals)
 	j.s.logLimitChange(change, incarnationOf(s.vm), signals.Limit, 0, j.c.ID)
 	if change == backpressure.LimitSet || change == backpressure.LimitCleared {
@@ -151,6 +152,7 @@
 		if leaving {
 			s.takeOutOfService(r.Incarnation, "")
 		}
+		s.mergeWarmup(now, r)
 	}
 }
 
@@ -180,6 +182,9 @@
 	if limit, limited := s.targets.conditions.Limit(incarnation); limited {
 		parts = append(parts, fmt.Sprintf("takes %v/s, heard %v ago", limit.Limit, now.Sub(limit.At).Round(time.Millisecond)))
 	}
+	if until, warming := s.targets.conditions.Warming(now, incarnation); warming {
+		parts = append(parts, fmt.Sprintf("warms up for %v more", until.Sub(now).Round(time.Millisecond)))
+	}
 	return strings.Join(parts, ", ")
 }
 
@@ -193,6 +198,7 @@
 	if signals.Leaving {
 		s.recordLeaving(incarnationOf(vm), "")
 	}
+	s.recordWarmup(vm, signals.Warmup, "")
 }
 
 // reportUnreadable counts a condition that can't be read, and logs the first one of each incarnation of a VM.
--- a/internal/gateway/divide.go
+++ b/internal/gateway/divide.go
@@ -155,7 +155,7 @@
 	if tt.partitioned(now, t.vm.FailureDomain) {
 		h.Load += partitionedShare * slots
 	}
-	if headroom, limited := tt.limitHeadroom(t, horizon); limited {
+	if headroom, limited := tt.limitHeadroom(now, t, horizon); limited {
 		h.MaxLoad = min(h.MaxLoad, h.Load-h.Completions+headroom)
 	}
 	return h
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -34,7 +34,9 @@
 		failure = s.route(c)
 	}
 	if failure == nil {
-		failure = s.readBody(w, r, c)
+		var body *bufferedBody
+		body, failure = s.readBody(w, r, c)
+		defer body.release()
 	}
 	if failure == nil {
 		j, failure = s.run(w, r, c)
@@ -99,14 +101,16 @@
 
 // readBody reads the complete body, so that the request can be sent more than once. It also rejects a header
 // or a body that is larger than the configuration allows.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *Call) *verdict.Error {
+// What is reserved for the body must be released when the call ends.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *Call) (*bufferedBody, *verdict.Error) {
+	none := &bufferedBody{}
 	limits := s.catalog.Catalog().Limits()
 	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
-		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusRequestHeaderFieldsTooLarge, Code: codeTooLarge, Detail: "the header is larger than the configuration allows"}
+		return none, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusRequestHeaderFieldsTooLarge, Code: codeTooLarge, Detail: "the header is larger than the configuration allows"}
 	}
 	limit := limits.MaxBodyBytes
 	if limit > 0 && r.ContentLength > limit {
-		return tooLargeError()
+		return none, tooLargeError()
 	}
 	body := r.Body
 	if limit > 0 {
@@ -115,33 +119,37 @@
 	data, err := s.readAll(w, body, c.Deadline)
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		return tooLargeError()
+		return data, tooLargeError()
+	}
+	if errors.Is(err, errBuffersFull) {
+		s.metrics.Count("requests.no_buffer", 1)
+		return data, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: codeNoBuffer, Detail: err.Error(), RetryAfter: s.retryAfter(c, allFull)}
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusRequestTimeout, Code: codeSlowBody, Detail: "the body was not complete within the time for the request", Cause: err}
+		return data, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusRequestTimeout, Code: codeSlowBody, Detail: "the body was not complete within the time for the request", Cause: err}
 	}
 	if err != nil {
-		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusBadRequest, Code: codeBadBody, Detail: "the body broke off", Cause: err}
+		return data, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusBadRequest, Code: codeBadBody, Detail: "the body broke off", Cause: err}
 	}
-	c.Body = data
-	return nil
+	c.Body = data.data
+	return data, nil
 }
 
 // readAll reads a body until the deadline. After a complete body the read deadline of the connection is
 // removed, since net/http continues to read in order to detect that the caller leaves. After a failure it
 // stays, or net/http would wait for the remaining bytes.
-func (s *Server) readAll(w http.ResponseWriter, body io.Reader, deadline time.Time) ([]byte, error) {
+func (s *Server) readAll(w http.ResponseWriter, body io.Reader, deadline time.Time) (*bufferedBody, error) {
 	control := http.NewResponseController(w)
 	// Connection deadlines use the wall clock of the system.
 	if err := control.SetReadDeadline(time.Now().Add(clock.Until(deadline))); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return nil, errors.Wrap(err, "limit the reading of the body")
+		return &bufferedBody{}, errors.Wrap(err, "limit the reading of the body")
 	}
-	data, err := io.ReadAll(body)
+	data, _, err := readBuffered(body, s.buffers, 0)
 	if err != nil {
-		return nil, err
+		return data, err
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return nil, errors.Wrap(err, "lift the limit on the body")
+		return data, errors.Wrap(err, "lift the limit on the body")
 	}
 	return data, nil
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -68,6 +68,10 @@
 	RevokeBound time.Duration
 	// Repeats is the budget for repeated sends of requests, over all nodes together.
 	Repeats retry.Limit
+	// Warmups bounds the requests to upstreams that are warming up.
+	Warmups WarmupBounds
+	// Memory is the memory in bytes that the process may use; 0 if it is not specified.
+	Memory int64
 }
 
 // Parts holds the dependencies of the gateway.
@@ -114,6 +118,7 @@
 	quarantine      *quarantine.Table
 	pending         pendingTerminations
 	targets         *targetTable
+	buffers         *bufferPool
 
 	// stopping is true from the start of a shutdown.
 	stopping atomic.Bool
@@ -152,9 +157,11 @@
 		ports:           newPortChecker(upstreamDialer(c.Local)),
 		quarantine:      p.Quarantine,
 		targets:         newTargetTable(c.FailureDomain, c.Repeats, p.Dissolving, clock.Now()),
+		buffers:         newBufferPool(c.Memory),
 		workCtx:         workCtx,
 		cancelWork:      cancelWork,
 	}
+	s.targets.warmups = c.Warmups
 	if p.Sharing != nil {
 		s.targets.sharing = s.sharing
 	}
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -62,6 +62,8 @@
 	stopLimit time.Duration
 	// linger is how long a shutdown keeps idle connections open.
 	linger time.Duration
+	// evacuations lets operators evacuate failure domains.
+	evacuations bool
 }
 
 func newTestSite(t testing.TB, o options) *testSite {
@@ -85,7 +87,11 @@
 	}
 	store := platform.NewStore(storeServer.URL, http.DefaultTransport, 2*time.Second)
 	catalogs := catalog.NewCache(platform.NewConfiguration(store), log, 100*time.Millisecond)
-	directory := fleet.NewDirectory(platform.NewDirectory(store), log, 100*time.Millisecond, func() time.Duration { return 0 })
+	vmList := platform.NewDirectory(store, o.evacuations)
+	directory := fleet.NewDirectory(vmList, log, 100*time.Millisecond, func() time.Duration { return 0 })
+	if o.evacuations {
+		directory.FollowEvacuations(vmList)
+	}
 	s.listen = freeAddress(t)
 	// A ratio of two pays for one repeat of each request, even right after the start.
 	repeats := retry.Limit{Ratio: 2, Extra: 100, Window: 10 * time.Second}
--- a/internal/gateway/stalls.go
+++ b/internal/gateway/stalls.go
@@ -50,6 +50,9 @@
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
 	t := s.target
+	if _, running := t.running[s]; !running {
+		return
+	}
 	if s.started {
 		t.learnPause(now.Sub(t.lastActivity))
 	} else {
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -5,7 +5,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"time"
 
@@ -31,6 +33,8 @@
 	// ListRevision is the platform's revision that the list reflects.
 	ListAge      time.Duration `json:"list_age_ns"`
 	ListRevision uint64        `json:"list_revision"`
+	// Evacuated lists the failure domains to whose upstream VMs no requests are sent.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Directing lists the failure domains whose groups the node manages.
 	Directing []string `json:"directing"`
 	Nodes     []Node   `json:"nodes"`
@@ -168,6 +172,7 @@
 	}
 	if list := s.Directory.Snapshot(); list != nil {
 		v.ListAge, v.ListRevision = now.Sub(list.VerifiedAt), list.Revision
+		v.Evacuated = slices.Sorted(maps.Keys(list.Evacuated))
 		v.Upstreams = s.upstreams(list)
 		v.Groups = s.groups(list, current)
 	}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -62,6 +62,8 @@
 		func(s *Settings, t string) error { return parseName(t, &s.Node.FailureDomain) }},
 	{"node", "processor", "0", "a number, 0 or more", "Processor cores, or the fraction of one, that marbleroad-node may use; 0 if it is not specified. The nodes with the highest values manage groups, read the platform for others and aggregate their states.", nil,
 		func(s *Settings, t string) error { return parseAmount(t, &s.Node.Processor) }},
+	{"node", "memory", "0", "a number of megabytes, 0 or more", "Memory that marbleroad-node may use; 0 if it is not specified. A quarter of it may hold bodies and responses of slow callers and upstreams.", nil,
+		func(s *Settings, t string) error { return parseAmount(t, &s.Node.Memory) }},
 
 	{"platform", "url", "", "an http URL with an IP number, such as http://10.0.0.1:9000", "Where the platform's Object API and membership list are.", allPrograms,
 		func(s *Settings, t string) error { return parseHTTPURL(t, &s.Platform.URL) }},
@@ -69,6 +71,8 @@
 		func(s *Settings, t string) error { return parseDuration(t, &s.Platform.Timeout) }},
 	{"platform", "watch_wait", "20s", allowedDuration, "How long one watch waits for changes; a longer time means fewer calls.", nil,
 		func(s *Settings, t string) error { return parseDuration(t, &s.Platform.WatchWait) }},
+	{"platform", "evacuations", "no", "yes or no", "Whether operators can evacuate failure domains by entries on the platform. If not, no calls are made for them.", nil,
+		func(s *Settings, t string) error { return parseYesNo(t, &s.Platform.Evacuations) }},
 
 	{"entry", "listen", "", allowedAddress, "Address at which callers are served.", entryOnly,
 		func(s *Settings, t string) error { return parseAddress(t, &s.Entry.Listen) }},
@@ -135,6 +139,10 @@
 		func(s *Settings, t string) error { return parseAmount(t, &s.Gateway.RepeatExtra) }},
 	{"gateway", "repeat_window", "10s", allowedDuration, "Length of the sliding window of the retry budget.", nil,
 		func(s *Settings, t string) error { return parseDuration(t, &s.Gateway.RepeatWindow) }},
+	{"gateway", "warmup_excess", "1", "a number, 0 or more", "Requests that an upstream that is warming up may receive within any one second, over all nodes, as a multiple of the rate that its service tolerates.", nil,
+		func(s *Settings, t string) error { return parseAmount(t, &s.Gateway.WarmupExcess) }},
+	{"gateway", "warmup_slack", "0", "a number, 0 or more", "Requests that such an upstream may receive within any one second beyond warmup_excess.", nil,
+		func(s *Settings, t string) error { return parseAmount(t, &s.Gateway.WarmupSlack) }},
 	{"gateway", "heartbeat", "1200ms", allowedDuration, "Interval at which an upstream VM renews its entry in the platform's list.", nil,
 		func(s *Settings, t string) error { return parseDuration(t, &s.Gateway.Heartbeat) }},
 	{"gateway", "stall_bound", "5s", allowedDuration, "Time after which the head of a group that lost a member reports itself as broken.", nil,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,8 @@
 	FailureDomain string
 	// Processor is the number of processor cores, or the fraction of one, that the node may use; 0 if it is not specified.
 	Processor float64
+	// Memory is the number of megabytes that the node's process may use; 0 if it is not specified.
+	Memory float64
 }
 
 // Platform holds the settings for calls to the platform.
@@ -29,6 +31,8 @@
 	Timeout time.Duration
 	// WatchWait is how long one watch waits for changes.
 	WatchWait time.Duration
+	// Evacuations is true if operators may evacuate failure domains by entries on the platform.
+	Evacuations bool
 }
 
 // Entry holds the settings of marbleroad-entry.
@@ -91,6 +95,11 @@
 	RepeatRatio  float64
 	RepeatExtra  float64
 	RepeatWindow time.Duration
+	// WarmupExcess and WarmupSlack bound the requests to an upstream that is warming up, over all
+	// nodes: in any second at most WarmupExcess times the rate that its service tolerates, and
+	// WarmupSlack more.
+	WarmupExcess float64
+	WarmupSlack  float64
 	// Heartbeat is how often an upstream VM renews its entry in the list.
 	Heartbeat time.Duration
 	// StallBound is how long a group's head may run without a member before it
