Soak, stand-ins: warm-ups and evacuations are played and judged

VMs that start during a run warm up, a failure domain is evacuated among the drawn faults and after the final ones, and its VMs are cold when it returns. Mutants for the new mechanisms; five patterns follow moved code.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -381,8 +381,8 @@
   's/MaxIdleConns:        maxIdleConns,//' ./internal/daemon TestIdleConnectionsAreBounded
 mutant "heads are filled beyond their headroom" internal/spread/spread.go \
   's/return min\(max\(level-h\.remaining\(\), 0\), h\.headroom\(\)\)/return max(level-h.remaining(), 0)/' ./internal/spread TestSharesKeepToTheHeadroom
-mutant "backpressure: a limit is ignored" internal/backpressure/table.go \
-  's/if !c\.limit\.active \{\n\t\treturn Throttle\{\}/if true {\n\t\treturn Throttle{}/' ./internal/gateway TestUpstreamLimitIsRespected
+mutant "backpressure: a limit is ignored" internal/backpressure/limit.go \
+  's/if !l\.active \{\n\t\treturn Throttle\{\}/if true {\n\t\treturn Throttle{}/' ./internal/gateway TestUpstreamLimitIsRespected
 mutant "backpressure: each node uses the full limit" internal/cluster/sharing.go \
   's/if !domainReachable \{/out.Nodes = []string{out.Self}\n\tif false {/' ./internal/cluster TestLimitHoldsOverAllNodes
 mutant "backpressure: every node of the failure domain is a holder" internal/backpressure/sharing.go \
@@ -390,7 +390,7 @@
 mutant "backpressure: a remote node uses the full limit" internal/backpressure/sharing.go \
   's/if !s\.Remote \{\n\t\tcount/if true {\n\t\tcount/' ./internal/backpressure TestHoldersTogetherKeepToLimit
 mutant "backpressure: a new holder does not wait" internal/backpressure/limit.go \
-  's/now\.Add\(handoverDelay\), 0/now, 0/' ./internal/backpressure TestNewHolderWaits
+  's/now\.Add\(HandoverDelay\)\)/now)/' ./internal/backpressure TestNewHolderWaits
 mutant "backpressure: an older response clears a limit" internal/backpressure/table.go \
   's/ \|\| !sent\.After\(c\.limit\.reportedAt\)//' ./internal/backpressure TestEarlierResponseDoesNotClearLimit
 mutant "backpressure: a limit is lost with its target" internal/gateway/condition.go \
@@ -402,7 +402,7 @@
 mutant "backpressure: reserved slots bypass a limit" internal/gateway/condition.go \
   's/throttle := tt\.throttle\(now, t, reserved\); throttle\.Throttled/throttle := tt.throttle(now, t, reserved); throttle.Throttled \&\& len(tried) == 0/' ./internal/gateway TestNoSlotReservedAtLimitedHead
 mutant "backpressure: all priorities get the same share of a limit" internal/backpressure/table.go \
-  's/needed := 1 \+ min\(reserve, maxReserve\)/needed := 1.0\n\t_ = reserve/' ./internal/backpressure TestUrgentRequestsGoFirst
+  's/tokens, nodes := 1\+min\(reserve, maxReserve\)/_ = reserve\n\ttokens, nodes := 1.0/' ./internal/backpressure TestUrgentRequestsGoFirst
 mutant "backpressure: a record of a previous incarnation counts" internal/backpressure/table.go \
   's/ \|\| t\.vms\[r\.VM\] != nil//' ./internal/backpressure TestRecordOfPreviousIncarnationIsIgnored
 mutant "backpressure: a record of a removed VM circulates forever" internal/backpressure/table.go \
@@ -425,6 +425,30 @@
   's/ \|\| v\.isEntryOutdated\(vm\.Membership\)//' ./internal/director TestEntryOfAFormerGroupFreesNoVM
 mutant "a formed group is only known by its members' entries" internal/director/groups.go \
   's/\ts\.groups\[f\.name\]\.addMembers\(f\.members, s\.snapshot\.VMs\)\n//' ./internal/director TestGroupFormedWhilePlatformUnreachableIsKept
+mutant "warm-up: an upstream that warms up gets any number of requests" internal/backpressure/warmup.go \
+  's/if !w\.active\(now\) \{\n\t\treturn Throttle\{\}/if true {\n\t\treturn Throttle{}/' ./internal/gateway TestWarmingHeadIsNotOverloaded
+mutant "warm-up: every node is a holder" internal/backpressure/warmup.go \
+  's/min\(max\(int\(\(bound-rate\)\/maxBurst\), 1\), len\(s\.Nodes\)\)/len(s.Nodes)/' ./internal/cluster TestWarmupBoundHoldsOverAllNodes
+mutant "warm-up: a restarted node sends at once" internal/backpressure/warmup.go \
+  's/usableAt = latest\(now, w\.UsableAt\)/usableAt = now/' ./internal/backpressure TestRestartedNodeLeavesTimeForPreviousIncarnation
+mutant "warm-up: other nodes do not learn of a response" internal/backpressure/table.go \
+  's/ \|\| c\.warmup\.reported \{/ {/' ./internal/backpressure TestReportedWarmupReachesOtherNodes
+mutant "warm-up: a failure domain returns from its evacuation with all load" internal/gateway/warmup.go \
+  's/if returned\[vm\.FailureDomain\]/if false/' ./internal/gateway TestReturnedDomainCountsAsWarmingUp
+mutant "evacuation: requests still go to the failure domain" internal/gateway/board.go \
+  's/ \|\| s\.Evacuated\[vm\.FailureDomain\]//' ./internal/gateway TestEvacuatedDomainGetsNoRequests
+mutant "evacuation: groups are formed in the failure domain" internal/director/place.go \
+  's/if s\.snapshot\.Evacuated\[domain\]/if false/' ./internal/director TestNoGroupsAreFormedInEvacuatedDomain
+mutant "evacuation: a node that starts learns of it later" platform/directory.go \
+  's/out\.Evacuations = &evacuations/_ = evacuations/' ./platform TestEvacuationsAreRead
+mutant "evacuation: a node whose leader does not send it does not read it" internal/fleet/evacuation.go \
+  's/return !recent \|\| /return /' ./internal/fleet TestFollowerReadsEvacuationsOnlyIfItMust
+mutant "evacuation: an older state replaces a newer one" internal/fleet/evacuation.go \
+  's/if e\.known && next\.Revision < e\.Revision/if false/' ./internal/fleet TestOlderEvacuationsAreIgnored
+mutant "slow callers: the rest of a stream is not read ahead" internal/gateway/readahead.go \
+  's/time\.AfterFunc\(maxCallerBlock, s\.readAhead\)/time.AfterFunc(time.Hour, s.readAhead)/' ./internal/gateway TestSlowCallerDoesNotBlockItsUpstream
+mutant "slow callers: the node's buffers have no bound" internal/gateway/buffers.go \
+  's/if used\+int64\(n\) > p\.limit/if false/' ./internal/gateway TestThousandSlowCallersKeepToTheBuffers
 
 echo "$survivors survived or not applied"
 [ "$survivors" = 0 ]
--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -45,7 +45,7 @@
   run_mutant "$number" "$@" &
 }
 
-mutant "own whole answer" internal/gateway/answer.go 's/if errors\.Is\(err, io\.EOF\) \{/if err != nil {/'
+mutant "own whole answer" internal/gateway/answer.go 's/if isStreamEnd\(err\) \{/if err != nil {/'
 mutant "not run is true" 'internal/relay/sender.go internal/gateway/attempt.go' 's/http\.StatusBadGateway/http.StatusServiceUnavailable/g'
 mutant "at most once" internal/gateway/attempt.go 's/case failure\.Verdict != verdict\.NotRun \&\& !j\.c\.Route\.Repeatable\(\):/case false:/'
 mutant "attempts" internal/gateway/attempt.go 's/case j\.mayHaveRun-j\.terminated >= j\.c\.Route\.Attempts \|\| j\.sends-j\.terminated >= j\.c\.Route\.Attempts\+extraRefusedSends \|\| j\.terminated > maxTerminations:/case false:/; s/if !j\.repeatUse\.Allowed/if false/'
@@ -64,9 +64,11 @@
 mutant "a stop cuts nothing" internal/daemon/daemon.go 's/if s == syscall\.SIGINT/if true/'
 mutant "a held-up node blames nobody" internal/gateway/heldup.go 's/if firstCheck \|\| elapsed <= maxCheckDelay/if firstCheck || elapsed >= 0/' "--planned --engines 12 --callers 40"
 mutant "crashing requests end" internal/gateway/suspects.go 's/case j\.c\.quarantineVerdict\.Quarantined > 0:/case false:/; s/sent\.cancel\(errQuarantined\)/_ = sent/'
-mutant "limits of upstreams" internal/backpressure/table.go 's/if !c\.limit\.active \{\n\t\treturn Throttle\{\}/if true {\n\t\treturn Throttle{}/'
+mutant "limits of upstreams" internal/backpressure/limit.go 's/if !l\.active \{\n\t\treturn Throttle\{\}/if true {\n\t\treturn Throttle{}/'
 mutant "rests of upstreams" internal/backpressure/rest.go 's/if now\.Before\(b\.until\) \{/if false {/'
 mutant "upstreams that say they leave" 'internal/gateway/condition.go internal/fleet/directory.go' 's/ \|\| tt\.conditions\.Leaving\(incarnationOf\(t\.vm\)\)//; s/\td\.leaving\.mark\(vms\)\n//'
+mutant "evacuated failure domains" internal/gateway/board.go 's/ \|\| s\.Evacuated\[vm\.FailureDomain\]//'
+mutant "upstreams that warm up" internal/backpressure/warmup.go 's/if !w\.active\(now\) \{\n\t\treturn Throttle\{\}/if true {\n\t\treturn Throttle{}/'
 wait
 for i in $(seq "$number"); do cat "$work/result-$i"; done
 ! grep -qhE '^(SURVIVED|NOT)' "$work"/result-*
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -83,6 +83,8 @@
 		tb.addRoute()
 	case KeyRevoked:
 		tb.revokeKey()
+	case DomainEvacuated:
+		tb.evacuate(f)
 	default:
 		tb.applyToUpstream(f)
 	}
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -97,7 +97,9 @@
 	// joinsFromOpenGroups holds the joins of VMs whose old group still had an open head.
 	joinsFromOpenGroups []groupengine.Observation
 	// conditions holds what VMs reported about themselves.
-	conditions []reportedCondition
+	conditions  []reportedCondition
+	evacuations []evacuation
+	warmups     []vmWarmup
 }
 
 func (h *history) recordObservation(o groupengine.Observation) {
--- a/test/soak/nodes.go
+++ b/test/soak/nodes.go
@@ -50,6 +50,7 @@
 [platform]
 url = http://%s
 timeout = 700ms
+evacuations = yes
 [gateway]
 listen = %s
 ready = %s
@@ -61,11 +62,13 @@
 repeat_extra = %d
 repeat_window = %s
 stall_bound = %s
+warmup_excess = %g
+warmup_slack = %d
 [cluster]
 listen = %s
 advertise = %s
 `, number, tb.failureDomain(number), storeProxy.Address(), tb.addr(roleNode, number, listenPort), tb.addr(roleNode, number, readyPort),
-		tb.addr(roleNode, number, adminPort), stopGrace, revokeBound, repeatRatio, repeatExtra, repeatWindow, stallBound,
+		tb.addr(roleNode, number, adminPort), stopGrace, revokeBound, repeatRatio, repeatExtra, repeatWindow, stallBound, warmupExcess, warmupSlack,
 		tb.addr(roleNode, number, clusterPort), peerProxy.Address())
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -52,6 +52,7 @@
 	UpstreamReportsLimit        Kind = "upstream-names-a-limit"
 	UpstreamRequestsBackoff     Kind = "upstream-asks-for-rest"
 	UpstreamReportsLeaving      Kind = "upstream-says-it-leaves"
+	DomainEvacuated             Kind = "domain-evacuated"
 	PlainUpstreamDrains         Kind = "plain-upstream-drains"
 	PlainUpstreamPartitioned    Kind = "plain-upstream-cut"
 	CallerSurge                 Kind = "callers-many"
@@ -149,6 +150,7 @@
 		out[i].For = min(out[i].For, max(length-out[i].At, 0)+recoveryTime/4)
 	}
 	out = append(out, finalFaults(random, length)...)
+	out = append(out, evacuations(random, length)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
@@ -205,6 +207,16 @@
 	}
 }
 
+// evacuations returns a fault that evacuates a failure domain among the drawn faults, and one after the
+// final faults, long enough to check that it is in force.
+func evacuations(random *rand.Rand, length time.Duration) []Fault {
+	const afterFinalFaults = 27 * time.Second
+	return []Fault{
+		{randomDuration(random, 0, length), DomainEvacuated, random.IntN(64), randomDuration(random, 2*time.Second, 5*time.Second)},
+		{length + recoveryTime + afterFinalFaults, DomainEvacuated, random.IntN(64), evacuateBound + 3*time.Second},
+	}
+}
+
 func drawFault(random *rand.Rand, at time.Duration) Fault { return drawFaultOf(random, at, faultSpecs) }
 
 // drawFaultOf draws a fault by the weights of the specs.
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -211,6 +211,9 @@
 		return err
 	}
 	u.server = server
+	if tb.callers != nil {
+		tb.warmUp(u, true)
+	}
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.upstreams = append(tb.upstreams, u)
@@ -366,7 +369,8 @@
 		"services": []any{
 			map[string]any{"name": "llm", "engine": map[string]any{"slots": engineSlots, "step_ms": 6, "per_seq_ms": 0.2, "read_per_s": 46000, "loads_at_once": 6,
 				"usual": map[string]any{"prompt": 1000, "answer": 100}, "form-ms": 10,
-				"models": []any{map[string]any{"name": "m", "size": groupSize, "share": 1, "pace": 1, "load-s": loadTime.Seconds(), "warm-s": loadTime.Seconds()}}}},
+				"models": []any{map[string]any{"name": "m", "size": groupSize, "share": 1, "pace": 1, "load-s": loadTime.Seconds(), "warm-s": loadTime.Seconds()}}},
+				"cold-start-s": warmupTime.Seconds(), "cold-per-s": warmupRate},
 			map[string]any{"name": "api"},
 		},
 		"limits":  map[string]any{"idle-timeout-ms": idleTimeout.Milliseconds(), "header-timeout-ms": headerTimeout.Milliseconds()},
--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -42,7 +42,7 @@
 	Models  []model  `json:"models"`
 	Group   *Group   `json:"group,omitempty"`
 	Version string   `json:"version"`
-	Warmup  int      `json:"warmup-left-ms"`
+	Warmup  int64    `json:"warmup-left-ms"`
 	Seq     uint64   `json:"seq"`
 	Born    int64    `json:"born"`
 }
@@ -135,6 +135,8 @@
 	draining       bool
 	// entryDeleted is true once the VM's entry was deleted for good.
 	entryDeleted bool
+	// warmUntil is when the VM has warmed up; zero if it never had to.
+	warmUntil time.Time
 	// memberLostAt is when the head of an open group detected that a member is lost; zero if the group is complete.
 	memberLostAt time.Time
 	// headers and targets are those of the requests that were received.
@@ -163,6 +165,18 @@
 	}
 }
 
+// Warm makes the VM report that it is warming up for the given time, in its entry and in the responses to status
+// requests and orders. It enforces nothing.
+func (v *VM) Warm(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.warmUntil = time.Now().Add(d)
+	v.publish()
+}
+
+// warmupLeft returns how many milliseconds longer the VM is warming up. The caller must hold v.mu.
+func (v *VM) warmupLeft() int64 { return max(time.Until(v.warmUntil), 0).Milliseconds() }
+
 // Drain makes the VM report that it is draining.
 func (v *VM) Drain() {
 	v.mu.Lock()
@@ -276,7 +290,7 @@
 		return
 	}
 	e := entry{Service: v.config.Service, Addr: v.config.Address, Zone: v.config.FailureDomain, Slots: 8, State: "ready",
-		Domain: v.config.FabricDomain, Staged: v.staged, Models: []model{}, Group: v.group, Version: "v1", Seq: v.entriesWritten, Born: v.born}
+		Domain: v.config.FabricDomain, Staged: v.staged, Models: []model{}, Group: v.group, Version: "v1", Seq: v.entriesWritten, Born: v.born, Warmup: v.warmupLeft()}
 	v.entriesWritten++
 	if v.draining {
 		e.State = "draining"
@@ -314,6 +328,9 @@
 func (v *VM) report(w http.ResponseWriter) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if left := v.warmupLeft(); left > 0 {
+		w.Header().Set("Cold-Ms", fmt.Sprint(left))
+	}
 	models := []model{}
 	if v.model != "" {
 		models = append(models, model{v.model})
