Home regions of routes and teams

Requests of a route or team with home regions go only to upstreams in these; both restrictions hold. Homes of another type, empty ones and unknown regions restrict their own route or team to nothing and are logged (2008); the rest of the configuration is in force.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -68,10 +68,21 @@
 	// Attempts is the maximum number of upstreams that may run one request.
 	Attempts int
 	// Public routes need no key.
-	Public  bool
+	Public bool
+	// Homes are the regions whose upstreams may run the requests.
+	Homes   Homes
 	Targets []Target
 }
 
+// Homes are the regions to which the requests of a route or a team are restricted. Nil means all regions;
+// an empty list means none.
+type Homes []string
+
+// Allow reports whether requests may go to a region. An empty name is a region that is not known.
+func (h Homes) Allow(region string) bool {
+	return h == nil || (region != "" && slices.Contains(h, region))
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
@@ -158,6 +169,8 @@
 	Name string
 	// Priority overrides the route's priority; nil keeps the route's.
 	Priority *int
+	// Homes are the regions whose upstreams may run the team's requests.
+	Homes Homes
 }
 
 // Limits bound what callers may send.
@@ -305,6 +318,17 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
+// TeamHomes returns the homes of the teams that have some, by team.
+func (c *Catalog) TeamHomes() map[string]Homes {
+	out := make(map[string]Homes)
+	for _, t := range c.keys {
+		if t.Homes != nil {
+			out[t.Name] = t.Homes
+		}
+	}
+	return out
+}
+
 // KeysRequired reports whether routes that are not public need a key.
 func (c *Catalog) KeysRequired() bool { return c.keys != nil }
 
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -198,6 +198,7 @@
 			Extra:  s.Gateway.RepeatExtra,
 			Window: s.Gateway.RepeatWindow,
 		},
+		Regions: s.Node.Regions,
 		Memory:  int64(s.Node.Memory * bytesPerMegabyte),
 		Warmups: gateway.WarmupBounds{Excess: s.Gateway.WarmupExcess, Slack: s.Gateway.WarmupSlack},
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -52,6 +52,8 @@
 		"None; it is stored once the platform responds."}
 	CatalogAdopted = Event{2007, zerolog.InfoLevel, "a newer configuration is in force",
 		"None."}
+	HomesInvalid = Event{2008, zerolog.ErrorLevel, "a route or team is restricted to regions that do not exist; its requests are rejected",
+		"Correct its home regions in the configuration. All other routes and teams are in force."}
 )
 
 // Events of the platform.
@@ -211,7 +213,7 @@
 	Reloaded, LogDropped, ConnectionFailed, Suspended, HandlerPanicked, StopRepeated, SchedulingStall,
 	StartIncomplete, StartComplete,
 	RowAdopted, ChangeAccepted, ChangeConflict, ChangeInvalid, RowUnreadable, DrainPending,
-	CatalogAdopted,
+	CatalogAdopted, HomesInvalid,
 	PlatformDown, PlatformUp, WriteResolved, WatchHistoryExpired, RegisterFailed, NodesUnreadable, EntryUnreadable,
 	PlanCommitted, PlanConflict, OrderRefused, VMLost, VMReturned, PeerLost, PeerReturned, ControlSwitched, ViewUnreadable,
 	UpstreamAdded, UpstreamDraining, UpstreamRemoved, MembershipChanged, OrderSent,
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -217,6 +217,8 @@
 	// that were evacuated in the newest snapshot.
 	warmups   WarmupBounds
 	evacuated map[string]bool
+	// regions are the regions of the failure domains.
+	regions regionsByDomain
 	// recentStalls are the stalls found by this node that are still reported to other nodes.
 	recentStalls []stall
 	// lastCheck is the time of the last check for silent heads. stalledUntil is the end of the last known
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -50,6 +50,8 @@
 	Deadline time.Time
 	Route    *catalog.Route
 	Team     string
+	// TeamHomes are the regions to which the team's requests are restricted.
+	TeamHomes catalog.Homes
 	// Priority is that of the team if it has one, and that of the route otherwise; 0 is the highest.
 	Priority int
 	Service  string
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -56,7 +56,7 @@
 	}
 	key := demandKey{c.Service, c.Model}
 	request := tt.request(now, c, len(tried) > 0)
-	candidates, throttled := tt.candidates(now, p.targetsFor(c.Model), tried, request.Reserved)
+	candidates, throttled := tt.candidates(now, tt.inHomes(c, p.targetsFor(c.Model)), tried, request.Reserved)
 	if len(candidates) == 0 && throttled.count > 0 {
 		tt.lastRejection = now
 		return nil, evaluation{throttled: throttled}, allThrottled
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -92,7 +92,7 @@
 	if !ok {
 		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusUnauthorized, Code: codeBadKey, Detail: "no team holds this key"}
 	}
-	c.Team = team.Name
+	c.Team, c.TeamHomes = team.Name, team.Homes
 	if team.Priority != nil {
 		c.Priority = *team.Priority
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -70,6 +70,8 @@
 	Repeats retry.Limit
 	// Warmups bounds the requests to upstreams that are warming up.
 	Warmups WarmupBounds
+	// Regions maps the failure domains to their regions, to which routes and teams can be restricted.
+	Regions regionsByDomain
 	// Memory is the memory in bytes that the process may use; 0 if it is not specified.
 	Memory int64
 }
@@ -119,6 +121,8 @@
 	pending         pendingTerminations
 	targets         *targetTable
 	buffers         *bufferPool
+	// homesCheckedFor is the version of the catalog whose homes were checked last.
+	homesCheckedFor atomic.Uint64
 
 	// stopping is true from the start of a shutdown.
 	stopping atomic.Bool
@@ -161,7 +165,7 @@
 		workCtx:         workCtx,
 		cancelWork:      cancelWork,
 	}
-	s.targets.warmups = c.Warmups
+	s.targets.warmups, s.targets.regions = c.Warmups, c.Regions
 	if p.Sharing != nil {
 		s.targets.sharing = s.sharing
 	}
@@ -341,6 +345,7 @@
 	if c == nil || f == nil {
 		return
 	}
+	s.reportInvalidHomes(c)
 	s.targets.rebuild(c, f)
 	s.metrics.Set("catalog.version", int64(c.Version()))
 	for model, open := range s.targets.openGroups() {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -62,6 +62,8 @@
 		func(s *Settings, t string) error { return parseName(t, &s.Node.FailureDomain) }},
 	{"node", "processor", "0", "a number, 0 or more", "Processor cores, or the fraction of one, that marbleroad-node may use; 0 if it is not specified. The nodes with the highest values manage groups, read the platform for others and aggregate their states.", nil,
 		func(s *Settings, t string) error { return parseAmount(t, &s.Node.Processor) }},
+	{"node", "regions", "", "pairs such as a=north b=south, separated by spaces", "Regions of the failure domains. The platform's configuration can restrict routes and teams to regions.", nil,
+		func(s *Settings, t string) error { return parsePairs(t, &s.Node.Regions) }},
 	{"node", "memory", "0", "a number of megabytes, 0 or more", "Memory that marbleroad-node may use; 0 if it is not specified. A quarter of it may hold bodies and responses of slow callers and upstreams.", nil,
 		func(s *Settings, t string) error { return parseAmount(t, &s.Node.Memory) }},
 
@@ -346,3 +348,20 @@
 	*into = strings.ToLower(text)
 	return nil
 }
+
+// parsePairs parses pairs of names with an equals sign between them.
+func parsePairs(text string, into *map[string]string) error {
+	out := make(map[string]string)
+	for _, pair := range strings.Fields(text) {
+		name, value, ok := strings.Cut(pair, "=")
+		if !ok || name == "" || value == "" {
+			return errors.Newf("%q is not a pair of names with = between them", pair)
+		}
+		if out[name] != "" {
+			return errors.Newf("%q is set twice", name)
+		}
+		out[name] = value
+	}
+	*into = out
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,8 @@
 	FailureDomain string
 	// Processor is the number of processor cores, or the fraction of one, that the node may use; 0 if it is not specified.
 	Processor float64
+	// Regions maps failure domains to their regions.
+	Regions map[string]string
 	// Memory is the number of megabytes that the node's process may use; 0 if it is not specified.
 	Memory float64
 }
