Feed: followers of disconnected leaders leave the platform to them

Cause: a node whose leader was disconnected from the platform read for itself, and after three such leaders on its own: when the store refused a third of the nodes, or a failure domain was cut off from it, every node of a failure domain called it every few seconds.

A newer configuration that a disconnected leader has is still adopted, with that leader's proof.

--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -98,24 +98,31 @@
 
 // Changed implements catalog.Source.
 func (c *Catalog) Changed(ctx context.Context, revision uint64, wait time.Duration) (catalog.WatchResult, error) {
-	leader, ok := c.selector.pick(clock.Now())
-	if !ok {
-		return c.watch(ctx, revision, wait)
-	}
 	known := c.version()
-	next, verifiedAt, err := follow(ctx, c.selector, leader, catalogQuery, func(ctx context.Context) (*marbleroadv1.FollowCatalogResponse, time.Duration, error) {
+	// newest holds the newest version of all leaders that were asked, usable or not, and when it was verified.
+	var newest *marbleroadv1.FollowCatalogResponse
+	var newestVerifiedAt time.Time
+	next, verifiedAt, err := followFirst(ctx, c.selector, catalogQuery, func(ctx context.Context, leader cluster.Record) (*marbleroadv1.FollowCatalogResponse, time.Duration, error) {
+		requestedAt := clock.Now()
 		resp, err := c.selector.client(leader).FollowCatalog(ctx, connect.NewRequest(&marbleroadv1.FollowCatalogRequest{
 			Version: known, WaitMs: uint32(min(wait, catalogQuery.wait).Milliseconds())}))
 		if err != nil {
 			return nil, 0, err
 		}
-		return resp.Msg, milliseconds(resp.Msg.GetProvenAfterMs()), nil
+		verifiedAfter := milliseconds(resp.Msg.GetProvenAfterMs())
+		if resp.Msg.GetVersion() > newest.GetVersion() {
+			newest, newestVerifiedAt = resp.Msg, requestedAt.Add(verifiedAfter)
+		}
+		return resp.Msg, verifiedAfter, nil
 	})
-	out := catalog.WatchResult{Revision: max(revision, next.GetRevision()), VerifiedAt: verifiedAt}
-	if next.GetVersion() > known {
+	if errors.Is(err, errNoLeader) && newest.GetVersion() <= known {
+		return c.watch(ctx, revision, wait)
+	}
+	if newest.GetVersion() > known {
 		// The received version is newer than the one in force here, even if it was verified long ago.
-		if out.Catalog, err = c.unpack(next.GetDocument()); err == nil {
-			return out, nil
+		received := catalog.WatchResult{Revision: max(revision, newest.GetRevision()), VerifiedAt: newestVerifiedAt}
+		if received.Catalog, err = c.unpack(newest.GetDocument()); err == nil {
+			return received, nil
 		}
 		c.selector.log.Emit(event.EntryUnreadable).Str("of", "configuration from the leader").Err(err).Send()
 	}
@@ -124,7 +131,7 @@
 		// once.
 		return c.watch(ctx, revision, 0)
 	}
-	return out, nil
+	return catalog.WatchResult{Revision: max(revision, next.GetRevision()), VerifiedAt: verifiedAt}, nil
 }
 
 // unpack decodes a document as the leader sends it.
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -9,6 +9,7 @@
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/platform"
@@ -117,11 +118,7 @@
 
 // Watch implements fleet.Source.
 func (f *Fleet) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.WatchResult, error) {
-	leader, ok := f.selector.pick(clock.Now())
-	if !ok {
-		return f.watch(ctx, revision, f.selector.watchWait(wait))
-	}
-	response, verifiedAt, err := follow(ctx, f.selector, leader, fleetQuery, func(ctx context.Context) (*marbleroadv1.FollowFleetResponse, time.Duration, error) {
+	response, verifiedAt, err := followFirst(ctx, f.selector, fleetQuery, func(ctx context.Context, leader cluster.Record) (*marbleroadv1.FollowFleetResponse, time.Duration, error) {
 		resp, err := f.selector.client(leader).FollowFleet(ctx, connect.NewRequest(&marbleroadv1.FollowFleetRequest{
 			Revision: revision, WaitMs: uint32(fleetQuery.wait.Milliseconds())}))
 		if err != nil {
@@ -130,6 +127,8 @@
 		return resp.Msg, milliseconds(resp.Msg.GetProvenAfterMs()), nil
 	})
 	switch {
+	case errors.Is(err, errNoLeader):
+		return f.watch(ctx, revision, f.selector.watchWait(wait))
 	case err != nil:
 		return f.watch(ctx, revision, wait)
 	case response.GetCompacted():
