--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -124,7 +124,7 @@
 mutant "a missing first configuration is polled without a pause" internal/catalog/keeper.go \
   's/ && w\.Revision > 0:/ \&\& false:/' ./internal/catalog TestFirstConfigurationIsWatched
 mutant "followers do not back off from an unreachable store" internal/feed/feed.go \
-  's/if now\.Before\(p\.backoffUntil\) && /if false \&\& /' ./internal/feed TestFollowersBackOffFromUnreachableStore
+  's/\(now\.Before\(p\.backoffUntil\) && /(false \&\& /' ./internal/feed TestFollowersBackOffFromUnreachableStore
 mutant "a hub does not record nodes that exchange with all others" internal/cluster/share.go \
   's/\t\t\tp\.State, p\.LastSeen = state, now\n//; s/maxKnownNodes: c\.maxKnownNodes, //' ./internal/cluster TestNodesThatCountDifferently
 mutant "a group whose head has not reported yet is dissolved" internal/director/dissolve.go \
@@ -279,9 +279,9 @@
 mutant "a slow plain upstream receives as many requests as others" internal/gateway/predict.go \
   's/if t\.group != "" \|\|/if true ||/' ./internal/gateway TestSlowPlainUpstreamTakesLess
 mutant "no other leader is tried after a failed one" internal/feed/feed.go \
-  's/maxLeaders = 3/maxLeaders = 1/' ./internal/feed TestNextLeaderIsFollowed
+  's/maxLeaders = 8/maxLeaders = 1/' ./internal/feed TestNextLeaderIsFollowed
 mutant "a follower reads new configurations itself" internal/feed/catalog.go \
-  's/if next\.GetVersion\(\) > known \{/if next.GetVersion() > known {\n\t\treturn c.watch(ctx, revision, 0)\n\t}\n\tif false {/' ./internal/feed TestFollowerAdoptsNewConfiguration
+  's/if newest\.GetVersion\(\) > known \{/if newest.GetVersion() > known {\n\t\treturn c.watch(ctx, revision, 0)\n\t}\n\tif false {/' ./internal/feed TestFollowerAdoptsNewConfiguration
 mutant "attempts after a failure do not back off" internal/wait/backoff.go \
   's/b\.failures\+\+//' ./internal/wait TestBackoffGrowsToItsBound
 
@@ -346,7 +346,7 @@
 mutant "a response with minimal progress never times out" internal/transport/progress.go \
   's/min\(p\.stallTimeout, time\.Until\(p\.deadline\)\)/p.stallTimeout/' ./platform TestEndlessResponseIsAborted
 mutant "a restarted node writes its record first" internal/cluster/records.go \
-  's/registered = registered \|\| found/_ = found/' ./internal/cluster TestRestartedNodeKnowsTheOthersWithoutAWrite
+  's/case found \|\| \(registered/case (registered/' ./internal/cluster TestRestartedNodeKnowsTheOthersWithoutAWrite
 mutant "a page that fails ends the list" platform/store.go \
   's/maxPageAttempts = 4/maxPageAttempts = 1/' ./platform TestFailedPageIsRetried
 mutant "a leader's wait equals its pause" internal/feed/fleet.go \
