--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -87,7 +87,11 @@
 			body.reserved += free
 		}
 		step, err := io.ReadAll(io.LimitReader(r, int64(free)))
-		body.data = append(body.data, step...)
+		if body.data == nil {
+			body.data = step
+		} else {
+			body.data = append(body.data, step...)
+		}
 		if err != nil || len(step) < free {
 			return body, err == nil, err
 		}
