--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -252,8 +252,8 @@
 }
 
 // rebuild applies a new catalog or fleet snapshot. Targets that remain keep their state; draining VMs and
-// those of evacuated failure domains are not targets. Requests at a VM that has restarted are canceled, whereas those at a target that has merely
-// been removed continue.
+// those of evacuated failure domains are not targets. Requests at a VM that has restarted are canceled, whereas
+// those at a target that has merely been removed continue.
 func (tt *targetTable) rebuild(c *catalog.Catalog, s *fleet.Snapshot) {
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
--- a/internal/gateway/condition.go
+++ b/internal/gateway/condition.go
@@ -70,8 +70,8 @@
 }
 
 // limitHeadroom returns how many more requests a target accepts within the horizon if its VM has named a
-// limit or is warming up. It assumes that every node has as much left as this one, since requests are divided as if all
-// nodes behaved alike. The caller holds mu.
+// limit or is warming up. It assumes that every node has as much left as this one, since requests are divided
+// as if all nodes behaved alike. The caller holds mu.
 func (tt *targetTable) limitHeadroom(now time.Time, t *target, horizon time.Duration) (float64, bool) {
 	local, limited := tt.conditions.Headroom(now, incarnationOf(t.vm), horizon)
 	if !limited {
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -44,6 +44,9 @@
 		if returned[vm.FailureDomain] {
 			until = now.Add(service.Warmup.Duration)
 		}
+		if !until.After(now) {
+			continue
+		}
 		tt.conditions.MarkWarming(now, incarnationOf(vm), tt.warmup(service, until), false)
 	}
 }
