--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -346,7 +346,7 @@
 mutant "a response with minimal progress never times out" internal/transport/progress.go \
   's/min\(p\.stallTimeout, time\.Until\(p\.deadline\)\)/p.stallTimeout/' ./platform TestEndlessResponseIsAborted
 mutant "a restarted node writes its record first" internal/cluster/records.go \
-  's/case found \|\| \(registered/case (registered/' ./internal/cluster TestRestartedNodeKnowsTheOthersWithoutAWrite
+  's/case found \|\| /case (found \&\& registered) || /' ./internal/cluster TestRestartedNodeKnowsTheOthersWithoutAWrite
 mutant "a page that fails ends the list" platform/store.go \
   's/maxPageAttempts = 4/maxPageAttempts = 1/' ./platform TestFailedPageIsRetried
 mutant "a leader's wait equals its pause" internal/feed/fleet.go \
@@ -442,7 +442,7 @@
 mutant "evacuation: a node that starts learns of it later" platform/directory.go \
   's/out\.Evacuations = &evacuations/_ = evacuations/' ./platform TestEvacuationsAreRead
 mutant "evacuation: a node whose leader does not send it does not read it" internal/fleet/evacuation.go \
-  's/return !recent \|\| /return /' ./internal/fleet TestFollowerReadsEvacuationsOnlyIfItMust
+  's/return !recent \|\| /return (recent \&\& false) || /' ./internal/fleet TestFollowerReadsEvacuationsOnlyIfItMust
 mutant "evacuation: an older state replaces a newer one" internal/fleet/evacuation.go \
   's/if e\.known && next\.Revision < e\.Revision/if false/' ./internal/fleet TestOlderEvacuationsAreIgnored
 mutant "slow callers: the rest of a stream is not read ahead" internal/gateway/readahead.go \
@@ -455,6 +455,8 @@
   's/if !errors\.Is\(err, errLeaderUnusable\) \|\| ctx\.Err\(\) != nil \{/if true {/' ./internal/feed TestDisconnectedLeadersAreSkippedAtOnce
 mutant "membership: records are read fresh at a start" internal/cluster/records.go \
   's/readRecords\(c\.store\.ListCached\), true, false/readRecords(c.store.List), false, false/' ./internal/cluster TestStartOfAllNodesCostsFewCalls
+mutant "membership: nodes that start together register at once" internal/cluster/records.go \
+  's/delay := rand\.N\(registerSpread\)/delay := time.Duration(0)/' ./internal/cluster TestStartOfAllNodesCostsFewCalls
 mutant "homes: only the route restricts" internal/gateway/homes.go \
   's/ \|\| !c\.TeamHomes\.Allow\(region\)//' ./internal/gateway TestHomesRestrictRequests
 
