--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -22,6 +22,9 @@
 	callerWriteTimeout = 10 * time.Second
 )
 
+// expiredDeadline makes a write in progress fail.
+var expiredDeadline = time.Unix(1, 0)
+
 // errCallerTooSlow means that a caller does not read its stream fast enough for the bounds of its buffer.
 var errCallerTooSlow = errors.New("the caller reads too slowly")
 
@@ -125,7 +128,7 @@
 			continue
 		}
 		if errors.Is(err, errCallerTooSlow) {
-			_ = s.control.SetWriteDeadline(time.Now())
+			_ = s.control.SetWriteDeadline(expiredDeadline)
 		}
 		s.mu.Lock()
 		s.err = err
