--- a/internal/backpressure/notice.go
+++ b/internal/backpressure/notice.go
@@ -6,6 +6,9 @@
 // limit by itself, or an equal share of it with a burst of one request, the upstream would get many
 // times what it takes.
 //
+// It also handles upstreams that have just started, or have cooled down, and are idle: they attract the
+// requests of all nodes at once, of which they can take few until they have warmed up.
+//
 // The package is pure: it has no clock, no locks, no randomness and no input or output. A condition
 // belongs to one incarnation of a VM and ends with it.
 package backpressure
--- a/internal/backpressure/warmup.go
+++ b/internal/backpressure/warmup.go
@@ -20,9 +20,9 @@
 // for years.
 const MaxWarmup = 10 * time.Minute
 
-// minWarmupExtension is how much later than known a warm-up must end to count as a new one. The
+// MinWarmupExtension is how much later than known a warm-up must end to count as a new one. The
 // time left is reported with the delay of the platform's list, by which its end appears later.
-const minWarmupExtension = time.Second
+const MinWarmupExtension = time.Second
 
 // warmup is the warm-up of one VM, and the token bucket with which this node uses its share of the
 // VM's rate.
@@ -72,7 +72,7 @@
 	if c == nil {
 		c = t.add(incarnation)
 	}
-	if !w.Until.After(c.warmup.Until.Add(minWarmupExtension)) {
+	if !w.Until.After(c.warmup.Until.Add(MinWarmupExtension)) {
 		return false
 	}
 	wasActive := c.warmup.active(now)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/marbleroad/marbleroad/internal/backpressure"
 )
 
 // State is a VM's state within its group.
@@ -94,10 +96,6 @@
 		v.Draining == other.Draining && v.Membership == other.Membership && slices.Equal(v.Staged, other.Staged)
 }
 
-// minWarmupExtension is how much later than known a warm-up must end to count as a new one. The
-// time left is reported with the delay of the list, by which its end appears later.
-const minWarmupExtension = time.Second
-
 // setWarmUntil sets the end of the VM's warm-up from the time left. The known end of the same
 // incarnation's warm-up stays, unless the VM has started a new one. setWarmUntil reports whether it
 // has.
@@ -108,7 +106,7 @@
 	if old == nil || !old.SameIncarnation(v) {
 		return v.WarmupLeft > 0
 	}
-	if v.WarmUntil.After(old.WarmUntil.Add(minWarmupExtension)) && v.WarmUntil.After(now) {
+	if v.WarmUntil.After(old.WarmUntil.Add(backpressure.MinWarmupExtension)) && v.WarmUntil.After(now) {
 		return true
 	}
 	v.WarmUntil = old.WarmUntil
