Feed: a follower of disconnected leaders reads for itself again

Two faults of, by reading: a follower that the platform does not refuse left it to its refused leaders for 6 s, and the search for a usable leader waited 0.4 to 0.7 s for changes at each one that was disconnected, up to 5 s in all.

--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -102,10 +102,10 @@
 	// newest holds the newest version of all leaders that were asked, usable or not, and when it was verified.
 	var newest *marbleroadv1.FollowCatalogResponse
 	var newestVerifiedAt time.Time
-	next, verifiedAt, err := followFirst(ctx, c.selector, catalogQuery, func(ctx context.Context, leader cluster.Record) (*marbleroadv1.FollowCatalogResponse, time.Duration, error) {
+	next, verifiedAt, err := followFirst(ctx, c.selector, catalogQuery, func(ctx context.Context, leader cluster.Record, leaderWait time.Duration) (*marbleroadv1.FollowCatalogResponse, time.Duration, error) {
 		requestedAt := clock.Now()
 		resp, err := c.selector.client(leader).FollowCatalog(ctx, connect.NewRequest(&marbleroadv1.FollowCatalogRequest{
-			Version: known, WaitMs: uint32(min(wait, catalogQuery.wait).Milliseconds())}))
+			Version: known, WaitMs: uint32(min(wait, leaderWait).Milliseconds())}))
 		if err != nil {
 			return nil, 0, err
 		}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -4,8 +4,7 @@
 //
 // With few nodes, each reads for itself. With many, the first live node of a failure domain reads and
 // the others follow it. A node whose leader is unresponsive, or disconnected from the platform,
-// follows the next one. When all leaders are disconnected, only they call the platform: an outage or a
-// partition must not make hundreds of followers call it too.
+// follows the next one, and reads for itself when all have failed it.
 //
 // A follower never counts its state as verified more recently than it was: the leader reports when its
 // state was verified, relative to the arrival of the request, and the follower adds that to the time
@@ -55,10 +54,6 @@
 	// maxEagerLeaders is how many of these retry failed calls to the platform without minPlatformBackoff,
 	// so that its recovery is noticed at once.
 	maxEagerLeaders = 3
-	// maxLeadersDisconnected is how long a follower whose leaders are all disconnected makes no calls
-	// itself. The leaders' own calls are enough to notice the recovery; the bound is for the case that
-	// the leaders alone are disconnected.
-	maxLeadersDisconnected = 6 * time.Second
 )
 
 // errLeaderUnusable means that the leader cannot be followed now.
@@ -85,25 +80,15 @@
 	url         func(address string) string
 
 	mu sync.Mutex
-	// failures holds the last failure of each node that has failed this one since it was last usable.
-	failures map[string]leaderFailure
-	// disconnectedSince is when all leaders were first found disconnected; zero while one is usable.
-	disconnectedSince time.Time
+	// failedUntil is the time until which a node that failed this one is not followed.
+	failedUntil map[string]time.Time
 	// followed is the ID of the leader that was last followed; empty for none.
 	followed string
 }
 
-// leaderFailure is the failure of a leader.
-type leaderFailure struct {
-	// until is the time until which the leader is not followed.
-	until time.Time
-	// disconnected is true if the leader responded, but was disconnected from the platform.
-	disconnected bool
-}
-
 // NewLeader returns a selector for the node, which reads for itself while needsLatest returns true.
 func NewLeader(self cluster.Record, nodes Nodes, needsLatest func() bool, log *event.Logger, client *http.Client, url func(string) string) *Leader {
-	return &Leader{self: self, nodes: nodes, needsLatest: needsLatest, log: log, http: client, url: url, failures: make(map[string]leaderFailure)}
+	return &Leader{self: self, nodes: nodes, needsLatest: needsLatest, log: log, http: client, url: url, failedUntil: make(map[string]time.Time)}
 }
 
 // pick returns the node to follow; false when this node reads for itself.
@@ -147,27 +132,6 @@
 	return slices.ContainsFunc(first, func(r cluster.Record) bool { return r.ID == l.self.ID })
 }
 
-// leavesPlatformToLeaders reports whether this node makes no calls to the platform because all its leaders
-// have lately been disconnected from it, and it is not one of them.
-func (l *Leader) leavesPlatformToLeaders(now time.Time) bool {
-	if l.nodes.Size() <= maxIndependentNodes || l.needsLatest() {
-		return false
-	}
-	leaders := l.leaders(now)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, r := range leaders {
-		if failed := l.failures[r.ID]; r.ID == l.self.ID || !failed.disconnected || now.Sub(failed.until) > failureBackoff {
-			l.disconnectedSince = time.Time{}
-			return false
-		}
-	}
-	if l.disconnectedSince.IsZero() {
-		l.disconnectedSince = now
-	}
-	return now.Sub(l.disconnectedSince) < maxLeadersDisconnected
-}
-
 // platformCalls spaces out the calls that a follower makes itself while the platform is unreachable.
 // It is used by one goroutine only.
 type platformCalls struct {
@@ -176,13 +140,14 @@
 	backoffUntil time.Time
 }
 
-// errPlatformBackoff means that the leaders are disconnected, and that this node does not call the platform
-// itself: it is not one of them, or its own call failed recently.
-var errPlatformBackoff = errors.Mark(errors.New("the leaders are disconnected from the platform, and this node leaves it to them for a while"), platform.ErrUnavailable)
+// errPlatformBackoff means that the leaders are disconnected and that a call of this node failed
+// recently.
+var errPlatformBackoff = errors.Mark(errors.New("the leaders are disconnected from the platform, and this node's own call failed recently"), platform.ErrUnavailable)
 
-// allowed returns errPlatformBackoff while this node leaves the platform to its leaders.
+// allowed returns errPlatformBackoff while this node, whose own call failed recently, leaves the
+// platform to its leaders.
 func (p *platformCalls) allowed(now time.Time) error {
-	if p.selector.leavesPlatformToLeaders(now) || (now.Before(p.backoffUntil) && !p.selector.leads(now)) {
+	if now.Before(p.backoffUntil) && !p.selector.leads(now) {
 		return errPlatformBackoff
 	}
 	return nil
@@ -203,7 +168,7 @@
 		if r.ID == l.self.ID {
 			break
 		}
-		if !now.Before(l.failures[r.ID].until) {
+		if !now.Before(l.failedUntil[r.ID]) {
 			return r
 		}
 	}
@@ -240,21 +205,14 @@
 func (l *Leader) markFailed(now time.Time, leader cluster.Record, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	failed := leaderFailure{until: now.Add(failureBackoff)}
+	backoff := failureBackoff
 	if errors.Is(err, errLeaderUnusable) {
-		failed = leaderFailure{until: now.Add(disconnectedBackoff), disconnected: true}
+		backoff = disconnectedBackoff
 	}
-	l.failures[leader.ID] = failed
+	l.failedUntil[leader.ID] = now.Add(backoff)
 	l.log.Emit(event.LeaderFailed).Str("leader", leader.ID).Err(err).Send()
 }
 
-// markUsable forgets the failures of a leader.
-func (l *Leader) markUsable(leader cluster.Record) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.failures, leader.ID)
-}
-
 // client returns a client for calls to a node.
 func (l *Leader) client(node cluster.Record) marbleroadv1connect.ClusterServiceClient {
 	return marbleroadv1connect.NewClusterServiceClient(l.http, l.url(node.Address), transport.ClientOptions(maxResponseBytes)...)
@@ -286,26 +244,24 @@
 	}
 	if err != nil {
 		l.markFailed(clock.Now(), leader, err)
-		return response, verifiedAt, err
 	}
-	l.markUsable(leader)
-	return response, verifiedAt, nil
+	return response, verifiedAt, err
 }
 
 // errNoLeader means that this node follows no leader now.
 var errNoLeader = errors.New("there is no leader to follow")
 
-// followFirst follows the first usable leader. One that is disconnected from the platform says so at once, and
-// the next one is asked; one that does not respond has taken long already. errNoLeader means that this node
-// has to read for itself.
-func followFirst[T any](ctx context.Context, l *Leader, q query, request func(context.Context, cluster.Record) (T, time.Duration, error)) (T, time.Time, error) {
-	for {
+// followFirst follows the first usable leader. After one that is disconnected from the platform the next one is
+// asked, without waiting for changes: a follower must not fall behind while it looks for a leader. One that does
+// not respond has taken long already. errNoLeader means that this node has to read for itself.
+func followFirst[T any](ctx context.Context, l *Leader, q query, request func(ctx context.Context, leader cluster.Record, wait time.Duration) (T, time.Duration, error)) (T, time.Time, error) {
+	for ; ; q.wait = 0 {
 		leader, ok := l.pick(clock.Now())
 		if !ok {
 			var zero T
 			return zero, time.Time{}, errNoLeader
 		}
-		response, verifiedAt, err := follow(ctx, l, leader, q, func(ctx context.Context) (T, time.Duration, error) { return request(ctx, leader) })
+		response, verifiedAt, err := follow(ctx, l, leader, q, func(ctx context.Context) (T, time.Duration, error) { return request(ctx, leader, q.wait) })
 		if !errors.Is(err, errLeaderUnusable) || ctx.Err() != nil {
 			return response, verifiedAt, err
 		}
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -118,9 +118,9 @@
 
 // Watch implements fleet.Source.
 func (f *Fleet) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.WatchResult, error) {
-	response, verifiedAt, err := followFirst(ctx, f.selector, fleetQuery, func(ctx context.Context, leader cluster.Record) (*marbleroadv1.FollowFleetResponse, time.Duration, error) {
+	response, verifiedAt, err := followFirst(ctx, f.selector, fleetQuery, func(ctx context.Context, leader cluster.Record, wait time.Duration) (*marbleroadv1.FollowFleetResponse, time.Duration, error) {
 		resp, err := f.selector.client(leader).FollowFleet(ctx, connect.NewRequest(&marbleroadv1.FollowFleetRequest{
-			Revision: revision, WaitMs: uint32(fleetQuery.wait.Milliseconds())}))
+			Revision: revision, WaitMs: uint32(wait.Milliseconds())}))
 		if err != nil {
 			return nil, 0, err
 		}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -124,7 +124,7 @@
 mutant "a missing first configuration is polled without a pause" internal/catalog/keeper.go \
   's/ && w\.Revision > 0:/ \&\& false:/' ./internal/catalog TestFirstConfigurationIsWatched
 mutant "followers do not back off from an unreachable store" internal/feed/feed.go \
-  's/\(now\.Before\(p\.backoffUntil\) && /(false \&\& /' ./internal/feed TestFollowersBackOffFromUnreachableStore
+  's/if now\.Before\(p\.backoffUntil\) && /if false \&\& /' ./internal/feed TestFollowersBackOffFromUnreachableStore
 mutant "a hub does not record nodes that exchange with all others" internal/cluster/share.go \
   's/\t\t\tp\.State, p\.LastSeen = state, now\n//; s/maxKnownNodes: c\.maxKnownNodes, //' ./internal/cluster TestNodesThatCountDifferently
 mutant "a group whose head has not reported yet is dissolved" internal/director/dissolve.go \
@@ -449,8 +449,8 @@
   's/time\.AfterFunc\(maxCallerBlock, s\.readAhead\)/time.AfterFunc(time.Hour, s.readAhead)/' ./internal/gateway TestSlowCallerDoesNotBlockItsUpstream
 mutant "slow callers: the node's buffers have no bound" internal/gateway/buffers.go \
   's/if used\+int64\(n\) > p\.limit/if false/' ./internal/gateway TestThousandSlowCallersKeepToTheBuffers
-mutant "feed: followers of disconnected leaders call the platform" internal/feed/feed.go \
-  's/if p\.selector\.leavesPlatformToLeaders\(now\) \|\| /if /' ./internal/feed TestFollowersLeaveUnreachablePlatformToLeaders
+mutant "feed: a follower waits at each disconnected leader" internal/feed/feed.go \
+  's/for ; ; q\.wait = 0 \{/for {/' ./internal/feed TestDisconnectedLeadersAreSkippedAtOnce
 mutant "feed: a disconnected leader ends the search" internal/feed/feed.go \
   's/if !errors\.Is\(err, errLeaderUnusable\) \|\| ctx\.Err\(\) != nil \{/if true {/' ./internal/feed TestDisconnectedLeadersAreSkippedAtOnce
 mutant "membership: records are read fresh at a start" internal/cluster/records.go \
