--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -17,38 +17,6 @@
 // DirectoryName is the name of the directory's kernel service.
 const DirectoryName = "directory"
 
-// Change is one change of the list: a VM's newest entry, or its removal.
-type Change struct {
-	VM VM
-	// Removed is true if the entry was removed; VM then holds only the ID and, if it is
-	// known, the revision.
-	Removed bool
-	// Err is the reason why the entry is invalid; another program may have written it.
-	// VM then holds only the ID and the revision.
-	Err error
-}
-
-// Source reads the platform's list of upstream VMs.
-type Source interface {
-	// List returns all entries as changes.
-	List(ctx context.Context) (WatchResult, error)
-	// Watch waits up to wait for changes after the revision. It may return none. It
-	// returns platform.ErrCompacted if changes may have been missed.
-	Watch(ctx context.Context, revision uint64, wait time.Duration) (WatchResult, error)
-}
-
-// WatchResult is the result of one watch, or a full list.
-type WatchResult struct {
-	Changes  []Change
-	Revision uint64
-	// VerifiedAt is when the call was sent whose response verified the revision.
-	VerifiedAt time.Time
-	// Relayed is true if another node responded; heartbeats are then not included.
-	Relayed bool
-	// Evacuations are the evacuated failure domains; nil if they were not read.
-	Evacuations *Evacuations
-}
-
 // WatchWait is how long one watch of the list waits for changes. A watch that is in progress
 // when this node is partitioned from the platform hangs for that time and the calls' timeout
 // (0.7 s). Both and the next call must complete within 3 s of the partition's end, after which
