Log a restore of the platform's store, and a leader with an older list

Now the era that the store names in its answers is followed (3008, gauge platform.era), and a follower logs a leader that stands at a lower revision (4035). No decision changes: a follower still keeps the higher revision.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -10,6 +10,7 @@
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/director"
+	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/feed"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/gateway"
@@ -55,6 +56,10 @@
 	s := b.settings
 	store := platform.NewStore(s.Platform.URL, newTransport(s.Cluster.Listen, storeIdleConns, &b.peers.Traffic.Platform), s.Platform.Timeout)
 	store.OnCall(func(verb, kind string) { b.metrics.Count("platform.calls."+verb+"."+kind, 1) })
+	store.OnRestore(func(era uint64) {
+		b.metrics.Set("platform.era", int64(era))
+		b.log.Emit(event.StoreRestored).Uint64("era", era).Send()
+	})
 	var server *gateway.Server
 	var groupDirector *director.Director
 	var nodes *cluster.Cluster
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -72,6 +72,8 @@
 		"Check the platform. Known nodes stay known."}
 	EntryUnreadable = Event{3007, zerolog.ErrorLevel, "an entry cannot be read, or another program wrote it; it is not used",
 		"Compare the entry with the adapter's version. Other entries stay in force."}
+	StoreRestored = Event{3008, zerolog.WarnLevel, "the platform's store was restored from an older copy; what was written since that copy is read again",
+		"Ask the platform's operators. What is in force here stays in force."}
 )
 
 // Events of groups, upstreams and peers.
@@ -144,6 +146,8 @@
 		"None; the evacuation ends when its entry on the platform is removed."}
 	EvacuationEnded = Event{4034, zerolog.InfoLevel, "the evacuation of a failure domain has ended; its upstream VMs count as warming up",
 		"None."}
+	LeaderOutdated = Event{4035, zerolog.InfoLevel, "the reader that this node follows has an older list than this node",
+		"See 3008 at both nodes. If it lasts, restart the leader."}
 )
 
 // Events of requests.
@@ -215,11 +219,12 @@
 	RowAdopted, ChangeAccepted, ChangeConflict, ChangeInvalid, RowUnreadable, DrainPending,
 	CatalogAdopted, HomesInvalid,
 	PlatformDown, PlatformUp, WriteResolved, WatchHistoryExpired, RegisterFailed, NodesUnreadable, EntryUnreadable,
+	StoreRestored,
 	PlanCommitted, PlanConflict, OrderRefused, VMLost, VMReturned, PeerLost, PeerReturned, ControlSwitched, ViewUnreadable,
 	UpstreamAdded, UpstreamDraining, UpstreamRemoved, MembershipChanged, OrderSent,
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
 	DirectorRoleAcquired, DirectorRoleReleased, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceQueried, ListRead, UnverifiedStateAdopted,
-	EvacuationStarted, EvacuationEnded,
+	EvacuationStarted, EvacuationEnded, LeaderOutdated,
 	RequestDone, RequestRefused, RequestFailed, InvalidInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerDisconnected, RetryRefused, UpstreamTerminated, RequestQuarantined,
 	SuspectsReceived, QuarantineUnavailable, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamBackoff, UpstreamLeaving, UpstreamWarming, CallerSlow,
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -134,7 +134,12 @@
 	case response.GetCompacted():
 		return fleet.WatchResult{}, platform.ErrCompacted
 	}
-	return watched(response, verifiedAt), nil
+	w := watched(response, verifiedAt)
+	if w.Revision < revision {
+		f.selector.log.Emit(event.LeaderOutdated).Uint64("revision", revision).Uint64("leader_revision", w.Revision).Send()
+		w.Revision = revision
+	}
+	return w, nil
 }
 
 // watched decodes another node's response.
--- a/internal/fleet/recent.go
+++ b/internal/fleet/recent.go
@@ -68,8 +68,7 @@
 	r.published = make(chan struct{})
 }
 
-// since returns the published changes after the revision with the revision that they
-// lead to, and a channel that is closed at the next publication. It returns
+// since returns the published changes after the revision with this node's revision, which may be lower, and a channel that is closed at the next publication. It returns
 // platform.ErrCompacted if changes after the revision are no longer available.
 func (r *recentChanges) since(revision uint64) (WatchResult, <-chan struct{}, error) {
 	r.mu.Lock()
@@ -77,7 +76,7 @@
 	if r.verifiedAt.IsZero() || revision < r.floor {
 		return WatchResult{}, nil, platform.ErrCompacted
 	}
-	w := WatchResult{Revision: max(revision, r.revision), VerifiedAt: r.verifiedAt, Relayed: true}
+	w := WatchResult{Revision: r.revision, VerifiedAt: r.verifiedAt, Relayed: true}
 	for _, c := range r.changes {
 		if c.revision > revision {
 			w.Changes = append(w.Changes, c.Change)
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -49,6 +49,7 @@
 	{"catalog.version", "gauge", "Version of the configuration in force."},
 	{"catalog.age_ms", "gauge", "Time since the configuration was last verified to be the newest, as of the balancer's latest readiness check."},
 	{"start.PART_ms", "gauge", "Time from the start until the node had a part of what it needs: configuration, upstreams, nodes, keys, groups."},
+	{"platform.era", "gauge", "The era of the platform's store after its last restore from an older copy; absent before the first."},
 	{"platform.calls.VERB.KIND", "counter", "Calls to the platform's store: get, list, watch or write, and the kind of object."},
 	{"director.reports", "counter", "Reports requested from VMs."},
 	{"director.orders.ORDER", "counter", "Orders sent to VMs, by kind of order."},
