Revisions carry the era of the platform's store; followers leave lists of an older era

Cause: the store came back from an older copy and gave revisions out again (1005, then 1001). A node kept the higher revision as long as it only followed others. Its leader, which had read the list anew, had no change above 1005, and each empty answer counted as a proof. The change at 1002 was lost to 62 of 79 nodes. Class: an order over numbers that holds only within one history.

Ruled out: entries kept as missing (no line 4027), refused or cut off nodes (no call failed after 48 s), a compaction while watches are silent (the VM left 3 s after the last refused watch).

Change: the adapter reads Store-Era from every answer, 409, 410 and 503 included, and joins it to the revision, so that all comparisons hold across a restore. An answer of an older era is an error; a watch from a revision of the lost history is ErrCompacted, also where the number was given out again; a write on a version of the lost history is a conflict. Nodes send each other the era beside the revision; without one the old meaning holds. A leader that has not noticed the restore is not followed. A list or configuration that is read after ErrCompacted is newer than the revision that was gone. A leader without a list says so instead of that its history is gone. Generations of groups rise with the era.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -123,7 +123,7 @@
 	return WatchResult{Catalog: r.catalog, Revision: r.revision, VerifiedAt: sentAt}, r.err
 }
 
-func (s *script) Current(context.Context) (WatchResult, error) { return s.next("current") }
+func (s *script) Current(context.Context, uint64) (WatchResult, error) { return s.next("current") }
 func (s *script) Changed(context.Context, uint64, time.Duration) (WatchResult, error) {
 	return s.next("changed")
 }
--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -20,8 +20,9 @@
 // Source reads the configuration from the place where operators store it.
 type Source interface {
 	// Current returns the newest configuration. While there is none it returns
-	// platform.ErrNotFound, with the revision if that is known.
-	Current(ctx context.Context) (WatchResult, error)
+	// platform.ErrNotFound, with the revision if that is known. A configuration from another
+	// node reflects a later revision than newerThan, as fleet.Source.List.
+	Current(ctx context.Context, newerThan uint64) (WatchResult, error)
 	// Changed waits up to wait for a configuration newer than the revision.
 	// platform.ErrCompacted means that changes may have been missed.
 	Changed(ctx context.Context, revision uint64, wait time.Duration) (WatchResult, error)
@@ -161,7 +162,7 @@
 			failing.Reset()
 			c.recordVerified(w)
 		case errors.Is(err, platform.ErrCompacted):
-			c.log.Emit(event.WatchHistoryExpired).Str("of", "catalog").Uint64("revision", revision).Send()
+			c.log.Emit(event.WatchHistoryExpired).Str("of", "catalog").EmbedObject(platform.LogRevision(revision)).Send()
 			watching = false
 			wait.Sleep(ctx, minRetryPause)
 		case errors.Is(err, platform.ErrNotFound) && w.Revision > 0:
@@ -178,11 +179,12 @@
 	}
 }
 
+// query reads the configuration, or waits for one that is newer than the revision while watching.
 func (c *Cache) query(ctx context.Context, watching bool, revision uint64) (WatchResult, error) {
 	if watching {
 		return c.source.Changed(ctx, revision, c.watchWait())
 	}
-	return c.source.Current(ctx)
+	return c.source.Current(ctx, revision)
 }
 
 // watchWait returns how long the next watch may wait for a change. While the source is
@@ -202,16 +204,19 @@
 	return 0
 }
 
-// Await waits up to wait until the version in force is above the given one, and returns the
-// state at the end of the wait.
-func (c *Cache) Await(ctx context.Context, version uint64, wait time.Duration) State {
+// Revision returns the source's revision up to which all changes were seen; zero before the first read.
+func (c *Cache) Revision() uint64 { return c.state().Revision }
+
+// Await waits up to wait until the version in force is above the given one and all changes up to a later revision
+// than newerThan were seen, and returns the state at the end of the wait.
+func (c *Cache) Await(ctx context.Context, version, newerThan uint64, wait time.Duration) State {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		c.mu.Lock()
 		updated := c.updated
 		c.mu.Unlock()
-		if current := c.state(); current.Version > version {
+		if current := c.state(); current.Version > version && (newerThan == 0 || current.Revision > newerThan) {
 			return current
 		}
 		select {
--- a/internal/catalog/keeper_test.go
+++ b/internal/catalog/keeper_test.go
@@ -19,7 +19,7 @@
 }
 
 // Current implements Source.
-func (e *emptyStore) Current(context.Context) (WatchResult, error) {
+func (e *emptyStore) Current(context.Context, uint64) (WatchResult, error) {
 	e.calls.Add(1)
 	if time.Now().Before(e.writeAt) {
 		return WatchResult{Revision: 5, VerifiedAt: time.Now()}, platform.ErrNotFound
@@ -75,7 +75,7 @@
 const callTimeout = 700 * time.Millisecond
 
 // Current implements Source.
-func (s unresponsiveStore) Current(context.Context) (WatchResult, error) {
+func (s unresponsiveStore) Current(context.Context, uint64) (WatchResult, error) {
 	c, err := New(Content{Version: 1})
 	return WatchResult{Catalog: c, Revision: 1, VerifiedAt: time.Now()}, err
 }
--- a/internal/director/dissolve.go
+++ b/internal/director/dissolve.go
@@ -7,6 +7,7 @@
 	"github.com/marbleroad/marbleroad/internal/engine"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
 // maintainHeadless dissolves a group whose head is no longer listed. A head that is only
@@ -27,7 +28,7 @@
 	}
 	s.queryHead(now, gs)
 	if !gs.dissolving {
-		s.d.parts.Log.Emit(event.HeadLost).Str("group", name).Str("vm", gs.head).Uint64("revision", s.snapshot.Revision).Send()
+		s.d.parts.Log.Emit(event.HeadLost).Str("group", name).Str("vm", gs.head).EmbedObject(platform.LogRevision(s.snapshot.Revision)).Send()
 		s.startDissolving(now, name, gs, "head is no longer listed", false)
 	}
 	if s.vm(gs.head).failures >= maxFailures {
--- a/internal/director/duty.go
+++ b/internal/director/duty.go
@@ -6,6 +6,7 @@
 
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
 // managedDomains returns the failure domains whose groups this node must manage now, as
@@ -131,7 +132,7 @@
 	for _, domain := range domains {
 		if !s.manages(domain) {
 			changed = true
-			s.d.parts.Log.Emit(event.DirectorRoleAcquired).Str("failure_domain", domain).Uint64("revision", s.snapshot.Revision).Send()
+			s.d.parts.Log.Emit(event.DirectorRoleAcquired).Str("failure_domain", domain).EmbedObject(platform.LogRevision(s.snapshot.Revision)).Send()
 		}
 	}
 	if !changed {
--- a/internal/director/lives.go
+++ b/internal/director/lives.go
@@ -6,6 +6,7 @@
 
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
 // acceptEntryIncarnation records the incarnation that a VM's new entry belongs to. It returns
@@ -51,7 +52,7 @@
 	previous := *v
 	*v = vmState{born: born, entry: previous.entry, entrySeenAt: previous.entrySeenAt, reportRequestedAt: now}
 	s.d.parts.Log.Emit(event.UpstreamRestarted).Str("vm", vm.ID).Int64("born", born).Int64("born_before", previous.born).
-		Str("group_before", vm.Group).Uint64("revision", s.snapshot.Revision).Send()
+		Str("group_before", vm.Group).EmbedObject(platform.LogRevision(s.snapshot.Revision)).Send()
 	for _, name := range sorted(s.formations) {
 		if slices.Contains(s.formations[name].members, vm.ID) {
 			s.abandon(now, name, "a member restarted")
--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -12,6 +12,7 @@
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/placement"
+	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
 // placeGroups forms new groups out of free VMs and stages models before they are needed.
@@ -340,7 +341,7 @@
 	head := s.snapshot.VMs[planned.Members[0]]
 	s.groups[f.name] = &groupState{firstSeen: now, head: head.ID, headVM: head, domain: head.FailureDomain, generation: f.generation}
 	s.d.parts.Log.Emit(event.GroupPlanned).Str("group", f.name).Uint64("generation", f.generation).Str("model", model.Name).
-		Strs("members", f.members).Int("loads", f.loads).Uint64("revision", s.snapshot.Revision).
+		Strs("members", f.members).Int("loads", f.loads).EmbedObject(platform.LogRevision(s.snapshot.Revision)).
 		Str("groups", fmt.Sprint(in.Groups)).Str("demand", formatDemand(in.Demand)).Send()
 	s.advanceFormation(now, f)
 }
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -14,6 +14,7 @@
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/engine"
 	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
 // Messages to the actor.
@@ -378,10 +379,15 @@
 	return fmt.Sprintf("g%s-%d", s.nonce, s.namesIssued)
 }
 
+// eraGenerations is the number of generations by which each restore of the platform's store raises the next one. A
+// restore takes back some seconds of revisions, far fewer than these.
+const eraGenerations = 1 << 20
+
 // nextGeneration returns a generation above every one that any VM has reported. The store's
 // revision rises with each report, so a new incarnation of the director continues above the
-// generations of the previous one.
+// generations of the previous one, also when the store was restored between the two.
 func (s *state) nextGeneration() uint64 {
-	s.lastGeneration = max(s.lastGeneration+1, s.snapshot.Revision)
+	era, number := platform.SplitRevision(s.snapshot.Revision)
+	s.lastGeneration = max(s.lastGeneration+1, era*eraGenerations+number)
 	return s.lastGeneration
 }
--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -41,8 +41,15 @@
 // Current implements catalog.Source. With many nodes, most of them read the configuration from others. A
 // configuration that was verified long ago, by a node that may be disconnected from the platform, is
 // refreshed.
-func (c *Catalog) Current(ctx context.Context) (catalog.WatchResult, error) {
-	w, err := firstRead[catalog.WatchResult]{object: "configuration", selector: c.selector, fromPeer: c.currentFrom, fromPlatform: c.current}.read(ctx)
+func (c *Catalog) Current(ctx context.Context, newerThan uint64) (catalog.WatchResult, error) {
+	w, err := firstRead[catalog.WatchResult]{
+		object:   "configuration",
+		selector: c.selector,
+		fromPeer: func(ctx context.Context, source cluster.Record, wait time.Duration) (catalog.WatchResult, error) {
+			return c.currentFrom(ctx, source, newerThan, wait)
+		},
+		fromPlatform: func(ctx context.Context) (catalog.WatchResult, error) { return c.current(ctx, newerThan) },
+	}.read(ctx)
 	if err == nil && clock.Since(w.VerifiedAt) > maxUnrefreshedAge {
 		w, err = c.refresh(ctx, w)
 	}
@@ -57,7 +64,7 @@
 	since, err := c.source.Changed(ctx, w.Revision, 0)
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
-		return c.current(ctx)
+		return c.current(ctx, w.Revision)
 	case err != nil:
 		c.selector.log.Emit(event.UnverifiedStateAdopted).Str("of", "configuration").Dur("age_ms", clock.Since(w.VerifiedAt)).Err(err).Send()
 		return w, nil
@@ -69,25 +76,27 @@
 }
 
 // current reads the configuration from the platform. It is not an error here if there is none.
-func (c *Catalog) current(ctx context.Context) (catalog.WatchResult, error) {
-	w, err := c.source.Current(ctx)
+func (c *Catalog) current(ctx context.Context, newerThan uint64) (catalog.WatchResult, error) {
+	w, err := c.source.Current(ctx, newerThan)
 	if errors.Is(err, platform.ErrNotFound) && w.Revision > 0 {
 		err = nil
 	}
 	return w, err
 }
 
-// currentFrom reads the configuration from another node.
-func (c *Catalog) currentFrom(ctx context.Context, source cluster.Record, wait time.Duration) (catalog.WatchResult, error) {
+// currentFrom reads the configuration from another node that has seen all changes up to a later revision than
+// newerThan.
+func (c *Catalog) currentFrom(ctx context.Context, source cluster.Record, newerThan uint64, wait time.Duration) (catalog.WatchResult, error) {
 	requestedAt := clock.Now()
+	era, number := sentRevision(newerThan)
 	resp, err := c.selector.client(source).FollowCatalog(ctx, connect.NewRequest(&marbleroadv1.FollowCatalogRequest{
-		WaitMs: uint32(wait.Milliseconds())}))
+		NewerThan: number, Era: era, WaitMs: uint32(wait.Milliseconds())}))
 	if err != nil {
 		return catalog.WatchResult{}, err
 	}
 	clock.Sync()
-	w := catalog.WatchResult{Revision: resp.Msg.GetRevision(), VerifiedAt: requestedAt.Add(milliseconds(resp.Msg.GetProvenAfterMs()))}
-	if w.Revision == 0 {
+	w := catalog.WatchResult{Revision: receivedRevision(resp.Msg.Era, resp.Msg.GetRevision(), newerThan), VerifiedAt: requestedAt.Add(milliseconds(resp.Msg.GetProvenAfterMs()))}
+	if w.Revision <= newerThan {
 		return catalog.WatchResult{}, errSourceEmpty
 	}
 	if resp.Msg.GetVersion() > 0 {
@@ -120,7 +129,7 @@
 	}
 	if newest.GetVersion() > known {
 		// The received version is newer than the one in force here, even if it was verified long ago.
-		received := catalog.WatchResult{Revision: max(revision, newest.GetRevision()), VerifiedAt: newestVerifiedAt}
+		received := catalog.WatchResult{Revision: max(revision, receivedRevision(newest.Era, newest.GetRevision(), revision)), VerifiedAt: newestVerifiedAt}
 		if received.Catalog, err = c.unpack(newest.GetDocument()); err == nil {
 			return received, nil
 		}
@@ -131,7 +140,7 @@
 		// once.
 		return c.watch(ctx, revision, 0)
 	}
-	return catalog.WatchResult{Revision: max(revision, next.GetRevision()), VerifiedAt: verifiedAt}, nil
+	return catalog.WatchResult{Revision: max(revision, receivedRevision(next.Era, next.GetRevision(), revision)), VerifiedAt: verifiedAt}, nil
 }
 
 // unpack decodes a document as the leader sends it.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -66,7 +66,7 @@
 }
 
 // List implements fleet.Source.
-func (l *platformClient) List(context.Context) (fleet.WatchResult, error) {
+func (l *platformClient) List(context.Context, uint64) (fleet.WatchResult, error) {
 	requestedAt := time.Now()
 	l.calls.Add(1)
 	l.mu.Lock()
@@ -97,7 +97,7 @@
 // catalogSource makes a platformClient a catalog.Source.
 type catalogSource struct{ *platformClient }
 
-func (s catalogSource) Current(context.Context) (catalog.WatchResult, error) {
+func (s catalogSource) Current(context.Context, uint64) (catalog.WatchResult, error) {
 	requestedAt := time.Now()
 	s.calls.Add(1)
 	s.mu.Lock()
@@ -121,7 +121,7 @@
 func (s catalogSource) Changed(ctx context.Context, _ uint64, _ time.Duration) (catalog.WatchResult, error) {
 	requestedAt := time.Now()
 	time.Sleep(5 * time.Millisecond)
-	w, err := s.Current(ctx)
+	w, err := s.Current(ctx, 0)
 	w.VerifiedAt = requestedAt
 	return w, err
 }
--- a/internal/feed/firstread.go
+++ b/internal/feed/firstread.go
@@ -43,8 +43,8 @@
 	pollInterval = 100 * time.Millisecond
 )
 
-// errSourceEmpty means that a source does not have the requested object.
-var errSourceEmpty = errors.New("the other node does not have it")
+// errSourceEmpty means that a source does not have the requested object, or an older one than requested.
+var errSourceEmpty = errors.New("the other node does not have it yet")
 
 // errNoneAvailable means that no other node has the requested object, and that this node leaves it to
 // others to read it.
@@ -192,11 +192,12 @@
 	return rank, rank >= 0
 }
 
-// listFrom reads the list of upstream VMs from another node.
-func (l *Leader) listFrom(ctx context.Context, source cluster.Record, wait time.Duration) (fleet.WatchResult, error) {
+// listFrom reads the list of upstream VMs from another node that has one of a later revision than newerThan.
+func (l *Leader) listFrom(ctx context.Context, source cluster.Record, newerThan uint64, wait time.Duration) (fleet.WatchResult, error) {
 	requestedAt := clock.Now()
+	era, number := sentRevision(newerThan)
 	resp, err := l.client(source).FollowFleet(ctx, connect.NewRequest(&marbleroadv1.FollowFleetRequest{
-		WaitMs: uint32(wait.Milliseconds())}))
+		NewerThan: number, Era: era, WaitMs: uint32(wait.Milliseconds())}))
 	clock.Sync()
 	switch {
 	case err != nil:
@@ -204,5 +205,9 @@
 	case resp.Msg.GetCompacted():
 		return fleet.WatchResult{}, errSourceEmpty
 	}
-	return watched(resp.Msg, requestedAt.Add(milliseconds(resp.Msg.GetProvenAfterMs()))), nil
+	listed := watched(resp.Msg, requestedAt.Add(milliseconds(resp.Msg.GetProvenAfterMs())), newerThan)
+	if newerThan != 0 && listed.Revision <= newerThan {
+		return fleet.WatchResult{}, errSourceEmpty
+	}
+	return listed, nil
 }
--- a/internal/feed/firstread_test.go
+++ b/internal/feed/firstread_test.go
@@ -57,7 +57,7 @@
 }
 
 // List implements fleet.Source.
-func (n *slowLink) List(context.Context) (fleet.WatchResult, error) {
+func (n *slowLink) List(context.Context, uint64) (fleet.WatchResult, error) {
 	n.lists.Add(1)
 	requestedAt := time.Now()
 	if err := n.transfer(); err != nil {
@@ -86,7 +86,7 @@
 type slowLinkCatalog struct{ *slowLink }
 
 // Current implements catalog.Source.
-func (n slowLinkCatalog) Current(context.Context) (catalog.WatchResult, error) {
+func (n slowLinkCatalog) Current(context.Context, uint64) (catalog.WatchResult, error) {
 	n.documents.Add(1)
 	requestedAt := time.Now()
 	if err := n.transfer(); err != nil {
@@ -190,7 +190,7 @@
 			client.down.Store(down)
 			leader := NewLeader(domain[59], domain, func() bool { return false }, testLog(t), http.DefaultClient,
 				func(address string) string { return "http://" + address })
-			listed, err := leader.listFrom(context.Background(), domain[0], 0)
+			listed, err := leader.listFrom(context.Background(), domain[0], 0, 0)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -71,8 +71,15 @@
 }
 
 // List implements fleet.Source. With many nodes, most of them read the list from others.
-func (f *Fleet) List(ctx context.Context) (fleet.WatchResult, error) {
-	listed, err := firstRead[fleet.WatchResult]{object: "list", selector: f.selector, fromPeer: f.selector.listFrom, fromPlatform: f.source.List}.read(ctx)
+func (f *Fleet) List(ctx context.Context, newerThan uint64) (fleet.WatchResult, error) {
+	listed, err := firstRead[fleet.WatchResult]{
+		object:   "list",
+		selector: f.selector,
+		fromPeer: func(ctx context.Context, source cluster.Record, wait time.Duration) (fleet.WatchResult, error) {
+			return f.selector.listFrom(ctx, source, newerThan, wait)
+		},
+		fromPlatform: func(ctx context.Context) (fleet.WatchResult, error) { return f.source.List(ctx, newerThan) },
+	}.read(ctx)
 	if err != nil || clock.Since(listed.VerifiedAt) <= maxUnrefreshedAge {
 		return listed, err
 	}
@@ -85,7 +92,7 @@
 	since, err := f.source.Watch(ctx, listed.Revision, 0)
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
-		return f.source.List(ctx)
+		return f.source.List(ctx, listed.Revision)
 	case err != nil:
 		f.selector.log.Emit(event.UnverifiedStateAdopted).Str("of", "list").Dur("age_ms", clock.Since(listed.VerifiedAt)).Err(err).Send()
 		return listed, nil
@@ -116,15 +123,23 @@
 	return out
 }
 
-// Watch implements fleet.Source.
+// errLeaderOutdated means that the leader has not noticed yet that the platform's store was restored.
+var errLeaderOutdated = errors.Mark(errors.New("the leader's list is from before the store's last restore"), errLeaderUnusable)
+
+// Watch implements fleet.Source. A leader that has read a store that was restored since responds that the
+// history of this node's revision is gone.
 func (f *Fleet) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.WatchResult, error) {
 	response, verifiedAt, err := followFirst(ctx, f.selector, fleetQuery, func(ctx context.Context, leader cluster.Record, wait time.Duration) (*marbleroadv1.FollowFleetResponse, time.Duration, error) {
+		era, number := sentRevision(revision)
 		resp, err := f.selector.client(leader).FollowFleet(ctx, connect.NewRequest(&marbleroadv1.FollowFleetRequest{
-			Revision: revision, WaitMs: uint32(wait.Milliseconds())}))
+			Revision: number, Era: era, WaitMs: uint32(wait.Milliseconds())}))
+		if connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeUnavailable {
+			return nil, 0, errors.Mark(err, errLeaderUnusable)
+		}
 		if err != nil {
 			return nil, 0, err
 		}
-		return resp.Msg, milliseconds(resp.Msg.GetProvenAfterMs()), nil
+		return resp.Msg, milliseconds(resp.Msg.GetProvenAfterMs()), f.checkEra(revision, resp.Msg)
 	})
 	switch {
 	case errors.Is(err, errNoLeader):
@@ -134,22 +149,33 @@
 	case response.GetCompacted():
 		return fleet.WatchResult{}, platform.ErrCompacted
 	}
-	w := watched(response, verifiedAt)
-	if w.Revision < revision {
-		f.selector.log.Emit(event.LeaderOutdated).Uint64("revision", revision).Uint64("leader_revision", w.Revision).Send()
-		w.Revision = revision
-	}
+	w := watched(response, verifiedAt, revision)
+	w.Revision = max(w.Revision, revision)
 	return w, nil
 }
 
-// watched decodes another node's response.
-func watched(response *marbleroadv1.FollowFleetResponse, verifiedAt time.Time) fleet.WatchResult {
-	out := fleet.WatchResult{Revision: response.GetRevision(), VerifiedAt: verifiedAt, Relayed: true}
+// checkEra returns errLeaderOutdated if a response is from before a restore that this node knows of. Such a
+// response proves nothing, and what the leader calls changes is in part undone.
+func (f *Fleet) checkEra(known uint64, response *marbleroadv1.FollowFleetResponse) error {
+	knownEra, _ := platform.SplitRevision(known)
+	if response.Era == nil || response.GetEra() >= knownEra {
+		return nil
+	}
+	f.selector.log.Emit(event.LeaderOutdated).EmbedObject(platform.LogRevision(known)).Uint64("leader_era", response.GetEra()).Send()
+	return errLeaderOutdated
+}
+
+// watched decodes another node's response; known is the revision of this node's list.
+func watched(response *marbleroadv1.FollowFleetResponse, verifiedAt time.Time, known uint64) fleet.WatchResult {
+	revision := func(number uint64) uint64 { return receivedRevision(response.Era, number, known) }
+	out := fleet.WatchResult{Revision: revision(response.GetRevision()), VerifiedAt: verifiedAt, Relayed: true}
 	for _, c := range response.GetChanges() {
-		out.Changes = append(out.Changes, decodeChange(c))
+		change := decodeChange(c)
+		change.VM.Revision = revision(change.VM.Revision)
+		out.Changes = append(out.Changes, change)
 	}
 	if e := response.GetEvacuations(); e != nil {
-		out.Evacuations = &fleet.Evacuations{Domains: e.GetFailureDomains(), Revision: e.GetRevision()}
+		out.Evacuations = &fleet.Evacuations{Domains: e.GetFailureDomains(), Revision: revision(e.GetRevision())}
 	}
 	return out
 }
@@ -203,11 +229,12 @@
 	}
 }
 
-func encodeVM(vm fleet.VM) *marbleroadv1.UpstreamVM {
+// encodeVM encodes an entry for a response of the given era.
+func encodeVM(vm fleet.VM, era uint64) *marbleroadv1.UpstreamVM {
 	return &marbleroadv1.UpstreamVM{
 		Id:            vm.ID,
 		Born:          vm.Born,
-		Revision:      vm.Revision,
+		Revision:      sentEntryRevision(vm.Revision, era),
 		Address:       vm.Address,
 		Service:       vm.Service,
 		FailureDomain: vm.FailureDomain,
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -28,37 +28,47 @@
 // FollowFleet implements part of ClusterService.
 func (s *Server) FollowFleet(ctx context.Context, r *connect.Request[marbleroadv1.FollowFleetRequest]) (*connect.Response[marbleroadv1.FollowFleetResponse], error) {
 	arrived := clock.Now()
-	w, err := s.awaitChanges(ctx, r.Msg.GetRevision(), min(milliseconds(r.Msg.GetWaitMs()), maxFollowWait))
+	w, err := s.awaitChanges(ctx, r.Msg)
 	if errors.Is(err, platform.ErrCompacted) {
 		return connect.NewResponse(&marbleroadv1.FollowFleetResponse{Compacted: true}), nil
 	}
+	if errors.Is(err, fleet.ErrNoList) {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
 	if err != nil {
 		return nil, err
 	}
-	out := &marbleroadv1.FollowFleetResponse{Revision: w.Revision, ProvenAfterMs: verifiedAfterMS(arrived, w.VerifiedAt)}
+	era, number := sentRevision(w.Revision)
+	out := &marbleroadv1.FollowFleetResponse{Revision: number, Era: era, ProvenAfterMs: verifiedAfterMS(arrived, w.VerifiedAt)}
 	if e, known := s.Directory.Evacuations(); known {
-		out.Evacuations = &marbleroadv1.Evacuations{FailureDomains: e.Domains, Revision: e.Revision}
+		out.Evacuations = &marbleroadv1.Evacuations{FailureDomains: e.Domains, Revision: sentEntryRevision(e.Revision, *era)}
 	}
 	for _, c := range w.Changes {
-		out.Changes = append(out.Changes, &marbleroadv1.FleetChange{Vm: encodeVM(c.VM), Removed: c.Removed})
+		out.Changes = append(out.Changes, &marbleroadv1.FleetChange{Vm: encodeVM(c.VM, *era), Removed: c.Removed})
 	}
 	return connect.NewResponse(out), nil
 }
 
-// awaitChanges waits for changes after the revision. A follower at revision 0 has no list yet and
-// gets the full one.
-func (s *Server) awaitChanges(ctx context.Context, revision uint64, limit time.Duration) (fleet.WatchResult, error) {
-	if revision == 0 {
-		return s.Directory.AwaitList(ctx, limit)
+// awaitChanges waits for changes after the follower's revision. A follower at revision 0 gets the full list.
+func (s *Server) awaitChanges(ctx context.Context, r *marbleroadv1.FollowFleetRequest) (fleet.WatchResult, error) {
+	limit := min(milliseconds(r.GetWaitMs()), maxFollowWait)
+	own := s.Directory.Revision()
+	if r.GetRevision() == 0 {
+		return s.Directory.AwaitList(ctx, receivedRevision(r.Era, r.GetNewerThan(), own), limit)
 	}
-	return s.Directory.Await(ctx, revision, limit)
+	return s.Directory.Await(ctx, receivedRevision(r.Era, r.GetRevision(), own), limit)
 }
 
 // FollowCatalog implements part of ClusterService.
 func (s *Server) FollowCatalog(ctx context.Context, r *connect.Request[marbleroadv1.FollowCatalogRequest]) (*connect.Response[marbleroadv1.FollowCatalogResponse], error) {
 	arrived := clock.Now()
-	state := s.Cache.Await(ctx, r.Msg.GetVersion(), min(milliseconds(r.Msg.GetWaitMs()), maxFollowWait))
-	out := &marbleroadv1.FollowCatalogResponse{Version: state.Version, Revision: state.Revision,
+	newerThan := receivedRevision(r.Msg.Era, r.Msg.GetNewerThan(), s.Cache.Revision())
+	state := s.Cache.Await(ctx, r.Msg.GetVersion(), newerThan, min(milliseconds(r.Msg.GetWaitMs()), maxFollowWait))
+	if newerThan != 0 && state.Revision <= newerThan {
+		return connect.NewResponse(&marbleroadv1.FollowCatalogResponse{ProvenAfterMs: verifiedAfterMS(arrived, time.Time{})}), nil
+	}
+	era, number := sentRevision(state.Revision)
+	out := &marbleroadv1.FollowCatalogResponse{Version: state.Version, Revision: number, Era: era,
 		ProvenAfterMs: verifiedAfterMS(arrived, clock.Now().Add(-state.VerifiedAge))}
 	if state.Version <= r.Msg.GetVersion() {
 		return connect.NewResponse(out), nil
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -156,7 +156,7 @@
 // verified the list was sent and whether anything changed.
 func (d *Directory) poll(ctx context.Context, sentAt time.Time) (time.Time, bool, error) {
 	if !d.listed {
-		w, err := d.source.List(ctx)
+		w, err := d.source.List(ctx, d.revision)
 		if err != nil {
 			return sentAt, false, err
 		}
@@ -165,7 +165,7 @@
 		d.revision, d.listed = w.Revision, true
 		d.replaceAll(w.Changes)
 		d.recent.restart(w.Revision)
-		d.log.Emit(event.ListRead).Int("vms", len(d.vms)).Bool("relayed", w.Relayed).Uint64("revision", w.Revision).
+		d.log.Emit(event.ListRead).Int("vms", len(d.vms)).Bool("relayed", w.Relayed).EmbedObject(platform.LogRevision(w.Revision)).
 			Dur("took_ms", clock.Since(sentAt)).Send()
 		return w.VerifiedAt, true, nil
 	}
@@ -276,15 +276,15 @@
 	case d.initialList:
 	case old == nil:
 		d.log.Emit(event.UpstreamAdded).Str("vm", vm.ID).Int64("born", vm.Born).Str("service", vm.Service).
-			Str("address", vm.Address).Str("fabric", vm.Fabric).Uint64("revision", d.revision).Send()
+			Str("address", vm.Address).Str("fabric", vm.Fabric).EmbedObject(platform.LogRevision(d.revision)).Send()
 	case !old.SameIncarnation(vm):
 		d.log.Emit(event.UpstreamRestarted).Str("vm", vm.ID).Int64("born", vm.Born).Int64("born_before", old.Born).
-			Str("group_before", old.Group).Uint64("revision", d.revision).Send()
+			Str("group_before", old.Group).EmbedObject(platform.LogRevision(d.revision)).Send()
 	case vm.Draining && !old.Draining:
-		d.log.Emit(event.UpstreamDraining).Str("vm", vm.ID).Str("group", vm.Group).Uint64("revision", d.revision).Send()
+		d.log.Emit(event.UpstreamDraining).Str("vm", vm.ID).Str("group", vm.Group).EmbedObject(platform.LogRevision(d.revision)).Send()
 	case vm.Membership != old.Membership:
 		d.log.Emit(event.MembershipChanged).Str("vm", vm.ID).Str("group", vm.Group).Uint64("generation", vm.Generation).
-			Int("rank", vm.Rank).Stringer("state", vm.State).Uint64("revision", d.revision).Send()
+			Int("rank", vm.Rank).Stringer("state", vm.State).EmbedObject(platform.LogRevision(d.revision)).Send()
 	}
 	return true
 }
@@ -300,7 +300,7 @@
 	if !d.missing[id] {
 		d.missing[id] = true
 		d.log.Emit(event.UpstreamMissing).Str("vm", id).Str("service", vm.Service).Str("group", vm.Group).
-			Int64("kept_ms", d.outage.retainUntil.Sub(now).Milliseconds()).Uint64("revision", d.revision).Send()
+			Int64("kept_ms", d.outage.retainUntil.Sub(now).Milliseconds()).EmbedObject(platform.LogRevision(d.revision)).Send()
 	}
 	return false
 }
@@ -316,7 +316,7 @@
 	delete(d.lastSeen, id)
 	delete(d.revisions, id)
 	d.recent.add(Change{VM: VM{ID: id}, Removed: true})
-	d.log.Emit(event.UpstreamRemoved).Str("vm", id).Str("group", vm.Group).Uint64("revision", d.revision).Send()
+	d.log.Emit(event.UpstreamRemoved).Str("vm", id).Str("group", vm.Group).EmbedObject(platform.LogRevision(d.revision)).Send()
 	return true
 }
 
@@ -349,7 +349,7 @@
 		return
 	}
 	if errors.Is(err, platform.ErrCompacted) {
-		d.log.Emit(event.WatchHistoryExpired).Str("of", "directory").Uint64("revision", d.revision).Send()
+		d.log.Emit(event.WatchHistoryExpired).Str("of", "directory").EmbedObject(platform.LogRevision(d.revision)).Send()
 		d.listed = false
 		wait.Sleep(ctx, retryPause)
 		return
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -126,10 +126,10 @@
 	}
 	started, ended := d.evacuated.adopt(clock.Now(), *next)
 	for _, domain := range started {
-		d.log.Emit(event.EvacuationStarted).Str("failure_domain", domain).Uint64("revision", next.Revision).Send()
+		d.log.Emit(event.EvacuationStarted).Str("failure_domain", domain).EmbedObject(platform.LogRevision(next.Revision)).Send()
 	}
 	for _, domain := range ended {
-		d.log.Emit(event.EvacuationEnded).Str("failure_domain", domain).Uint64("revision", next.Revision).Send()
+		d.log.Emit(event.EvacuationEnded).Str("failure_domain", domain).EmbedObject(platform.LogRevision(next.Revision)).Send()
 	}
 }
 
--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -39,7 +39,7 @@
 }
 
 // List implements Source.
-func (s *evacuationStore) List(context.Context) (WatchResult, error) {
+func (s *evacuationStore) List(context.Context, uint64) (WatchResult, error) {
 	e, err := s.state()
 	return WatchResult{Changes: []Change{{VM: VM{ID: "vm", FailureDomain: "a"}}}, Revision: 1, VerifiedAt: time.Now(), Evacuations: &e}, err
 }
--- a/internal/fleet/invalid.go
+++ b/internal/fleet/invalid.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
 // maxInvalid bounds the number of invalid entries that are remembered so that each is logged once.
@@ -18,7 +19,7 @@
 	d.rejected.Add(1)
 	if d.invalid[id] != reason && len(d.invalid) < maxInvalid {
 		d.invalid[id] = reason
-		d.log.Emit(event.EntryUnreadable).Str("vm", id).Bool("known", d.vms[id] != nil).Uint64("revision", c.VM.Revision).Str("reason", reason).Send()
+		d.log.Emit(event.EntryUnreadable).Str("vm", id).Bool("known", d.vms[id] != nil).EmbedObject(platform.LogRevision(c.VM.Revision)).Str("reason", reason).Send()
 	}
 	return d.drop(id)
 }
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -50,7 +50,7 @@
 }
 
 // List implements Source.
-func (s *scriptedStore) List(ctx context.Context) (WatchResult, error) {
+func (s *scriptedStore) List(context.Context, uint64) (WatchResult, error) {
 	sentAt := time.Now()
 	if s.unreachable() {
 		time.Sleep(testTimeout)
--- a/internal/fleet/recent.go
+++ b/internal/fleet/recent.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
@@ -33,6 +35,17 @@
 	revision uint64
 }
 
+// Revision returns the revision of the newest snapshot; 0 before the list was first read.
+func (d *Directory) Revision() uint64 {
+	if s := d.Snapshot(); s != nil {
+		return s.Revision
+	}
+	return 0
+}
+
+// ErrNoList means that the list was not read yet.
+var ErrNoList = errors.New("the list of upstream VMs was not read yet")
+
 func newRecentChanges() *recentChanges { return &recentChanges{published: make(chan struct{})} }
 
 // restart is called when the full list was read at a revision: it discards all changes, so that
@@ -68,12 +81,16 @@
 	r.published = make(chan struct{})
 }
 
-// since returns the published changes after the revision with this node's revision, which may be lower, and a channel that is closed at the next publication. It returns
-// platform.ErrCompacted if changes after the revision are no longer available.
+// since returns the published changes after the revision with this node's revision, which may be lower, and a channel
+// that is closed at the next publication. It returns platform.ErrCompacted if changes after the revision are no longer
+// available, and ErrNoList before the list was first read.
 func (r *recentChanges) since(revision uint64) (WatchResult, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.verifiedAt.IsZero() || revision < r.floor {
+	if r.verifiedAt.IsZero() {
+		return WatchResult{}, nil, ErrNoList
+	}
+	if revision < r.floor {
 		return WatchResult{}, nil, platform.ErrCompacted
 	}
 	w := WatchResult{Revision: r.revision, VerifiedAt: r.verifiedAt, Relayed: true}
@@ -85,14 +102,23 @@
 	return w, r.published, nil
 }
 
+// isLaterEra reports whether a revision belongs to a later era of the store than another one.
+func isLaterEra(revision, other uint64) bool {
+	era, _ := platform.SplitRevision(revision)
+	otherEra, _ := platform.SplitRevision(other)
+	return era > otherEra
+}
+
 // Await waits up to wait for changes after the revision, as Source.Watch does, but
-// returns them from those that this directory has read. Heartbeats are not included.
+// returns them from those that this directory has read. Heartbeats are not included. If this
+// directory has not noticed the restore of the store after which the revision was given, Await
+// returns its own revision at once.
 func (d *Directory) Await(ctx context.Context, revision uint64, wait time.Duration) (WatchResult, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		w, published, err := d.recent.since(revision)
-		if err != nil || len(w.Changes) > 0 {
+		if err != nil || len(w.Changes) > 0 || isLaterEra(revision, w.Revision) {
 			return w, err
 		}
 		select {
@@ -105,14 +131,14 @@
 	}
 }
 
-// AwaitList waits up to wait until this directory has read the list and returns all entries, however long ago
-// they were verified. It returns platform.ErrCompacted if there is no list.
-func (d *Directory) AwaitList(ctx context.Context, wait time.Duration) (WatchResult, error) {
+// AwaitList waits up to wait until this directory has a list of a later revision than newerThan and returns all
+// entries, however long ago they were verified. It returns platform.ErrCompacted if there is no such list.
+func (d *Directory) AwaitList(ctx context.Context, newerThan uint64, wait time.Duration) (WatchResult, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		published := d.recent.nextPublication()
-		if s := d.Snapshot(); s != nil {
+		if s := d.Snapshot(); s != nil && (newerThan == 0 || s.Revision > newerThan) {
 			return s.asList(), nil
 		}
 		select {
--- a/internal/fleet/source.go
+++ b/internal/fleet/source.go
@@ -18,8 +18,9 @@
 
 // Source reads the platform's list of upstream VMs.
 type Source interface {
-	// List returns all entries as changes.
-	List(ctx context.Context) (WatchResult, error)
+	// List returns all entries as changes. A list from another node is of a later revision than newerThan: after
+	// platform.ErrCompacted, an older one leads to the same error again.
+	List(ctx context.Context, newerThan uint64) (WatchResult, error)
 	// Watch waits up to wait for changes after the revision. It may return none. It
 	// returns platform.ErrCompacted if changes may have been missed.
 	Watch(ctx context.Context, revision uint64, wait time.Duration) (WatchResult, error)
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -17,7 +17,7 @@
 // fixedCatalog is a source of a catalog that never changes.
 type fixedCatalog struct{ c *catalog.Catalog }
 
-func (f fixedCatalog) Current(context.Context) (catalog.WatchResult, error) {
+func (f fixedCatalog) Current(context.Context, uint64) (catalog.WatchResult, error) {
 	return catalog.WatchResult{Catalog: f.c, Revision: 1, VerifiedAt: time.Now()}, nil
 }
 func (f fixedCatalog) Changed(ctx context.Context, _ uint64, _ time.Duration) (catalog.WatchResult, error) {
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -15,6 +15,7 @@
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/platform"
 	"github.com/marbleroad/marbleroad/internal/quarantine"
 )
 
@@ -30,9 +31,10 @@
 	NotReady      string        `json:"not_ready,omitempty"`
 	Configuration Configuration `json:"configuration"`
 	// ListAge is the time since the list of VMs was last known to be current.
-	// ListRevision is the platform's revision that the list reflects.
+	// ListRevision is the platform's revision that the list reflects, in the era StoreEra.
 	ListAge      time.Duration `json:"list_age_ns"`
 	ListRevision uint64        `json:"list_revision"`
+	StoreEra     uint64        `json:"store_era,omitempty"`
 	// Evacuated lists the failure domains to whose upstream VMs no requests are sent.
 	Evacuated []string `json:"evacuated,omitempty"`
 	// Directing lists the failure domains whose groups the node manages.
@@ -171,7 +173,8 @@
 		v.Configuration.VerifiedAge = s.CatalogCache.VerifiedAge(now)
 	}
 	if list := s.Directory.Snapshot(); list != nil {
-		v.ListAge, v.ListRevision = now.Sub(list.VerifiedAt), list.Revision
+		v.ListAge = now.Sub(list.VerifiedAt)
+		v.StoreEra, v.ListRevision = platform.SplitRevision(list.Revision)
 		v.Evacuated = slices.Sorted(maps.Keys(list.Evacuated))
 		v.Upstreams = s.upstreams(list)
 		v.Groups = s.groups(list, current)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,7 +20,7 @@
 	// never sent and so had no effect.
 	ErrUnavailable = errors.New("platform unavailable")
 	// ErrCompacted means that the store has discarded the changes since the
-	// revision; the reader must list again.
+	// revision, or was restored from an older copy; the reader must list again.
 	ErrCompacted = errors.New("revision compacted")
 	// ErrUnchanged means that the caller already has the newest version of the
 	// membership list.
@@ -32,9 +32,9 @@
 // Object is one stored object.
 type Object struct {
 	Key string
-	// Version is the store's version of this object. It starts at 1 and increases with each write.
+	// Version is the store's version of this object. It is above 0 and increases with each write.
 	Version uint64
-	// Revision is the store-wide number of the object's last write, for watches.
+	// Revision is the store-wide number of the object's last write, for watches; see JoinRevision.
 	Revision uint64
 	Value    []byte
 }
