Nodes pass on what the store holds, not what they retain beyond it

Cause: a node that takes the silence of its watches for an outage retains missing entries for up to 2.8 s. It handed its list to others with the retained entries in it, under a revision that says the list is complete, and told of the removal only when its own wait was over, to those that followed it then. Class: a provisional state that is passed on without its mark. Also: a failure without a call to the platform (backoff, no other node has it) counted as a failed call and pushed the time for which entries are retained on; and followers waited up to 0.4 s at their leader, whatever wait the directory asked for, so retained VMs were dropped late.

Change: lists and changes for other nodes hold what the store holds; the time until which the sender retains missing entries goes beside them, and each node decides with its own entries until then, at most as after an outage that ends now. An entry that is marked as leaving by a VM's own word is passed on as the store has it. Failures without a call are marked (platform.ErrNoCall). Watches of a leader keep to the wait that was asked for, and expired entries are dropped also while calls fail.

TestRelayedRemovalTakesEffectAtOnce goes: its premise, that a leader has already waited before it passes a removal on, is gone. TestRelayedRemovalIsNotRetainedTwice holds the promise behind it: a follower drops a VM when its leader does, and at once when the leader no longer waits.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -142,7 +142,12 @@
 
 // errPlatformBackoff means that the leaders are disconnected and that a call of this node failed
 // recently.
-var errPlatformBackoff = errors.Mark(errors.New("the leaders are disconnected from the platform, and this node's own call failed recently"), platform.ErrUnavailable)
+var errPlatformBackoff = noCall("the leaders are disconnected from the platform, and this node's own call failed recently")
+
+// noCall returns an error that means that the platform was not called.
+func noCall(text string) error {
+	return errors.Mark(errors.Mark(errors.New(text), platform.ErrUnavailable), platform.ErrNoCall)
+}
 
 // allowed returns errPlatformBackoff while this node, whose own call failed recently, leaves the
 // platform to its leaders.
--- a/internal/feed/firstread.go
+++ b/internal/feed/firstread.go
@@ -48,7 +48,7 @@
 
 // errNoneAvailable means that no other node has the requested object, and that this node leaves it to
 // others to read it.
-var errNoneAvailable = errors.Mark(errors.New("the nodes that read the platform for this one do not have it yet"), platform.ErrUnavailable)
+var errNoneAvailable = noCall("the nodes that read the platform for this one do not have it yet")
 
 // firstRead reads one large object of the platform at a node that has no version of it. With many
 // nodes, a few of each failure domain read it from the platform and the others read it from them: when
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -99,6 +99,7 @@
 	}
 	since.Changes = merge(listed.Changes, since.Changes)
 	since.Relayed = listed.Relayed
+	since.RetainUntil = listed.RetainUntil
 	since.Evacuations = listed.Evacuations
 	return since, nil
 }
@@ -129,7 +130,9 @@
 // Watch implements fleet.Source. A leader that has read a store that was restored since responds that the
 // history of this node's revision is gone.
 func (f *Fleet) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.WatchResult, error) {
-	response, verifiedAt, err := followFirst(ctx, f.selector, fleetQuery, func(ctx context.Context, leader cluster.Record, wait time.Duration) (*marbleroadv1.FollowFleetResponse, time.Duration, error) {
+	q := fleetQuery
+	q.wait = min(q.wait, wait)
+	response, verifiedAt, err := followFirst(ctx, f.selector, q, func(ctx context.Context, leader cluster.Record, wait time.Duration) (*marbleroadv1.FollowFleetResponse, time.Duration, error) {
 		era, number := sentRevision(revision)
 		resp, err := f.selector.client(leader).FollowFleet(ctx, connect.NewRequest(&marbleroadv1.FollowFleetRequest{
 			Revision: number, Era: era, WaitMs: uint32(wait.Milliseconds())}))
@@ -168,7 +171,8 @@
 // watched decodes another node's response; known is the revision of this node's list.
 func watched(response *marbleroadv1.FollowFleetResponse, verifiedAt time.Time, known uint64) fleet.WatchResult {
 	revision := func(number uint64) uint64 { return receivedRevision(response.Era, number, known) }
-	out := fleet.WatchResult{Revision: revision(response.GetRevision()), VerifiedAt: verifiedAt, Relayed: true}
+	out := fleet.WatchResult{Revision: revision(response.GetRevision()), VerifiedAt: verifiedAt, Relayed: true,
+		RetainUntil: clock.Now().Add(milliseconds(response.GetRetainMs()))}
 	for _, c := range response.GetChanges() {
 		change := decodeChange(c)
 		change.VM.Revision = revision(change.VM.Revision)
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -39,7 +39,8 @@
 		return nil, err
 	}
 	era, number := sentRevision(w.Revision)
-	out := &marbleroadv1.FollowFleetResponse{Revision: number, Era: era, ProvenAfterMs: verifiedAfterMS(arrived, w.VerifiedAt)}
+	out := &marbleroadv1.FollowFleetResponse{Revision: number, Era: era, ProvenAfterMs: verifiedAfterMS(arrived, w.VerifiedAt),
+		RetainMs: uint32(max(clock.Until(w.RetainUntil), 0).Milliseconds())}
 	if e, known := s.Directory.Evacuations(); known {
 		out.Evacuations = &marbleroadv1.Evacuations{FailureDomains: e.Domains, Revision: sentEntryRevision(e.Revision, *era)}
 	}
--- /dev/null
+++ b/internal/feed/virtual_test.go
@@ -0,0 +1,351 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
+	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/cluster"
+	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/platform"
+)
+
+const (
+	// storeCallTime is how long a call to the virtual store takes, storeTimeout how much longer than its wait a call
+	// waits for a response that does not come.
+	storeCallTime = 4 * time.Millisecond
+	storeTimeout  = 700 * time.Millisecond
+	// drainBound is the time after which a VM that left must receive no requests from connected nodes. A node counts as
+	// connected when connectedAfter has passed since the last fault.
+	drainBound     = 2 * time.Second
+	connectedAfter = 3 * time.Second
+)
+
+// virtualStore is the platform's store in virtual time. It implements fleet.Source.
+type virtualStore struct {
+	mu      sync.Mutex
+	era     uint64
+	changes []fleet.Change
+	// compacted is the number of changes that the history no longer holds.
+	compacted int
+	// down makes all calls time out; silent does so for watches. cuts is the number of times at which the watches in
+	// progress were cut.
+	down, silent bool
+	cuts         int
+	calls        int
+	changed      chan struct{}
+}
+
+func newVirtualStore() *virtualStore { return &virtualStore{era: 1, changed: make(chan struct{})} }
+
+// update changes the store under its lock and wakes the watches.
+func (s *virtualStore) update(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *virtualStore) put(vm fleet.VM) {
+	s.update(func() {
+		vm.Revision = s.revisionOf(len(s.changes) + 1)
+		s.changes = append(s.changes, fleet.Change{VM: vm})
+	})
+}
+
+func (s *virtualStore) remove(id string) {
+	s.update(func() { s.changes = append(s.changes, fleet.Change{VM: fleet.VM{ID: id}, Removed: true}) })
+}
+
+// restore takes the store back to its first changes.
+func (s *virtualStore) restore(kept int) {
+	s.update(func() {
+		s.era++
+		s.changes = s.changes[:kept:kept]
+	})
+}
+
+func (s *virtualStore) revisionOf(changes int) uint64 {
+	return platform.JoinRevision(s.era, uint64(changes))
+}
+
+// entries returns the store's entries with their revisions in the current era.
+func (s *virtualStore) entries() []fleet.Change {
+	listed := make(map[string]fleet.VM)
+	for _, c := range s.changes {
+		if c.Removed {
+			delete(listed, c.VM.ID)
+			continue
+		}
+		_, number := platform.SplitRevision(c.VM.Revision)
+		c.VM.Revision = platform.JoinRevision(s.era, number)
+		listed[c.VM.ID] = c.VM
+	}
+	var out []fleet.Change
+	for _, id := range slices.Sorted(maps.Keys(listed)) {
+		out = append(out, fleet.Change{VM: listed[id]})
+	}
+	return out
+}
+
+// List implements fleet.Source.
+func (s *virtualStore) List(context.Context, uint64) (fleet.WatchResult, error) {
+	sentAt := clock.Now()
+	time.Sleep(storeCallTime)
+	s.mu.Lock()
+	s.calls++
+	if s.down {
+		s.mu.Unlock()
+		time.Sleep(storeTimeout)
+		return fleet.WatchResult{}, platform.ErrUnavailable
+	}
+	defer s.mu.Unlock()
+	return fleet.WatchResult{Changes: s.entries(), Revision: s.revisionOf(len(s.changes)), VerifiedAt: sentAt}, nil
+}
+
+// Watch implements fleet.Source.
+func (s *virtualStore) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.WatchResult, error) {
+	sentAt := clock.Now()
+	time.Sleep(storeCallTime)
+	era, number := platform.SplitRevision(revision)
+	deadline := time.NewTimer(wait)
+	timeout := time.NewTimer(wait + storeTimeout)
+	defer deadline.Stop()
+	defer timeout.Stop()
+	s.mu.Lock()
+	s.calls++
+	cuts := s.cuts
+	s.mu.Unlock()
+	for waited := false; ; {
+		s.mu.Lock()
+		if s.cuts != cuts {
+			s.mu.Unlock()
+			return fleet.WatchResult{}, platform.ErrUnavailable
+		}
+		unanswered, changed := s.down || s.silent, s.changed
+		if !unanswered && (era != s.era || int(number) < s.compacted) {
+			s.mu.Unlock()
+			return fleet.WatchResult{}, platform.ErrCompacted
+		}
+		if !unanswered && (waited || int(number) < len(s.changes)) {
+			w := fleet.WatchResult{Revision: s.revisionOf(len(s.changes)), VerifiedAt: sentAt}
+			for _, c := range s.changes[number:] {
+				_, n := platform.SplitRevision(c.VM.Revision)
+				c.VM.Revision = platform.JoinRevision(s.era, n)
+				w.Changes = append(w.Changes, c)
+			}
+			s.mu.Unlock()
+			return w, nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline.C:
+			waited = true
+		case <-timeout.C:
+			return fleet.WatchResult{}, platform.ErrUnavailable
+		case <-ctx.Done():
+			return fleet.WatchResult{}, ctx.Err()
+		}
+	}
+}
+
+// virtualFleet is a site whose nodes follow each other in virtual time, without a network.
+type virtualFleet struct {
+	store *virtualStore
+	nodes []*virtualNode
+	// handlers serve the nodes' followers by address.
+	handlers map[string]http.Handler
+	dead     map[string]bool
+}
+
+type virtualNode struct {
+	site      *virtualFleet
+	record    cluster.Record
+	directory *fleet.Directory
+}
+
+// Size implements Nodes.
+func (n *virtualNode) Size() int { return len(n.site.nodes) }
+
+// DomainNodes implements Nodes.
+func (n *virtualNode) DomainNodes() ([]cluster.Record, bool) {
+	var out []cluster.Record
+	for _, other := range n.site.nodes {
+		if other.record.FailureDomain == n.record.FailureDomain {
+			out = append(out, other.record)
+		}
+	}
+	return out, true
+}
+
+// Live implements Nodes.
+func (n *virtualNode) Live(now time.Time) []cluster.Peer {
+	var out []cluster.Peer
+	for _, other := range n.site.nodes {
+		if other != n && !n.site.dead[other.record.Address] {
+			out = append(out, cluster.Peer{Record: other.record, State: &marbleroadv1.NodeState{}, LastSeen: now})
+		}
+	}
+	return out
+}
+
+// RoundTrip implements http.RoundTripper: it calls the other node's handler.
+func (f *virtualFleet) RoundTrip(r *http.Request) (*http.Response, error) {
+	defer func() { _ = r.Body.Close() }()
+	time.Sleep(time.Millisecond)
+	if f.dead[r.URL.Host] {
+		return nil, fmt.Errorf("%s is not there", r.URL.Host)
+	}
+	w := httptest.NewRecorder()
+	f.handlers[r.URL.Host].ServeHTTP(w, r)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return w.Result(), nil
+}
+
+// virtualDomains is the number of failure domains of a virtual site.
+const virtualDomains = 4
+
+// runVirtual starts a site of n nodes in virtual time, lets all read the store, and calls play.
+func runVirtual(t *testing.T, n int, store *virtualStore, play func(t *testing.T, f *virtualFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		// A channel from outside the bubble would keep its time from passing.
+		store.update(func() {})
+		f := &virtualFleet{store: store, handlers: make(map[string]http.Handler), dead: make(map[string]bool)}
+		client := &http.Client{Transport: f}
+		log := testLog(t)
+		for i := range n {
+			address := fmt.Sprintf("n%03d", i)
+			f.nodes = append(f.nodes, &virtualNode{site: f, record: cluster.Record{ID: address, Address: address, FailureDomain: fmt.Sprintf("d%d", i%virtualDomains)}})
+		}
+		for _, node := range f.nodes {
+			selector := NewLeader(node.record, node, func() bool { return false }, log, client, func(a string) string { return "http://" + a })
+			node.directory = fleet.NewDirectory(NewFleet(store, selector), log, fleet.WatchWait, func() time.Duration { return IdleWatchPause })
+			mux := http.NewServeMux()
+			mux.Handle(marbleroadv1connect.NewClusterServiceHandler(handler{&Server{Directory: node.directory, Cache: catalog.NewCache(nil, log, 0)}}))
+			f.handlers[node.record.Address] = mux
+		}
+		for _, node := range f.nodes {
+			if err := node.directory.Start(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		defer func() {
+			for _, node := range f.nodes {
+				_ = node.directory.Stop(context.Background())
+			}
+		}()
+		time.Sleep(10 * time.Second)
+		play(t, f)
+	})
+}
+
+// serving returns how many nodes would send requests to the VM.
+func (f *virtualFleet) serving(id string) int {
+	count := 0
+	for _, node := range f.nodes {
+		if s := node.directory.Snapshot(); s != nil && s.VMs[id] != nil && !s.VMs[id].Draining {
+			count++
+		}
+	}
+	return count
+}
+
+// at calls f at a time of the virtual run; the times of successive calls must not decrease.
+func at(start time.Time, offset time.Duration, f func()) {
+	time.Sleep(time.Until(start.Add(offset)))
+	f()
+}
+
+// checkGone reports the VM if a node still sends requests to it at the time by which none may.
+func (f *virtualFleet) checkGone(t *testing.T, start time.Time, id string, left, lastFault time.Duration) {
+	t.Helper()
+	bound := max(left+drainBound, lastFault+connectedAfter)
+	at(start, bound, func() {
+		if count := f.serving(id); count > 0 {
+			t.Errorf("%d of %d nodes send requests to %s %s after it left, %s after the last fault", count, len(f.nodes), id, bound-left, bound-lastFault)
+		}
+	})
+}
+
+// storeOfPlainVMs returns a store with twenty plain VMs, vm-00 to vm-19.
+func storeOfPlainVMs() *virtualStore {
+	s := newVirtualStore()
+	for i := range 20 {
+		s.put(plainVM(i))
+	}
+	return s
+}
+
+func plainVM(i int) fleet.VM {
+	return fleet.VM{ID: fmt.Sprintf("vm-%02d", i), Born: int64(i + 1), Service: "s", Address: "10.0.0.1:1"}
+}
+
+// leave takes a VM away, with a notice or without.
+func (s *virtualStore) leave(i int, notice bool) {
+	vm := plainVM(i)
+	if !notice {
+		s.remove(vm.ID)
+		return
+	}
+	vm.Draining = true
+	s.put(vm)
+}
+
+// TestVMThatLeavesWhileWatchesAreSilent guards against VMs that are kept for seconds after they left while the watches
+// of all nodes heard nothing and the history was then dropped. The store answered all other calls. Nodes that took
+// the silence for an outage kept the VMs' entries as ones that may have lapsed and passed them on like any others.
+func TestVMThatLeavesWhileWatchesAreSilent(t *testing.T) {
+	for _, n := range []int{8, 80, 300} {
+		for phase := range 4 {
+			for _, silence := range []time.Duration{time.Second, 1700 * time.Millisecond} {
+				if n == 300 && (phase > 0 || silence == time.Second) {
+					continue
+				}
+				gapFrom := time.Duration(phase+1) * 400 * time.Millisecond
+				gapTo := gapFrom + silence
+				for _, left := range []time.Duration{gapFrom + 200*time.Millisecond, gapFrom + 900*time.Millisecond, gapTo + 500*time.Millisecond, gapTo + 2*time.Second} {
+					for _, notice := range []bool{true, false} {
+						t.Run(fmt.Sprintf("%d nodes, %s to %s, %s, notice %t", n, gapFrom, gapTo, left, notice), func(t *testing.T) {
+							leaveAroundAGap(t, n, gapFrom, gapTo, left, notice)
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+// leaveAroundAGap makes vm-07 leave while watches are silent, or after the history was dropped at the end of that
+// time.
+func leaveAroundAGap(t *testing.T, n int, gapFrom, gapTo, left time.Duration, notice bool) {
+	s := storeOfPlainVMs()
+	runVirtual(t, n, s, func(t *testing.T, f *virtualFleet) {
+		start := time.Now()
+		leave := func() { s.leave(7, notice) }
+		at(start, gapFrom, func() { s.update(func() { s.silent = true }) })
+		if left < gapTo {
+			at(start, left, leave)
+		}
+		at(start, gapTo, func() { s.update(func() { s.silent, s.compacted, s.cuts = false, len(s.changes), s.cuts+1 }) })
+		if left >= gapTo {
+			at(start, left, leave)
+		}
+		f.checkGone(t, start, "vm-07", left, gapTo)
+	})
+}
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -141,6 +141,7 @@
 		verifiedAt, changed, err := d.poll(ctx, sentAt)
 		if err != nil {
 			d.handleFailure(ctx, sentAt, err)
+			d.publishExpired()
 			continue
 		}
 		d.backoff.Reset()
@@ -160,7 +161,7 @@
 		if err != nil {
 			return sentAt, false, err
 		}
-		d.recordResponse(w.VerifiedAt)
+		d.recordResponse(w)
 		d.adoptEvacuations(w.Evacuations)
 		d.revision, d.listed = w.Revision, true
 		d.replaceAll(w.Changes)
@@ -173,7 +174,7 @@
 	if err != nil {
 		return sentAt, false, err
 	}
-	d.recordResponse(w.VerifiedAt)
+	d.recordResponse(w)
 	d.adoptEvacuations(w.Evacuations)
 	if w.Relayed {
 		clear(d.lastSeen)
@@ -231,14 +232,11 @@
 }
 
 // apply applies one change and reports whether it changed anything. A relayed change
-// doesn't count as a heartbeat. A relayed removal takes effect at once, as the other node
-// has already waited for the entry to reappear after an outage.
+// doesn't count as a heartbeat.
 func (d *Directory) apply(c Change, relayed bool) bool {
 	switch {
 	case c.Err != nil:
 		return d.reject(&c)
-	case c.Removed && relayed:
-		return d.drop(c.VM.ID)
 	case c.Removed:
 		delete(d.invalid, c.VM.ID)
 		return d.remove(c.VM.ID)
@@ -257,17 +255,18 @@
 }
 
 // put applies a VM's entry and reports whether it changed anything. An entry with the same
-// content, such as a heartbeat's, doesn't replace the old one.
+// content, such as a heartbeat's, doesn't replace the old one, unless that was only retained.
 func (d *Directory) put(vm *VM) bool {
 	if d.isOlder(vm) {
 		return false
 	}
+	retained := d.missing[vm.ID]
 	delete(d.missing, vm.ID)
 	delete(d.invalid, vm.ID)
 	d.revisions[vm.ID] = vm.Revision
 	old := d.vms[vm.ID]
 	warming := vm.setWarmUntil(clock.Now(), old)
-	if old != nil && old.sameContent(vm) && !warming {
+	if old != nil && old.sameContent(vm) && !warming && !retained {
 		return false
 	}
 	d.vms[vm.ID] = vm
@@ -290,19 +289,22 @@
 }
 
 // remove drops a VM whose entry was removed, unless the entry may have expired in an
-// outage. It reports whether the VM was dropped.
+// outage. It reports whether anything changed. Other nodes learn of the removal at once: each decides for itself
+// whether it retains the VM, and until when.
 func (d *Directory) remove(id string) bool {
 	vm := d.vms[id]
 	now := clock.Now()
-	if vm == nil || !d.outage.retains(now) {
-		return d.drop(id)
+	if vm == nil || d.missing[id] {
+		return false
 	}
-	if !d.missing[id] {
-		d.missing[id] = true
-		d.log.Emit(event.UpstreamMissing).Str("vm", id).Str("service", vm.Service).Str("group", vm.Group).
-			Int64("kept_ms", d.outage.retainUntil.Sub(now).Milliseconds()).EmbedObject(platform.LogRevision(d.revision)).Send()
+	d.recent.add(Change{VM: VM{ID: id}, Removed: true})
+	if !d.outage.retains(now) {
+		return d.drop(id)
 	}
-	return false
+	d.missing[id] = true
+	d.log.Emit(event.UpstreamMissing).Str("vm", id).Str("service", vm.Service).Str("group", vm.Group).
+		Int64("kept_ms", d.outage.retainUntil.Sub(now).Milliseconds()).EmbedObject(platform.LogRevision(d.revision)).Send()
+	return true
 }
 
 // drop removes a VM and reports whether it was listed.
@@ -315,7 +317,6 @@
 	delete(d.missing, id)
 	delete(d.lastSeen, id)
 	delete(d.revisions, id)
-	d.recent.add(Change{VM: VM{ID: id}, Removed: true})
 	d.log.Emit(event.UpstreamRemoved).Str("vm", id).Str("group", vm.Group).EmbedObject(platform.LogRevision(d.revision)).Send()
 	return true
 }
@@ -332,14 +333,25 @@
 	return true
 }
 
+// publishExpired drops expired VMs while calls fail.
+func (d *Directory) publishExpired() {
+	if s := d.Snapshot(); s != nil && d.dropExpired(clock.Now()) {
+		d.publish(s.VerifiedAt, true)
+	}
+}
+
 // recordResponse records a successful call, before its response is applied.
-func (d *Directory) recordResponse(verifiedAt time.Time) {
+func (d *Directory) recordResponse(w WatchResult) {
+	verifiedAt := w.VerifiedAt
 	if d.disconnected {
 		d.disconnected = false
 		d.log.Emit(event.PlatformUp).Str("of", "directory").Int64("silent_ms", d.outage.unverifiedFor(verifiedAt).Milliseconds()).
 			Int64("waited_ms", clock.Since(verifiedAt).Milliseconds()).Send()
 	}
 	d.outage.succeeded(verifiedAt, d.maxWait)
+	if w.Relayed {
+		d.outage.extend(clock.Now(), w.RetainUntil)
+	}
 }
 
 // handleFailure records a failed call and waits before the next one. If history was
@@ -358,17 +370,20 @@
 		d.disconnected = true
 		d.log.Emit(event.PlatformDown).Str("of", "directory").Err(err).Send()
 	}
-	d.outage.failed(sentAt)
-	wait.Sleep(ctx, max(d.backoff.Next()-clock.Since(sentAt), minPause))
+	if !errors.Is(err, platform.ErrNoCall) {
+		d.outage.failed(sentAt)
+	}
+	wait.Sleep(ctx, d.capAtExpiry(max(d.backoff.Next()-clock.Since(sentAt), minPause)))
 }
 
 // publish publishes a new snapshot, and calls the OnChange functions if entries changed.
 func (d *Directory) publish(verifiedAt time.Time, changed bool) {
-	defer d.recent.publish(d.revision, verifiedAt)
+	defer d.recent.publish(d.revision, verifiedAt, d.outage.retainUntil)
 	old := d.snapshot.Load()
 	if !changed && old != nil {
 		next := *old
 		next.Revision, next.VerifiedAt, next.LastSeen = d.revision, verifiedAt, maps.Clone(d.lastSeen)
+		next.retainUntil = d.outage.retainUntil
 		d.snapshot.Store(&next)
 		return
 	}
@@ -376,8 +391,13 @@
 	for id, vm := range d.vms {
 		vms[id] = vm
 	}
-	d.leaving.mark(vms)
+	stored := make(map[string]*VM)
+	for id := range d.missing {
+		stored[id] = nil
+	}
+	d.leaving.mark(vms, stored)
 	next := NewSnapshot(vms, d.revision, verifiedAt)
+	next.stored, next.retainUntil = stored, d.outage.retainUntil
 	next.Evacuated = d.evacuated.domains()
 	next.LastSeen = maps.Clone(d.lastSeen)
 	d.snapshot.Store(next)
--- a/internal/fleet/directory_test.go
+++ b/internal/fleet/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,9 +43,9 @@
 	now := time.Now()
 	d.apply(Change{VM: VM{ID: "back"}}, false)
 	d.apply(Change{VM: VM{ID: "gone"}}, false)
-	d.recordResponse(now.Add(-time.Minute))
+	d.recordResponse(WatchResult{VerifiedAt: now.Add(-time.Minute)})
 	d.outage.failed(now)
-	d.recordResponse(now)
+	d.recordResponse(WatchResult{VerifiedAt: now})
 	d.replaceAll(nil)
 	if len(d.vms) != 2 {
 		t.Fatalf("%d VMs right after the outage", len(d.vms))
@@ -66,8 +67,8 @@
 func TestRemovalWithoutOutage(t *testing.T) {
 	d := newTestDirectory(t)
 	d.apply(Change{VM: VM{ID: "a"}}, false)
-	d.recordResponse(time.Now().Add(-time.Second))
-	d.recordResponse(time.Now())
+	d.recordResponse(WatchResult{VerifiedAt: time.Now().Add(-time.Second)})
+	d.recordResponse(WatchResult{VerifiedAt: time.Now()})
 	d.apply(Change{VM: VM{ID: "a"}, Removed: true}, false)
 	if len(d.vms) != 0 {
 		t.Error("a removed VM is still listed")
@@ -88,15 +89,83 @@
 	}
 }
 
-// TestRelayedRemovalTakesEffectAtOnce checks that a follower doesn't wait again for an entry that is
-// missing after an outage: the node that it follows has already waited for the entry to reappear.
-func TestRelayedRemovalTakesEffectAtOnce(t *testing.T) {
+// TestRelayedRemovalIsNotRetainedTwice guards against a follower that waits again for an entry that is missing after
+// an outage. Its leader passes the removal on at once, with the time until which it waits itself: the follower waits
+// until then at most, and not at all for a removal that comes later.
+func TestRelayedRemovalIsNotRetainedTwice(t *testing.T) {
 	d := newTestDirectory(t)
+	now := time.Now()
 	d.apply(Change{VM: VM{ID: "a"}}, false)
-	d.recordResponse(time.Now().Add(-time.Minute))
-	d.outage.failed(time.Now())
-	d.recordResponse(time.Now())
-	if !d.apply(Change{VM: VM{ID: "a"}, Removed: true}, true) || len(d.vms) != 0 {
-		t.Error("a VM that another node has dropped is retained")
+	d.apply(Change{VM: VM{ID: "b"}}, false)
+	const left = 400 * time.Millisecond
+	d.recordResponse(WatchResult{VerifiedAt: now, Relayed: true, RetainUntil: now.Add(left)})
+	d.apply(Change{VM: VM{ID: "a"}, Removed: true}, true)
+	if len(d.vms) != 2 {
+		t.Error("a VM that the leader retains is dropped")
+	}
+	if d.dropExpired(now.Add(left-time.Millisecond)) || !d.dropExpired(now.Add(left)) || d.vms["a"] != nil {
+		t.Error("a VM is not dropped when its leader drops it")
+	}
+	d.outage.retainUntil = now.Add(-time.Millisecond)
+	d.recordResponse(WatchResult{VerifiedAt: now, Relayed: true})
+	if !d.apply(Change{VM: VM{ID: "b"}, Removed: true}, true) || len(d.vms) != 0 {
+		t.Error("a VM that left after the leader's wait is retained")
+	}
+	d.recordResponse(WatchResult{VerifiedAt: now, Relayed: true, RetainUntil: now.Add(time.Hour)})
+	if d.outage.retains(now.Add(recoveryTime + probeInterval + time.Second)) {
+		t.Error("entries are retained for as long as another node says")
+	}
+}
+
+// TestRetainedEntryIsNotPassedOn guards against other nodes that take an entry which is only retained for one that
+// the store holds: they kept it until they read the full list again.
+func TestRetainedEntryIsNotPassedOn(t *testing.T) {
+	d := newTestDirectory(t)
+	now := time.Now()
+	for _, id := range []string{"stays", "back", "gone"} {
+		d.apply(Change{VM: VM{ID: id}}, false)
+	}
+	d.revision = 5
+	d.publish(now, true)
+	d.outage.retainUntil = now.Add(time.Hour)
+	check := func(step string, retained int, listed, changed []string) {
+		t.Helper()
+		d.revision++
+		d.publish(now, true)
+		if got := len(d.Snapshot().VMs); got != retained {
+			t.Errorf("%s: %d VMs in use", step, got)
+		}
+		w, _, err := d.recent.since(d.revision - 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := idsOf(d.Snapshot().asList().Changes); !slices.Equal(got, listed) || !slices.Equal(idsOf(w.Changes), changed) {
+			t.Errorf("%s: listed %v, changes %v", step, got, idsOf(w.Changes))
+		}
+		if !w.RetainUntil.Equal(d.outage.retainUntil) || !d.Snapshot().asList().RetainUntil.Equal(d.outage.retainUntil) {
+			t.Errorf("%s: others do not learn until when entries are retained", step)
+		}
+	}
+	d.apply(Change{VM: VM{ID: "back"}, Removed: true}, false)
+	d.apply(Change{VM: VM{ID: "gone"}, Removed: true}, false)
+	check("missing", 3, []string{"stays"}, []string{"-back", "-gone"})
+	d.apply(Change{VM: VM{ID: "back"}}, false)
+	check("one is back", 3, []string{"back", "stays"}, []string{"back"})
+	d.outage.retainUntil = now.Add(-time.Second)
+	d.dropExpired(now)
+	check("the other has expired", 2, []string{"back", "stays"}, nil)
+}
+
+// idsOf returns the sorted IDs of changes, with a minus sign before those of removed VMs.
+func idsOf(changes []Change) []string {
+	var out []string
+	for _, c := range changes {
+		id := c.VM.ID
+		if c.Removed {
+			id = "-" + id
+		}
+		out = append(out, id)
 	}
+	slices.Sort(out)
+	return out
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -167,6 +167,10 @@
 	LastSeen map[string]time.Time
 	// Evacuated holds the failure domains to whose VMs no requests may be sent.
 	Evacuated map[string]bool
+	// stored holds the store's entries of those VMs for which VMs has another one, or nil if the store has none.
+	stored map[string]*VM
+	// retainUntil is the time until which missing entries are retained.
+	retainUntil time.Time
 	// entries holds data derived from VMs alone. Snapshots that differ only in VerifiedAt, Revision
 	// and LastSeen share it.
 	entries *entrySet
--- a/internal/fleet/invalid.go
+++ b/internal/fleet/invalid.go
@@ -21,5 +21,8 @@
 		d.invalid[id] = reason
 		d.log.Emit(event.EntryUnreadable).Str("vm", id).Bool("known", d.vms[id] != nil).EmbedObject(platform.LogRevision(c.VM.Revision)).Str("reason", reason).Send()
 	}
+	if d.vms[id] != nil {
+		d.recent.add(Change{VM: VM{ID: id}, Removed: true})
+	}
 	return d.drop(id)
 }
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -43,10 +43,10 @@
 	return updated
 }
 
-// mark replaces the entries of leaving VMs by ones that are draining, and forgets incarnations that have been
-// followed by another. A VM that is not listed is remembered, as its entry may reappear, unless more than half
+// mark replaces the entries of leaving VMs by ones that are draining, adds the replaced ones to stored, and forgets
+// incarnations that have been followed by another. A VM that is not listed is remembered, as its entry may reappear, unless more than half
 // of maxLeaving VMs are remembered.
-func (l *leavingVMs) mark(vms map[string]*VM) {
+func (l *leavingVMs) mark(vms, stored map[string]*VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, born := range l.born {
@@ -61,6 +61,9 @@
 			marked := *vm
 			marked.Draining = true
 			vms[id] = &marked
+			if _, differs := stored[id]; !differs {
+				stored[id] = vm
+			}
 		}
 	}
 }
--- a/internal/fleet/outage.go
+++ b/internal/fleet/outage.go
@@ -59,6 +59,22 @@
 	return sent.Sub(o.lastSuccess)
 }
 
+// extend retains missing entries until the time that another node gives, which may have noticed the end of the
+// outage more exactly. Whatever that node says, they are not retained for longer than after an outage that ends now.
+func (o *outage) extend(now, until time.Time) {
+	until = earlier(until, now.Add(recoveryTime+probeInterval))
+	if until.After(o.retainUntil) {
+		o.retainUntil = until
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // retains reports whether an entry that is missing now is retained, as it may have expired
 // only because of an outage.
 func (o *outage) retains(now time.Time) bool { return now.Before(o.retainUntil) }
--- a/internal/fleet/recent.go
+++ b/internal/fleet/recent.go
@@ -14,7 +14,7 @@
 // worth at the planned size of a failure domain.
 const maxRecentChanges = 4096
 
-// recentChanges holds the latest changes of the list, so that other nodes can follow
+// recentChanges holds the latest changes of the list as the store reports them, so that other nodes can follow
 // the list through this one.
 type recentChanges struct {
 	mu sync.Mutex
@@ -25,6 +25,8 @@
 	floor      uint64
 	revision   uint64
 	verifiedAt time.Time
+	// retainUntil is the time until which this node retains entries that may have expired in an outage.
+	retainUntil time.Time
 	// published is closed and replaced at each publication.
 	published chan struct{}
 }
@@ -64,7 +66,7 @@
 
 // publish makes the pending changes available. If the revision has not increased, they
 // get the next one, so that followers receive them, possibly twice.
-func (r *recentChanges) publish(revision uint64, verifiedAt time.Time) {
+func (r *recentChanges) publish(revision uint64, verifiedAt, retainUntil time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	assigned := max(revision, r.revision+1)
@@ -76,7 +78,7 @@
 		r.floor = r.changes[excess-1].revision
 		r.changes = append([]revisedChange(nil), r.changes[excess:]...)
 	}
-	r.revision, r.verifiedAt = revision, verifiedAt
+	r.revision, r.verifiedAt, r.retainUntil = revision, verifiedAt, retainUntil
 	close(r.published)
 	r.published = make(chan struct{})
 }
@@ -93,7 +95,7 @@
 	if revision < r.floor {
 		return WatchResult{}, nil, platform.ErrCompacted
 	}
-	w := WatchResult{Revision: r.revision, VerifiedAt: r.verifiedAt, Relayed: true}
+	w := WatchResult{Revision: r.revision, VerifiedAt: r.verifiedAt, RetainUntil: r.retainUntil, Relayed: true}
 	for _, c := range r.changes {
 		if c.revision > revision {
 			w.Changes = append(w.Changes, c.Change)
@@ -158,11 +160,18 @@
 	return r.published
 }
 
-// asList returns all entries of the snapshot as a list for another node.
+// asList returns the entries that the store holds, as far as this node knows, as a list for another node. What this
+// node adds to them, it leaves to the other node to decide: under the list's revision, that node would take an entry
+// which is only retained for one of the store, and nobody would correct it.
 func (s *Snapshot) asList() WatchResult {
-	w := WatchResult{Revision: s.Revision, VerifiedAt: s.VerifiedAt, Relayed: true, Changes: make([]Change, 0, len(s.VMs))}
-	for _, vm := range s.VMs {
-		w.Changes = append(w.Changes, Change{VM: *vm})
+	w := WatchResult{Revision: s.Revision, VerifiedAt: s.VerifiedAt, RetainUntil: s.retainUntil, Relayed: true, Changes: make([]Change, 0, len(s.VMs))}
+	for id, vm := range s.VMs {
+		if stored, differs := s.stored[id]; differs {
+			vm = stored
+		}
+		if vm != nil {
+			w.Changes = append(w.Changes, Change{VM: *vm})
+		}
 	}
 	return w
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -19,6 +19,8 @@
 	// ErrUnavailable means that a read failed, or that a write was refused or
 	// never sent and so had no effect.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrNoCall marks ErrUnavailable if the platform was not called: nothing is known of it then.
+	ErrNoCall = errors.New("the platform was not called")
 	// ErrCompacted means that the store has discarded the changes since the
 	// revision, or was restored from an older copy; the reader must list again.
 	ErrCompacted = errors.New("revision compacted")
