A store that comes back from an older copy undoes nothing that was in force

Cause: the list of the restored store was taken at its word, although VMs and operators need some two seconds to write again what they wrote since the copy.

Change: for that time (as long as entries may lapse after an outage) missing entries are retained, an entry that the copy has in an older version than the one known is left aside, and so is one of a VM that left within 30 s; a VM that was draining stays draining; an evacuation that the copy lacks stays in force. Then the store's word holds. Other nodes get the store's entries and decide for themselves; the time until when comes from the reader that they follow, which knows the moment of the return more exactly, and replaces their own guess. A follower does not drop before its reader has read at the end. What the nodes wrote: a record that is missing is written again by its node, if that started within two minutes, spread over 2 s; any other missing one within a minute. The quarantine is stored again by those who read the store. 3008 and 4036 tell of it; the list's era is in the node's view.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -127,6 +127,8 @@
 	// recordsAt is when the nodes' records were first read while this node's own was among them;
 	// nil before that.
 	recordsAt atomic.Pointer[time.Time]
+	// restored holds a value when the store was restored and this node's record must be checked.
+	restored chan struct{}
 
 	mu    sync.Mutex
 	known map[string]*peer
@@ -187,6 +189,7 @@
 		aggregates:   make(map[string]receivedState),
 		exchangers:   make(map[string]*exchanger),
 		sharingCache: make(map[string]cachedSharing),
+		restored:     make(chan struct{}, 1),
 		topology:     topology{self: c.Self},
 	}
 }
--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -38,6 +38,11 @@
 	// readInterval is the time between later readings. New nodes call the others themselves, so a
 	// slow pace is enough.
 	readInterval = time.Minute
+	// maxCopyAge bounds how old a copy from which the platform's store is restored may be: a node that has run for
+	// longer finds its record in the copy.
+	maxCopyAge = 2 * time.Minute
+	// checkSpread is the time over which nodes spread the check of their records after a restore.
+	checkSpread = 2 * time.Second
 	// readRetryPause is the pause after a failed reading.
 	readRetryPause = 500 * time.Millisecond
 )
@@ -113,15 +118,57 @@
 	return pause
 }
 
-// refreshLoop reads the records of nodes that were added since.
+// refreshLoop reads the records of nodes that were added since, and writes this node's own again if it is missing.
 func (c *Cluster) refreshLoop() {
-	pause := secondReadDelay
-	for wait.Sleep(c.ctx, pause) {
-		pause = readInterval
-		if _, err := c.readNodes(c.store.ListCached); err != nil {
-			c.logUnreadRecords(err)
-			pause = readRetryPause
+	startedAt := clock.Now()
+	timer := time.NewTimer(secondReadDelay)
+	defer timer.Stop()
+	for {
+		pause := readInterval
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-c.restored:
+			if clock.Since(startedAt) > maxCopyAge {
+				continue
+			}
+			wait.Sleep(c.ctx, rand.N(checkSpread))
+			pause = c.restoreRecord(c.registered)
+		case <-timer.C:
+			pause = c.restoreRecord(func() (bool, error) { return c.readNodes(c.store.ListCached) })
 		}
+		timer.Reset(pause)
+	}
+}
+
+// restoreRecord writes this node's record again if it is not found. It returns the pause until the next reading.
+func (c *Cluster) restoreRecord(find func() (bool, error)) time.Duration {
+	found, err := find()
+	if err == nil && !found {
+		err = c.register()
+	}
+	if err != nil {
+		c.logUnreadRecords(err)
+		return readRetryPause
+	}
+	return readInterval
+}
+
+// registered reports whether this node's record is in the store.
+func (c *Cluster) registered() (bool, error) {
+	_, err := c.store.Get(c.ctx, nodesPrefix+c.config.Self.ID)
+	if errors.Is(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// CheckRecord makes this node check whether its record is still in the store, which was restored from an older copy.
+// Only a node that was started recently does: the record of another one is in the copy.
+func (c *Cluster) CheckRecord() {
+	select {
+	case c.restored <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/cluster/records_test.go
+++ b/internal/cluster/records_test.go
@@ -157,3 +157,59 @@
 		again.stop()
 	})
 }
+
+// restoredStore is a store whose copy lacks the newest records.
+type restoredStore struct{ *countingStore }
+
+// Get implements platform.ObjectStore.
+func (s restoredStore) Get(_ context.Context, key string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	for _, o := range s.objects {
+		if o.Key == key {
+			return o, nil
+		}
+	}
+	return platform.Object{}, platform.ErrNotFound
+}
+
+// TestRecordsLostByARestoreAreWrittenAgain guards against nodes that nobody finds because their records were written in
+// the seconds that a restore of the store took back. Each of these nodes writes its own, spread over some time; nodes
+// that have run for longer make no call.
+func TestRecordsLostByARestoreAreWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newNodes(t, 0)
+		store := &countingStore{recordsPerPage: 500}
+		const before, recent = 40, 60
+		start := func(from, to int) {
+			for i := from; i < to; i++ {
+				begin := addStoreNode(f, store, i)
+				n := f.node(fmt.Sprintf("n%03d", i))
+				n.store = restoredStore{store}
+				begin()
+			}
+		}
+		start(0, before)
+		time.Sleep(maxCopyAge + time.Second)
+		start(before, before+recent)
+		time.Sleep(10 * time.Second)
+		store.mu.Lock()
+		store.objects, store.written = store.objects[:before], store.written[:before]
+		reads, writes := store.reads, store.writes
+		store.mu.Unlock()
+		for _, n := range f.nodes {
+			n.CheckRecord()
+		}
+		time.Sleep(checkSpread + time.Second)
+		store.mu.Lock()
+		if len(store.objects) != before+recent || store.writes-writes != recent || store.reads-reads != recent {
+			t.Errorf("%d records, %d written and %d read", len(store.objects), store.writes-writes, store.reads-reads)
+		}
+		if rate := float64(recent) / checkSpread.Seconds(); store.maxWritesPerSecond() > 20*rate {
+			t.Errorf("%.0f writes a second", store.maxWritesPerSecond())
+		}
+		store.mu.Unlock()
+		f.stop()
+	})
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -58,7 +58,7 @@
 	store.OnCall(func(verb, kind string) { b.metrics.Count("platform.calls."+verb+"."+kind, 1) })
 	store.OnRestore(func(era uint64) {
 		b.metrics.Set("platform.era", int64(era))
-		b.log.Emit(event.StoreRestored).Uint64("era", era).Send()
+		b.log.Emit(event.StoreRestored).Str("of", "store").Uint64("era", era).Send()
 	})
 	var server *gateway.Server
 	var groupDirector *director.Director
@@ -134,6 +134,7 @@
 	catalogCache.OnChange(server.Rebuild)
 	catalogCache.OnReconnect(archive.Refresh)
 	directory.OnChange(func(*fleet.Snapshot) { server.Rebuild() })
+	directory.OnRestore(nodes.CheckRecord)
 	directory.OnChange(groupDirector.Refresh)
 	adminServer := admin.New(s.Gateway.Admin, b.metrics, gateway.ServerName, s.Debug.Pprof)
 	adminServer.HandleGet(inspect.Path, inspect.Handler(inspect.Sources{
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -148,6 +148,8 @@
 		"None."}
 	LeaderOutdated = Event{4035, zerolog.InfoLevel, "the reader that this node follows has an older list than this node",
 		"See 3008 at both nodes. If it lasts, restart the leader."}
+	EntryOutdated = Event{4036, zerolog.InfoLevel, "a restored store has an older version of an upstream VM's entry than this node; the newer one stays in force until the VM has had time to write it again",
+		"None."}
 )
 
 // Events of requests.
@@ -224,7 +226,7 @@
 	UpstreamAdded, UpstreamDraining, UpstreamRemoved, MembershipChanged, OrderSent,
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
 	DirectorRoleAcquired, DirectorRoleReleased, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceQueried, ListRead, UnverifiedStateAdopted,
-	EvacuationStarted, EvacuationEnded, LeaderOutdated,
+	EvacuationStarted, EvacuationEnded, LeaderOutdated, EntryOutdated,
 	RequestDone, RequestRefused, RequestFailed, InvalidInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerDisconnected, RetryRefused, UpstreamTerminated, RequestQuarantined,
 	SuspectsReceived, QuarantineUnavailable, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamBackoff, UpstreamLeaving, UpstreamWarming, CallerSlow,
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -171,8 +171,10 @@
 // watched decodes another node's response; known is the revision of this node's list.
 func watched(response *marbleroadv1.FollowFleetResponse, verifiedAt time.Time, known uint64) fleet.WatchResult {
 	revision := func(number uint64) uint64 { return receivedRevision(response.Era, number, known) }
-	out := fleet.WatchResult{Revision: revision(response.GetRevision()), VerifiedAt: verifiedAt, Relayed: true,
-		RetainUntil: clock.Now().Add(milliseconds(response.GetRetainMs()))}
+	out := fleet.WatchResult{Revision: revision(response.GetRevision()), VerifiedAt: verifiedAt, Relayed: true}
+	if response.RetainMs != nil {
+		out.RetainUntil = clock.Now().Add(milliseconds(response.GetRetainMs()))
+	}
 	for _, c := range response.GetChanges() {
 		change := decodeChange(c)
 		change.VM.Revision = revision(change.VM.Revision)
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -39,8 +39,8 @@
 		return nil, err
 	}
 	era, number := sentRevision(w.Revision)
-	out := &marbleroadv1.FollowFleetResponse{Revision: number, Era: era, ProvenAfterMs: verifiedAfterMS(arrived, w.VerifiedAt),
-		RetainMs: uint32(max(clock.Until(w.RetainUntil), 0).Milliseconds())}
+	retainMS := uint32(retainFor(w.RetainUntil).Milliseconds())
+	out := &marbleroadv1.FollowFleetResponse{Revision: number, Era: era, ProvenAfterMs: verifiedAfterMS(arrived, w.VerifiedAt), RetainMs: &retainMS}
 	if e, known := s.Directory.Evacuations(); known {
 		out.Evacuations = &marbleroadv1.Evacuations{FailureDomains: e.Domains, Revision: sentEntryRevision(e.Revision, *era)}
 	}
@@ -50,6 +50,18 @@
 	return connect.NewResponse(out), nil
 }
 
+// minRetain is how long a follower retains missing entries at least until this node has read the platform at the end of
+// its own time for that: entries may have come back just before.
+const minRetain = 25 * time.Millisecond
+
+// retainFor returns how much longer followers retain missing entries; retainUntil is zero once this node does not.
+func retainFor(retainUntil time.Time) time.Duration {
+	if retainUntil.IsZero() {
+		return 0
+	}
+	return max(clock.Until(retainUntil), minRetain)
+}
+
 // awaitChanges waits for changes after the follower's revision. A follower at revision 0 gets the full list.
 func (s *Server) awaitChanges(ctx context.Context, r *marbleroadv1.FollowFleetRequest) (fleet.WatchResult, error) {
 	limit := min(milliseconds(r.GetWaitMs()), maxFollowWait)
--- a/internal/feed/virtual_test.go
+++ b/internal/feed/virtual_test.go
@@ -349,3 +349,59 @@
 		f.checkGone(t, start, "vm-07", left, gapTo)
 	})
 }
+
+// TestRestoredStoreUndoesNothing guards against a store that comes back from an older copy, at the moment and until all
+// VMs have written their entries again: a VM that left or is leaving gets no requests, one that came in the lost seconds
+// stays in use, and one that leaves at a revision that was given out before is noticed in time.
+func TestRestoredStoreUndoesNothing(t *testing.T) {
+	const lostFrom, downFrom = 500 * time.Millisecond, 2500 * time.Millisecond
+	for _, n := range []int{8, 80, 300} {
+		for _, outage := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
+			for _, notice := range []bool{true, false} {
+				if n == 300 && outage != 1500*time.Millisecond {
+					continue
+				}
+				t.Run(fmt.Sprintf("%d nodes, away for %s, notice %t", n, outage, notice), func(t *testing.T) {
+					s := storeOfPlainVMs()
+					restored := downFrom + outage
+					left := restored + 600*time.Millisecond
+					runVirtual(t, n, s, func(t *testing.T, f *virtualFleet) {
+						start := time.Now()
+						copied := len(s.changes)
+						at(start, lostFrom, func() { s.leave(7, true); s.leave(8, false); s.put(plainVM(20)) })
+						at(start, downFrom, func() { s.update(func() { s.down = true }) })
+						at(start, restored, func() { s.restore(copied); s.update(func() { s.down = false }) })
+						for step := time.Duration(0); step < 6*time.Second; step += 100 * time.Millisecond {
+							at(start, restored+step, func() {
+								f.checkUse(t, step, "vm-07", 0)
+								f.checkUse(t, step, "vm-08", 0)
+								f.checkUse(t, step, "vm-20", n)
+								f.checkUse(t, step, "vm-03", n)
+							})
+							switch step {
+							case 600 * time.Millisecond:
+								s.leave(9, notice)
+							case 1200 * time.Millisecond:
+								s.leave(7, true)
+								s.leave(8, false)
+							case 1800 * time.Millisecond:
+								s.put(plainVM(20))
+							}
+							if at := restored + step; at >= max(left+drainBound, restored+connectedAfter) {
+								f.checkUse(t, step, "vm-09", 0)
+							}
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// checkUse reports the VM unless that many nodes send requests to it.
+func (f *virtualFleet) checkUse(t *testing.T, sinceRestore time.Duration, id string, want int) {
+	t.Helper()
+	if got := f.serving(id); got != want {
+		t.Errorf("%s after the restore, %d of %d nodes send requests to %s, want %d", sinceRestore, got, len(f.nodes), id, want)
+	}
+}
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -47,6 +47,8 @@
 	snapshot atomic.Pointer[Snapshot]
 	recent   *recentChanges
 	onChange []func(*Snapshot)
+	// onRestore are called when the list shows a restore of the store.
+	onRestore []func()
 
 	// leaving holds the VMs that have themselves announced that they leave.
 	leaving leavingVMs
@@ -66,6 +68,11 @@
 	// missing holds VMs whose entry was missing after an outage and may reappear.
 	missing map[string]bool
 	outage  outage
+	// outdated holds the entries that a restored store lists in an older version than the one known here. The known
+	// version, or removal, stays in force until the entry is written again or the time to retain missing ones is over.
+	outdated map[string]*VM
+	// removals holds the VMs that left recently.
+	removals removals
 	// lastSeen is when each VM last renewed or changed its entry.
 	lastSeen map[string]time.Time
 	// revisions maps VMs to the revisions of their newest entries, including heartbeats.
@@ -97,6 +104,9 @@
 		revisions: make(map[string]uint64),
 		invalid:   make(map[string]string),
 
+		outdated: make(map[string]*VM),
+		removals: make(removals),
+
 		recent:  newRecentChanges(),
 		backoff: wait.Backoff{Min: retryPause, Max: maxRetryPause},
 	}
@@ -145,9 +155,11 @@
 			continue
 		}
 		d.backoff.Reset()
-		changed = d.dropExpired(clock.Now()) || changed
+		changed = d.applyExpired(clock.Now()) || changed
 		changed = d.leaving.takeUpdate() || changed
-		changed = d.evacuated.takeUpdate() || changed
+		evacuationsChanged, ended := d.evacuated.takeUpdate(clock.Now())
+		d.logEvacuationsEnded(ended, d.revision)
+		changed = evacuationsChanged || changed
 		d.publish(verifiedAt, changed)
 		wait.Sleep(ctx, d.capAtExpiry(d.debounce()))
 	}
@@ -163,6 +175,9 @@
 		}
 		d.recordResponse(w)
 		d.adoptEvacuations(w.Evacuations)
+		if d.revision != 0 && isLaterEra(w.Revision, d.revision) {
+			d.noteRestore(clock.Now(), &w)
+		}
 		d.revision, d.listed = w.Revision, true
 		d.replaceAll(w.Changes)
 		d.recent.restart(w.Revision)
@@ -197,9 +212,10 @@
 	return d.capAtExpiry(d.maxWait)
 }
 
-// capAtExpiry shortens a wait so that it ends when missing VMs are to be dropped.
+// capAtExpiry shortens a wait so that it ends when missing VMs are to be dropped or outdated entries put in force. A
+// node without any does so for its followers, which may have some and wait for what it reads then.
 func (d *Directory) capAtExpiry(limit time.Duration) time.Duration {
-	if len(d.missing) == 0 {
+	if len(d.missing)+len(d.outdated) == 0 && !d.outage.retains(clock.Now()) {
 		return limit
 	}
 	return min(limit, max(clock.Until(d.outage.retainUntil), 0))
@@ -211,13 +227,16 @@
 	d.initialList = len(d.vms) == 0
 	defer func() { d.initialList = false }()
 	seen := make(map[string]bool, len(entries))
+	now := clock.Now()
 	for i := range entries {
 		seen[entries[i].VM.ID] = true
 		if entries[i].Err != nil {
 			d.reject(&entries[i])
 			continue
 		}
-		d.put(&entries[i].VM)
+		if !d.defersEntry(now, &entries[i].VM) {
+			d.put(&entries[i].VM)
+		}
 	}
 	for id := range d.vms {
 		if !seen[id] {
@@ -245,7 +264,11 @@
 	if !relayed {
 		d.lastSeen[vm.ID] = clock.Now()
 	}
-	return d.put(&vm)
+	if !d.put(&vm) {
+		return false
+	}
+	d.recent.add(Change{VM: vm})
+	return true
 }
 
 // isOlder reports whether an entry is older than the newest one received for the VM. A
@@ -263,6 +286,7 @@
 	retained := d.missing[vm.ID]
 	delete(d.missing, vm.ID)
 	delete(d.invalid, vm.ID)
+	delete(d.outdated, vm.ID)
 	d.revisions[vm.ID] = vm.Revision
 	old := d.vms[vm.ID]
 	warming := vm.setWarmUntil(clock.Now(), old)
@@ -270,7 +294,6 @@
 		return false
 	}
 	d.vms[vm.ID] = vm
-	d.recent.add(Change{VM: *vm})
 	switch {
 	case d.initialList:
 	case old == nil:
@@ -294,6 +317,12 @@
 func (d *Directory) remove(id string) bool {
 	vm := d.vms[id]
 	now := clock.Now()
+	outdated := d.outdated[id]
+	delete(d.outdated, id)
+	if vm == nil && outdated != nil {
+		d.recent.add(Change{VM: VM{ID: id}, Removed: true})
+		return true
+	}
 	if vm == nil || d.missing[id] {
 		return false
 	}
@@ -317,25 +346,23 @@
 	delete(d.missing, id)
 	delete(d.lastSeen, id)
 	delete(d.revisions, id)
+	d.removals.record(clock.Now(), id, d.revision)
 	d.log.Emit(event.UpstreamRemoved).Str("vm", id).Str("group", vm.Group).EmbedObject(platform.LogRevision(d.revision)).Send()
 	return true
 }
 
-// dropExpired drops VMs that are still missing when the time to reappear is over. It
-// reports whether it dropped any.
-func (d *Directory) dropExpired(now time.Time) bool {
-	if len(d.missing) == 0 || d.outage.retains(now) {
-		return false
-	}
+// dropMissing drops the VMs that are missing. It reports whether it dropped any.
+func (d *Directory) dropMissing() bool {
+	dropped := len(d.missing) > 0
 	for id := range d.missing {
 		d.drop(id)
 	}
-	return true
+	return dropped
 }
 
-// publishExpired drops expired VMs while calls fail.
+// publishExpired publishes what applyExpired changes while calls fail.
 func (d *Directory) publishExpired() {
-	if s := d.Snapshot(); s != nil && d.dropExpired(clock.Now()) {
+	if s := d.Snapshot(); s != nil && d.applyExpired(clock.Now()) {
 		d.publish(s.VerifiedAt, true)
 	}
 }
@@ -349,8 +376,8 @@
 			Int64("waited_ms", clock.Since(verifiedAt).Milliseconds()).Send()
 	}
 	d.outage.succeeded(verifiedAt, d.maxWait)
-	if w.Relayed {
-		d.outage.extend(clock.Now(), w.RetainUntil)
+	if !w.RetainUntil.IsZero() {
+		d.outage.adopt(clock.Now(), w.RetainUntil)
 	}
 }
 
@@ -391,10 +418,7 @@
 	for id, vm := range d.vms {
 		vms[id] = vm
 	}
-	stored := make(map[string]*VM)
-	for id := range d.missing {
-		stored[id] = nil
-	}
+	stored := d.storedEntries()
 	d.leaving.mark(vms, stored)
 	next := NewSnapshot(vms, d.revision, verifiedAt)
 	next.stored, next.retainUntil = stored, d.outage.retainUntil
--- a/internal/fleet/directory_test.go
+++ b/internal/fleet/directory_test.go
@@ -51,10 +51,10 @@
 		t.Fatalf("%d VMs right after the outage", len(d.vms))
 	}
 	d.apply(Change{VM: VM{ID: "back"}}, false)
-	if d.dropExpired(now.Add(recoveryTime)) {
+	if d.applyExpired(now.Add(recoveryTime)) {
 		t.Error("a VM was dropped early")
 	}
-	if !d.dropExpired(now.Add(recoveryTime + probeInterval)) {
+	if !d.applyExpired(now.Add(recoveryTime + probeInterval)) {
 		t.Error("no VM was dropped")
 	}
 	if d.vms["back"] == nil || d.vms["gone"] != nil {
@@ -103,7 +103,7 @@
 	if len(d.vms) != 2 {
 		t.Error("a VM that the leader retains is dropped")
 	}
-	if d.dropExpired(now.Add(left-time.Millisecond)) || !d.dropExpired(now.Add(left)) || d.vms["a"] != nil {
+	if d.applyExpired(now.Add(left-time.Millisecond)) || !d.applyExpired(now.Add(left)) || d.vms["a"] != nil {
 		t.Error("a VM is not dropped when its leader drops it")
 	}
 	d.outage.retainUntil = now.Add(-time.Millisecond)
@@ -152,7 +152,7 @@
 	d.apply(Change{VM: VM{ID: "back"}}, false)
 	check("one is back", 3, []string{"back", "stays"}, []string{"back"})
 	d.outage.retainUntil = now.Add(-time.Second)
-	d.dropExpired(now)
+	d.applyExpired(now)
 	check("the other has expired", 2, []string{"back", "stays"}, nil)
 }
 
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -58,26 +58,35 @@
 	adoptedAt time.Time
 	// updated is true if the domains have changed since the last call of takeUpdate.
 	updated bool
+	// retained are domains that a store which was restored from an older copy does not show as evacuated. They stay
+	// evacuated until retainUntil, by when operators have written their evacuations again.
+	retained    []string
+	retainUntil time.Time
 }
 
-// takeUpdate reports whether the domains have changed since its last call.
-func (e *evacuatedDomains) takeUpdate() bool {
+// takeUpdate reports whether the domains have changed since its last call, and returns those whose evacuation has
+// ended since because it was not written again after a restore of the store.
+func (e *evacuatedDomains) takeUpdate(now time.Time) (updated bool, ended []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	updated := e.updated
+	if len(e.retained) > 0 && !now.Before(e.retainUntil) {
+		ended, e.retained = e.retained, nil
+		e.updated = true
+	}
+	updated = e.updated
 	e.updated = false
-	return updated
+	return updated, ended
 }
 
 // domains returns the evacuated failure domains; nil if there are none.
 func (e *evacuatedDomains) domains() map[string]bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.Domains) == 0 {
+	if len(e.Domains)+len(e.retained) == 0 {
 		return nil
 	}
-	out := make(map[string]bool, len(e.Domains))
-	for _, domain := range e.Domains {
+	out := make(map[string]bool, len(e.Domains)+len(e.retained))
+	for _, domain := range slices.Concat(e.Domains, e.retained) {
 		out[domain] = true
 	}
 	return out
@@ -92,16 +101,22 @@
 	if e.known && next.Revision < e.Revision {
 		return nil, nil
 	}
+	before := slices.Concat(e.Domains, e.retained)
 	for _, domain := range next.Domains {
-		if !slices.Contains(e.Domains, domain) {
+		if !slices.Contains(before, domain) {
 			started = append(started, domain)
 		}
 	}
+	e.retained = slices.DeleteFunc(e.retained, func(domain string) bool { return slices.Contains(next.Domains, domain) })
 	for _, domain := range e.Domains {
 		if !slices.Contains(next.Domains, domain) {
 			ended = append(ended, domain)
 		}
 	}
+	if e.known && isLaterEra(next.Revision, e.Revision) {
+		e.retained, ended = append(e.retained, ended...), nil
+		e.retainUntil = now.Add(recoveryTime)
+	}
 	e.Evacuations, e.known = next, true
 	e.updated = e.updated || len(started)+len(ended) > 0
 	return started, ended
@@ -128,8 +143,12 @@
 	for _, domain := range started {
 		d.log.Emit(event.EvacuationStarted).Str("failure_domain", domain).EmbedObject(platform.LogRevision(next.Revision)).Send()
 	}
-	for _, domain := range ended {
-		d.log.Emit(event.EvacuationEnded).Str("failure_domain", domain).EmbedObject(platform.LogRevision(next.Revision)).Send()
+	d.logEvacuationsEnded(ended, next.Revision)
+}
+
+func (d *Directory) logEvacuationsEnded(domains []string, revision uint64) {
+	for _, domain := range domains {
+		d.log.Emit(event.EvacuationEnded).Str("failure_domain", domain).EmbedObject(platform.LogRevision(revision)).Send()
 	}
 }
 
--- a/internal/fleet/outage.go
+++ b/internal/fleet/outage.go
@@ -30,7 +30,7 @@
 	// failedAt is when the latest failed call was sent; zero after a successful one. The
 	// platform became reachable again later than that.
 	failedAt time.Time
-	// retainUntil is the time until which missing entries are retained.
+	// retainUntil is the time until which missing entries are retained; zero once they were dropped.
 	retainUntil time.Time
 }
 
@@ -59,15 +59,25 @@
 	return sent.Sub(o.lastSuccess)
 }
 
-// extend retains missing entries until the time that another node gives, which may have noticed the end of the
-// outage more exactly. Whatever that node says, they are not retained for longer than after an outage that ends now.
-func (o *outage) extend(now, until time.Time) {
-	until = earlier(until, now.Add(recoveryTime+probeInterval))
-	if until.After(o.retainUntil) {
+// restored records that a call has shown a restore of the store from an older copy. The VMs write their entries again
+// as after an outage.
+func (o *outage) restored(now time.Time) {
+	if until := now.Add(recoveryTime); until.After(o.retainUntil) {
 		o.retainUntil = until
 	}
 }
 
+// adopt retains missing entries until the time that a reader of the platform gives. It calls the platform more often
+// than this node, so it knows more exactly whether there was an outage, and when that ended. Whatever it says, entries
+// are not retained for longer than after an outage that ends now.
+func (o *outage) adopt(now, until time.Time) {
+	if !until.After(now) {
+		o.retainUntil = time.Time{}
+		return
+	}
+	o.retainUntil = earlier(until, now.Add(recoveryTime+probeInterval))
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/fleet/recent.go
+++ b/internal/fleet/recent.go
@@ -173,5 +173,10 @@
 			w.Changes = append(w.Changes, Change{VM: *vm})
 		}
 	}
+	for id, vm := range s.stored {
+		if vm != nil && s.VMs[id] == nil {
+			w.Changes = append(w.Changes, Change{VM: *vm})
+		}
+	}
 	return w
 }
--- a/internal/fleet/source.go
+++ b/internal/fleet/source.go
@@ -35,7 +35,7 @@
 	// Relayed is true if another node responded; heartbeats are then not included.
 	Relayed bool
 	// RetainUntil is the time until which another node that responded retains entries that may have expired in an
-	// outage. The changes show what the store holds: they contain the removal of these entries.
+	// outage; zero if it did not say. The changes show what the store holds: they contain the removal of these entries.
 	RetainUntil time.Time
 	// Evacuations are the evacuated failure domains; nil if they were not read.
 	Evacuations *Evacuations
--- a/internal/quarantine/archive.go
+++ b/internal/quarantine/archive.go
@@ -130,6 +130,10 @@
 			wait.Sleep(ctx, backoff.Next())
 			continue
 		}
+		if !known && len(objects) == 0 {
+			// The store may have been restored from a copy without the object.
+			a.storedDigest.Store(0)
+		}
 		firstRead, known, revision, a.readFailed = false, !firstRead, next, false
 		backoff.Reset()
 		for _, o := range objects {
--- a/internal/quarantine/archive_test.go
+++ b/internal/quarantine/archive_test.go
@@ -23,6 +23,8 @@
 	// unreachable makes every call fail, loseResponse makes the next write take effect without a
 	// response, and stalled makes watches wait without returning anything.
 	unreachable, loseResponse, stalled bool
+	// restored makes the next watch fail because the store was restored from an older copy.
+	restored bool
 	// calls counts the calls, and cachedCalls those that are answered from the cache for a tenth of the price.
 	calls, cachedCalls int
 }
@@ -78,8 +80,12 @@
 func (m *memoryStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Object, uint64, error) {
 	m.mu.Lock()
 	m.calls++
-	o, changed, unreachable, stalled := m.object, m.changed, m.unreachable, m.stalled
+	o, changed, unreachable, stalled, restored := m.object, m.changed, m.unreachable, m.stalled, m.restored
+	m.restored = false
 	m.mu.Unlock()
+	if restored {
+		return nil, 0, platform.ErrCompacted
+	}
 	if unreachable {
 		return nil, 0, platform.ErrUnavailable
 	}
@@ -269,3 +275,28 @@
 		}
 	})
 }
+
+// TestQuarantineLostByARestoreIsStoredAgain guards against a quarantine that only processes know, because the store was
+// restored from a copy without it: it would end with a restart of all nodes.
+func TestQuarantineLostByARestoreIsStoredAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		first := startNode(t, m, true)
+		time.Sleep(time.Second)
+		first.terminate(1, 2, 3)
+		time.Sleep(5 * time.Second)
+		m.set(func(m *memoryStore) {
+			m.object, m.restored = platform.Object{}, true
+			close(m.changed)
+			m.changed = make(chan struct{})
+		})
+		time.Sleep(5 * time.Second)
+		first.stop(t)
+		second := startNode(t, m, true)
+		defer second.stop(t)
+		time.Sleep(time.Second)
+		if v := second.Verdict(time.Now(), 9); v.Quarantined == 0 {
+			t.Errorf("in a node that started after the restore: %+v", v)
+		}
+	})
+}
--- a/test/soak/evacuation.go
+++ b/test/soak/evacuation.go
@@ -36,7 +36,7 @@
 // evacuate evacuates a failure domain for the fault's duration. Its model VMs are cold at the end.
 func (tb *testbed) evacuate(f Fault) {
 	domain := tb.failureDomain(f.Target)
-	tb.store.Put("evacuations", domain, map[string]any{})
+	tb.setEvacuated(domain, 1)
 	from := time.Now()
 	time.Sleep(f.For)
 	e := evacuation{vms: make(map[string]bool), from: from}
@@ -48,7 +48,7 @@
 		tb.warmUp(u, false)
 	}
 	e.to = time.Now()
-	tb.store.Delete("evacuations", domain)
+	tb.setEvacuated(domain, -1)
 	tb.history.recordEvacuation(e)
 }
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -49,6 +49,8 @@
 		tb.store.DropHistory()
 	case StoreLosesResponses:
 		tb.store.LoseResponses(3)
+	case StoreRestored:
+		tb.applyFor(f, everyNode, func() { tb.adjustStoreOutages(1) }, func() { tb.restoreStore(f); tb.adjustStoreOutages(-1) })
 	case NodePartitionedFromStore:
 		applyToLink(n.storeLink, faultproxy.Freeze, n.number)
 	case NodeOneWayFromStore:
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -26,6 +26,7 @@
 	StoreSlow                   Kind = "store-slow"
 	StoreForgets                Kind = "store-forgets"
 	StoreLosesResponses         Kind = "store-loses-answers"
+	StoreRestored               Kind = "store-restored"
 	NodePartitionedFromStore    Kind = "node-cut-from-store"
 	NodeOneWayFromStore         Kind = "node-hears-nothing-of-store"
 	NodeStoreConnectionsSilent  Kind = "node-connections-silent"
@@ -151,6 +152,7 @@
 	}
 	out = append(out, finalFaults(random, length)...)
 	out = append(out, evacuations(random, length)...)
+	out = append(out, restores(random, length)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
@@ -217,6 +219,18 @@
 	}
 }
 
+// restores returns a restore of the store among the drawn faults, and one after the final faults, after which an
+// upstream leaves when the nodes count as connected again.
+func restores(random *rand.Rand, length time.Duration) []Fault {
+	const afterEvacuation = 38 * time.Second
+	last := Fault{length + recoveryTime + afterEvacuation, StoreRestored, random.IntN(64), randomDuration(random, 200*time.Millisecond, 2*time.Second)}
+	return []Fault{
+		{randomDuration(random, 0, length), StoreRestored, random.IntN(64), randomDuration(random, 200*time.Millisecond, 2*time.Second)},
+		last,
+		{last.At + last.For + reconnectTime + 100*time.Millisecond, UpstreamLeaves, random.IntN(64), 5 * time.Second},
+	}
+}
+
 func drawFault(random *rand.Rand, at time.Duration) Fault { return drawFaultOf(random, at, faultSpecs) }
 
 // drawFaultOf draws a fault by the weights of the specs.
@@ -275,7 +289,7 @@
 		return f, err
 	}
 	f.Kind = Kind(kind)
-	if f.Kind != DomainEvacuated && !slices.ContainsFunc(faultSpecs, func(s faultSpec) bool { return s.kind == f.Kind }) {
+	if f.Kind != DomainEvacuated && f.Kind != StoreRestored && !slices.ContainsFunc(faultSpecs, func(s faultSpec) bool { return s.kind == f.Kind }) {
 		return f, errors.Newf("unknown kind %q", kind)
 	}
 	return f, nil
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -90,6 +90,8 @@
 	routes        []int
 	keys          []string
 	revoked       []string
+	// evacuated counts the active evacuations by failure domain.
+	evacuated map[string]int
 	// storeOutages counts the active faults that make the store refuse all requests.
 	storeOutages int
 	stopped      chan struct{}
@@ -152,7 +154,7 @@
 // newTestbed starts the stand-ins, proxies and nodes and waits until all nodes are ready.
 func newTestbed(c config, dir string) (*testbed, error) {
 	tb := &testbed{config: c, subnet: 20 + os.Getpid()%200, dir: dir, history: &history{}, store: objectstore.New(),
-		upstreamsByID: make(map[string]*upstream), stopped: make(chan struct{})}
+		upstreamsByID: make(map[string]*upstream), evacuated: make(map[string]int), stopped: make(chan struct{})}
 	if _, err := tb.serve(tb.addr(roleStore, 0, storePort), tb.store); err != nil {
 		return tb, err
 	}
--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -257,6 +257,17 @@
 	v.store.Delete("servers", v.config.ID)
 }
 
+// RewriteEntry writes the VM's entry again, or removes it again, after the store was restored from an older copy.
+func (v *VM) RewriteEntry() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.entryDeleted {
+		v.store.Delete("servers", v.config.ID)
+		return
+	}
+	v.publish()
+}
+
 // State returns the VM's state in its group: joining, ready, open or broken. It is empty if the VM is in no group.
 func (v *VM) State() string {
 	v.mu.Lock()
