Leaving upstreams: a round in which a request is refused shows nothing; failures name the statuses

Its old log holds twenty lines a process and cannot tell its hypotheses apart: that the first quiet round was one in which the entries refused, or one before every entry used the VM. Both ways to pass early are closed now, so the check is stricter, and a failure prints each node's statuses and how many of its requests the VM got.

--- a/test/integration/groups_test.go
+++ b/test/integration/groups_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -283,19 +284,27 @@
 // serves. how names the way in which the VM's leaving was announced.
 func (s *deployment) checkNoNewWork(v *vm, how string) {
 	s.t.Helper()
+	// seen describes the last round: by node, the statuses and how many of its requests the VM got. A round in which a
+	// request is not served shows nothing.
+	var seen string
 	noNewWork := func() bool {
-		before := v.plain.Total()
-		for range 10 {
-			for _, nd := range s.nodes {
-				s.call(nd, request{path: "/services/tiles/x", method: "GET"})
+		before, served := v.plain.Total(), true
+		seen = ""
+		for _, nd := range s.nodes {
+			statuses, atNode := make(map[int]int), v.plain.Total()
+			for range 10 {
+				status := s.call(nd, request{path: "/services/tiles/x", method: "GET"}).status
+				statuses[status]++
+				served = served && status == http.StatusOK
 			}
+			seen += fmt.Sprintf(" %s: statuses %v, %d at the VM;", nd.id, statuses, v.plain.Total()-atNode)
 		}
-		return v.plain.Total() == before
+		return served && v.plain.Total() == before
 	}
 	s.eventually("no new work after "+how, noNewWork)
 	for range 3 {
 		if !noNewWork() {
-			s.t.Errorf("%s: the VM got new requests after they had stopped", how)
+			s.t.Errorf("%s: the VM got new requests after they had stopped:%s", how, seen)
 		}
 	}
 	s.eventually("the other VM serves after "+how, func() bool {
@@ -373,6 +382,7 @@
 	s := newDeployment(t, smallTopology())
 	s.loadTables([]string{"obuda"}, 4, 1)
 	v := s.vms["obuda-tiles-1"]
+	s.awaitNewWork(v)
 	s.partitionNode(s.nodes[0], faultproxy.Freeze)
 	v.plain.SetLeaving(true)
 	s.checkNoNewWork(v, "its own report, one entry partitioned")
