--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -8,10 +9,14 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/fleet"
+	port "github.com/marbleroad/marbleroad/internal/platform"
 	"github.com/marbleroad/marbleroad/platform"
 	"github.com/marbleroad/marbleroad/test/standin/objectstore"
 )
@@ -78,3 +83,52 @@
 	waitFor(t, "the leader to learn that the VM is leaving", isDraining(leader, "leaver"))
 	waitFor(t, "the follower to learn that the VM is leaving", isDraining(follower, "leaver"))
 }
+
+// outdatedLeader responds as a leader whose list is of an era, without any changes.
+type outdatedLeader struct {
+	handler
+	era *uint64
+}
+
+// FollowFleet implements marbleroadv1connect.ClusterServiceHandler.
+func (l outdatedLeader) FollowFleet(context.Context, *connect.Request[marbleroadv1.FollowFleetRequest]) (*connect.Response[marbleroadv1.FollowFleetResponse], error) {
+	return connect.NewResponse(&marbleroadv1.FollowFleetResponse{Revision: 9, Era: l.era}), nil
+}
+
+// countedSource counts the watches of the platform.
+type countedSource struct {
+	fleet.Source
+	watches int
+}
+
+// Watch implements fleet.Source.
+func (s *countedSource) Watch(_ context.Context, revision uint64, _ time.Duration) (fleet.WatchResult, error) {
+	s.watches++
+	return fleet.WatchResult{Revision: revision}, nil
+}
+
+// TestLeaderOfAnOlderEraIsNotFollowed guards against responses that verify a list of the lost history, from a leader that
+// has not noticed the restore. A leader of a version without eras is followed.
+func TestLeaderOfAnOlderEraIsNotFollowed(t *testing.T) {
+	era := func(n uint64) *uint64 { return &n }
+	for name, test := range map[string]struct {
+		era     *uint64
+		watches int
+	}{"older": {era(1), 1}, "same": {era(2), 0}, "none": {nil, 0}} {
+		mux := http.NewServeMux()
+		mux.Handle(marbleroadv1connect.NewClusterServiceHandler(outdatedLeader{era: test.era}))
+		peers := httptest.NewServer(mux)
+		nodes := largeCluster{cluster.Record{ID: "a", FailureDomain: "x", Address: strings.TrimPrefix(peers.URL, "http://")}}
+		selector := NewLeader(cluster.Record{ID: "b", FailureDomain: "x"}, nodes, func() bool { return false }, testLog(t),
+			peers.Client(), func(address string) string { return "http://" + address })
+		source := &countedSource{}
+		w, err := NewFleet(source, selector).Watch(t.Context(), port.JoinRevision(2, 5), 0)
+		if err != nil || source.watches != test.watches || w.Relayed == (test.watches > 0) {
+			t.Errorf("%s era: %d calls of the platform, relayed %t, %v", name, source.watches, w.Relayed, err)
+		}
+		if test.watches == 0 && w.Revision != port.JoinRevision(2, 9) {
+			t.Errorf("%s era: revision %x", name, w.Revision)
+		}
+		peers.Close()
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -99,8 +99,8 @@
   's/s\.cancel\(errRestarted\)/_ = s/' ./internal/gateway TestRequestsAtRestartedVMAreCanceled
 mutant "an older entry counts" internal/fleet/directory.go \
   's/return vm\.Revision != 0 && vm\.Revision < d\.revisions\[vm\.ID\]/return false/' ./internal/fleet TestOlderEntryChangesNothing
-mutant "an invalid entry is ignored" internal/fleet/directory.go \
-  's/return d\.drop\(id\)\n\}\n\n\/\/ isOlder/return false\n}\n\n\/\/ isOlder/' ./internal/fleet TestInvalidEntryDropsVM
+mutant "an invalid entry is ignored" internal/fleet/invalid.go \
+  's/return d\.drop\(id\)/return false/' ./internal/fleet TestInvalidEntryDropsVM
 mutant "an unknown state counts as serving" platform/entry.go \
   's/\(\*e\.State != stateReady && \*e\.State != stateDraining\)/false/' ./platform TestInvalidEntriesAreRejected
 mutant "a rank has no upper limit" platform/entry.go \
@@ -242,11 +242,39 @@
 mutant "the first watch after an outage waits for a change" internal/fleet/directory.go \
   's/if d\.disconnected \{\n\t\treturn 0/if false {\n\t\treturn 0/' ./internal/fleet 'TestExpiredEntryIsRetained|TestExpiredEntryThatStaysMissing'
 mutant "missing VMs are only checked when a watch ends" internal/fleet/directory.go \
-  's/if len\(d\.missing\) == 0 \{\n\t\treturn limit/if true {\n\t\treturn limit/' ./internal/fleet TestExpiredEntryThatStaysMissing
+  's/if len\(d\.missing\)\+len\(d\.outdated\) == 0 \&\& !d\.outage\.retains\(clock\.Now\(\)\) \{/if true {/' ./internal/fleet TestExpiredEntryThatStaysMissing
 mutant "a watch of the list has a timeout of three seconds" internal/fleet/directory.go \
   's/const WatchWait = 1500 \* time\.Millisecond/const WatchWait = 3 * time.Second/' ./internal/fleet TestVMThatLeavesAfterAShortPartition
-mutant "a follower retains removed entries a second time" internal/fleet/directory.go \
-  's/case c\.Removed \&\& relayed:/case false:/' ./internal/fleet TestRelayedRemovalTakesEffectAtOnce
+mutant "a follower retains removed entries for as long as it guesses itself" internal/fleet/directory.go \
+  's/if !w\.RetainUntil\.IsZero\(\) \{/if false {/' ./internal/fleet TestRelayedRemovalIsNotRetainedTwice
+mutant "retained entries are passed on" internal/fleet/recent.go \
+  's/stored, differs := s\.stored\[id\]; differs/stored, differs := s.stored[id]; false \&\& differs/' ./internal/fleet TestRetainedEntryIsNotPassedOn
+mutant "the removal of a retained entry is passed on when it is dropped" internal/fleet/directory.go \
+  's/\td\.recent\.add\(Change\{VM: VM\{ID: id\}, Removed: true\}\)\n\tif !d\.outage/\tif !d.outage/' ./internal/fleet TestRetainedEntryIsNotPassedOn
+mutant "an entry of a restored store is put in force at once" internal/fleet/restored.go \
+  's/return isLaterEra\(vm\.Revision, known\) \&\& number/return false \&\& number/' ./internal/fleet TestRestoredCopyRevertsEntries
+mutant "entries that a restored store lacks are dropped at once" internal/fleet/restored.go \
+  's/if list\.RetainUntil\.IsZero\(\) \{/if false {/' ./internal/feed TestRestoredStoreUndoesNothing
+mutant "a draining VM gets work again after a restore" internal/fleet/restored.go \
+  's/if vm\.Draining \{\n\t\t\td\.MarkLeaving/if false {\n\t\t\td.MarkLeaving/' ./internal/feed TestRestoredStoreUndoesNothing
+mutant "an evacuation that a restored store lacks ends at once" internal/fleet/evacuation.go \
+  's/if e\.known \&\& isLaterEra/if false \&\& isLaterEra/' ./internal/fleet TestRestoredCopyWithoutEvacuation
+mutant "the era of the store is not read" platform/era.go \
+  's/if err != nil \|\| era > maxEra \{/if true || err != nil || era > maxEra {/' ./internal/feed TestRestoredStoreHidesLeavingVMFromFollowers
+mutant "a watch goes on in another era" platform/store.go \
+  's/if afterEra < s\.era\.advance\(afterEra\)/if false \&\& afterEra < s.era.advance(afterEra)/; s/if era != afterEra \{/if false \&\& era != afterEra {/' ./platform TestRevisionGivenOutAgainHidesChanges
+mutant "a version of an earlier era is a condition" platform/store.go \
+  's/case era < s\.era\.current\(\):/case false:/' ./platform TestWriteOnARestoredVersion
+mutant "a late response of an older era is used" platform/era.go \
+  's/if era < e\.advance\(era\) \{/if e.advance(era); false {/' ./platform TestLateResponseOfAnOlderEra
+mutant "a leader of an older era is followed" internal/feed/fleet.go \
+  's/if response\.Era == nil \|\| /if true || response.Era == nil || /' ./internal/feed TestLeaderOfAnOlderEraIsNotFollowed
+mutant "generations do not rise with the era" internal/director/state.go \
+  's/era\*eraGenerations\+number/number+0*era/' ./internal/director TestGenerationsRiseAcrossARestore
+mutant "a record that a restore lost is not written again" internal/cluster/records.go \
+  's/case <-c\.restored:/case <-make(chan struct{}):/' ./internal/cluster TestRecordsLostByARestoreAreWrittenAgain
+mutant "a quarantine that a restore lost is not stored again" internal/quarantine/archive.go \
+  's/a\.storedDigest\.Store\(0\)//' ./internal/quarantine TestQuarantineLostByARestoreIsStoredAgain
 mutant "unresponsive connections to the store are retried one after the other" platform/store.go \
   's/s\.http\.CloseIdleConnections\(\)//g' ./platform TestUnresponsiveConnectionsAreClosedTogether
 mutant "a length beside chunks is taken" internal/gateway/framing.go \
@@ -336,7 +364,7 @@
 mutant "changes since an old list are omitted" internal/feed/fleet.go \
   's/since\.Changes = merge\(listed\.Changes, since\.Changes\)/since.Changes = listed.Changes/' ./internal/feed TestDisconnectedSourceIsUsed
 mutant "a list is only served while recently verified" internal/fleet/recent.go \
-  's/s := d\.Snapshot\(\); s != nil \{/s := d.Snapshot(); s != nil \&\& time.Since(s.VerifiedAt) < time.Second {/' ./internal/feed TestDisconnectedSourceIsUsed
+  's/s := d\.Snapshot\(\); s != nil \&\& \(/s := d.Snapshot(); s != nil \&\& time.Since(s.VerifiedAt) < time.Second \&\& (/' ./internal/feed TestDisconnectedSourceIsUsed
 mutant "roles are assigned by ID alone" internal/cluster/topology.go \
   's/func CompareForRole\(a, b Record\) int \{/func CompareForRole(a, b Record) int {\n\ta.Processor, b.Processor = 0, 0/' ./internal/director TestWeakNodeManagesNoGroups
 mutant "leaders are chosen by ID alone" internal/cluster/topology.go \
@@ -416,7 +444,7 @@
 mutant "backpressure: a leaving VM is still chosen" internal/gateway/condition.go \
   's/ \|\| tt\.conditions\.Leaving\(incarnationOf\(t\.vm\)\)//' ./internal/gateway TestReportedLeavingUpstreamGetsNoRequests
 mutant "backpressure: a leaving VM is listed with its entry's state" internal/fleet/directory.go \
-  's/\td\.leaving\.mark\(vms\)\n//' ./internal/fleet TestLeavingVMDrainsRegardlessOfItsEntry
+  's/\td\.leaving\.mark\(vms, stored\)\n//' ./internal/fleet TestLeavingVMDrainsRegardlessOfItsEntry
 mutant "backpressure: conditions in reports are ignored" platform/engine.go \
   's/\te\.reportCondition\(vm, resp\)\n//g' ./platform TestLeavingIsReadFromReports
 mutant "backpressure: entries send to engines in backoff" internal/routing/routing.go \
