--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -260,7 +260,7 @@
 mutant "an evacuation that a restored store lacks ends at once" internal/fleet/evacuation.go \
   's/if e\.known \&\& isLaterEra/if false \&\& isLaterEra/' ./internal/fleet TestRestoredCopyWithoutEvacuation
 mutant "the era of the store is not read" platform/era.go \
-  's/if err != nil \|\| era > maxEra \{/if true || err != nil || era > maxEra {/' ./internal/feed TestRestoredStoreHidesLeavingVMFromFollowers
+  's/if err != nil \|\| era > maxEra/if true || err != nil || era > maxEra/' ./internal/feed TestRestoredStoreHidesLeavingVMFromFollowers
 mutant "a watch goes on in another era" platform/store.go \
   's/if afterEra < s\.era\.advance\(afterEra\)/if false \&\& afterEra < s.era.advance(afterEra)/; s/if era != afterEra \{/if false \&\& era != afterEra {/' ./platform TestRevisionGivenOutAgainHidesChanges
 mutant "a version of an earlier era is a condition" platform/store.go \
