A node whose history is gone does not wait for readers that are disconnected

Change: such a request is answered at once by a node that is disconnected; each first reader is asked once, without a pause, and then the platform, which has just answered this node.

--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -45,6 +45,7 @@
 	w, err := firstRead[catalog.WatchResult]{
 		object:   "configuration",
 		selector: c.selector,
+		renewal:  newerThan != 0,
 		fromPeer: func(ctx context.Context, source cluster.Record, wait time.Duration) (catalog.WatchResult, error) {
 			return c.currentFrom(ctx, source, newerThan, wait)
 		},
--- a/internal/feed/firstread.go
+++ b/internal/feed/firstread.go
@@ -50,13 +50,15 @@
 // others to read it.
 var errNoneAvailable = noCall("the nodes that read the platform for this one do not have it yet")
 
-// firstRead reads one large object of the platform at a node that has no version of it. With many
+// firstRead reads one large object of the platform at a node that has no version of it, or one whose history is gone. With many
 // nodes, a few of each failure domain read it from the platform and the others read it from them: when
 // all nodes start at once, the platform's link could not transfer it to each.
 type firstRead[T any] struct {
 	// object names the object in log lines.
 	object   string
 	selector *Leader
+	// renewal is true if this node has an older version, whose history is gone.
+	renewal bool
 	// fromPeer reads the object from another node, which may wait that long until it has it.
 	// fromPlatform reads it from the platform.
 	fromPeer     func(context.Context, cluster.Record, time.Duration) (T, error)
@@ -72,7 +74,7 @@
 		return r.fromPlatform(ctx)
 	}
 	if rank >= firstReaders {
-		got, err := r.readFromPeers(ctx, newPicker(r.selector.self, r.selector.domain(), rank))
+		got, err := r.readFromPeers(ctx, r.picker(rank))
 		if !errors.Is(err, errReadLocally) {
 			return got, err
 		}
@@ -89,6 +91,14 @@
 	return got, err
 }
 
+// picker returns the picker for a node of the given rank.
+func (r firstRead[T]) picker(rank int) *picker {
+	if r.renewal {
+		return newRenewalPicker(r.selector.self, r.selector.domain(), rank)
+	}
+	return newPicker(r.selector.self, r.selector.domain(), rank)
+}
+
 // peerResponse is the outcome of one request to a source.
 type peerResponse[T any] struct {
 	source string
@@ -130,7 +140,9 @@
 		if response.err == nil {
 			return response.value, nil
 		}
-		wait.Sleep(ctx, pollInterval)
+		if !sources.once {
+			wait.Sleep(ctx, pollInterval)
+		}
 	}
 	return zero, ctx.Err()
 }
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -75,6 +75,7 @@
 	listed, err := firstRead[fleet.WatchResult]{
 		object:   "list",
 		selector: f.selector,
+		renewal:  newerThan != 0,
 		fromPeer: func(ctx context.Context, source cluster.Record, wait time.Duration) (fleet.WatchResult, error) {
 			return f.selector.listFrom(ctx, source, newerThan, wait)
 		},
--- a/internal/feed/picker.go
+++ b/internal/feed/picker.go
@@ -51,6 +51,9 @@
 	// fallback is true for a node that may query all other nodes from the start, and does not wait
 	// until it may read itself.
 	fallback bool
+	// once is true for a node that has an older version and reaches the platform: it queries each of the first readers
+	// once.
+	once bool
 	// limit is how long other nodes are queried, wait how long each may take until it has a response.
 	limit, wait time.Duration
 	// sources are the possible sources, the preferred ones first, without this node.
@@ -88,6 +91,13 @@
 	return p
 }
 
+// newRenewalPicker returns a picker for a node that has a version of the object whose history is gone.
+func newRenewalPicker(self cluster.Record, domain []cluster.Record, rank int) *picker {
+	p := newPicker(self, domain, rank)
+	p.once = true
+	return p
+}
+
 // addSources adds the possible sources.
 func (p *picker) addSources(self cluster.Record, domain []cluster.Record) {
 	for rank, r := range domain[:min(len(domain), maxReaders)] {
@@ -123,7 +133,7 @@
 	var best *source
 	for i := range p.sources {
 		s := &p.sources[i]
-		if s.pending || !p.fallback && s.rank >= readers(elapsed) {
+		if s.pending || !p.fallback && s.rank >= readers(elapsed) || p.once && s.attempts > 0 {
 			continue
 		}
 		if best == nil || s.before(best) {
@@ -162,13 +172,15 @@
 	p.sourceResponded = p.sourceResponded || errors.Is(err, errSourceEmpty) || connect.IsWireError(err)
 }
 
-// done reports whether the node stops querying, and why: it is one of the readers by now, or no source
-// responds. If sources respond but do not have the object yet, the node leaves it to them to read the
+// done reports whether the node stops querying, and why: it is one of the readers by now, each source was queried as
+// often as it may be, or no source responds. If sources respond but do not have the object yet, the node leaves it to them to read the
 // object, and stops with errNoneAvailable.
 func (p *picker) done(elapsed time.Duration) (bool, error) {
 	switch {
 	case !p.fallback && p.rank < readers(elapsed):
 		return true, errReadLocally
+	case p.once && p.pending == 0 && p.best(elapsed) == nil:
+		return true, errReadLocally
 	case elapsed < p.limit:
 		return false, nil
 	case p.sourceResponded:
--- a/internal/feed/picker_test.go
+++ b/internal/feed/picker_test.go
@@ -170,3 +170,29 @@
 		t.Errorf("a node whose sources respond reads for itself: %v, %v", done, err)
 	}
 }
+
+// TestRenewalAsksEachReaderOnce guards against a node that waits for readers which are disconnected from the platform,
+// although it has just been told by the platform itself that its history is gone: it asks each first reader once, at
+// once, and then reads from the platform.
+func TestRenewalAsksEachReaderOnce(t *testing.T) {
+	domain := domainRecords(30)
+	p := newRenewalPicker(domain[20], domain, 20)
+	asked := make(map[string]bool)
+	for range firstReaders {
+		source, ok := p.next(0, false)
+		if finished, _ := p.done(0); !ok || finished || asked[source.ID] {
+			t.Fatalf("asked %v, then %s, finished %t", asked, source.ID, finished)
+		}
+		asked[source.ID] = true
+		p.recordResponse(source.ID, errSourceEmpty)
+	}
+	if finished, err := p.done(0); !finished || !errors.Is(err, errReadLocally) {
+		t.Errorf("after all first readers: %t %v", finished, err)
+	}
+	if wait := renewalWait(7, maxUnrefreshedAge+time.Millisecond, time.Second); wait != 0 {
+		t.Errorf("a disconnected reader waits %s for a newer version", wait)
+	}
+	if renewalWait(7, 0, time.Second) != time.Second || renewalWait(0, time.Hour, time.Second) != time.Second {
+		t.Error("a reader does not wait for what it may read soon")
+	}
+}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -67,16 +67,35 @@
 	limit := min(milliseconds(r.GetWaitMs()), maxFollowWait)
 	own := s.Directory.Revision()
 	if r.GetRevision() == 0 {
-		return s.Directory.AwaitList(ctx, receivedRevision(r.Era, r.GetNewerThan(), own), limit)
+		newerThan := receivedRevision(r.Era, r.GetNewerThan(), own)
+		return s.Directory.AwaitList(ctx, newerThan, renewalWait(newerThan, s.listAge(), limit))
 	}
 	return s.Directory.Await(ctx, receivedRevision(r.Era, r.GetRevision(), own), limit)
 }
 
+// listAge returns the time since this node's list was verified; zero while it has none.
+func (s *Server) listAge() time.Duration {
+	if snapshot := s.Directory.Snapshot(); snapshot != nil {
+		return clock.Since(snapshot.VerifiedAt)
+	}
+	return 0
+}
+
+// renewalWait returns how long a request for a newer version waits for it: not at all at a node that is disconnected
+// from the platform, since the caller can ask others or the platform.
+func renewalWait(newerThan uint64, verifiedAge, limit time.Duration) time.Duration {
+	if newerThan != 0 && verifiedAge > maxUnrefreshedAge {
+		return 0
+	}
+	return limit
+}
+
 // FollowCatalog implements part of ClusterService.
 func (s *Server) FollowCatalog(ctx context.Context, r *connect.Request[marbleroadv1.FollowCatalogRequest]) (*connect.Response[marbleroadv1.FollowCatalogResponse], error) {
 	arrived := clock.Now()
 	newerThan := receivedRevision(r.Msg.Era, r.Msg.GetNewerThan(), s.Cache.Revision())
-	state := s.Cache.Await(ctx, r.Msg.GetVersion(), newerThan, min(milliseconds(r.Msg.GetWaitMs()), maxFollowWait))
+	limit := min(milliseconds(r.Msg.GetWaitMs()), maxFollowWait)
+	state := s.Cache.Await(ctx, r.Msg.GetVersion(), newerThan, renewalWait(newerThan, s.Cache.VerifiedAge(arrived), limit))
 	if newerThan != 0 && state.Revision <= newerThan {
 		return connect.NewResponse(&marbleroadv1.FollowCatalogResponse{ProvenAfterMs: verifiedAfterMS(arrived, time.Time{})}), nil
 	}
