--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -212,15 +212,6 @@
 	return d.capAtExpiry(d.maxWait)
 }
 
-// capAtExpiry shortens a wait so that it ends when missing VMs are to be dropped or outdated entries put in force. A
-// node without any does so for its followers, which may have some and wait for what it reads then.
-func (d *Directory) capAtExpiry(limit time.Duration) time.Duration {
-	if len(d.missing)+len(d.outdated) == 0 && !d.outage.retains(clock.Now()) {
-		return limit
-	}
-	return min(limit, max(clock.Until(d.outage.retainUntil), 0))
-}
-
 // replaceAll applies a full list. The VMs of the first list are not logged one by one: with thousands of
 // VMs, all nodes that start together would write these lines when they are busiest.
 func (d *Directory) replaceAll(entries []Change) {
@@ -311,31 +302,6 @@
 	return true
 }
 
-// remove drops a VM whose entry was removed, unless the entry may have expired in an
-// outage. It reports whether anything changed. Other nodes learn of the removal at once: each decides for itself
-// whether it retains the VM, and until when.
-func (d *Directory) remove(id string) bool {
-	vm := d.vms[id]
-	now := clock.Now()
-	outdated := d.outdated[id]
-	delete(d.outdated, id)
-	if vm == nil && outdated != nil {
-		d.recent.add(Change{VM: VM{ID: id}, Removed: true})
-		return true
-	}
-	if vm == nil || d.missing[id] {
-		return false
-	}
-	d.recent.add(Change{VM: VM{ID: id}, Removed: true})
-	if !d.outage.retains(now) {
-		return d.drop(id)
-	}
-	d.missing[id] = true
-	d.log.Emit(event.UpstreamMissing).Str("vm", id).Str("service", vm.Service).Str("group", vm.Group).
-		Int64("kept_ms", d.outage.retainUntil.Sub(now).Milliseconds()).EmbedObject(platform.LogRevision(d.revision)).Send()
-	return true
-}
-
 // drop removes a VM and reports whether it was listed.
 func (d *Directory) drop(id string) bool {
 	vm := d.vms[id]
@@ -351,22 +317,6 @@
 	return true
 }
 
-// dropMissing drops the VMs that are missing. It reports whether it dropped any.
-func (d *Directory) dropMissing() bool {
-	dropped := len(d.missing) > 0
-	for id := range d.missing {
-		d.drop(id)
-	}
-	return dropped
-}
-
-// publishExpired publishes what applyExpired changes while calls fail.
-func (d *Directory) publishExpired() {
-	if s := d.Snapshot(); s != nil && d.applyExpired(clock.Now()) {
-		d.publish(s.VerifiedAt, true)
-	}
-}
-
 // recordResponse records a successful call, before its response is applied.
 func (d *Directory) recordResponse(w WatchResult) {
 	verifiedAt := w.VerifiedAt
--- a/internal/fleet/restored.go
+++ b/internal/fleet/restored.go
@@ -100,21 +100,6 @@
 	return true
 }
 
-// applyExpired drops VMs that are still missing, and puts outdated entries in force, when the time for them to be
-// written again is over. It reports whether it changed anything.
-func (d *Directory) applyExpired(now time.Time) bool {
-	if d.outage.retains(now) {
-		return false
-	}
-	d.outage.retainUntil = time.Time{}
-	changed := d.dropMissing()
-	for id, vm := range d.outdated {
-		delete(d.outdated, id)
-		changed = d.put(vm) || changed
-	}
-	return changed
-}
-
 // storedEntries returns the store's entries of those VMs for which the directory uses another one; nil for a VM that
 // the store does not list.
 func (d *Directory) storedEntries() map[string]*VM {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -241,7 +241,7 @@
   's/o\.retainUntil = o\.failedAt\.Add/o.retainUntil = time.Now().Add/; s/recoveryTime \+ probeInterval/2500 * time.Millisecond/' ./internal/fleet 'TestVMThatLeavesAfterAnOutage|TestExpiredEntryThatStaysMissing'
 mutant "the first watch after an outage waits for a change" internal/fleet/directory.go \
   's/if d\.disconnected \{\n\t\treturn 0/if false {\n\t\treturn 0/' ./internal/fleet 'TestExpiredEntryIsRetained|TestExpiredEntryThatStaysMissing'
-mutant "missing VMs are only checked when a watch ends" internal/fleet/directory.go \
+mutant "missing VMs are only checked when a watch ends" internal/fleet/missing.go \
   's/if len\(d\.missing\)\+len\(d\.outdated\) == 0 \&\& !d\.outage\.retains\(clock\.Now\(\)\) \{/if true {/' ./internal/fleet TestExpiredEntryThatStaysMissing
 mutant "a watch of the list has a timeout of three seconds" internal/fleet/directory.go \
   's/const WatchWait = 1500 \* time\.Millisecond/const WatchWait = 3 * time.Second/' ./internal/fleet TestVMThatLeavesAfterAShortPartition
@@ -249,7 +249,7 @@
   's/if !w\.RetainUntil\.IsZero\(\) \{/if false {/' ./internal/fleet TestRelayedRemovalIsNotRetainedTwice
 mutant "retained entries are passed on" internal/fleet/recent.go \
   's/stored, differs := s\.stored\[id\]; differs/stored, differs := s.stored[id]; false \&\& differs/' ./internal/fleet TestRetainedEntryIsNotPassedOn
-mutant "the removal of a retained entry is passed on when it is dropped" internal/fleet/directory.go \
+mutant "the removal of a retained entry is passed on when it is dropped" internal/fleet/missing.go \
   's/\td\.recent\.add\(Change\{VM: VM\{ID: id\}, Removed: true\}\)\n\tif !d\.outage/\tif !d.outage/' ./internal/fleet TestRetainedEntryIsNotPassedOn
 mutant "an entry of a restored store is put in force at once" internal/fleet/restored.go \
   's/return isLaterEra\(vm\.Revision, known\) \&\& number/return false \&\& number/' ./internal/fleet TestRestoredCopyRevertsEntries
