--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -38,9 +38,6 @@
 	// readInterval is the time between later readings. New nodes call the others themselves, so a
 	// slow pace is enough.
 	readInterval = time.Minute
-	// maxCopyAge bounds how old a copy from which the platform's store is restored may be: a node that has run for
-	// longer finds its record in the copy.
-	maxCopyAge = 2 * time.Minute
 	// checkSpread is the time over which nodes spread the check of their records after a restore.
 	checkSpread = 2 * time.Second
 	// readRetryPause is the pause after a failed reading.
@@ -129,7 +126,7 @@
 		case <-c.ctx.Done():
 			return
 		case <-c.restored:
-			if clock.Since(startedAt) > maxCopyAge {
+			if clock.Since(startedAt) > platform.MaxCopyAge {
 				continue
 			}
 			wait.Sleep(c.ctx, rand.N(checkSpread))
--- a/internal/cluster/records_test.go
+++ b/internal/cluster/records_test.go
@@ -191,7 +191,7 @@
 			}
 		}
 		start(0, before)
-		time.Sleep(maxCopyAge + time.Second)
+		time.Sleep(platform.MaxCopyAge + time.Second)
 		start(before, before+recent)
 		time.Sleep(10 * time.Second)
 		store.mu.Lock()
--- a/internal/fleet/restored.go
+++ b/internal/fleet/restored.go
@@ -11,12 +11,8 @@
 // that are there, lists VMs that left, and has old versions of other entries. What the directory knows of the lost
 // seconds stays in force meanwhile.
 
-const (
-	// maxCopyAge bounds how old the copy may be. VMs that left longer ago are not in it.
-	maxCopyAge = 30 * time.Second
-	// maxRemovals bounds the number of VMs that are remembered after they left.
-	maxRemovals = 4096
-)
+// maxRemovals bounds the number of VMs that are remembered after they left.
+const maxRemovals = 4096
 
 // removals holds VMs that left, by ID.
 type removals map[string]removal
@@ -40,7 +36,7 @@
 // forget forgets the VMs that left so long ago that no copy lists them.
 func (r removals) forget(now time.Time) {
 	for id, removed := range r {
-		if now.Sub(removed.at) > maxCopyAge {
+		if now.Sub(removed.at) > platform.MaxCopyAge {
 			delete(r, id)
 		}
 	}
--- a/internal/platform/revision.go
+++ b/internal/platform/revision.go
@@ -1,12 +1,19 @@
 package platform
 
-import "github.com/rs/zerolog"
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
 
 // A store that is restored from an older copy loses what was written since and counts its revisions up from the
 // copy's again. Its era, which rises with each restore, tells the histories apart. Inside marbleroad a revision is
 // therefore one number that holds both: any revision of a later era is greater than all revisions of earlier ones,
 // and a revision that a restore gives out again differs from the lost one.
 
+// MaxCopyAge bounds how old the copy from which a store is restored may be. The platform promises some seconds.
+const MaxCopyAge = time.Minute
+
 // numberBits is the width of the store's own revision within a revision: a thousand changes a second fit for thirty
 // years.
 const numberBits = 40
