TestRestartOfAllNodesWritesNothing starts its nodes once all exist

The records of all are in place in this test, so the first node calls the others at once, in real time beside the loop that adds them. With a yield between the additions it panics each time, at the same line (hubs_test.go:79). The checks are unchanged.

--- a/internal/cluster/records_test.go
+++ b/internal/cluster/records_test.go
@@ -141,9 +141,14 @@
 		time.Sleep(10 * time.Second)
 		f.stop()
 		writes, reads, cached := store.writes, store.reads, store.cachedReads
+		// All nodes exist before the first one starts, since that one calls the others at once.
 		again := newNodes(t, 0)
+		var starts []func()
 		for i := range 60 {
-			addStoreNode(again, store, i)()
+			starts = append(starts, addStoreNode(again, store, i))
+		}
+		for _, start := range starts {
+			start()
 		}
 		time.Sleep(time.Second)
 		for id, n := range again.nodes {
