--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -120,6 +120,7 @@
 		Processor:     s.Node.Processor,
 		StallBound:    s.Gateway.StallBound,
 		Heartbeat:     s.Gateway.Heartbeat,
+		Packing:       s.Overload.Packing,
 	}, director.Parts{
 		Log:      b.log,
 		Metrics:  b.metrics,
@@ -207,5 +208,13 @@
 		Regions: s.Node.Regions,
 		Memory:  int64(s.Node.Memory * bytesPerMegabyte),
 		Warmups: gateway.WarmupBounds{Excess: s.Gateway.WarmupExcess, Slack: s.Gateway.WarmupSlack},
+		Overload: gateway.Overload{
+			Returns:        s.Overload.Returns,
+			PauseLimit:     s.Overload.PauseLimit,
+			MeasuredDemand: s.Overload.MeasuredDemand,
+			FairShares:     s.Overload.FairShares,
+			TeamWeights:    s.Overload.TeamWeights,
+			Reserve:        s.Overload.Reserve,
+		},
 	}
 }
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -47,6 +47,8 @@
 	StallBound time.Duration
 	// Heartbeat is the interval at which a VM renews its entry in the list.
 	Heartbeat time.Duration
+	// Packing plans the groups of a fabric domain as a whole.
+	Packing bool
 }
 
 // Demand provides the demand for each model of a service over all nodes, as the number of
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -74,6 +74,24 @@
 	Regions regionsByDomain
 	// Memory is the memory in bytes that the process may use; 0 if it is not specified.
 	Memory int64
+	// Overload holds the features for times when callers ask for more than the upstreams can serve.
+	Overload Overload
+}
+
+// Overload switches on features for times when callers ask for more than the upstreams can serve.
+// docs/OVERLOAD.md describes them.
+type Overload struct {
+	// Returns reserves room for refused callers at the time at which they are told to return.
+	Returns bool
+	// PauseLimit bounds the delay of running streams by the prompts that are sent to their head.
+	PauseLimit bool
+	// MeasuredDemand compares demand with the rate that groups serve within the objective.
+	MeasuredDemand bool
+	// FairShares admits each team up to its share before any team beyond it. TeamWeights are the weights of
+	// teams, 1 for others; Reserve holds the fractions of a model's capacity that are reserved for routes.
+	FairShares  bool
+	TeamWeights map[string]float64
+	Reserve     map[string]float64
 }
 
 // Parts holds the dependencies of the gateway.
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -157,6 +157,21 @@
 	{"cluster", "interval", "300ms", allowedDuration, "Interval at which this node exchanges state with each other node.", nil,
 		func(s *Settings, t string) error { return parseDuration(t, &s.Cluster.Interval) }},
 
+	{"overload", "returns", "no", "yes or no", "Tells callers of model requests that are refused for overload to return when room is reserved for them, and admits them before new callers then.", nil,
+		func(s *Settings, t string) error { return parseYesNo(t, &s.Overload.Returns) }},
+	{"overload", "pause_limit", "no", "yes or no", "Heads are chosen so that the prompts that all nodes send there do not delay running streams beyond the pause objective of their route.", nil,
+		func(s *Settings, t string) error { return parseYesNo(t, &s.Overload.PauseLimit) }},
+	{"overload", "measured_demand", "no", "yes or no", "Directors compare the demand for each model, with refused requests and surges included, with the rate at which its groups serve requests within their objective.", nil,
+		func(s *Settings, t string) error { return parseYesNo(t, &s.Overload.MeasuredDemand) }},
+	{"overload", "packing", "no", "yes or no", "Directors plan the groups of a fabric domain as a whole: which groups of which models fit into it, now and after the loss of a VM.", nil,
+		func(s *Settings, t string) error { return parseYesNo(t, &s.Overload.Packing) }},
+	{"overload", "fair_shares", "no", "yes or no", "Under overload each team is admitted up to its share of a model's capacity before any team is admitted beyond its share.", nil,
+		func(s *Settings, t string) error { return parseYesNo(t, &s.Overload.FairShares) }},
+	{"overload", "team_weights", "", "pairs such as a=2 b=0.5, separated by spaces; each above 0", "Weights of teams for fair_shares; a team that is not named has weight 1.", nil,
+		func(s *Settings, t string) error { return parseWeights(t, &s.Overload.TeamWeights) }},
+	{"overload", "reserve", "", "pairs such as a=0.2 b=0.1, separated by spaces; above 0, with a sum of at most 0.9", "Fractions of a model's capacity that are reserved for routes, by the name of the route. Needs fair_shares.", nil,
+		func(s *Settings, t string) error { return parseReserve(t, &s.Overload.Reserve) }},
+
 	{"presence", "window", "3s", allowedDuration, "How long a VM counts as present after a probe was sent; must be the same on all VMs of a failure domain.", nil,
 		func(s *Settings, t string) error { return parseDuration(t, &s.Presence.Window) }},
 
@@ -349,6 +364,44 @@
 	return nil
 }
 
+// parseWeights parses pairs of names and weights above 0.
+func parseWeights(text string, into *map[string]float64) error {
+	var pairs map[string]string
+	if err := parsePairs(text, &pairs); err != nil {
+		return err
+	}
+	out := make(map[string]float64, len(pairs))
+	for name, value := range pairs {
+		weight, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(weight) || math.IsInf(weight, 0) || weight <= 0 {
+			return errors.Newf("the value of %s is not a number above 0", name)
+		}
+		out[name] = weight
+	}
+	*into = out
+	return nil
+}
+
+// maxReserve bounds the sum of the reserved fractions, so that some room is left for routes without a reserve.
+const maxReserve = 0.9
+
+// parseReserve parses pairs of names and fractions above 0, whose sum is at most maxReserve.
+func parseReserve(text string, into *map[string]float64) error {
+	var out map[string]float64
+	if err := parseWeights(text, &out); err != nil {
+		return err
+	}
+	sum := 0.0
+	for _, fraction := range out {
+		sum += fraction
+	}
+	if sum > maxReserve {
+		return errors.Newf("the sum of the fractions is %.2f; at most %.1f can be reserved", sum, maxReserve)
+	}
+	*into = out
+	return nil
+}
+
 // parsePairs parses pairs of names with an equals sign between them.
 func parsePairs(text string, into *map[string]string) error {
 	out := make(map[string]string)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -117,6 +117,25 @@
 	Interval  time.Duration
 }
 
+// Overload holds the settings of marbleroad-node for times when callers ask for more than the upstreams can
+// serve. All features are off by default.
+type Overload struct {
+	// Returns reserves room for refused callers at the time at which they are told to return.
+	Returns bool
+	// PauseLimit bounds the delay of running streams by the prompts that are sent to their head.
+	PauseLimit bool
+	// MeasuredDemand compares demand with the rate that groups serve within the objective.
+	MeasuredDemand bool
+	// Packing plans the groups of a fabric domain as a whole.
+	Packing bool
+	// FairShares admits each team up to its share before any team beyond it.
+	FairShares bool
+	// TeamWeights are the weights of teams; 1 for others.
+	TeamWeights map[string]float64
+	// Reserve holds the fractions of a model's capacity that are reserved for routes.
+	Reserve map[string]float64
+}
+
 // Presence holds the settings that must be the same for all entries and control daemons of
 // a failure domain.
 type Presence struct {
@@ -162,6 +181,7 @@
 	Control  Control
 	Gateway  Gateway
 	Cluster  Cluster
+	Overload Overload
 	Presence Presence
 	TLS      TLS
 	Log      Log
@@ -286,6 +306,12 @@
 	if (s.TLS.CallerCert == "") != (s.TLS.CallerKey == "") {
 		r.report("tls", "caller_cert", "caller_cert and caller_key go together")
 	}
+	if !s.Overload.FairShares && len(s.Overload.TeamWeights) > 0 {
+		r.report("overload", "team_weights", "needs overload.fair_shares = yes")
+	}
+	if !s.Overload.FairShares && len(s.Overload.Reserve) > 0 {
+		r.report("overload", "reserve", "needs overload.fair_shares = yes")
+	}
 	peerFiles := 0
 	for _, v := range []string{s.TLS.PeerCert, s.TLS.PeerKey, s.TLS.PeerCA} {
 		if v != "" {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -116,6 +116,9 @@
 		{"missing", strings.Replace(validFile, "id = obuda-1\n", "", 1)},
 		{"certificate without key", validFile + "[tls]\ncaller_cert = c.pem\n"},
 		{"half of mutual TLS", validFile + "[tls]\npeer_cert = c.pem\n"},
+		{"weight below zero", validFile + "[overload]\nfair_shares = yes\nteam_weights = a=-1\n"},
+		{"reserves over one", validFile + "[overload]\nfair_shares = yes\nreserve = a=0.7 b=0.4\n"},
+		{"reserve without shares", validFile + "[overload]\nreserve = a=0.2\n"},
 		{"several at once", strings.Replace(validFile, "obuda-1", "Obuda 1", 1) + "[entry]\nmax_body = 0\n"},
 		{"no INI", "what is this"},
 	}
