--- a/internal/gateway/divide.go
+++ b/internal/gateway/divide.go
@@ -71,15 +71,21 @@
 	}
 	rejected = max(rejected, 0)
 	tt.recordRejectedShare(hr.key, rejected)
+	if tt.random.Float64() >= rejectionProbability(hr, rejected) {
+		tt.chooseByShare(shares, &out)
+	}
+	return out, true
+}
+
+// rejectionProbability returns the probability that a request is rejected, given the fraction of all
+// requests that the heads can't take.
+func rejectionProbability(hr headRequest, rejected float64) float64 {
 	if hr.isRetry() {
 		// Its response would be late in any case, and would take the slot of a request that can be in
 		// time.
-		rejected = min(retryRejectFactor*rejected, 1)
-	}
-	if tt.random.Float64() >= rejected {
-		tt.chooseByShare(shares, &out)
+		return min(retryRejectFactor*rejected, 1)
 	}
-	return out, true
+	return rejected
 }
 
 // shares returns the healthy heads among the candidates that admit the request, with their shares. It fills
