Placement: free VMs and copies follow a surge, dissolutions do not

Cause: one demand decided everything. A fast estimate would dissolve groups for a surge of 3 s, which is over before a dissolution and a join (2 to 8 s) help; a smoothed one leaves free VMs with the wrong model during it.

Change: Input.SurgeDemand decides which groups free VMs form, which copies hosts get and which model keeps its groups. Input.Demand decides for which model groups are dissolved. Without SurgeDemand, Demand decides as before.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,6 +46,12 @@
 	// Demand is the requested work for each model, in the number of groups that
 	// it would keep busy; empty while unknown.
 	Demand map[string]float64
+	// SurgeDemand is at least Demand, and above it during a surge of a model. It decides which groups free VMs
+	// form, which copies hosts get and which models keep their groups. Groups are dissolved for a model by
+	// Demand, since a surge is over before a dissolution helps. Empty means that Demand decides everything.
+	SurgeDemand map[string]float64
+	// UnmetDemand is the part of SurgeDemand that is refused; it is only logged.
+	UnmetDemand map[string]float64
 	// LoadBudget is how many loads from the weight store may start now. UrgentLoadBudget
 	// also includes the loads that other failure domains leave unused.
 	LoadBudget       int
@@ -127,7 +133,9 @@
 		budget -= d.out.Formations[len(d.out.Formations)-1].Loads
 	}
 	if len(d.out.Formations) == 0 {
+		d.smoothed = true
 		d.chooseDissolutions()
+		d.smoothed = false
 	}
 	d.stage(budget)
 	return d.out
@@ -142,7 +150,9 @@
 	groups map[string]int
 	// newStagings maps the ID of a VM to the model whose copy this decision starts.
 	newStagings map[string]string
-	out         Decision
+	// smoothed is true while dissolutions are chosen, for which Demand counts instead of SurgeDemand.
+	smoothed bool
+	out      Decision
 }
 
 // formNext forms one group of the worst-supplied model for which that is possible.
@@ -204,6 +214,9 @@
 // demand returns the requested work for the model, in groups. While it is unknown,
 // it is derived from the model's expected share of the VMs, in relative units.
 func (d *decider) demand(m catalog.Model) float64 {
+	if len(d.in.SurgeDemand) > 0 && !d.smoothed {
+		return max(d.in.SurgeDemand[m.Name], minDemand)
+	}
 	if len(d.in.Demand) > 0 {
 		return max(d.in.Demand[m.Name], minDemand)
 	}
@@ -392,7 +405,8 @@
 		if o.Name != other {
 			continue
 		}
-		after := float64(d.groups[other]-lost) / d.demand(o)
+		// A model keeps its groups during its own surge.
+		after := float64(d.groups[other]-lost) / max(d.demand(o), d.in.SurgeDemand[other])
 		gained := float64(d.groups[m.Name]+1) / d.demand(m)
 		return min(after, gained) > d.supply(m)*dissolveMargin
 	}
