Gateway: measured demand, switched on by measured_demand

Cause: a model whose requests are mostly refused counts as well supplied in a surge, since its smoothed demand rises over ten seconds; in a long overload, requests that return after a refusal count twice.

Change: with Overload.MeasuredDemand, a node measures the work of its requests after it has recognized returning callers, and the work that is refused, and sends both (ModelDemand.rate, recent_rate, unmet_rate). Hubs add them up, without those of silent members. ModelWork gives the director the smoothed and the surge demand in groups; it logs them with 4015 (surge_demand, unmet_demand). Three gauges show them. With the feature off, demand and states are as before.

Tests changed: world_test.go gives the director a demand (the method's type changed); crowd_test.go records the offered and refused requests and can cut off a node.

--- a/internal/cluster/share.go
+++ b/internal/cluster/share.go
@@ -12,6 +12,7 @@
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/demand"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/transport"
 	"github.com/marbleroad/marbleroad/internal/wait"
@@ -183,7 +184,7 @@
 	for id := range c.aggregates {
 		ownState.Hubs = append(ownState.Hubs, id)
 	}
-	return aggregate(ownState, members, c.leaderCandidates(now), requester, now)
+	return aggregate(ownState, members, c.leaderCandidates(now), requester, now, demand.FreshFor(c.livenessTimeout()))
 }
 
 // leaderCandidates returns the states from which the leading nodes to pass on are chosen: those of
@@ -363,7 +364,7 @@
 	if len(aggregates) == 0 {
 		return nil
 	}
-	all := aggregate(&marbleroadv1.NodeState{Node: othersID, FailureDomain: c.config.Self.FailureDomain, Loads: ownState.GetLoads(), Demand: ownState.GetDemand()}, aggregates, nil, "", now)
+	all := aggregate(&marbleroadv1.NodeState{Node: othersID, FailureDomain: c.config.Self.FailureDomain, Loads: ownState.GetLoads(), Demand: ownState.GetDemand()}, aggregates, nil, "", now, demand.FreshFor(livenessTimeout))
 	ownState.Loads, ownState.Demand = nil, nil
 	all.Summed, all.Leading = 0, nil
 	out := []*marbleroadv1.NodeState{all}
--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -19,7 +19,7 @@
 
 // aggregate adds the members' states, except that of the excluded node, to a hub's own. It lists
 // the leading nodes among the candidates.
-func aggregate(ownState *marbleroadv1.NodeState, members, candidates []receivedState, exclude string, now time.Time) *marbleroadv1.NodeState {
+func aggregate(ownState *marbleroadv1.NodeState, members, candidates []receivedState, exclude string, now time.Time, freshFor time.Duration) *marbleroadv1.NodeState {
 	s := aggregator{
 		out:        ownState,
 		loads:      make(map[string]*marbleroadv1.GroupLoad),
@@ -38,7 +38,7 @@
 	ownState.Summed = 1
 	for _, m := range members {
 		if m.state.GetNode() != exclude {
-			s.add(m.state)
+			s.add(m.state, now.Sub(m.asOf) <= freshFor)
 		}
 	}
 	ownState.Leading = leadingStates(candidates, ownState.GetFailureDomain(), exclude, now)
@@ -55,7 +55,9 @@
 	suspicions map[string]*marbleroadv1.Suspicion
 }
 
-func (s aggregator) add(m *marbleroadv1.NodeState) {
+// add adds the state of a member. If it is not fresh, its measured demand does not count: its callers may count at
+// other nodes by now.
+func (s aggregator) add(m *marbleroadv1.NodeState, fresh bool) {
 	s.out.Summed++
 	s.out.TrafficSeen = s.out.TrafficSeen || m.GetTrafficSeen()
 	for _, l := range m.GetLoads() {
@@ -70,12 +72,17 @@
 	}
 	for _, d := range m.GetDemand() {
 		key := demandKey{d.GetService(), d.GetModel()}
+		if d.GetRecentRate() > 0 && !fresh {
+			d = &marbleroadv1.ModelDemand{Service: d.GetService(), Model: d.GetModel(), Arrivals: d.GetArrivals()}
+		}
 		if known := s.demand[key]; known != nil {
 			known.Rate += d.GetRate()
+			known.RecentRate += d.GetRecentRate()
+			known.UnmetRate += d.GetUnmetRate()
 			known.Arrivals += d.GetArrivals()
 			continue
 		}
-		added := &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: d.GetRate(), Arrivals: d.GetArrivals()}
+		added := &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: d.GetRate(), RecentRate: d.GetRecentRate(), UnmetRate: d.GetUnmetRate(), Arrivals: d.GetArrivals()}
 		s.demand[key] = added
 		s.out.Demand = append(s.out.Demand, added)
 	}
--- /dev/null
+++ b/internal/cluster/sum_test.go
@@ -0,0 +1,26 @@
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+)
+
+// TestHubAddsUpMeasuredDemand compares a hub's sum with one computed by hand. The measured demand of a member that
+// has been silent for too long does not count, since its callers count at other nodes by now; without a
+// recent rate, the member does not measure its demand, and the rate counts.
+func TestHubAddsUpMeasuredDemand(t *testing.T) {
+	now := time.Unix(1000, 0)
+	member := func(name string, age time.Duration, rate, recent, unmet float64) receivedState {
+		return receivedState{&marbleroadv1.NodeState{Node: name, Demand: []*marbleroadv1.ModelDemand{
+			{Service: "s", Model: "m", Rate: rate, Arrivals: 10, RecentRate: recent, UnmetRate: unmet}}}, now.Add(-age)}
+	}
+	members := []receivedState{member("a", 0, 1, 2, 0.5), member("b", time.Second, 16, 32, 8),
+		member("c", time.Second, 64, 0, 0), member("d", 300*time.Millisecond, 4, 8, 2)}
+	own := member("hub", 0, 0.25, 0.5, 0.125).state
+	got := aggregate(own, members, nil, "", now, 800*time.Millisecond).GetDemand()
+	if len(got) != 1 || got[0].GetRate() != 69.25 || got[0].GetRecentRate() != 10.5 || got[0].GetUnmetRate() != 2.625 || got[0].GetArrivals() != 50 {
+		t.Errorf("sum %v", got)
+	}
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -27,6 +27,7 @@
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
+	"github.com/marbleroad/marbleroad/internal/demand"
 	"github.com/marbleroad/marbleroad/internal/engine"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
@@ -51,10 +52,10 @@
 	Packing bool
 }
 
-// Demand provides the demand for each model of a service over all nodes, as the number of
-// groups that it would keep busy, and reports whether any request has arrived yet.
+// Demand provides the demand for each model of a service over all nodes, in groups, and
+// reports whether any request has arrived yet.
 type Demand interface {
-	ModelWork(service string) map[string]float64
+	ModelWork(service string) demand.Models
 	TrafficSeen() bool
 }
 
--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -70,11 +70,14 @@
 
 // placementInput returns the input of a placement decision for a failure domain.
 func (s *state) placementInput(now time.Time, domain, service string, e *catalog.Engine, isFree func(*fleet.VM) bool) placement.Input {
+	work := s.d.parts.Demand.ModelWork(service)
 	in := placement.Input{
-		Models: e.Models,
-		Groups: s.groupCounts(now, service),
-		Demand: s.d.parts.Demand.ModelWork(service),
-		Open:   s.openGroups(service, domain),
+		Models:      e.Models,
+		Groups:      s.groupCounts(now, service),
+		Demand:      work.Smoothed(),
+		SurgeDemand: work.Surge(),
+		UnmetDemand: work.Unmet(),
+		Open:        s.openGroups(service, domain),
 	}
 	for _, id := range s.snapshot.IDs() {
 		vm := s.snapshot.VMs[id]
@@ -340,9 +343,13 @@
 	s.formations[f.name] = f
 	head := s.snapshot.VMs[planned.Members[0]]
 	s.groups[f.name] = &groupState{firstSeen: now, head: head.ID, headVM: head, domain: head.FailureDomain, generation: f.generation}
-	s.d.parts.Log.Emit(event.GroupPlanned).Str("group", f.name).Uint64("generation", f.generation).Str("model", model.Name).
+	line := s.d.parts.Log.Emit(event.GroupPlanned).Str("group", f.name).Uint64("generation", f.generation).Str("model", model.Name).
 		Strs("members", f.members).Int("loads", f.loads).EmbedObject(platform.LogRevision(s.snapshot.Revision)).
-		Str("groups", fmt.Sprint(in.Groups)).Str("demand", formatDemand(in.Demand)).Send()
+		Str("groups", fmt.Sprint(in.Groups)).Str("demand", formatDemand(in.Demand))
+	if len(in.SurgeDemand) > 0 {
+		line = line.Str("surge_demand", formatDemand(in.SurgeDemand)).Str("unmet_demand", formatDemand(in.UnmetDemand))
+	}
+	line.Send()
 	s.advanceFormation(now, f)
 }
 
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/cluster"
+	"github.com/marbleroad/marbleroad/internal/demand"
 	"github.com/marbleroad/marbleroad/internal/engine"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
@@ -89,6 +90,8 @@
 	// they were.
 	peersUnread bool
 	peersReadAt time.Time
+	// work is the demand that the director sees.
+	work demand.Models
 }
 
 func testCatalog(t fataler) *catalog.Catalog {
@@ -145,12 +148,12 @@
 
 // The methods of node implement the interfaces that its director depends on.
 
-func (n *node) Catalog() *catalog.Catalog           { return n.w.catalog }
-func (n *node) Snapshot() *fleet.Snapshot           { return n.w.snapshot }
-func (n *node) TriggerExchange()                    {}
-func (n *node) RecordsReadAt() (time.Time, bool)    { return n.peersReadAt, !n.peersUnread }
-func (n *node) ModelWork(string) map[string]float64 { return nil }
-func (n *node) TrafficSeen() bool                   { return n.traffic }
+func (n *node) Catalog() *catalog.Catalog        { return n.w.catalog }
+func (n *node) Snapshot() *fleet.Snapshot        { return n.w.snapshot }
+func (n *node) TriggerExchange()                 {}
+func (n *node) RecordsReadAt() (time.Time, bool) { return n.peersReadAt, !n.peersUnread }
+func (n *node) ModelWork(string) demand.Models   { return n.work }
+func (n *node) TrafficSeen() bool                { return n.traffic }
 func (n *node) Live(now time.Time) []cluster.Peer {
 	var out []cluster.Peer
 	for _, other := range n.w.nodes {
--- a/internal/gateway/adapted.go
+++ b/internal/gateway/adapted.go
@@ -36,6 +36,7 @@
 	}
 	s.statsPublishedAt = now
 	s.metrics.Set("buffers.reserved", s.buffers.used.Load())
+	s.publishDemand(now)
 	const percent = 100
 	for _, stats := range s.targets.loadStats(now) {
 		s.metrics.Set("load.own."+stats.model, int64(stats.localRate))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -321,6 +321,7 @@
 
 // rejectionError returns the error of a call for which no upstream was chosen.
 func (j *job) rejectionError(reason refusal, evaluation evaluation) *verdict.Error {
+	j.s.targets.recordUnmet(clock.Now(), j.c)
 	failure := &verdict.Error{
 		Verdict:    verdict.NotRun,
 		Status:     http.StatusServiceUnavailable,
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -209,6 +209,8 @@
 	// partitionSilence is the time without a state from any node of a failure domain after which the
 	// domain counts as partitioned.
 	partitionSilence time.Duration
+	// measured is the measured demand of this node; nil unless it is switched on.
+	measured *measuredDemand
 	// conditions holds what upstream VMs report of themselves. sharing returns the nodes that share the
 	// remaining capacity of limited VMs in a failure domain.
 	conditions *backpressure.Table
--- a/internal/gateway/crowd_test.go
+++ b/internal/gateway/crowd_test.go
@@ -47,6 +47,8 @@
 	// stateDelay is the age of a node's state when the others receive it. If it is set, they receive an
 	// aggregate.
 	stateDelay time.Duration
+	// measuredDemand makes the nodes measure demand.
+	measuredDemand bool
 }
 
 // fewNodes exchange states directly.
@@ -92,6 +94,8 @@
 	params     burstParams
 	engine     *catalog.Engine
 	eventCount int
+	// cutOff holds the nodes that receive no states.
+	cutOff map[int]bool
 
 	// measureFrom is the start of the measurement.
 	measureFrom  time.Time
@@ -162,6 +166,9 @@
 	for i := range params.nodes {
 		tt := newTargetTable("x", retry.Limit{Window: time.Second}, noneDissolving, start)
 		tt.random = rand.New(rand.NewPCG(uint64(i), 1))
+		if params.measuredDemand {
+			tt.measured = newMeasuredDemand()
+		}
 		tt.rebuild(current, fleet.NewSnapshot(vms, 1, start))
 		// The fleet is a map; sorting makes the simulation deterministic.
 		slices.SortFunc(tt.pools["s"].heads["m"], func(x, y *target) int { return strings.Compare(x.vm.ID, y.vm.ID) })
@@ -217,7 +224,7 @@
 	state := &marbleroadv1.NodeState{Node: fmt.Sprint(node), FailureDomain: "x"}
 	c.tables[node].fillState(c.now, state)
 	for i, tt := range c.tables {
-		if i != node {
+		if i != node && !c.cutOff[i] {
 			tt.receiveState(c.now, state, c.now, time.Second)
 		}
 	}
@@ -249,9 +256,11 @@
 	call.CallerTimeout = one.timeout - c.now.Sub(one.firstAttempt)
 	tt.recordRequest(c.now, &call)
 	call.Waited = tt.waitedBefore(c.now, &call)
+	tt.recordOffered(c.now, &call)
 	const headroom = 5
 	s, _, reason := tt.choose(c.now, &call, nil, headroom, false, func(error) {})
 	if reason != admitted {
+		tt.recordUnmet(c.now, &call)
 		if one.firstAttempt.Before(c.now) {
 			c.rejectedTwice++
 			return
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -184,6 +184,9 @@
 		cancelWork:      cancelWork,
 	}
 	s.targets.warmups, s.targets.regions = c.Warmups, c.Regions
+	if c.Overload.MeasuredDemand {
+		s.targets.measured = newMeasuredDemand()
+	}
 	if p.Sharing != nil {
 		s.targets.sharing = s.sharing
 	}
@@ -387,12 +390,6 @@
 	s.targets.fillState(clock.Now(), into)
 }
 
-// ModelWork returns the demand for each model of the service over all nodes, as the number of groups that
-// it keeps busy. It is nil while there have been too few requests; placement then uses the configured shares.
-func (s *Server) ModelWork(service string) map[string]float64 {
-	return s.targets.modelWork(clock.Now(), service)
-}
-
 // TrafficSeen reports whether any node has received a request for a model. Until then directors may start any
 // number of loads.
 func (s *Server) TrafficSeen() bool { return s.targets.trafficSeen() }
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -77,6 +77,7 @@
 	for key, m := range tt.demand {
 		into.Demand = append(into.Demand, &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: m.rate, Arrivals: m.arrivals.Value(now)})
 	}
+	tt.fillMeasured(now, into)
 }
 
 // receiveState processes the state of another node, or a hub's aggregate of many, received at receivedAt.
