--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -487,6 +487,28 @@
   's/delay := rand\.N\(registerSpread\)/delay := time.Duration(0)/' ./internal/cluster TestStartOfAllNodesCostsFewCalls
 mutant "homes: only the route restricts" internal/gateway/homes.go \
   's/ \|\| !c\.TeamHomes\.Allow\(region\)//' ./internal/gateway TestHomesRestrictRequests
+mutant "measured demand: a surge does not count" internal/demand/sum.go \
+  's/if r\.Recent > r\.Smoothed\+r\.noise\(\)/if false/' ./internal/demand TestSurgeIsSeenAndLeft
+mutant "measured demand: a request counts again when it returns" internal/demand/meter.go \
+  's/\tif r\.Returning \{\n\t\treturn\n\t\}\n//' ./internal/demand TestRefusedRequestCountsOnce
+mutant "measured demand: the last state of a killed node counts until it expires" internal/demand/sum.go \
+  's/return max\(minFreshFor, valid\/2\)/return valid/; s/confirmShare = 0\.625/confirmShare = 1/' ./internal/demand TestRestartedNodesCountOnce
+mutant "measured demand: each node smooths for itself" internal/demand/sum.go \
+  's/\tsum\.Smoothed = t\.smoothed\n//' ./internal/demand TestRestartedNodesCountOnce
+mutant "measured demand: a stopping node reports its smoothed work" internal/demand/sum.go \
+  's/if stopping \{/if false {/' ./internal/demand TestStoppingNodeCountsByItsRecentWork
+mutant "measured demand: a full group counts as its capacity" internal/demand/capacity.go \
+  's/if firstEvent\(e, running, rate\) <= left/if true/' ./internal/demand TestUtilizationFollowsRequests
+mutant "measured demand: the gateway does not report recent work" internal/gateway/measureddemand.go \
+  's/d\.Rate, d\.RecentRate, d\.UnmetRate = r\.Smoothed, r\.Recent, r\.Unmet/_ = r/' ./internal/gateway TestMeasuredDemandUnderOverload
+mutant "measured demand: the gateway does not recognize returning callers" internal/gateway/measureddemand.go \
+  's/Returning: c\.Waited > minRetryWait/Returning: false/' ./internal/gateway TestReturningCallersCountOnce
+mutant "measured demand: hubs do not add up recent work" internal/cluster/sum.go \
+  's/\t\t\tknown\.RecentRate \+= d\.GetRecentRate\(\)\n//' ./internal/cluster TestHubAddsUpMeasuredDemand
+mutant "measured demand: groups are dissolved for a surge" internal/placement/placement.go \
+  's/\t\td\.smoothed = true\n//' ./internal/placement TestSurgeDissolvesNoGroups
+mutant "measured demand: a model loses groups during its surge" internal/placement/placement.go \
+  's/max\(d\.demand\(o\), d\.in\.SurgeDemand\[other\]\)/d.demand(o)/' ./internal/placement TestSurgingModelKeepsItsGroups
 
 echo "$survivors survived or not applied"
 [ "$survivors" = 0 ]
