placement: plan the packing of a fabric domain as a whole

Cause: groups of eight are lost to single VM failures, the other seven VMs go to small groups, and nothing reverses this until the large model is the worst supplied one by a margin.

Change: with Input.Packing (director.Config.Packing) and a known demand, Decide compares the packings of each fabric domain by the work served before and after the loss of one more VM, forms groups by that, and dissolves groups for another model if the gain over 15 s exceeds the cost. The types of the input moved to input.go unchanged. Event 4037 and two counters report the changes.

--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -55,7 +55,8 @@
 		return
 	}
 	s.rebalancedAt = now
-	s.fabricReservations[d.DissolvedIn] = fabricReservation{model: d.DissolvedFor, until: now.Add(s.maxCloseTime(service) + reservationMargin)}
+	s.fabricReservations[d.DissolvedIn] = packingReservation(d, now.Add(s.maxCloseTime(service)+reservationMargin))
+	s.reportPackingChange(d)
 	for _, name := range d.Dissolutions {
 		if gs := s.groups[name]; gs != nil && !gs.dissolving {
 			s.startDissolving(now, name, gs, "its VMs are worth more to another model", true)
@@ -82,6 +83,7 @@
 			in.Free = append(in.Free, s.placementVM(vm))
 		}
 	}
+	s.addPacking(now, &in, domain, service)
 	return in
 }
 
@@ -339,7 +341,8 @@
 	}
 	s.formations[f.name] = f
 	head := s.snapshot.VMs[planned.Members[0]]
-	s.groups[f.name] = &groupState{firstSeen: now, head: head.ID, headVM: head, domain: head.FailureDomain, generation: f.generation}
+	s.groups[f.name] = &groupState{firstSeen: now, head: head.ID, headVM: head, domain: head.FailureDomain, generation: f.generation,
+		formedHere: true, payback: s.fabricReservations[head.Fabric].payback}
 	s.d.parts.Log.Emit(event.GroupPlanned).Str("group", f.name).Uint64("generation", f.generation).Str("model", model.Name).
 		Strs("members", f.members).Int("loads", f.loads).EmbedObject(platform.LogRevision(s.snapshot.Revision)).
 		Str("groups", fmt.Sprint(in.Groups)).Str("demand", formatDemand(in.Demand)).Send()
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -150,6 +150,10 @@
 type fabricReservation struct {
 	model string
 	until time.Time
+	// groups is the number of groups to be formed, and payback the time in which they pay for the
+	// dissolutions; 0 without packing.
+	groups  int
+	payback time.Duration
 }
 
 // groupState is the director's state of a group that is being formed or that the fleet lists.
@@ -173,6 +177,10 @@
 	incompleteSince time.Time
 	// openSince is when the head was first seen open; zero before.
 	openSince time.Time
+	// formedHere is true if this director formed the group, and payback is the time after its
+	// opening in which the change of a packing that formed it pays for itself; 0 without one.
+	formedHere bool
+	payback    time.Duration
 	// closingSince is when the head was first seen closing; zero while it is not.
 	closingSince time.Time
 	// released is true once the group's VMs may go to other groups.
@@ -348,7 +356,9 @@
 	models := []string{}
 	for _, fabric := range sorted(s.fabricReservations) {
 		if reservation := s.fabricReservations[fabric]; now.Before(reservation.until) {
-			models = append(models, reservation.model)
+			for range reservation.groups {
+				models = append(models, reservation.model)
+			}
 		}
 	}
 	if slices.Equal(models, s.d.Preparing()) {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -150,6 +150,8 @@
 		"See 3008 at both nodes. If it lasts, restart the leader."}
 	EntryOutdated = Event{4036, zerolog.InfoLevel, "a restored store has an older version of an upstream VM's entry than this node; the newer one stays in force until the VM has had time to write it again",
 		"None."}
+	PackingChanged = Event{4037, zerolog.InfoLevel, "groups of a fabric domain are dissolved for groups of another model; gain and cost are in the work of a group of pace 1 times seconds",
+		"None; if it repeats for one fabric domain within its payback, report the demand that the 4015 events show."}
 )
 
 // Events of requests.
@@ -226,7 +228,7 @@
 	UpstreamAdded, UpstreamDraining, UpstreamRemoved, MembershipChanged, OrderSent,
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
 	DirectorRoleAcquired, DirectorRoleReleased, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceQueried, ListRead, UnverifiedStateAdopted,
-	EvacuationStarted, EvacuationEnded, LeaderOutdated, EntryOutdated,
+	EvacuationStarted, EvacuationEnded, LeaderOutdated, EntryOutdated, PackingChanged,
 	RequestDone, RequestRefused, RequestFailed, InvalidInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerDisconnected, RetryRefused, UpstreamTerminated, RequestQuarantined,
 	SuspectsReceived, QuarantineUnavailable, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamBackoff, UpstreamLeaving, UpstreamWarming, CallerSlow,
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -53,6 +53,8 @@
 	{"platform.calls.VERB.KIND", "counter", "Calls to the platform's store: get, list, watch or write, and the kind of object."},
 	{"director.reports", "counter", "Reports requested from VMs."},
 	{"director.orders.ORDER", "counter", "Orders sent to VMs, by kind of order."},
+	{"director.packing.changes", "counter", "Changes of the packing of a fabric domain: groups dissolved for groups of another model."},
+	{"director.packing.dissolved", "counter", "Groups dissolved by changes of packings."},
 	{"log.dropped", "gauge", "Log lines dropped because the reader of standard output was too slow."},
 	{"log.skipped", "gauge", "Log lines of events below the level of warnings that log.rate skipped."},
 }
--- a/internal/placement/copies.go
+++ b/internal/placement/copies.go
@@ -119,6 +119,9 @@
 
 // freeIn returns the free VMs of a fabric domain by ID.
 func (d *decider) freeIn(fabric string) []VM {
+	if d.plansPackings() {
+		return d.freeByFabric[fabric]
+	}
 	var out []VM
 	for _, v := range d.free {
 		if v.Fabric == fabric {
@@ -131,6 +134,9 @@
 
 // allFabrics returns the fabric domains with free VMs or open groups.
 func (d *decider) allFabrics() []string {
+	if d.plansPackings() {
+		return d.packedFabrics
+	}
 	out := append(d.fabrics(), d.openFabrics()...)
 	sort.Strings(out)
 	unique := out[:0]
@@ -145,6 +151,10 @@
 // dissolvableVMs returns the VMs of groups of other models in the fabric domain that
 // may be dissolved for a group of the model.
 func (d *decider) dissolvableVMs(m catalog.Model, fabric string) []VM {
+	if d.plansPackings() {
+		// The change that gains the most gets its copies by stageWanted.
+		return nil
+	}
 	var out []VM
 	lost := make(map[string]int)
 	for _, g := range d.in.Open {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,6 +1,9 @@
 // Package placement decides which free VMs form which groups, which groups are
 // dissolved for another model, and which models are copied onto which hosts. It
 // is pure: the same input gives the same decision.
+//
+// With Input.Packing, the groups of a fabric domain are planned together (packing.go, repack.go and
+// change.go) instead of one group at a time.
 package placement
 
 import (
@@ -9,104 +12,6 @@
 	"github.com/marbleroad/marbleroad/internal/catalog"
 )
 
-// VM is a free VM, which is in no group that may still serve, or a member of an
-// open group.
-type VM struct {
-	ID     string
-	Fabric string
-	// Last is the model of the VM's last group; joining it again is fastest.
-	Last string
-	// Staged are the models of which the host holds a copy.
-	Staged []string
-	// Staging is the model that is being copied to the host; empty if none.
-	// Meanwhile the VM can only join a group of the model of its last group, which
-	// needs no copy.
-	Staging string
-}
-
-// Group is an open group of this failure domain.
-type Group struct {
-	Name    string
-	Model   string
-	Fabric  string
-	Members []VM
-}
-
-// Input holds everything that Decide depends on.
-type Input struct {
-	// Free holds the VMs that are in no group that may still serve.
-	Free []VM
-	// Open are the groups that serve. Their VMs may get copies of other models,
-	// and a group may be dissolved for a model that is supplied worse.
-	Open   []Group
-	Models []catalog.Model
-	// Groups counts the open and forming groups of each model in all failure
-	// domains.
-	Groups map[string]int
-	// Demand is the requested work for each model, in the number of groups that
-	// it would keep busy; empty while unknown.
-	Demand map[string]float64
-	// LoadBudget is how many loads from the weight store may start now. UrgentLoadBudget
-	// also includes the loads that other failure domains leave unused.
-	LoadBudget       int
-	UrgentLoadBudget int
-	// ReservedFor maps a fabric domain to the model for which groups there were
-	// dissolved; free VMs are reserved for it.
-	ReservedFor map[string]string
-	// JoinUnstaged allows groups of VMs that still have to load. It is meant
-	// for the time before the first requests, when loads are fast.
-	JoinUnstaged bool
-}
-
-// Formation is one new group.
-type Formation struct {
-	Model string
-	// Members are the VMs by rank.
-	Members []string
-	// Loads is how many of them have to load the weights.
-	Loads int
-}
-
-// Staging copies a model onto one host.
-type Staging struct {
-	VM    string
-	Model string
-}
-
-// Decision is what to do now.
-type Decision struct {
-	Formations []Formation
-	Stagings   []Staging
-	// Dissolutions are the open groups to dissolve so that their VMs form a group
-	// of the model DissolvedFor; all are in the fabric domain DissolvedIn.
-	Dissolutions []string
-	DissolvedFor string
-	DissolvedIn  string
-}
-
-// GroupsAfter returns the number of groups of each model once the decision is carried out.
-// A group for which others are dissolved counts as formed.
-func (d Decision) GroupsAfter(in Input) map[string]int {
-	out := make(map[string]int, len(in.Groups))
-	for model, n := range in.Groups {
-		out[model] = n
-	}
-	for _, f := range d.Formations {
-		out[f.Model]++
-	}
-	for _, name := range d.Dissolutions {
-		for _, g := range in.Open {
-			if g.Name == name {
-				out[g.Model]--
-			}
-		}
-	}
-	if len(d.Dissolutions) > 0 {
-		out[d.DissolvedFor]++
-	}
-	return out
-}
-
 // Decide first forms the groups that need no loads, for the model with the lowest
 // supply relative to its demand before the others. It dissolves groups only if that
 // raises the supply of the worst-supplied model. Loads go first where they soonest
@@ -120,6 +25,11 @@
 	for m, n := range in.Groups {
 		d.groups[m] = n
 	}
+	if d.plansPackings() {
+		d.pack()
+		d.stage(d.stageWanted(in.LoadBudget))
+		return d.out
+	}
 	for d.formNext(0) {
 	}
 	budget := in.LoadBudget
@@ -142,7 +52,14 @@
 	groups map[string]int
 	// newStagings maps the ID of a VM to the model whose copy this decision starts.
 	newStagings map[string]string
-	out         Decision
+	// wantedCopies are the VMs that need a copy of wantedModel for the next change of a packing.
+	wantedCopies []VM
+	wantedModel  string
+	// freeByFabric holds the VMs that stay free, by fabric domain, once pack has run.
+	freeByFabric map[string][]VM
+	// packedFabrics are the fabric domains that pack planned.
+	packedFabrics []string
+	out           Decision
 }
 
 // formNext forms one group of the worst-supplied model for which that is possible.
