Packing: tests, mutants, protection of changed groups, and prediction until states arrive

Cause: with states 0.4 s old, closing heads of another failure domain are seen before its Preparing; two directors dissolved groups for the same missing one (9 dissolved where 4 suffice). Without a least net gain, spare groups were exchanged for spare groups of the other model.

Change: a predicted change that has begun counts for 0.6 s; a change must gain 3 more than it costs; its groups are protected for 8.5 to 15 s. The world of the director's tests has a demand and a message delay.

--- a/internal/director/packing.go
+++ b/internal/director/packing.go
@@ -84,3 +84,26 @@
 	s.d.parts.Log.Emit(event.PackingChanged).Str("fabric", c.Fabric).Str("model", d.DissolvedFor).Str("before", fmt.Sprint(c.Before)).
 		Str("after", fmt.Sprint(c.After)).Float64("gain", c.Gain).Float64("cost", c.Cost).Dur("payback", c.Payback).Send()
 }
+
+// predictedChange is a change of a packing that another director was predicted to carry out.
+type predictedChange struct {
+	model  string
+	groups int
+	at     time.Time
+}
+
+// announceDelay is how long another director's state may take to arrive: states are 0.3 to 0.5 s old.
+const announceDelay = 600 * time.Millisecond
+
+// countAnnounced adds the groups of a change that another director was predicted to carry out and now
+// carries out, until its state arrives. Its closing heads are seen earlier, through the store: in that
+// time the groups seemed to be missing, and each director dissolved groups for the same ones.
+func (s *state) countAnnounced(now time.Time, domain string, d placement.Decision, counts map[string]int) {
+	if d.Change != nil {
+		s.predictedChanges[domain] = predictedChange{model: d.DissolvedFor, groups: max(d.DissolvedCount, 1), at: now}
+		return
+	}
+	if p, ok := s.predictedChanges[domain]; ok && now.Sub(p.at) < announceDelay {
+		counts[p.model] += p.groups
+	}
+}
--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -115,6 +115,7 @@
 		if s.expectsDecision(now, other, len(d.Formations)+len(d.Dissolutions) > 0) {
 			counts = d.GroupsAfter(in)
 		}
+		s.countAnnounced(now, other, d, counts)
 	}
 	return counts
 }
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -237,6 +237,8 @@
 	// expectedSince holds, by failure domain, since when its director has been expected to carry
 	// out a decision that it has not carried out yet.
 	expectedSince map[string]time.Time
+	// predictedChanges holds, by failure domain, the last change of a packing that was predicted there.
+	predictedChanges map[string]predictedChange
 	// domainLiveAt is when each failure domain last had a live node.
 	domainLiveAt map[string]time.Time
 	// referenceCursor counts the VMs that were considered as references, so that each call of
@@ -259,6 +261,7 @@
 		domainLiveAt:       make(map[string]time.Time),
 		fabricReservations: make(map[string]fabricReservation),
 		expectedSince:      make(map[string]time.Time),
+		predictedChanges:   make(map[string]predictedChange),
 	}
 }
 
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -37,6 +37,8 @@
 	interruptedWork []string
 	nodes           []*node
 	pending         []func()
+	// messageDelay is the age of the records that nodes have of each other.
+	messageDelay time.Duration
 	// chooseOutcome decides the outcome of an order; if it is nil, all orders are executed.
 	chooseOutcome func(vm *engineVM, o engine.GroupOrder) orderOutcome
 }
@@ -89,6 +91,10 @@
 	// they were.
 	peersUnread bool
 	peersReadAt time.Time
+	// demand is what ModelWork returns, in groups by model; nil while it is unknown.
+	demand map[string]float64
+	// sent are the records of the last steps, oldest first, if the world has a message delay.
+	sent []cluster.Peer
 }
 
 func testCatalog(t fataler) *catalog.Catalog {
@@ -149,18 +155,31 @@
 func (n *node) Snapshot() *fleet.Snapshot           { return n.w.snapshot }
 func (n *node) TriggerExchange()                    {}
 func (n *node) RecordsReadAt() (time.Time, bool)    { return n.peersReadAt, !n.peersUnread }
-func (n *node) ModelWork(string) map[string]float64 { return nil }
+func (n *node) ModelWork(string) map[string]float64 { return n.demand }
 func (n *node) TrafficSeen() bool                   { return n.traffic }
 func (n *node) Live(now time.Time) []cluster.Peer {
 	var out []cluster.Peer
 	for _, other := range n.w.nodes {
 		if other != n && !other.down && !n.isolated && !other.isolated {
-			out = append(out, other.peerRecord(now))
+			out = append(out, other.received(now))
 		}
 	}
 	return out
 }
 
+// received returns the node's record as the other nodes have it: the newest one that is at least as
+// old as the message delay.
+func (n *node) received(now time.Time) cluster.Peer {
+	delay := n.w.messageDelay
+	if delay == 0 || len(n.sent) == 0 {
+		return n.peerRecord(now)
+	}
+	for len(n.sent) > 1 && now.Sub(n.sent[1].LastSeen) >= delay {
+		n.sent = n.sent[1:]
+	}
+	return n.sent[0]
+}
+
 func (n *node) report(vm *fleet.VM, reason reportReason) {
 	e := n.w.vms[vm.ID]
 	requestedAt := n.w.now
@@ -339,6 +358,9 @@
 		if !n.down {
 			n.s.reconcile(w.now)
 		}
+		if w.messageDelay > 0 {
+			n.sent = append(n.sent, n.peerRecord(w.now))
+		}
 	}
 	calls := w.pending
 	w.pending = nil
--- a/internal/placement/change.go
+++ b/internal/placement/change.go
@@ -50,9 +50,19 @@
 		Gain: best.gain, Cost: best.cost, Payback: payback(best)}
 }
 
+// minNetGain is the least by which the gain of a change must exceed its cost: the work of one group
+// of pace 1 for 3 s. Its VMs serve nothing for about that long, so that a surge in that time finds
+// less capacity; spare groups are not exchanged for spare groups of another model.
+const minNetGain = 3
+
+// minPayback is the minimum of a change's payback. Arrival rates vary with a period of 17 s; groups
+// that are dissolved within half a period would follow that variation.
+const minPayback = 8500 * time.Millisecond
+
 // payback returns the time in which the gain reaches the cost.
 func payback(c candidate) time.Duration {
-	return min(time.Duration(c.cost/c.gain*float64(PackingHorizon)), PackingHorizon)
+	reached := time.Duration(c.cost / c.gain * float64(PackingHorizon))
+	return min(max(reached, minPayback), PackingHorizon)
 }
 
 // named returns the numbers of groups by the name of the model.
@@ -92,7 +102,7 @@
 		// The value after a loss is never higher than before it.
 		limit := (p.value.served(p.groups) - now) * PackingHorizon.Seconds()
 		least := min(best.rank.value, unstaged.rank.value) - valueTolerance
-		if limit <= 0 || limit < least || afterLowest < min(lowest, starvedSupply) {
+		if limit < minNetGain || limit < least || afterLowest < min(lowest, starvedSupply) {
 			return
 		}
 		free := vms
@@ -100,12 +110,12 @@
 			free -= n * p.value.sizes[i]
 		}
 		gain := (p.value.value(p.groups, after, free) - now) * PackingHorizon.Seconds()
-		if gain <= 0 || gain < least {
+		if gain < minNetGain || gain < least {
 			return
 		}
 		c := candidate{fabric: f, model: model, count: count, gain: gain, makesRoom: present[worst] == 0 && model == worst}
 		c.cost = p.closingCost(served, present, after, p.models[model])
-		if gain-c.cost <= valueTolerance || gain-c.cost < least || !p.choose(&c, present, after) {
+		if gain-c.cost < minNetGain || gain-c.cost < least || !p.choose(&c, present, after) {
 			return
 		}
 		c.rank = rank{value: gain - c.cost, lowest: afterLowest, kept: -len(c.dissolved)}
--- a/internal/placement/packing_bench_test.go
+++ b/internal/placement/packing_bench_test.go
@@ -19,6 +19,20 @@
 	}
 }
 
+// BenchmarkPackingsOfFreeVMs measures a plan of 3,000 VMs that are all free.
+func BenchmarkPackingsOfFreeVMs(b *testing.B) {
+	in := largeInput()
+	for _, g := range in.Open {
+		in.Free = append(in.Free, g.Members...)
+	}
+	in.Open, in.Groups = nil, nil
+	for b.Loop() {
+		if d := Decide(in); len(d.Formations) < 300 {
+			b.Fatalf("%d groups", len(d.Formations))
+		}
+	}
+}
+
 // largeInput returns 167 fabric domains of 18 VMs with one large and four small groups each and two
 // free VMs. The large model is short.
 func largeInput() Input {
--- a/internal/placement/repack.go
+++ b/internal/placement/repack.go
@@ -26,7 +26,7 @@
 	Before, After map[string]int
 	// Gain and Cost are in work times seconds, in groups of pace 1.
 	Gain, Cost float64
-	// Payback is the time in which the gain reaches the cost, at most PackingHorizon.
+	// Payback is the time in which the gain reaches the cost, from minPayback to PackingHorizon.
 	Payback time.Duration
 }
 
@@ -168,6 +168,10 @@
 	return best.rank.value > (formed-now)*PackingHorizon.Seconds()+valueTolerance
 }
 
+// maxNewGroups bounds the groups of one model that one decision forms in a fabric domain, and with it
+// the number of packings that are compared. Fabric domains of 18 VMs hold nine groups of two.
+const maxNewGroups = 16
+
 // visitAdditions calls visit with each set of groups that the free VMs can form without loads.
 func (p *packer) visitAdditions(f *fabricState, visit func(added []int, used int)) {
 	none := make([]int, len(p.models))
@@ -175,6 +179,7 @@
 	for _, size := range p.value.sizes {
 		window = max(window, len(f.free)/size)
 	}
+	window = min(window, maxNewGroups)
 	packings(len(f.free), p.value.sizes, none, window, func(added []int) {
 		used := 0
 		for i, n := range added {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -283,6 +283,18 @@
   's/if len\(r\.TransferEncoding\) > 0/if false/' ./internal/entry TestRequestSmuggledBehindChunksIsNotServed
 mutant "unresponsive nodes count until another node reports" internal/gateway/choose.go \
   's/tt\.dropExpiredPeers\(now\)//' ./internal/gateway TestLoadsOfSilentNodesExpire
+mutant "packing: no packing is planned" internal/placement/placement.go \
+  's/if d\.plansPackings\(\) \{/if false {/' ./internal/director TestPackingUnderLosses
+mutant "packing: a group is dissolved before its formation has paid" internal/placement/change.go \
+  's/ && !g\.Protected//' ./internal/placement 'TestFormationPaysBeforeDissolution|TestPackedDecisionsAreConsistent'
+mutant "packing: the VMs of a lost group do not wait for a replacement" internal/placement/repack.go \
+  's/missing <= p\.d\.in\.Returning\[f\.name\]/false/' ./internal/placement TestRemainingVMsWaitForReplacement
+mutant "packing: the cost of a change is ignored" internal/placement/change.go \
+  's/return lost \* \(closeTime \+ m\.WarmTime\)\.Seconds\(\)/_ = lost\n\treturn 0/' ./internal/placement TestChangeMustPayForTheClose
+mutant "packing: directors do not predict each other's dissolutions" internal/director/place.go \
+  's/in\.Groups = s\.predictGroupCounts\(/_ = s.predictGroupCounts(/' ./internal/director TestDirectorsDoNotPackTooMuch
+mutant "packing: a change that begins is not counted until the other director's state arrives" internal/director/packing.go \
+  's/counts\[p\.model\] \+= p\.groups/_ = p/' ./internal/director TestDirectorsDoNotPackTooMuch
 mutant "no free VMs are reserved" internal/placement/placement.go \
   's/if !ok \|\| d\.reserveFree\(m\)/if !ok/' ./internal/placement TestFreeVMsAreKept
 
