Packing: copies of free VMs are compared once for each fabric domain

Half of it was finding, for each packing, which VMs can join without a load.

Change: the costs to join are computed once for each fabric domain, and the check uses scratch space. One decision forms at most 16 groups of a model in a fabric domain, which bounds the packings.

TestPackingUnderLosses gives the same figures as before.

--- a/internal/placement/repack.go
+++ b/internal/placement/repack.go
@@ -50,12 +50,14 @@
 	window int
 	// order holds the indices of the models, largest groups first: they are the hardest to complete.
 	order []int
+	// taken is scratch space of formable.
+	taken []bool
 }
 
 // plansPackings reports whether the fabric domains are planned as a whole. Without a known demand
 // packings cannot be compared, and before traffic loads cost nothing.
 func (d *decider) plansPackings() bool {
-	return d.in.Packing && len(d.in.Demand) > 0 && !d.in.JoinUnstaged
+	return d.in.Packing && len(d.in.Models) > 0 && len(d.in.Demand) > 0 && !d.in.JoinUnstaged
 }
 
 // pack forms groups of free VMs and otherwise chooses the dissolutions of one fabric domain.
@@ -130,20 +132,17 @@
 	}
 	var best []int
 	var bestRank rank
+	costs := p.joinCosts(f.free)
 	p.visitAdditions(f, func(added []int, used int) {
 		r := p.rankAddition(f, added, used)
-		if best == nil || r.exceeds(bestRank) {
+		if best == nil || (r.exceeds(bestRank) && p.formable(costs, added)) {
 			best, bestRank = append(best[:0], added...), r
 		}
 	})
 	if p.changeRanksHigher(f, best) {
 		return
 	}
-	for _, i := range p.order {
-		for range best[i] {
-			p.formOne(f, i)
-		}
-	}
+	p.formGroups(f, costs, best)
 }
 
 // changeRanksHigher reports whether a change of the fabric domain that needs no further copies gains
@@ -172,7 +171,8 @@
 // the number of packings that are compared. Fabric domains of 18 VMs hold nine groups of two.
 const maxNewGroups = 16
 
-// visitAdditions calls visit with each set of groups that the free VMs can form without loads.
+// visitAdditions calls visit with each set of groups that fits into the free VMs and their
+// reservation, the empty set first. Whether their hosts have the copies is not checked.
 func (p *packer) visitAdditions(f *fabricState, visit func(added []int, used int)) {
 	none := make([]int, len(p.models))
 	window := 0
@@ -188,45 +188,47 @@
 				return
 			}
 		}
-		if p.formable(f.free, added) {
-			visit(added, used)
-		}
+		visit(added, used)
 	})
 }
 
-// formable reports whether the VMs can form the groups without loads. VMs are taken in the order
-// in which formOne takes them.
-func (p *packer) formable(vms []VM, added []int) bool {
-	taken := make([]bool, len(vms))
+// formable reports whether the VMs whose costs are given can form the groups without loads. VMs are
+// taken in the order in which formOne takes them.
+func (p *packer) formable(costs [][]float64, added []int) bool {
+	p.taken = append(p.taken[:0], make([]bool, len(costs[0]))...)
 	for _, i := range p.order {
-		for _, k := range p.cheapest(vms, taken, i, added[i]*p.value.sizes[i]) {
-			taken[k] = true
+		if !takeCheapest(costs[i], p.taken, added[i]*p.value.sizes[i], func(int) {}) {
+			return false
 		}
 	}
-	wanted, got := 0, 0
-	for i, n := range added {
-		wanted += n * p.value.sizes[i]
-	}
-	for _, t := range taken {
-		if t {
-			got++
+	return true
+}
+
+// joinCosts returns, by model, what it costs each of the VMs to join a group.
+func (p *packer) joinCosts(vms []VM) [][]float64 {
+	out := make([][]float64, len(p.models))
+	for i, m := range p.models {
+		out[i] = make([]float64, len(vms))
+		for k, v := range vms {
+			out[i][k] = joinCost(v, m.Name)
 		}
 	}
-	return got == wanted
+	return out
 }
 
-// cheapest returns the indices of the n VMs that join a group of the model at the least cost
-// without a load; fewer if there are not enough.
-func (p *packer) cheapest(vms []VM, taken []bool, model, n int) []int {
-	var out []int
-	for _, cost := range []float64{costLastModel, costStaged} {
-		for k, v := range vms {
-			if len(out) < n && !taken[k] && joinCost(v, p.models[model].Name) == cost {
-				out = append(out, k)
+// takeCheapest takes the n VMs that join at the least cost without a load and calls visit with the
+// index of each; false if there are fewer.
+func takeCheapest(costs []float64, taken []bool, n int, visit func(int)) bool {
+	for _, cost := range [...]float64{costLastModel, costStaged} {
+		for k := 0; k < len(costs) && n > 0; k++ {
+			if !taken[k] && costs[k] == cost {
+				taken[k] = true
+				visit(k)
+				n--
 			}
 		}
 	}
-	return out
+	return n == 0
 }
 
 // rankAddition ranks a set of new groups. If the VMs that stay free and those that are about to
@@ -270,22 +272,30 @@
 	return worst
 }
 
-// formOne forms one group of free VMs.
-func (p *packer) formOne(f *fabricState, model int) {
+// formGroups forms the numbers of groups of free VMs whose costs are given.
+func (p *packer) formGroups(f *fabricState, costs [][]float64, added []int) {
 	taken := make([]bool, len(f.free))
-	formation := Formation{Model: p.models[model].Name}
-	for _, k := range p.cheapest(f.free, taken, model, p.value.sizes[model]) {
-		taken[k] = true
-		formation.Members = append(formation.Members, f.free[k].ID)
-		delete(p.d.free, f.free[k].ID)
+	for _, i := range p.order {
+		for range added[i] {
+			p.formOne(f, i, costs[i], taken)
+		}
 	}
-	var left []VM
+	left := make([]VM, 0, len(f.free))
 	for k, v := range f.free {
 		if !taken[k] {
 			left = append(left, v)
 		}
 	}
 	f.free = left
+}
+
+// formOne forms one group of the free VMs that are not taken.
+func (p *packer) formOne(f *fabricState, model int, costs []float64, taken []bool) {
+	formation := Formation{Model: p.models[model].Name, Members: make([]string, 0, p.value.sizes[model])}
+	takeCheapest(costs, taken, p.value.sizes[model], func(k int) {
+		formation.Members = append(formation.Members, f.free[k].ID)
+		delete(p.d.free, f.free[k].ID)
+	})
 	f.packed[model]++
 	p.groups[model]++
 	p.d.groups[formation.Model]++
