--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -150,6 +150,10 @@
 type fabricReservation struct {
 	model string
 	until time.Time
+	// groups is the number of groups to be formed, and payback the time in which they pay for the
+	// dissolutions; 0 without packing.
+	groups  int
+	payback time.Duration
 }
 
 // groupState is the director's state of a group that is being formed or that the fleet lists.
@@ -173,6 +177,10 @@
 	incompleteSince time.Time
 	// openSince is when the head was first seen open; zero before.
 	openSince time.Time
+	// formedHere is true if this director formed the group, and payback is the time after its
+	// opening in which the change of a packing that formed it pays for itself; 0 without one.
+	formedHere bool
+	payback    time.Duration
 	// closingSince is when the head was first seen closing; zero while it is not.
 	closingSince time.Time
 	// released is true once the group's VMs may go to other groups.
@@ -229,6 +237,8 @@
 	// expectedSince holds, by failure domain, since when its director has been expected to carry
 	// out a decision that it has not carried out yet.
 	expectedSince map[string]time.Time
+	// predictedChanges holds, by failure domain, the last change of a packing that was predicted there.
+	predictedChanges map[string]predictedChange
 	// domainLiveAt is when each failure domain last had a live node.
 	domainLiveAt map[string]time.Time
 	// referenceCursor counts the VMs that were considered as references, so that each call of
@@ -251,6 +261,7 @@
 		domainLiveAt:       make(map[string]time.Time),
 		fabricReservations: make(map[string]fabricReservation),
 		expectedSince:      make(map[string]time.Time),
+		predictedChanges:   make(map[string]predictedChange),
 	}
 }
 
@@ -348,7 +359,9 @@
 	models := []string{}
 	for _, fabric := range sorted(s.fabricReservations) {
 		if reservation := s.fabricReservations[fabric]; now.Before(reservation.until) {
-			models = append(models, reservation.model)
+			for range reservation.groups {
+				models = append(models, reservation.model)
+			}
 		}
 	}
 	if slices.Equal(models, s.d.Preparing()) {
