Hubs add up the unread prompts of their members

Cause: GroupLoad.unread_tokens of members was lost in a hub's aggregate. Change: aggregator.add sums it. It is zero while pause_limit is off.

--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -62,9 +62,10 @@
 		if known := s.loads[l.GetGroup()]; known != nil {
 			known.InFlight += l.GetInFlight()
 			known.Suspects += l.GetSuspects()
+			known.UnreadTokens += l.GetUnreadTokens()
 			continue
 		}
-		added := &marbleroadv1.GroupLoad{Group: l.GetGroup(), InFlight: l.GetInFlight(), Suspects: l.GetSuspects()}
+		added := &marbleroadv1.GroupLoad{Group: l.GetGroup(), InFlight: l.GetInFlight(), Suspects: l.GetSuspects(), UnreadTokens: l.GetUnreadTokens()}
 		s.loads[l.GetGroup()] = added
 		s.out.Loads = append(s.out.Loads, added)
 	}
