Pause limit: heads are chosen at random by headroom, and those with long passes are avoided

Cause: while the known loads count as fresh, each node sends to the best head of a sample, by states of 0.4 to 0.7 s. Bunched arrivals meet at one head, whose streams pause while it reads their prompts. Change (pause_limit on): a head is chosen at random among those that admit the request, weighted by headroom, without heads whose predicted pass exceeds the pause objective of the model and without the head of the latest send, while others remain. While requests are divided, only the head of the latest send is left out. Admission is unchanged. Nodes report unread prompt tokens. Log line 5007 gets longest_pass_ms and heads_avoided; metrics pauses.avoided and pauses.exceeded. The simulation of crowd_test.go has pauses, a maximum of prompt tokens per pass and bunches.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -200,6 +200,8 @@
 	peerLoads map[string]int
 	// peerSuspects counts the suspect requests of other nodes at each group.
 	peerSuspects map[string]int
+	// pauses bounds the pauses of running streams; nil if the pause limit is off.
+	pauses *pauseLimit
 	// localDissolving lists the groups that the director of this node is dissolving. dissolving holds
 	// those that any node is dissolving.
 	localDissolving func() []string
@@ -282,6 +284,7 @@
 	tt.cancelRestarted(s)
 	tt.sweepConditions(s)
 	tt.markWarming(clock.Now(), c, s)
+	tt.pauses.applyCatalog(c.Version())
 	tt.pools = pools
 	tt.targets = targets
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -15,6 +15,8 @@
 	score  float64
 	// predictedFirst is the predicted time to the first event at a head; zero if unknown.
 	predictedFirst time.Duration
+	// longestPass is the predicted longest pass of a head with the request; zero if the pause limit is off.
+	longestPass time.Duration
 }
 
 // healthy reports whether the candidate is neither suspected nor ejected nor being dissolved.
@@ -78,6 +80,7 @@
 		return nil, selected.evaluation, reason
 	}
 	candidate := selected.scored[selected.best]
+	tt.pauses.recordChoice(key, candidate.target)
 	s := &send{target: candidate.target, vm: candidate.target.vm, cancel: cancel, sentAt: now, lastActivity: now, lastAttempt: lastAttempt, fingerprint: c.fingerprint(), quarantineVerdict: c.quarantineVerdict,
 		call: c, tried: tried, headroom: headroom}
 	s.objective, s.pauseObjective = objectives(c)
@@ -112,6 +115,7 @@
 type evaluation struct {
 	scored    []scoredTarget
 	forecast  forecast
+	pauses    pauseResult
 	throttled throttledTargets
 }
 
@@ -138,6 +142,9 @@
 		}
 	}
 	tt.recordRejectedShare(hr.key, 0)
+	if out, ok := tt.chooseByHeadroom(now, candidates, hr, headroom); ok {
+		return out
+	}
 	out := selection{best: -1}
 	healthySeen := 0
 	for _, i := range tt.evaluationOrder(candidates) {
--- a/internal/gateway/crowd_test.go
+++ b/internal/gateway/crowd_test.go
@@ -47,6 +47,11 @@
 	// stateDelay is the age of a node's state when the others receive it. If it is set, they receive an
 	// aggregate.
 	stateDelay time.Duration
+	// pauseObjective is the route's objective for pauses, and pauseLimit switches the feature on.
+	pauseObjective time.Duration
+	pauseLimit     bool
+	// bunch is the mean number of callers that arrive at the same time, each at a random node; 0 means 1.
+	bunch float64
 }
 
 // fewNodes exchange states directly.
@@ -69,8 +74,15 @@
 	responseTokens int
 	writtenTokens  int
 	promptRead     bool
-	table          *targetTable
-	send           *send
+	// readTokens is the number of prompt tokens read so far.
+	readTokens int
+	// lastEvent is the time of the latest event, longestPause the longest time between two events. onTime
+	// is true if the first event came within the objective.
+	lastEvent    time.Time
+	longestPause time.Duration
+	onTime       bool
+	table        *targetTable
+	send         *send
 }
 
 // burstHead simulates one engine: it takes requests in order of arrival into its slots.
@@ -96,6 +108,9 @@
 	// measureFrom is the start of the measurement.
 	measureFrom  time.Time
 	inTime, late int
+	// paused counts the measured streams that had a pause over the pause objective, served those that were in
+	// time without one.
+	paused, served int
 	// retried counts the callers that were rejected and retried, rejectedTwice those whose retry was
 	// rejected too.
 	retried, rejectedTwice int
@@ -147,7 +162,7 @@
 	t.Helper()
 	start := time.Unix(1_000_000, 0)
 	c := &burstSimulation{now: start, random: rand.New(rand.NewPCG(7, 11)), heads: make(map[string]*burstHead), params: params, engine: &params.engine}
-	route := catalog.Route{Name: "r", Prefix: "/a/", Objective: params.objective, Targets: []catalog.Target{{Service: "s", Weight: 1}}}
+	route := catalog.Route{Name: "r", Prefix: "/a/", Objective: params.objective, PauseObjective: params.pauseObjective, Targets: []catalog.Target{{Service: "s", Weight: 1}}}
 	current, err := catalog.New(catalog.Content{Version: 1, Routes: []catalog.Route{route}, Services: []catalog.Service{{Name: "s", Engine: published}}})
 	if err != nil {
 		t.Fatal(err)
@@ -162,6 +177,7 @@
 	for i := range params.nodes {
 		tt := newTargetTable("x", retry.Limit{Window: time.Second}, noneDissolving, start)
 		tt.random = rand.New(rand.NewPCG(uint64(i), 1))
+		tt.pauses = newPauseLimit(params.pauseLimit)
 		tt.rebuild(current, fleet.NewSnapshot(vms, 1, start))
 		// The fleet is a map; sorting makes the simulation deterministic.
 		slices.SortFunc(tt.pools["s"].heads["m"], func(x, y *target) int { return strings.Compare(x.vm.ID, y.vm.ID) })
@@ -179,19 +195,21 @@
 
 // aggregateStates sends all nodes an aggregate of the others' states after a delay, once per interval.
 func (c *burstSimulation) aggregateStates() {
-	all := make(map[string]uint32)
+	all, allUnread := make(map[string]uint32), make(map[string]uint32)
 	arrivals := 0.0
-	var localLoads []map[string]uint32
+	var localLoads, localUnread []map[string]uint32
 	var arrivalsOf []float64
 	for i, tt := range c.tables {
 		state := &marbleroadv1.NodeState{Node: fmt.Sprint(i), FailureDomain: "x"}
 		tt.fillState(c.now, state)
-		loads := make(map[string]uint32)
+		loads, unread := make(map[string]uint32), make(map[string]uint32)
 		for _, l := range state.GetLoads() {
 			loads[l.GetGroup()] = l.GetInFlight()
 			all[l.GetGroup()] += l.GetInFlight()
+			unread[l.GetGroup()] = l.GetUnreadTokens()
+			allUnread[l.GetGroup()] += l.GetUnreadTokens()
 		}
-		localLoads = append(localLoads, loads)
+		localLoads, localUnread = append(localLoads, loads), append(localUnread, unread)
 		arrivalsOf = append(arrivalsOf, 0)
 		for _, d := range state.GetDemand() {
 			arrivalsOf[i] += d.GetArrivals()
@@ -203,7 +221,7 @@
 		for i, tt := range c.tables {
 			sum := &marbleroadv1.NodeState{Node: "others", FailureDomain: "x", Summed: uint32(c.params.nodes - 1)}
 			for group, n := range all {
-				sum.Loads = append(sum.Loads, &marbleroadv1.GroupLoad{Group: group, InFlight: n - localLoads[i][group]})
+				sum.Loads = append(sum.Loads, &marbleroadv1.GroupLoad{Group: group, InFlight: n - localLoads[i][group], UnreadTokens: allUnread[group] - localUnread[i][group]})
 			}
 			sum.Demand = []*marbleroadv1.ModelDemand{{Service: "s", Model: "m", Arrivals: arrivals - arrivalsOf[i]}}
 			tt.receiveState(c.now, sum, sentAt, 2*time.Second)
@@ -229,15 +247,22 @@
 	if c.now.After(until) {
 		return
 	}
-	one := &burstCall{
+	for range c.bunchSize() {
+		c.deliver(c.newCall())
+	}
+	rate /= max(c.params.bunch, 1)
+	c.schedule(time.Duration(c.random.ExpFloat64()/rate*float64(time.Second)), func() { c.sendCalls(rate*max(c.params.bunch, 1), until) })
+}
+
+// newCall returns the request of a caller that arrives now.
+func (c *burstSimulation) newCall() *burstCall {
+	return &burstCall{
 		firstAttempt:   c.now,
 		timeout:        burstTimeout - time.Duration(c.random.Float64()*float64(c.params.timeoutSpread)),
 		responseTokens: 1 + int(c.random.ExpFloat64()*c.engine.MeanAnswer),
-		call: &Call{Service: "s", Model: "m", CallerTimeout: burstTimeout, Route: &catalog.Route{Name: "r", Objective: c.params.objective},
+		call: &Call{Service: "s", Model: "m", CallerTimeout: burstTimeout, Route: &catalog.Route{Name: "r", Objective: c.params.objective, PauseObjective: c.params.pauseObjective},
 			PromptTokens: 40 + int(min(c.random.ExpFloat64(), 4)*c.engine.MeanPrompt)},
 	}
-	c.deliver(one)
-	c.schedule(time.Duration(c.random.ExpFloat64()/rate*float64(time.Second)), func() { c.sendCalls(rate, until) })
 }
 
 // deliver sends a call to a random node. A rejected call is retried once.
@@ -269,7 +294,7 @@
 }
 
 // runPass simulates one pass of a head: it writes for requests whose prompt is read, and reads the other
-// prompts.
+// prompts, as far as the engine reads in one pass.
 func (c *burstSimulation) runPass(h *burstHead) {
 	for len(h.waiting) > 0 && len(h.running) < c.engine.Slots {
 		h.running = append(h.running, h.waiting[0])
@@ -284,11 +309,11 @@
 		if one.promptRead {
 			writers++
 		} else {
-			prompts += one.call.PromptTokens
+			prompts += c.read(one, prompts)
 		}
 	}
 	step := c.engine.StepTime + time.Duration(writers)*c.engine.PerSequence
-	length := burstStepsPerPass*step + time.Duration(float64(prompts)/c.engine.ReadPerSecond*float64(time.Second))
+	length := time.Duration(c.engine.StepsPerPass)*step + time.Duration(float64(prompts)/c.engine.ReadPerSecond*float64(time.Second))
 	c.schedule(length, func() { c.finishPass(h) })
 }
 
@@ -298,14 +323,15 @@
 	var unfinished []*burstCall
 	for _, one := range h.running {
 		switch {
+		case !one.promptRead && one.readTokens < one.call.PromptTokens:
 		case !one.promptRead:
 			one.promptRead = true
 			c.schedule(c.params.eventDelay, func() { c.recordFirstEvent(one) })
 		case one.writtenTokens == 0:
-			one.writtenTokens += burstStepsPerPass
+			one.writtenTokens += c.engine.StepsPerPass
 		default:
-			one.writtenTokens += burstStepsPerPass
-			c.schedule(c.params.eventDelay, func() { one.table.recordEvent(c.now, one.send) })
+			one.writtenTokens += c.engine.StepsPerPass
+			c.schedule(c.params.eventDelay, func() { c.recordNextEvent(one) })
 		}
 		if one.writtenTokens < one.responseTokens {
 			unfinished = append(unfinished, one)
@@ -314,6 +340,7 @@
 		c.schedule(c.params.eventDelay, func() {
 			one.table.recordSuccess(one.send, c.now.Sub(one.send.sentAt))
 			one.table.finish(one.send)
+			c.recordEnd(one)
 		})
 	}
 	h.running = unfinished
@@ -323,11 +350,13 @@
 // recordFirstEvent records the first event of a call.
 func (c *burstSimulation) recordFirstEvent(one *burstCall) {
 	one.table.recordEvent(c.now, one.send)
+	one.lastEvent = c.now
 	if one.firstAttempt.Before(c.measureFrom) {
 		return
 	}
 	if c.now.Sub(one.firstAttempt) <= c.params.objective {
 		c.inTime++
+		one.onTime = true
 	} else {
 		c.late++
 	}
--- a/internal/gateway/divide.go
+++ b/internal/gateway/divide.go
@@ -72,6 +72,7 @@
 	rejected = max(rejected, 0)
 	tt.recordRejectedShare(hr.key, rejected)
 	if tt.random.Float64() >= rejectionProbability(hr, rejected) {
+		tt.dropLastHead(hr.key, shares, &out)
 		tt.chooseByShare(shares, &out)
 	}
 	return out, true
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -69,7 +69,7 @@
 	}
 	for _, t := range tt.targets {
 		if t.group != "" && t.localInFlight > 0 {
-			into.Loads = append(into.Loads, &marbleroadv1.GroupLoad{Group: t.group, InFlight: uint32(t.localInFlight), Suspects: uint32(t.suspects)})
+			into.Loads = append(into.Loads, &marbleroadv1.GroupLoad{Group: t.group, InFlight: uint32(t.localInFlight), Suspects: uint32(t.suspects), UnreadTokens: tt.pauses.reportedUnread(t)})
 		}
 	}
 	tt.fillConditions(now, into)
@@ -137,6 +137,7 @@
 			tt.peerSuspects[l.GetGroup()] += int(l.GetSuspects())
 		}
 	}
+	tt.pauses.sumPeers(tt.peers)
 	tt.updateDissolving()
 }
 
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -24,6 +24,8 @@
 	{"repeats.refused.SERVICE", "counter", "Attempts that the retry budget did not allow, by service."},
 	{"attempts.resumed", "counter", "Attempts that resumed a stream within its response."},
 	{"attempts.failed.CODE", "counter", "Attempts without a complete response, by cause."},
+	{"pauses.avoided", "counter", "Sends for which a head was avoided because its predicted pass exceeds the pause objective of the model."},
+	{"pauses.exceeded", "counter", "Sends whose predicted pass exceeds the pause objective at every head that admits them."},
 	{"streams.lost", "counter", "Streams that stalled while their head still served others; they resumed elsewhere."},
 	{"upstreams.ended", "counter", "Terminations of upstream VMs that were recorded against a request they ran."},
 	{"upstreams.limits.heard", "counter", "Responses in which an upstream VM reported a limit of requests per second."},
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -485,6 +485,12 @@
   's/readRecords\(c\.store\.ListCached\), true, false/readRecords(c.store.List), false, false/' ./internal/cluster TestStartOfAllNodesCostsFewCalls
 mutant "membership: nodes that start together register at once" internal/cluster/records.go \
   's/delay := rand\.N\(registerSpread\)/delay := time.Duration(0)/' ./internal/cluster TestStartOfAllNodesCostsFewCalls
+mutant "pause limit: heads with a long pass are not avoided" internal/gateway/pauselimit.go \
+  's/if limit == 0 \|\| over == 0 \{/if true {/' ./internal/gateway TestHeadsWithUnreadPromptsAreAvoided
+mutant "pause limit: the best head by stale states is chosen" internal/gateway/choose.go \
+  's/\); ok \{\n\t\treturn out\n\t\}\n\tout :=/); ok \&\& false {\n\t\treturn out\n\t}\n\tout :=/' ./internal/gateway TestPausesWithStaleLoads
+mutant "pause limit: hubs drop unread prompts" internal/cluster/sum.go \
+  's/known\.UnreadTokens \+= l\.GetUnreadTokens\(\)//' ./internal/cluster TestHubAddsUpUnreadPrompts
 mutant "homes: only the route restricts" internal/gateway/homes.go \
   's/ \|\| !c\.TeamHomes\.Allow\(region\)//' ./internal/gateway TestHomesRestrictRequests
 
