--- a/internal/gateway/pauselimit.go
+++ b/internal/gateway/pauselimit.go
@@ -15,8 +15,8 @@
 	// pauseNetworkTime is the part of a pause objective that is left for the network: two crossings between
 	// failure domains, which are up to 5 ms apart.
 	pauseNetworkTime = 10 * time.Millisecond
-	// maxCompared is the number of admitting heads among which one is chosen at random. A head takes 0.7
-	// microseconds, and a decision must take less than 10. The heads are consecutive from a random one on, so
+	// maxCompared is the number of admitting heads among which one is chosen at random. A head takes 0.8
+	// to 1 microseconds, and a decision must take less than 10. The heads are consecutive from a random one on, so
 	// that each is compared equally often. Further heads are considered only while all are over the limit.
 	maxCompared = 9
 )
