--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -187,6 +187,7 @@
 	if c.Overload.MeasuredDemand {
 		s.targets.measured = newMeasuredDemand()
 	}
+	s.targets.pauses = newPauseLimit(c.Overload.PauseLimit)
 	if p.Sharing != nil {
 		s.targets.sharing = s.sharing
 	}
