--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -29,7 +29,7 @@
 const maxCovered = 0.9
 
 // MaxRoutes is the largest number of routes with a reserve that are considered.
-const MaxRoutes = 8
+const MaxRoutes = 16
 
 // Claim is what one team asks for, or several teams that are alike.
 type Claim struct {
@@ -38,8 +38,8 @@
 	// Weight is the team's weight, above 0. For several teams it is the sum of theirs.
 	Weight float64
 	// OnRoute holds the fraction of the team's work that is on each route with a reserve, in the order of
-	// Plan.Reserves.
-	OnRoute [MaxRoutes]float64
+	// Plan.Reserves; nil for none.
+	OnRoute *[MaxRoutes]float64
 
 	// level is the share per weight from which on nothing of the claim is rejected.
 	level float64
@@ -77,6 +77,9 @@
 	for _, c := range claims {
 		asked += c.Asked
 		requests += c.Requests
+		if c.OnRoute == nil {
+			continue
+		}
 		for i := range p.Reserves {
 			onRoute[i] += c.Asked * c.OnRoute[i]
 		}
@@ -125,6 +128,9 @@
 // uncovered returns the fraction of a claim that no reserve covers.
 func (p *Plan) uncovered(c Claim) float64 {
 	out := 1.0
+	if c.OnRoute == nil {
+		return out
+	}
 	for i := range p.Reserves {
 		out -= c.OnRoute[i] * p.Covered[i]
 	}
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -17,7 +17,7 @@
 		for i := range claims {
 			c := Claim{Asked: random.ExpFloat64(), Weight: 0.5 + random.Float64()}
 			c.Requests = c.Asked * (5 + 40*random.Float64())
-			c.OnRoute[0] = random.Float64()
+			c.OnRoute = &[MaxRoutes]float64{random.Float64()}
 			claims[i] = c
 			requests += c.Requests
 		}
@@ -58,7 +58,7 @@
 // TestReserveCoversItsRoute: a route has its reserve although its team is far beyond its share, and the part
 // that the route does not use goes to the others.
 func TestReserveCoversItsRoute(t *testing.T) {
-	reserved := Claim{Asked: 1, Requests: 10, Weight: 1, OnRoute: [MaxRoutes]float64{0.1}}
+	reserved := Claim{Asked: 1, Requests: 10, Weight: 1, OnRoute: &[MaxRoutes]float64{0.1}}
 	other := Claim{Asked: 9, Requests: 90, Weight: 1}
 	p := NewPlan([]Claim{reserved, other}, []float64{0.5}, 0.5)
 	if got := p.Rejection(reserved, 0); got != 0 {
--- a/internal/fairshare/meter.go
+++ b/internal/fairshare/meter.go
@@ -22,7 +22,8 @@
 	updatedAt       time.Time
 	requests        int
 	size            float64
-	onRoute         [MaxRoutes]float64
+	// onRoute is the mean work of a request on each route with a reserve, routes the fraction of the work.
+	onRoute, routes [MaxRoutes]float64
 }
 
 // Ask records a request of the given work in group seconds. route is the position of its route among those
@@ -39,6 +40,9 @@
 			on = work
 		}
 		m.onRoute[i] += weight * (on - m.onRoute[i])
+		if m.size > 0 {
+			m.routes[i] = m.onRoute[i] / m.size
+		}
 	}
 }
 
@@ -69,16 +73,8 @@
 // Size returns the mean work of a request in group seconds; zero before the first one.
 func (m *Meter) Size() float64 { return m.size }
 
-// OnRoute returns the fraction of the work that is on each route with a reserve.
-func (m *Meter) OnRoute() [MaxRoutes]float64 {
-	out := m.onRoute
-	for i := range out {
-		if m.size > 0 {
-			out[i] /= m.size
-		}
-	}
-	return out
-}
+// OnRoute returns the fraction of the work that is on each route with a reserve. The array is the meter's own.
+func (m *Meter) OnRoute() *[MaxRoutes]float64 { return &m.routes }
 
 // Idle reports whether the team has not asked for anything that matters for some time.
 func (m *Meter) Idle(now time.Time) bool {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/marbleroad/marbleroad/internal/fairshare"
 )
 
 // Key describes a key of the INI file.
@@ -169,7 +171,7 @@
 		func(s *Settings, t string) error { return parseYesNo(t, &s.Overload.FairShares) }},
 	{"overload", "team_weights", "", "pairs such as a=2 b=0.5, separated by spaces; each above 0", "Weights of teams for fair_shares; a team that is not named has weight 1.", nil,
 		func(s *Settings, t string) error { return parseWeights(t, &s.Overload.TeamWeights) }},
-	{"overload", "reserve", "", "pairs such as a=0.2 b=0.1, separated by spaces; above 0, with a sum of at most 0.9", "Fractions of a model's capacity that are reserved for routes, by the name of the route. Needs fair_shares.", nil,
+	{"overload", "reserve", "", "pairs such as a=0.2 b=0.1, separated by spaces; above 0, with a sum of at most 0.9, for at most 16 routes", "Fractions of a model's capacity that are reserved for routes, by the name of the route. Needs fair_shares.", nil,
 		func(s *Settings, t string) error { return parseReserve(t, &s.Overload.Reserve) }},
 
 	{"presence", "window", "3s", allowedDuration, "How long a VM counts as present after a probe was sent; must be the same on all VMs of a failure domain.", nil,
@@ -385,12 +387,19 @@
 // maxReserve bounds the sum of the reserved fractions, so that some room is left for routes without a reserve.
 const maxReserve = 0.9
 
+// maxReservedRoutes bounds the number of routes with a reserve. Each decision considers all of them, and must not
+// take longer with more; it equals fairshare.MaxRoutes.
+const maxReservedRoutes = fairshare.MaxRoutes
+
 // parseReserve parses pairs of names and fractions above 0, whose sum is at most maxReserve.
 func parseReserve(text string, into *map[string]float64) error {
 	var out map[string]float64
 	if err := parseWeights(text, &out); err != nil {
 		return err
 	}
+	if len(out) > maxReservedRoutes {
+		return errors.Newf("%d routes are named; at most %d can have a reserve", len(out), maxReservedRoutes)
+	}
 	sum := 0.0
 	for _, fraction := range out {
 		sum += fraction
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -118,6 +118,7 @@
 		{"half of mutual TLS", validFile + "[tls]\npeer_cert = c.pem\n"},
 		{"weight below zero", validFile + "[overload]\nfair_shares = yes\nteam_weights = a=-1\n"},
 		{"reserves over one", validFile + "[overload]\nfair_shares = yes\nreserve = a=0.7 b=0.4\n"},
+		{"too many reserves", validFile + "[overload]\nfair_shares = yes\nreserve = " + "a=.01 b=.01 c=.01 d=.01 e=.01 f=.01 g=.01 h=.01 i=.01 j=.01 k=.01 l=.01 m=.01 n=.01 o=.01 p=.01 q=.01\n"},
 		{"reserve without shares", validFile + "[overload]\nreserve = a=0.2\n"},
 		{"several at once", strings.Replace(validFile, "obuda-1", "Obuda 1", 1) + "[entry]\nmax_body = 0\n"},
 		{"no INI", "what is this"},
