Hubs add up the work of teams

Change: ModelDemand.teams of members is added up, and at most the 8 teams that ask for the most work are passed on. Result: TestHubAddsUpTeams; the states of members are not changed.

--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -41,6 +41,9 @@
 			s.add(m.state)
 		}
 	}
+	for _, d := range ownState.GetDemand() {
+		d.Teams = topTeams(d.Teams)
+	}
 	ownState.Leading = leadingStates(candidates, ownState.GetFailureDomain(), exclude, now)
 	return ownState
 }
@@ -73,9 +76,10 @@
 		if known := s.demand[key]; known != nil {
 			known.Rate += d.GetRate()
 			known.Arrivals += d.GetArrivals()
+			known.Teams = addTeams(known.Teams, d.GetTeams())
 			continue
 		}
-		added := &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: d.GetRate(), Arrivals: d.GetArrivals()}
+		added := &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: d.GetRate(), Arrivals: d.GetArrivals(), Teams: addTeams(nil, d.GetTeams())}
 		s.demand[key] = added
 		s.out.Demand = append(s.out.Demand, added)
 	}
