The gateway refuses by the shares of teams

Cause: under overload all teams lose the same fraction of their requests, whoever causes it. Change: with overload.fair_shares, the probability of a refusal where requests are divided is that of the team and route by max-min fair shares; event 5026 for a reserve of an unknown route; 5002 names what decided.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -203,6 +203,8 @@
 		"None."}
 	CallerSlow = Event{5024, zerolog.InfoLevel, "a caller reads its response slowly; the rest is read ahead, and the response ends early if the caller falls too far behind",
 		"None, unless it is frequent: then the callers' network is the likely cause."}
+	ReserveUnknown = Event{5026, zerolog.WarnLevel, "capacity is reserved for a route that the configuration does not have; the reserve has no effect",
+		"Correct overload.reserve in the settings, or the route's name in the configuration."}
 )
 
 // Events of authentication.
@@ -230,5 +232,6 @@
 	RequestDone, RequestRefused, RequestFailed, InvalidInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerDisconnected, RetryRefused, UpstreamTerminated, RequestQuarantined,
 	SuspectsReceived, QuarantineUnavailable, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamBackoff, UpstreamLeaving, UpstreamWarming, CallerSlow,
+	ReserveUnknown,
 	InvalidKey, InvalidOperatorToken,
 }
--- a/internal/gateway/adapted.go
+++ b/internal/gateway/adapted.go
@@ -35,6 +35,7 @@
 		return
 	}
 	s.statsPublishedAt = now
+	s.publishFairShares(now)
 	s.metrics.Set("buffers.reserved", s.buffers.used.Load())
 	const percent = 100
 	for _, stats := range s.targets.loadStats(now) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -96,6 +96,9 @@
 	longestPause time.Duration
 	// status is the status code sent to the caller; zero before a response.
 	status int
+	// decidedBy and fair are the basis of a refusal for overload if shares of teams are on.
+	decidedBy string
+	fair      fairDecision
 }
 
 // statusError is the status of an upstream's response that is not passed on, because the call is repeated
@@ -330,6 +333,7 @@
 	}
 	switch reason {
 	case allFull:
+		j.recordOverload(reason, evaluation)
 		failure.Code = codeOverload
 		failure.Detail = "all upstreams have too much to do"
 	case allThrottled:
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -219,6 +219,8 @@
 	evacuated map[string]bool
 	// regions are the regions of the failure domains.
 	regions regionsByDomain
+	// fair holds the shares of teams; nil if the feature is off.
+	fair *fairShares
 	// recentStalls are the stalls found by this node that are still reported to other nodes.
 	recentStalls []stall
 	// lastCheck is the time of the last check for silent heads. stalledUntil is the end of the last known
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -66,7 +66,8 @@
 		return nil, evaluation{}, noUpstream
 	}
 	resent := len(tried) > 0 || c.LastEvent != ""
-	selected := tt.selectTarget(now, candidates, headRequest{key: key, request: request, quarantineVerdict: c.quarantineVerdict, offset: tt.offset(key).Value(), resent: resent}, headroom)
+	hr := headRequest{key: key, call: c, request: request, quarantineVerdict: c.quarantineVerdict, offset: tt.offset(key).Value(), resent: resent}
+	selected := tt.selectTarget(now, candidates, hr, headroom)
 	selected.throttled = throttled
 	reason := selected.refusal(p.service.Engine != nil)
 	if selected.predictedLate && reason == allFull {
@@ -86,6 +87,7 @@
 		s.predictedFirst = candidate.predictedFirst - tt.offset(key).Value()
 	}
 	tt.addSend(now, s)
+	tt.recordAdmitted(now, hr)
 	tt.conditions.RecordSent(now, incarnationOf(s.vm))
 	if tried != nil {
 		tried[s.key()] = true
@@ -108,11 +110,12 @@
 
 // evaluation describes the basis of a choice, for the log and the errors of rejected calls: the candidates that
 // were considered, the forecast if the requests were divided, and the throttled targets, which were not
-// considered.
+// considered. fair is the decision by the shares of teams.
 type evaluation struct {
 	scored    []scoredTarget
 	forecast  forecast
 	throttled throttledTargets
+	fair      fairDecision
 }
 
 // selection is the result of comparing the candidates.
--- a/internal/gateway/crowd_test.go
+++ b/internal/gateway/crowd_test.go
@@ -47,6 +47,11 @@
 	// stateDelay is the age of a node's state when the others receive it. If it is set, they receive an
 	// aggregate.
 	stateDelay time.Duration
+	// cutOff is the number of nodes that neither send nor receive states.
+	cutOff int
+	// overload switches on features. team, if set, draws the team and route of a caller.
+	overload Overload
+	team     func(*rand.Rand) (team, route string)
 }
 
 // fewNodes exchange states directly.
@@ -99,6 +104,8 @@
 	// retried counts the callers that were rejected and retried, rejectedTwice those whose retry was
 	// rejected too.
 	retried, rejectedTwice int
+	// byTeam counts the first attempts of each team and route.
+	byTeam map[teamRoute]*teamCount
 }
 
 // simEvent is an event of the simulation. sequence orders events at the same time.
@@ -143,10 +150,10 @@
 
 // newBurst returns a simulation with all heads open. published holds the engine figures that the nodes
 // predict with; the heads behave by those of params.
-func newBurst(t *testing.T, params burstParams, published *catalog.Engine) *burstSimulation {
+func newBurst(t testing.TB, params burstParams, published *catalog.Engine) *burstSimulation {
 	t.Helper()
 	start := time.Unix(1_000_000, 0)
-	c := &burstSimulation{now: start, random: rand.New(rand.NewPCG(7, 11)), heads: make(map[string]*burstHead), params: params, engine: &params.engine}
+	c := &burstSimulation{now: start, random: rand.New(rand.NewPCG(7, 11)), heads: make(map[string]*burstHead), byTeam: make(map[teamRoute]*teamCount), params: params, engine: &params.engine}
 	route := catalog.Route{Name: "r", Prefix: "/a/", Objective: params.objective, Targets: []catalog.Target{{Service: "s", Weight: 1}}}
 	current, err := catalog.New(catalog.Content{Version: 1, Routes: []catalog.Route{route}, Services: []catalog.Service{{Name: "s", Engine: published}}})
 	if err != nil {
@@ -162,6 +169,7 @@
 	for i := range params.nodes {
 		tt := newTargetTable("x", retry.Limit{Window: time.Second}, noneDissolving, start)
 		tt.random = rand.New(rand.NewPCG(uint64(i), 1))
+		tt.fair = newFairShares(params.overload)
 		tt.rebuild(current, fleet.NewSnapshot(vms, 1, start))
 		// The fleet is a map; sorting makes the simulation deterministic.
 		slices.SortFunc(tt.pools["s"].heads["m"], func(x, y *target) int { return strings.Compare(x.vm.ID, y.vm.ID) })
@@ -183,6 +191,7 @@
 	arrivals := 0.0
 	var localLoads []map[string]uint32
 	var arrivalsOf []float64
+	var teamsOf [][]*marbleroadv1.TeamWork
 	for i, tt := range c.tables {
 		state := &marbleroadv1.NodeState{Node: fmt.Sprint(i), FailureDomain: "x"}
 		tt.fillState(c.now, state)
@@ -193,9 +202,11 @@
 		}
 		localLoads = append(localLoads, loads)
 		arrivalsOf = append(arrivalsOf, 0)
+		teamsOf = append(teamsOf, nil)
 		for _, d := range state.GetDemand() {
 			arrivalsOf[i] += d.GetArrivals()
 			arrivals += d.GetArrivals()
+			teamsOf[i] = d.GetTeams()
 		}
 	}
 	sentAt := c.now
@@ -205,7 +216,7 @@
 			for group, n := range all {
 				sum.Loads = append(sum.Loads, &marbleroadv1.GroupLoad{Group: group, InFlight: n - localLoads[i][group]})
 			}
-			sum.Demand = []*marbleroadv1.ModelDemand{{Service: "s", Model: "m", Arrivals: arrivals - arrivalsOf[i]}}
+			sum.Demand = []*marbleroadv1.ModelDemand{{Service: "s", Model: "m", Arrivals: arrivals - arrivalsOf[i], Teams: otherTeams(teamsOf, i)}}
 			tt.receiveState(c.now, sum, sentAt, 2*time.Second)
 		}
 	})
@@ -217,7 +228,7 @@
 	state := &marbleroadv1.NodeState{Node: fmt.Sprint(node), FailureDomain: "x"}
 	c.tables[node].fillState(c.now, state)
 	for i, tt := range c.tables {
-		if i != node {
+		if i != node && i >= c.params.cutOff && node >= c.params.cutOff {
 			tt.receiveState(c.now, state, c.now, time.Second)
 		}
 	}
@@ -236,6 +247,9 @@
 		call: &Call{Service: "s", Model: "m", CallerTimeout: burstTimeout, Route: &catalog.Route{Name: "r", Objective: c.params.objective},
 			PromptTokens: 40 + int(min(c.random.ExpFloat64(), 4)*c.engine.MeanPrompt)},
 	}
+	if c.params.team != nil {
+		one.call.Team, one.call.Route.Name = c.params.team(c.random)
+	}
 	c.deliver(one)
 	c.schedule(time.Duration(c.random.ExpFloat64()/rate*float64(time.Second)), func() { c.sendCalls(rate, until) })
 }
@@ -250,7 +264,8 @@
 	tt.recordRequest(c.now, &call)
 	call.Waited = tt.waitedBefore(c.now, &call)
 	const headroom = 5
-	s, _, reason := tt.choose(c.now, &call, nil, headroom, false, func(error) {})
+	s, basis, reason := tt.choose(c.now, &call, nil, headroom, false, func(error) {})
+	c.countTeam(one, basis, reason)
 	if reason != admitted {
 		if one.firstAttempt.Before(c.now) {
 			c.rejectedTwice++
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -47,6 +47,7 @@
 	}
 	tt.demand[key].work += tt.workOf(c)
 	tt.demand[key].arrivals.Add(now)
+	tt.recordAsked(now, key, c)
 	return first
 }
 
--- a/internal/gateway/divide.go
+++ b/internal/gateway/divide.go
@@ -33,6 +33,7 @@
 // headRequest is a request for which a head is chosen.
 type headRequest struct {
 	key               demandKey
+	call              *Call
 	request           batch.Request
 	quarantineVerdict quarantine.Verdict
 	offset            time.Duration
@@ -71,7 +72,7 @@
 	}
 	rejected = max(rejected, 0)
 	tt.recordRejectedShare(hr.key, rejected)
-	if tt.random.Float64() >= rejectionProbability(hr, rejected) {
+	if tt.random.Float64() >= rejectionProbability(hr, tt.fairRejection(now, hr, rejected, &out)) {
 		tt.chooseByShare(shares, &out)
 	}
 	return out, true
--- /dev/null
+++ b/internal/gateway/fairshares.go
@@ -0,0 +1,300 @@
+package gateway
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/fairshare"
+)
+
+const (
+	// peerSumInterval is the minimum time between two sums of the teams' work at other nodes. Their states
+	// are 0.3 to 0.5 s old, so the sums are little older for it.
+	peerSumInterval = 100 * time.Millisecond
+	// maxRefusalPairs is the number of pairs of team and route for which refusals are counted; more are
+	// counted together. 24 teams use ten routes each at most.
+	maxRefusalPairs = 256
+	// maxShareGauges is the number of teams, over all models, for which gauges are published.
+	maxShareGauges = 64
+	// milli is the number of thousandths of a group in a group.
+	milli = 1000
+	// otherRefusals is the name under which refusals beyond maxRefusalPairs are counted.
+	otherRefusals = "other"
+)
+
+// Values of the field decided_by of refused requests.
+const (
+	decidedByHeads  = "heads"
+	decidedByShares = "fair_shares"
+)
+
+// teamRoute is a pair of names.
+type teamRoute struct{ team, route string }
+
+// modelTeam identifies the gauges of a team at a model.
+type modelTeam struct{ model, team string }
+
+// fairShares holds what this node knows of the teams that compete for models. The lock of the target table
+// guards it. It is nil if the feature is off; its methods then do nothing.
+type fairShares struct {
+	settings *fairshare.Settings
+	// reserve holds the configured reserves. Those of routes that the catalog of version checkedFor does not
+	// have are zero in settings.
+	reserve    map[string]float64
+	checkedFor uint64
+	models     map[demandKey]*fairModel
+	refusals   map[teamRoute]uint64
+	// gauges holds the names that were published. Only publishFairShares uses it.
+	gauges map[modelTeam]bool
+}
+
+// fairModel is the state of one model. summedAt is the time at which the states of other nodes were summed.
+type fairModel struct {
+	*fairshare.Model
+	summedAt time.Time
+}
+
+// fairDecision is the basis on which a request was admitted or refused; made is false for one on which the
+// shares had no influence.
+type fairDecision struct {
+	fairshare.Decision
+	made bool
+}
+
+// newFairShares returns the state for the given settings; nil if the feature is off.
+func newFairShares(o Overload) *fairShares {
+	if !o.FairShares {
+		return nil
+	}
+	return &fairShares{settings: fairshare.NewSettings(o.TeamWeights, o.Reserve), reserve: o.Reserve, models: make(map[demandKey]*fairModel),
+		refusals: make(map[teamRoute]uint64), gauges: make(map[modelTeam]bool)}
+}
+
+// model returns the state of a model, which must be one of the catalog.
+func (f *fairShares) model(key demandKey) *fairModel {
+	m := f.models[key]
+	if m == nil {
+		m = &fairModel{Model: fairshare.NewModel()}
+		f.models[key] = m
+	}
+	return m
+}
+
+// routeName returns the name of the call's route; empty without one.
+func routeName(c *Call) string {
+	if c == nil || c.Route == nil {
+		return ""
+	}
+	return c.Route.Name
+}
+
+// recordAsked records the work that a request of a known model asks for. The caller holds mu.
+func (tt *targetTable) recordAsked(now time.Time, key demandKey, c *Call) {
+	if tt.fair != nil {
+		tt.fair.model(key).Ask(now, tt.fair.settings, c.Team, routeName(c), tt.workOf(c))
+	}
+}
+
+// recordAdmitted records the work of a request that is sent, unless it was sent before. The caller holds mu.
+func (tt *targetTable) recordAdmitted(now time.Time, hr headRequest) {
+	if tt.fair != nil && !hr.resent && tt.demand[hr.key] != nil {
+		tt.fair.model(hr.key).Admit(now, hr.call.Team, tt.workOf(hr.call))
+	}
+}
+
+// fairRejection returns the probability that a request is rejected, given the fraction of all requests that
+// the heads can't take: that of its team and route if shares are on, and the fraction itself otherwise. A
+// request that no head can take is rejected by the heads. The caller holds mu.
+func (tt *targetTable) fairRejection(now time.Time, hr headRequest, rejected float64, out *selection) float64 {
+	if tt.fair == nil || hr.resent || tt.demand[hr.key] == nil {
+		return rejected
+	}
+	m := tt.fair.model(hr.key)
+	if rejected <= 0 {
+		m.Calm()
+		return 0
+	}
+	if rejected >= 1 {
+		return rejected
+	}
+	tt.sumTeams(now, hr.key, m)
+	arrivals := out.forecast.expected / out.forecast.horizon.Seconds()
+	out.fair = fairDecision{Decision: m.Decide(now, tt.fair.settings, hr.call.Team, routeName(hr.call), rejected, arrivals), made: true}
+	return out.fair.Rejection
+}
+
+// sumTeams adds up what the teams ask for at other nodes, at most once per peerSumInterval.
+func (tt *targetTable) sumTeams(now time.Time, key demandKey, m *fairModel) {
+	if elapsed := now.Sub(m.summedAt); elapsed >= 0 && elapsed < peerSumInterval {
+		return
+	}
+	m.summedAt = now
+	m.ResetPeers()
+	for _, p := range tt.peers {
+		for _, d := range p.GetDemand() {
+			if d.GetService() != key.service || d.GetModel() != key.model {
+				continue
+			}
+			for _, w := range d.GetTeams() {
+				m.AddPeer(fairshare.TeamWork{Team: w.GetTeam(), Asked: w.GetAsked(), Admitted: w.GetAdmitted()})
+			}
+			if len(d.GetTeams()) >= fairshare.MaxListed {
+				m.Truncated()
+			}
+		}
+	}
+}
+
+// teamWork returns the teams that ask for the most work of a model at this node, for its state. The caller
+// holds mu.
+func (tt *targetTable) teamWork(now time.Time, key demandKey) []*marbleroadv1.TeamWork {
+	if tt.fair == nil {
+		return nil
+	}
+	var out []*marbleroadv1.TeamWork
+	for _, w := range tt.fair.model(key).Top(now) {
+		out = append(out, &marbleroadv1.TeamWork{Team: w.Team, Asked: w.Asked, Admitted: w.Admitted})
+	}
+	return out
+}
+
+// applyReserves puts the reserves of those routes into force that the catalog has, and logs the others once for
+// each catalog.
+func (s *Server) applyReserves(c *catalog.Catalog) {
+	for _, route := range s.targets.applyReserves(c) {
+		s.log.Emit(event.ReserveUnknown).Str("route", route).Float64("reserve", s.config.Overload.Reserve[route]).Uint64("catalog", c.Version()).Send()
+	}
+}
+
+// applyReserves returns the routes with a reserve that a new catalog does not have.
+func (tt *targetTable) applyReserves(c *catalog.Catalog) (unknown []string) {
+	tt.mu.Lock()
+	defer tt.mu.Unlock()
+	f := tt.fair
+	if f == nil || f.checkedFor == c.Version() {
+		return nil
+	}
+	f.checkedFor = c.Version()
+	for i, name := range f.settings.Routes {
+		f.settings.Reserves[i] = f.reserve[name]
+		if !slices.ContainsFunc(c.Routes(), func(r *catalog.Route) bool { return r.Name == name }) {
+			f.settings.Reserves[i] = 0
+			unknown = append(unknown, name)
+		}
+	}
+	return unknown
+}
+
+// recordOverload keeps the basis of a refusal for overload for the log, and counts it if a share decided.
+func (j *job) recordOverload(reason refusal, basis evaluation) {
+	if j.s.targets.fair == nil || reason != allFull {
+		return
+	}
+	j.decidedBy, j.fair = decidedByHeads, basis.fair
+	if !basis.fair.made {
+		return
+	}
+	j.decidedBy = decidedByShares
+	pair := j.s.targets.countRefusal(teamRoute{j.c.Team, j.c.Route.Name})
+	j.s.metrics.Count("fair_shares.refused."+pair.team+"."+pair.route, 1)
+}
+
+// countRefusal counts a refusal and returns the pair under which it is counted.
+func (tt *targetTable) countRefusal(pair teamRoute) teamRoute {
+	tt.mu.Lock()
+	defer tt.mu.Unlock()
+	if _, known := tt.fair.refusals[pair]; !known && len(tt.fair.refusals) >= maxRefusalPairs {
+		pair = teamRoute{otherRefusals, otherRefusals}
+	}
+	tt.fair.refusals[pair]++
+	return pair
+}
+
+// fairFields adds to the line of a refused request what decided and, if that were the shares, the team's share
+// and what it was given.
+func (j *job) fairFields(line *zerolog.Event) *zerolog.Event {
+	if j.decidedBy == "" {
+		return line
+	}
+	line = line.Str("decided_by", j.decidedBy)
+	if !j.fair.made {
+		return line
+	}
+	const digits = 1e4
+	round := func(x float64) float64 { return math.Round(digits*x) / digits }
+	return line.Float64("share", round(j.fair.Share)).Float64("used", round(j.fair.Used)).Float64("asked", round(j.fair.Asked)).
+		Float64("weight", j.fair.Weight).Float64("reserve", j.fair.Reserve)
+}
+
+// FairShares returns the shares for operators; nil if the feature is off.
+func (s *Server) FairShares(now time.Time) *fairshare.Report {
+	tt := s.targets
+	tt.mu.Lock()
+	defer tt.mu.Unlock()
+	f := tt.fair
+	if f == nil {
+		return nil
+	}
+	out := &fairshare.Report{}
+	for key, m := range f.models {
+		tt.sumTeams(now, key, m)
+		r := fairshare.ModelReport{Service: key.service, Model: key.model}
+		r.Rejected, r.Teams = m.Teams(now, f.settings, fairshare.MaxListed)
+		out.Models = append(out.Models, r)
+	}
+	slices.SortFunc(out.Models, func(a, b fairshare.ModelReport) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model))
+	})
+	for _, route := range slices.Sorted(maps.Keys(f.reserve)) {
+		i := slices.Index(f.settings.Routes, route)
+		out.Reserves = append(out.Reserves, fairshare.ReserveReport{Route: route, Fraction: f.reserve[route], InForce: i >= 0 && f.settings.Reserves[i] > 0})
+	}
+	for pair, count := range f.refusals {
+		out.Refusals = append(out.Refusals, fairshare.Refusal{Team: pair.team, Route: pair.route, Count: count})
+	}
+	slices.SortFunc(out.Refusals, func(a, b fairshare.Refusal) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Team, b.Team), cmp.Compare(a.Route, b.Route))
+	})
+	return out
+}
+
+// publishFairShares updates the gauges of the shares. The gauges of teams that no longer ask for much are set to
+// zero.
+func (s *Server) publishFairShares(now time.Time) {
+	report := s.FairShares(now)
+	if report == nil {
+		return
+	}
+	gauges := s.targets.fair.gauges
+	for gauge := range gauges {
+		s.setShareGauges(gauge, 0, 0)
+	}
+	for _, m := range report.Models {
+		for _, team := range m.Teams {
+			gauge := modelTeam{m.Model, team.Team}
+			if !gauges[gauge] && len(gauges) >= maxShareGauges {
+				continue
+			}
+			gauges[gauge] = true
+			share := 0.0
+			if team.Share != nil {
+				share = *team.Share
+			}
+			s.setShareGauges(gauge, share, team.Admitted)
+		}
+	}
+}
+
+// setShareGauges sets the gauges of a team to the given numbers of groups.
+func (s *Server) setShareGauges(gauge modelTeam, share, used float64) {
+	s.metrics.Set("fair_shares.share_milligroups."+gauge.model+"."+gauge.team, int64(milli*share))
+	s.metrics.Set("fair_shares.used_milligroups."+gauge.model+"."+gauge.team, int64(milli*used))
+}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -231,6 +231,7 @@
 		Int64("waited_ms", c.Waited.Milliseconds()).Uint64("catalog", c.CatalogVersion).Int64("catalog_age_ms", c.CatalogAge.Milliseconds()).AnErr("cause", failure.Cause)
 	if j != nil {
 		line = line.Int("sends", j.sends).Int("may_have_run", j.mayHaveRun).Stringer("fingerprint", c.fingerprint())
+		line = j.fairFields(line)
 	}
 	line.Send()
 	s.closeIfStopping(w)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -184,6 +184,7 @@
 		cancelWork:      cancelWork,
 	}
 	s.targets.warmups, s.targets.regions = c.Warmups, c.Regions
+	s.targets.fair = newFairShares(c.Overload)
 	if p.Sharing != nil {
 		s.targets.sharing = s.sharing
 	}
@@ -364,6 +365,7 @@
 		return
 	}
 	s.reportInvalidHomes(c)
+	s.applyReserves(c)
 	s.targets.rebuild(c, f)
 	s.metrics.Set("catalog.version", int64(c.Version()))
 	for model, open := range s.targets.openGroups() {
