Teams are listed in states from near an overload on

Cause: lists of teams triple the gateway's part of a member's state (124 bytes, 347 with 8 teams, 89 nodes), and a part may add 10 % at most. Change: a node lists teams while the expected requests exceed 0.6 of what the heads take, and 10 s after.

--- a/internal/gateway/fairshares.go
+++ b/internal/gateway/fairshares.go
@@ -19,6 +19,13 @@
 	// peerSumInterval is the minimum time between two sums of the teams' work at other nodes. Their states
 	// are 0.3 to 0.5 s old, so the sums are little older for it.
 	peerSumInterval = 100 * time.Millisecond
+	// listAfterOverload is the time after an overload in which a node lists teams in its state; they triple the
+	// size of its own part. Surges repeat within some ten seconds. Until the lists of others arrive, and with
+	// those of a part of the nodes, a node divides by the teams that it knows of: only their ratio matters.
+	listAfterOverload = 10 * time.Second
+	// listFromLoad is the part of the headroom from which on an overload counts as near, so that the lists have
+	// arrived when it begins: a surge of 1.5 to 1.7 leads from there to an overload.
+	listFromLoad = 0.6
 	// maxRefusalPairs is the number of pairs of team and route for which refusals are counted; more are
 	// counted together. 24 teams use ten routes each at most.
 	maxRefusalPairs = 256
@@ -56,10 +63,11 @@
 	gauges map[modelTeam]bool
 }
 
-// fairModel is the state of one model. summedAt is the time at which the states of other nodes were summed.
+// fairModel is the state of one model. summedAt is the time at which the states of other nodes were summed,
+// overloadedAt that at which the heads were last found to be near the most that they take.
 type fairModel struct {
 	*fairshare.Model
-	summedAt time.Time
+	summedAt, overloadedAt time.Time
 }
 
 // fairDecision is the basis on which a request was admitted or refused; made is false for one on which the
@@ -118,6 +126,9 @@
 		return rejected
 	}
 	m := tt.fair.model(hr.key)
+	if out.forecast.expected > listFromLoad*out.forecast.headroom {
+		m.overloadedAt = now
+	}
 	if rejected <= 0 {
 		m.Calm()
 		return 0
@@ -159,8 +170,13 @@
 	if tt.fair == nil {
 		return nil
 	}
+	m := tt.fair.model(key)
+	top := m.Top(now)
+	if now.Sub(m.overloadedAt) > listAfterOverload {
+		return nil
+	}
 	var out []*marbleroadv1.TeamWork
-	for _, w := range tt.fair.model(key).Top(now) {
+	for _, w := range top {
 		out = append(out, &marbleroadv1.TeamWork{Team: w.Team, Asked: w.Asked, Admitted: w.Admitted})
 	}
 	return out
--- a/internal/gateway/fairshares_test.go
+++ b/internal/gateway/fairshares_test.go
@@ -10,10 +10,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fairshare"
+	"github.com/marbleroad/marbleroad/internal/metrics"
 	"github.com/marbleroad/marbleroad/internal/retry"
 )
 
@@ -238,3 +241,40 @@
 		t.Errorf("after the route was added: %+v; %s", r, out.String())
 	}
 }
+
+// TestRefusalNamesWhatDecided: the line of a refused request must name the shares only if they decided, and the
+// counted pairs of team and route are bounded. With the feature off, lines and states are as without it.
+func TestRefusalNamesWhatDecided(t *testing.T) {
+	registry := metrics.NewRegistry()
+	tt := newTargetTable("x", retry.Limit{Window: time.Second}, noneDissolving, time.Now())
+	tt.fair = newFairShares(Overload{FairShares: true})
+	s := &Server{targets: tt, metrics: registry}
+	line := func(team string, decision fairDecision) string {
+		var out bytes.Buffer
+		log := zerolog.New(&out)
+		j := &job{s: s, c: &Call{Team: team, Route: &catalog.Route{Name: "r"}}}
+		j.recordOverload(allFull, evaluation{fair: decision})
+		j.fairFields(log.Info()).Send()
+		return out.String()
+	}
+	shares := fairDecision{Decision: fairshare.Decision{Rejection: 0.5, Share: 0.25, Used: 0.2, Weight: 2}, made: true}
+	if got := line("a", shares); !strings.Contains(got, `"decided_by":"fair_shares","share":0.25,"used":0.2`) {
+		t.Error(got)
+	}
+	if got := line("a", fairDecision{}); !strings.Contains(got, `"decided_by":"heads"`) || strings.Contains(got, "share\":") {
+		t.Error(got)
+	}
+	for i := range 2 * maxRefusalPairs {
+		line(fmt.Sprint(i), shares)
+	}
+	if n := len(tt.fair.refusals); n != maxRefusalPairs+1 {
+		t.Errorf("%d pairs are counted", n)
+	}
+	if registry.Counter("fair_shares.refused.a.r") != 1 || registry.Counter("fair_shares.refused.other.other") != maxRefusalPairs+1 {
+		t.Error("refusals are not counted by team and route")
+	}
+	tt.fair = nil
+	if got := line("a", fairDecision{}); strings.Contains(got, "decided_by") {
+		t.Errorf("with the feature off: %s", got)
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -487,6 +487,14 @@
   's/delay := rand\.N\(registerSpread\)/delay := time.Duration(0)/' ./internal/cluster TestStartOfAllNodesCostsFewCalls
 mutant "homes: only the route restricts" internal/gateway/homes.go \
   's/ \|\| !c\.TeamHomes\.Allow\(region\)//' ./internal/gateway TestHomesRestrictRequests
+mutant "fair shares: all teams are refused alike" internal/gateway/fairshares.go \
+  's/return out\.fair\.Rejection/return rejected/' ./internal/gateway TestOneTeamSendsTenTimesItsShare
+mutant "fair shares: a node lists no teams" internal/gateway/share.go \
+  's/, Teams: tt\.teamWork\(now, key\)//' ./internal/gateway TestOneTeamSendsTenTimesItsShare
+mutant "fair shares: a reserve covers nothing" internal/fairshare/fairshare.go \
+  's/out \*= 1 - p\.Covered\[route\]/_ = out/' ./internal/gateway TestReserveInABurst
+mutant "fair shares: a hub does not add up teams" internal/cluster/teams.go \
+  's/sums\[i\]\.Asked \+= w\.GetAsked\(\)/_ = i/' ./internal/cluster TestHubAddsUpTeams
 
 echo "$survivors survived or not applied"
 [ "$survivors" = 0 ]
