--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -88,3 +88,24 @@
 		t.Error("a team is idle while it asks, or is not after it has stopped")
 	}
 }
+
+// TestAverageKeepsTheMean: the average must neither raise nor lower the rejected fraction over all requests, and
+// must be back at zero shortly after an overload.
+func TestAverageKeepsTheMean(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var a Average
+	now := time.Unix(1000, 0)
+	given, returned := 0.0, 0.0
+	for range 20000 {
+		now = now.Add(time.Duration(random.ExpFloat64() * float64(50*time.Millisecond)))
+		fraction := random.Float64()
+		given += fraction
+		returned += a.Add(now, fraction)
+	}
+	if math.Abs(returned/given-1) > 0.01 {
+		t.Errorf("the mean is %.3f times what was required", returned/given)
+	}
+	if got := a.Add(now.Add(4*time.Second), 0); got > 0.01 {
+		t.Errorf("%.3f four seconds after an overload", got)
+	}
+}
--- a/internal/gateway/fairshares.go
+++ b/internal/gateway/fairshares.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// peerSumInterval is the minimum time between two sums of the teams' work at other nodes. Their states
-	// are 0.3 to 0.5 s old, so the sums are little older for it.
-	peerSumInterval = 100 * time.Millisecond
 	// listAfterOverload is the time after an overload in which a node lists teams in its state; they triple the
 	// size of its own part. Surges repeat within some ten seconds. Until the lists of others arrive, and with
 	// those of a part of the nodes, a node divides by the teams that it knows of: only their ratio matters.
@@ -63,11 +60,23 @@
 	gauges map[modelTeam]bool
 }
 
-// fairModel is the state of one model. summedAt is the time at which the states of other nodes were summed,
-// overloadedAt that at which the heads were last found to be near the most that they take.
+// fairModel is the state of one model. overloadedAt is the time at which the heads were last found to be near the
+// most that they take.
 type fairModel struct {
 	*fairshare.Model
-	summedAt, overloadedAt time.Time
+	overloadedAt time.Time
+	// required averages the rejected fractions by the rank of requests: heads reserve slots for urgent ones.
+	// Retries are left out, since heads admit them by the time that is left, as are requests that no head takes,
+	// which are rejected in any case.
+	required [ranks]fairshare.Average
+}
+
+// ranks is the number of ranks for which different fractions of the slots are reserved.
+const ranks = int(maxReserve/rankReserve) + 1
+
+// rankOf returns the rank of a request by the fraction of the slots that is reserved for more urgent ones.
+func rankOf(hr headRequest) int {
+	return min(int(math.Round(hr.request.Reserved/rankReserve)), ranks-1)
 }
 
 // fairDecision is the basis on which a request was admitted or refused; made is false for one on which the
@@ -126,44 +135,53 @@
 		return rejected
 	}
 	m := tt.fair.model(hr.key)
+	required := rejected
+	if rejected < 1 && !hr.isRetry() {
+		required = m.required[rankOf(hr)].Add(now, rejected)
+	}
 	if out.forecast.expected > listFromLoad*out.forecast.headroom {
 		m.overloadedAt = now
 	}
-	if rejected <= 0 {
+	if required <= 0 {
 		m.Calm()
 		return 0
 	}
 	if rejected >= 1 {
 		return rejected
 	}
-	tt.sumTeams(now, hr.key, m)
 	arrivals := out.forecast.expected / out.forecast.horizon.Seconds()
-	out.fair = fairDecision{Decision: m.Decide(now, tt.fair.settings, hr.call.Team, routeName(hr.call), rejected, arrivals), made: true}
+	out.fair = fairDecision{Decision: m.Decide(now, tt.fair.settings, hr.call.Team, routeName(hr.call), required, arrivals), made: true}
 	return out.fair.Rejection
 }
 
-// sumTeams adds up what the teams ask for at other nodes, at most once per peerSumInterval.
-func (tt *targetTable) sumTeams(now time.Time, key demandKey, m *fairModel) {
-	if elapsed := now.Sub(m.summedAt); elapsed >= 0 && elapsed < peerSumInterval {
+// sumTeams adds up what the teams ask for at other nodes, whenever their states change, so that a decision need not.
+// The caller holds mu.
+func (tt *targetTable) sumTeams() {
+	if tt.fair == nil {
 		return
 	}
-	m.summedAt = now
-	m.ResetPeers()
+	for _, m := range tt.fair.models {
+		m.ResetPeers()
+	}
 	for _, p := range tt.peers {
 		for _, d := range p.GetDemand() {
-			if d.GetService() != key.service || d.GetModel() != key.model {
-				continue
-			}
-			for _, w := range d.GetTeams() {
-				m.AddPeer(fairshare.TeamWork{Team: w.GetTeam(), Asked: w.GetAsked(), Admitted: w.GetAdmitted()})
-			}
-			if len(d.GetTeams()) >= fairshare.MaxListed {
-				m.Truncated()
+			if m := tt.fair.models[demandKey{d.GetService(), d.GetModel()}]; m != nil {
+				m.addPeer(d.GetTeams())
 			}
 		}
 	}
 }
 
+// addPeer adds the teams that another node lists.
+func (m *fairModel) addPeer(teams []*marbleroadv1.TeamWork) {
+	for _, w := range teams {
+		m.AddPeer(fairshare.TeamWork{Team: w.GetTeam(), Asked: w.GetAsked(), Admitted: w.GetAdmitted()})
+	}
+	if len(teams) >= fairshare.MaxListed {
+		m.Truncated()
+	}
+}
+
 // teamWork returns the teams that ask for the most work of a model at this node, for its state. The caller
 // holds mu.
 func (tt *targetTable) teamWork(now time.Time, key demandKey) []*marbleroadv1.TeamWork {
@@ -261,7 +279,6 @@
 	}
 	out := &fairshare.Report{}
 	for key, m := range f.models {
-		tt.sumTeams(now, key, m)
 		r := fairshare.ModelReport{Service: key.service, Model: key.model}
 		r.Rejected, r.Teams = m.Teams(now, f.settings, fairshare.MaxListed)
 		out.Models = append(out.Models, r)
--- a/internal/gateway/fairshares_bench_test.go
+++ b/internal/gateway/fairshares_bench_test.go
@@ -36,7 +36,6 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
-		// 500 requests per second, so that the sums of the other nodes are renewed as often as in use.
 		now = now.Add(2 * time.Millisecond)
 		hr := headRequest{key: key, call: calls[i%teams]}
 		if p := tt.fairRejection(now, hr, 0.4, &out); p > 1 {
--- a/internal/gateway/fairshares_test.go
+++ b/internal/gateway/fairshares_test.go
@@ -192,18 +192,22 @@
 		}
 	}
 	key := demandKey{"s", "m"}
-	rejection := func(team string) float64 {
+	rejection := func(team string, required float64) float64 {
 		out := selection{evaluation: evaluation{forecast: forecast{expected: 30, horizon: stateInterval}}}
-		return tt.fairRejection(now, headRequest{key: key, call: call(team)}, 0.4, &out)
+		return tt.fairRejection(now, headRequest{key: key, call: call(team)}, required, &out)
 	}
-	if p := rejection(greedyTeam); p < 0.4 || p > 0.5 {
+	if p := rejection(greedyTeam, 0.4); p < 0.4 || p > 0.5 {
 		t.Errorf("the team that sends most is refused with %.3f", p)
 	}
 	for _, team := range []string{"small", "unknown"} {
-		if p := rejection(team); p != 0 {
+		if p := rejection(team, 0.4); p != 0 {
 			t.Errorf("team %s is refused with %.3f", team, p)
 		}
 	}
+	// A large request that few heads admit must not bear more of the refusals than the small ones before it.
+	if p := rejection(greedyTeam, 0.9); p > 0.65 {
+		t.Errorf("a request that few heads admit is refused with %.3f", p)
+	}
 }
 
 // TestUnknownReserveIsReported: a reserve of a route that the configuration lacks is logged once for each
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -137,6 +137,7 @@
 			tt.peerSuspects[l.GetGroup()] += int(l.GetSuspects())
 		}
 	}
+	tt.sumTeams()
 	tt.updateDissolving()
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -493,6 +493,8 @@
   's/, Teams: tt\.teamWork\(now, key\)//' ./internal/gateway TestOneTeamSendsTenTimesItsShare
 mutant "fair shares: a reserve covers nothing" internal/fairshare/fairshare.go \
   's/out \*= 1 - p\.Covered\[route\]/_ = out/' ./internal/gateway TestReserveInABurst
+mutant "fair shares: a request that few heads admit is refused more often" internal/gateway/fairshares.go \
+  's/required = m\.required\[rankOf\(hr\)\]\.Add\(now, rejected\)/_ = rankOf/' ./internal/gateway TestNodeAloneDecidesByWhatItSees
 mutant "fair shares: a hub does not add up teams" internal/cluster/teams.go \
   's/sums\[i\]\.Asked \+= w\.GetAsked\(\)/_ = i/' ./internal/cluster TestHubAddsUpTeams
 
