--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -41,6 +41,9 @@
 			s.add(m.state, now.Sub(m.asOf) <= freshFor)
 		}
 	}
+	for _, d := range ownState.GetDemand() {
+		d.Teams = topTeams(d.Teams)
+	}
 	ownState.Leading = leadingStates(candidates, ownState.GetFailureDomain(), exclude, now)
 	return ownState
 }
@@ -81,9 +84,11 @@
 			known.RecentRate += d.GetRecentRate()
 			known.UnmetRate += d.GetUnmetRate()
 			known.Arrivals += d.GetArrivals()
+			known.Teams = addTeams(known.Teams, d.GetTeams())
 			continue
 		}
-		added := &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: d.GetRate(), RecentRate: d.GetRecentRate(), UnmetRate: d.GetUnmetRate(), Arrivals: d.GetArrivals()}
+		added := &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: d.GetRate(), RecentRate: d.GetRecentRate(), UnmetRate: d.GetUnmetRate(),
+			Arrivals: d.GetArrivals(), Teams: addTeams(nil, d.GetTeams())}
 		s.demand[key] = added
 		s.out.Demand = append(s.out.Demand, added)
 	}
--- a/internal/gateway/adapted.go
+++ b/internal/gateway/adapted.go
@@ -35,6 +35,7 @@
 		return
 	}
 	s.statsPublishedAt = now
+	s.publishFairShares(now)
 	s.metrics.Set("buffers.reserved", s.buffers.used.Load())
 	s.publishDemand(now)
 	const percent = 100
--- a/internal/gateway/crowd_test.go
+++ b/internal/gateway/crowd_test.go
@@ -54,6 +54,11 @@
 	pauseLimit     bool
 	// bunch is the mean number of callers that arrive at the same time, each at a random node; 0 means 1.
 	bunch float64
+	// cutOff is the number of nodes that are cut off from the start.
+	cutOff int
+	// overload switches on features. team, if set, draws the team and route of a caller.
+	overload Overload
+	team     func(*rand.Rand) (team, route string)
 }
 
 // fewNodes exchange states directly.
@@ -106,7 +111,7 @@
 	params     burstParams
 	engine     *catalog.Engine
 	eventCount int
-	// cutOff holds the nodes that receive no states.
+	// cutOff holds the nodes that neither send nor receive states.
 	cutOff map[int]bool
 
 	// measureFrom is the start of the measurement.
@@ -118,6 +123,8 @@
 	// retried counts the callers that were rejected and retried, rejectedTwice those whose retry was
 	// rejected too.
 	retried, rejectedTwice int
+	// byTeam counts the first attempts of each team and route.
+	byTeam map[teamRoute]*teamCount
 }
 
 // simEvent is an event of the simulation. sequence orders events at the same time.
@@ -162,10 +169,10 @@
 
 // newBurst returns a simulation with all heads open. published holds the engine figures that the nodes
 // predict with; the heads behave by those of params.
-func newBurst(t *testing.T, params burstParams, published *catalog.Engine) *burstSimulation {
+func newBurst(t testing.TB, params burstParams, published *catalog.Engine) *burstSimulation {
 	t.Helper()
 	start := time.Unix(1_000_000, 0)
-	c := &burstSimulation{now: start, random: rand.New(rand.NewPCG(7, 11)), heads: make(map[string]*burstHead), params: params, engine: &params.engine}
+	c := &burstSimulation{now: start, random: rand.New(rand.NewPCG(7, 11)), heads: make(map[string]*burstHead), cutOff: make(map[int]bool), byTeam: make(map[teamRoute]*teamCount), params: params, engine: &params.engine}
 	route := catalog.Route{Name: "r", Prefix: "/a/", Objective: params.objective, PauseObjective: params.pauseObjective, Targets: []catalog.Target{{Service: "s", Weight: 1}}}
 	current, err := catalog.New(catalog.Content{Version: 1, Routes: []catalog.Route{route}, Services: []catalog.Service{{Name: "s", Engine: published}}})
 	if err != nil {
@@ -179,12 +186,14 @@
 		c.heads[id] = &burstHead{vm: id}
 	}
 	for i := range params.nodes {
+		c.cutOff[i] = i < params.cutOff
 		tt := newTargetTable("x", retry.Limit{Window: time.Second}, noneDissolving, start)
 		tt.random = rand.New(rand.NewPCG(uint64(i), 1))
 		if params.measuredDemand {
 			tt.measured = newMeasuredDemand()
 		}
 		tt.pauses = newPauseLimit(params.pauseLimit)
+		tt.fair = newFairShares(params.overload)
 		tt.rebuild(current, fleet.NewSnapshot(vms, 1, start))
 		// The fleet is a map; sorting makes the simulation deterministic.
 		slices.SortFunc(tt.pools["s"].heads["m"], func(x, y *target) int { return strings.Compare(x.vm.ID, y.vm.ID) })
@@ -206,6 +215,7 @@
 	arrivals := 0.0
 	var localLoads, localUnread []map[string]uint32
 	var arrivalsOf []float64
+	var teamsOf [][]*marbleroadv1.TeamWork
 	for i, tt := range c.tables {
 		state := &marbleroadv1.NodeState{Node: fmt.Sprint(i), FailureDomain: "x"}
 		tt.fillState(c.now, state)
@@ -218,9 +228,11 @@
 		}
 		localLoads, localUnread = append(localLoads, loads), append(localUnread, unread)
 		arrivalsOf = append(arrivalsOf, 0)
+		teamsOf = append(teamsOf, nil)
 		for _, d := range state.GetDemand() {
 			arrivalsOf[i] += d.GetArrivals()
 			arrivals += d.GetArrivals()
+			teamsOf[i] = d.GetTeams()
 		}
 	}
 	sentAt := c.now
@@ -230,7 +242,7 @@
 			for group, n := range all {
 				sum.Loads = append(sum.Loads, &marbleroadv1.GroupLoad{Group: group, InFlight: n - localLoads[i][group], UnreadTokens: allUnread[group] - localUnread[i][group]})
 			}
-			sum.Demand = []*marbleroadv1.ModelDemand{{Service: "s", Model: "m", Arrivals: arrivals - arrivalsOf[i]}}
+			sum.Demand = []*marbleroadv1.ModelDemand{{Service: "s", Model: "m", Arrivals: arrivals - arrivalsOf[i], Teams: otherTeams(teamsOf, i)}}
 			tt.receiveState(c.now, sum, sentAt, 2*time.Second)
 		}
 	})
@@ -242,7 +254,7 @@
 	state := &marbleroadv1.NodeState{Node: fmt.Sprint(node), FailureDomain: "x"}
 	c.tables[node].fillState(c.now, state)
 	for i, tt := range c.tables {
-		if i != node && !c.cutOff[i] {
+		if i != node && !c.cutOff[i] && !c.cutOff[node] {
 			tt.receiveState(c.now, state, c.now, time.Second)
 		}
 	}
@@ -263,13 +275,17 @@
 
 // newCall returns the request of a caller that arrives now.
 func (c *burstSimulation) newCall() *burstCall {
-	return &burstCall{
+	one := &burstCall{
 		firstAttempt:   c.now,
 		timeout:        burstTimeout - time.Duration(c.random.Float64()*float64(c.params.timeoutSpread)),
 		responseTokens: 1 + int(c.random.ExpFloat64()*c.engine.MeanAnswer),
 		call: &Call{Service: "s", Model: "m", CallerTimeout: burstTimeout, Route: &catalog.Route{Name: "r", Objective: c.params.objective, PauseObjective: c.params.pauseObjective},
 			PromptTokens: 40 + int(min(c.random.ExpFloat64(), 4)*c.engine.MeanPrompt)},
 	}
+	if c.params.team != nil {
+		one.call.Team, one.call.Route.Name = c.params.team(c.random)
+	}
+	return one
 }
 
 // deliver sends a call to a random node. A rejected call is retried once.
@@ -283,7 +299,8 @@
 	call.Waited = tt.waitedBefore(c.now, &call)
 	tt.recordOffered(c.now, &call)
 	const headroom = 5
-	s, _, reason := tt.choose(c.now, &call, nil, headroom, false, func(error) {})
+	s, basis, reason := tt.choose(c.now, &call, nil, headroom, false, func(error) {})
+	c.countTeam(one, basis, reason)
 	if reason != admitted {
 		tt.recordUnmet(c.now, &call)
 		if one.firstAttempt.Before(c.now) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -188,6 +188,7 @@
 		s.targets.measured = newMeasuredDemand()
 	}
 	s.targets.pauses = newPauseLimit(c.Overload.PauseLimit)
+	s.targets.fair = newFairShares(c.Overload)
 	if p.Sharing != nil {
 		s.targets.sharing = s.sharing
 	}
@@ -368,6 +369,7 @@
 		return
 	}
 	s.reportInvalidHomes(c)
+	s.applyReserves(c)
 	s.targets.rebuild(c, f)
 	s.metrics.Set("catalog.version", int64(c.Version()))
 	for model, open := range s.targets.openGroups() {
