--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -73,9 +73,10 @@
 		if known := s.demand[key]; known != nil {
 			known.Rate += d.GetRate()
 			known.Arrivals += d.GetArrivals()
+			known.Returning += d.GetReturning()
 			continue
 		}
-		added := &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: d.GetRate(), Arrivals: d.GetArrivals()}
+		added := &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: d.GetRate(), Arrivals: d.GetArrivals(), Returning: d.GetReturning()}
 		s.demand[key] = added
 		s.out.Demand = append(s.out.Demand, added)
 	}
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -14,6 +14,7 @@
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/quarantine"
 	"github.com/marbleroad/marbleroad/internal/retry"
+	"github.com/marbleroad/marbleroad/internal/returns"
 )
 
 const (
@@ -182,6 +183,10 @@
 	// this node last rejected a request.
 	callerTimeouts map[string]*callerTimeoutMeter
 	lastRejection  time.Time
+	// returnsEnabled is the setting overload.returns. firstAttempts learns the timeouts of first attempts, by
+	// route.
+	returnsEnabled bool
+	firstAttempts  map[string]*returns.Timeouts
 
 	demand           map[demandKey]*demandMeter
 	demandMeasuredAt time.Time
@@ -237,6 +242,7 @@
 		budgets:          make(map[string]*retry.Budget),
 		offsets:          make(map[demandKey]*batch.Offset),
 		callerTimeouts:   make(map[string]*callerTimeoutMeter),
+		firstAttempts:    make(map[string]*returns.Timeouts),
 		repeatLimit:      limit,
 		startedAt:        now,
 		demand:           make(map[demandKey]*demandMeter),
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -66,7 +66,7 @@
 		return nil, evaluation{}, noUpstream
 	}
 	resent := len(tried) > 0 || c.LastEvent != ""
-	selected := tt.selectTarget(now, candidates, headRequest{key: key, request: request, quarantineVerdict: c.quarantineVerdict, offset: tt.offset(key).Value(), resent: resent}, headroom)
+	selected := tt.selectTarget(now, candidates, headRequest{key: key, request: request, quarantineVerdict: c.quarantineVerdict, offset: tt.offset(key).Value(), resent: resent, returning: c.Returning}, headroom)
 	selected.throttled = throttled
 	reason := selected.refusal(p.service.Engine != nil)
 	if selected.predictedLate && reason == allFull {
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -24,6 +24,8 @@
 	rate float64
 	// arrivals is the rate of requests that this node receives.
 	arrivals spread.Rate
+	// returning is the rate of those that return after a refusal.
+	returning spread.Rate
 	// serviceTime is the time that requests spend at a head.
 	serviceTime spread.ServiceTime
 	// rejectedShare is the fraction of requests that is rejected, as of the latest decision.
--- a/internal/gateway/divide.go
+++ b/internal/gateway/divide.go
@@ -39,6 +39,8 @@
 	// resent is true for a request that this node has sent to another upstream before, and for one that
 	// resumes a stream. It is not rejected for lack of capacity.
 	resent bool
+	// returning is true for a caller that was refused for overload and returns when it was told to.
+	returning bool
 }
 
 // forecast is the basis for dividing requests: how many requests all nodes are expected to send within the
@@ -71,7 +73,7 @@
 	}
 	rejected = max(rejected, 0)
 	tt.recordRejectedShare(hr.key, rejected)
-	if tt.random.Float64() >= rejectionProbability(hr, rejected) {
+	if tt.random.Float64() >= tt.rejectionProbability(now, hr, rejected) {
 		tt.chooseByShare(shares, &out)
 	}
 	return out, true
@@ -79,7 +81,10 @@
 
 // rejectionProbability returns the probability that a request is rejected, given the fraction of all
 // requests that the heads can't take.
-func rejectionProbability(hr headRequest, rejected float64) float64 {
+func (tt *targetTable) rejectionProbability(now time.Time, hr headRequest, rejected float64) float64 {
+	if tt.returnsEnabled && !hr.resent {
+		return tt.divideRejections(now, hr, rejected)
+	}
 	if hr.isRetry() {
 		// Its response would be late in any case, and would take the slot of a request that can be in
 		// time.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -179,6 +179,7 @@
 		s.parts.TriggerExchange()
 	}
 	c.Waited = s.targets.waitedBefore(c.Arrived, c)
+	s.targets.recordArrival(c.Arrived, c)
 	ctx, span := s.parts.Tracer.Start(s.parts.Tracer.Extract(r.Context(), r.Header), "request", trace.SpanKindServer,
 		attribute.String("request", c.ID), attribute.String("route", c.Route.Name))
 	defer span.End()
--- a/internal/gateway/predict.go
+++ b/internal/gateway/predict.go
@@ -35,6 +35,9 @@
 	}
 	r.Objective = c.Route.Objective
 	r.Elapsed = now.Sub(c.Arrived) + c.Waited
+	if c.Returning {
+		r.Elapsed = now.Sub(c.Arrived)
+	}
 	r.Reserved = reserve(tt.pools[c.Service].service, c)
 	return r
 }
--- /dev/null
+++ b/internal/gateway/returning.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/returns"
+)
+
+// returningPreference is the ratio of the probability that a returning caller is rejected to that of a new one.
+// A response to a returning caller is late in any case.
+const returningPreference = 4
+
+// recordArrival records whether the call's caller returns after a refusal, if the setting overload.returns
+// is on. It must follow recordRequest.
+func (tt *targetTable) recordArrival(now time.Time, c *Call) {
+	tt.mu.Lock()
+	defer tt.mu.Unlock()
+	m := tt.demand[demandKey{c.Service, c.Model}]
+	if !tt.returnsEnabled || m == nil {
+		return
+	}
+	timeouts := tt.firstAttempts[c.Route.Name]
+	if timeouts == nil {
+		if len(tt.firstAttempts) >= maxMeters {
+			clear(tt.firstAttempts)
+		}
+		timeouts = &returns.Timeouts{}
+		tt.firstAttempts[c.Route.Name] = timeouts
+	}
+	timeouts.Record(c.CallerTimeout, now.Sub(tt.lastRejection) > noRejectionPeriod)
+	c.Waited = timeouts.Waited(c.CallerTimeout)
+	c.Returning = c.Waited > 0
+	if c.Returning {
+		m.returning.Add(now)
+	}
+}
+
+// returnDelay returns when a refused caller is to return, and false if that is not scheduled: the setting is
+// off, the refusal has another reason than overload, the call is not for a model, or the caller's timeout is
+// unknown.
+func (tt *targetTable) returnDelay(c *Call, reason refusal) (time.Duration, bool) {
+	if !tt.returnsEnabled || c == nil || reason != allFull || c.CallerTimeout <= 0 {
+		return 0, false
+	}
+	tt.mu.Lock()
+	defer tt.mu.Unlock()
+	if tt.demand[demandKey{c.Service, c.Model}] == nil {
+		return 0, false
+	}
+	left := c.CallerTimeout - clock.Since(c.Arrived)
+	return returns.Delay(left, tt.random.Float64()), true
+}
+
+// divideRejections returns the probability that a request is rejected, by whether its caller returns. The
+// caller holds mu.
+func (tt *targetTable) divideRejections(now time.Time, hr headRequest, rejected float64) float64 {
+	out := returns.Divide(rejected, tt.arrivalsByKind(now, hr.key), returningPreference)
+	if hr.returning {
+		return out.Returning
+	}
+	return out.New
+}
+
+// arrivalsByKind returns the rates of new and returning callers at all nodes. The caller holds mu.
+func (tt *targetTable) arrivalsByKind(now time.Time, key demandKey) returns.Arrivals {
+	var out returns.Arrivals
+	if m := tt.demand[key]; m != nil {
+		out.Returning = m.returning.Value(now)
+	}
+	for _, p := range tt.peers {
+		for _, d := range p.GetDemand() {
+			if d.GetService() == key.service && d.GetModel() == key.model {
+				out.Returning += d.GetReturning()
+			}
+		}
+	}
+	out.New = max(tt.arrivalRate(now, key)-out.Returning, 0)
+	return out
+}
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -82,6 +82,9 @@
 	case c != nil:
 		spread += time.Duration(s.targets.rejectedShare(c) * float64(overloadRetrySpread))
 	}
+	if delay, scheduled := s.targets.returnDelay(c, reason); scheduled {
+		return delay
+	}
 	delay := minDelay + s.targets.jitter(spread)
 	if c != nil && c.CallerTimeout > 0 {
 		delay = min(delay, c.CallerTimeout/retryAfterDivisor)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -184,6 +184,7 @@
 		cancelWork:      cancelWork,
 	}
 	s.targets.warmups, s.targets.regions = c.Warmups, c.Regions
+	s.targets.returnsEnabled = c.Overload.Returns
 	if p.Sharing != nil {
 		s.targets.sharing = s.sharing
 	}
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -75,7 +75,7 @@
 	tt.fillConditions(now, into)
 	tt.updateDemand(now)
 	for key, m := range tt.demand {
-		into.Demand = append(into.Demand, &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: m.rate, Arrivals: m.arrivals.Value(now)})
+		into.Demand = append(into.Demand, &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: m.rate, Arrivals: m.arrivals.Value(now), Returning: m.returning.Value(now)})
 	}
 }
 
