--- a/internal/gateway/crowd_test.go
+++ b/internal/gateway/crowd_test.go
@@ -180,9 +180,9 @@
 // aggregateStates sends all nodes an aggregate of the others' states after a delay, once per interval.
 func (c *burstSimulation) aggregateStates() {
 	all := make(map[string]uint32)
-	arrivals := 0.0
+	arrivals, returning := 0.0, 0.0
 	var localLoads []map[string]uint32
-	var arrivalsOf []float64
+	var arrivalsOf, returningOf []float64
 	for i, tt := range c.tables {
 		state := &marbleroadv1.NodeState{Node: fmt.Sprint(i), FailureDomain: "x"}
 		tt.fillState(c.now, state)
@@ -193,9 +193,12 @@
 		}
 		localLoads = append(localLoads, loads)
 		arrivalsOf = append(arrivalsOf, 0)
+		returningOf = append(returningOf, 0)
 		for _, d := range state.GetDemand() {
 			arrivalsOf[i] += d.GetArrivals()
 			arrivals += d.GetArrivals()
+			returningOf[i] += d.GetReturning()
+			returning += d.GetReturning()
 		}
 	}
 	sentAt := c.now
@@ -205,7 +208,7 @@
 			for group, n := range all {
 				sum.Loads = append(sum.Loads, &marbleroadv1.GroupLoad{Group: group, InFlight: n - localLoads[i][group]})
 			}
-			sum.Demand = []*marbleroadv1.ModelDemand{{Service: "s", Model: "m", Arrivals: arrivals - arrivalsOf[i]}}
+			sum.Demand = []*marbleroadv1.ModelDemand{{Service: "s", Model: "m", Arrivals: arrivals - arrivalsOf[i], Returning: returning - returningOf[i]}}
 			tt.receiveState(c.now, sum, sentAt, 2*time.Second)
 		}
 	})
@@ -249,6 +252,7 @@
 	call.CallerTimeout = one.timeout - c.now.Sub(one.firstAttempt)
 	tt.recordRequest(c.now, &call)
 	call.Waited = tt.waitedBefore(c.now, &call)
+	tt.recordArrival(c.now, &call)
 	const headroom = 5
 	s, _, reason := tt.choose(c.now, &call, nil, headroom, false, func(error) {})
 	if reason != admitted {
--- a/internal/gateway/returning.go
+++ b/internal/gateway/returning.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/returns"
 )
 
@@ -48,8 +47,7 @@
 	if tt.demand[demandKey{c.Service, c.Model}] == nil {
 		return 0, false
 	}
-	left := c.CallerTimeout - clock.Since(c.Arrived)
-	return returns.Delay(left, tt.random.Float64()), true
+	return returns.Delay(c.CallerTimeout, tt.random.Float64()), true
 }
 
 // divideRejections returns the probability that a request is rejected, by whether its caller returns. The
--- /dev/null
+++ b/internal/gateway/returning_test.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/catalog"
+)
+
+const (
+	// surgeLength is the length of a short surge, surgeRate its rate of callers per second.
+	surgeLength = 3 * time.Second
+	surgeRate   = 340
+)
+
+// runSurge simulates a short surge and the time after it in which refused callers return.
+func runSurge(t *testing.T, returnsEnabled bool) *burstSimulation {
+	t.Helper()
+	params := manyNodes
+	params.steadyRate = 200
+	params.timeoutSpread = 900 * time.Millisecond
+	c := newBurst(t, params, &params.engine)
+	for _, tt := range c.tables {
+		tt.returnsEnabled = returnsEnabled
+	}
+	c.measureFrom = c.now.Add(steadyPhase)
+	surgeEnd := c.now.Add(steadyPhase + surgeLength)
+	end := surgeEnd.Add(4 * time.Second)
+	c.sendCalls(params.steadyRate, c.now.Add(steadyPhase))
+	c.schedule(steadyPhase, func() { c.sendCalls(surgeRate, surgeEnd) })
+	c.schedule(steadyPhase+surgeLength, func() { c.sendCalls(params.steadyRate, end) })
+	c.advance(end.Add(burstTimeout))
+	return c
+}
+
+// TestRefusedCallersReturnAfterTheSurge guards against callers that are refused in a short surge, return into
+// it, and are lost by a second refusal. Half of the losses at the previous retry delays is allowed.
+func TestRefusedCallersReturnAfterTheSurge(t *testing.T) {
+	before, now := runSurge(t, false), runSurge(t, true)
+	t.Logf("previous delays: %d in time, %d late, %d refused, %d of them lost", before.inTime, before.late, before.retried, before.rejectedTwice)
+	t.Logf("scheduled returns: %d in time, %d late, %d refused, %d of them lost", now.inTime, now.late, now.retried, now.rejectedTwice)
+	if before.rejectedTwice < 50 {
+		t.Fatalf("%d callers lost without scheduled returns: the simulated load is too low for this test", before.rejectedTwice)
+	}
+	if 2*now.rejectedTwice > before.rejectedTwice {
+		t.Errorf("%d callers were refused twice; at most half of %d may be", now.rejectedTwice, before.rejectedTwice)
+	}
+	if float64(now.inTime) < 0.97*float64(before.inTime) {
+		t.Errorf("%d responses in time, %d without scheduled returns", now.inTime, before.inTime)
+	}
+}
+
+// newCallTable returns a table with one open head and scheduled returns.
+func newCallTable(t *testing.T) (*targetTable, time.Time) {
+	t.Helper()
+	c := newBurst(t, burstParams{nodes: 1, heads: 1, objective: time.Second, engine: manyNodes.engine}, &manyNodes.engine)
+	c.tables[0].returnsEnabled = true
+	return c.tables[0], c.now
+}
+
+// recordCall records a caller with the given timeout and returns its call.
+func recordCall(tt *targetTable, now time.Time, timeout time.Duration) *Call {
+	call := &Call{Service: "s", Model: "m", Route: &catalog.Route{Name: "r"}, Arrived: now, CallerTimeout: timeout}
+	tt.recordRequest(now, call)
+	tt.recordArrival(now, call)
+	return call
+}
+
+// TestRestartedNodeTakesCallersAsNew guards against a node that refuses returning callers, or prefers any, by
+// timeouts that it has not learned yet.
+func TestRestartedNodeTakesCallersAsNew(t *testing.T) {
+	tt, now := newCallTable(t)
+	if call := recordCall(tt, now, 4*time.Second); call.Returning {
+		t.Error("a node without samples recognized a returning caller")
+	}
+	for range 8 {
+		recordCall(tt, now, 6*time.Second)
+	}
+	if call := recordCall(tt, now, 4*time.Second); !call.Returning {
+		t.Error("a caller that has used a third of its time was not recognized")
+	}
+	if call := recordCall(tt, now, 5200*time.Millisecond); call.Returning {
+		t.Error("a first attempt with a shorter timeout was recognized as returning")
+	}
+}
+
+// TestSilentPeersReturnsExpire guards against the returning callers of a node that was cut off being counted
+// for as long as the others run.
+func TestSilentPeersReturnsExpire(t *testing.T) {
+	tt, now := newCallTable(t)
+	key := demandKey{"s", "m"}
+	recordCall(tt, now, 6*time.Second)
+	tt.receiveState(now, &marbleroadv1.NodeState{Node: "peer", Demand: []*marbleroadv1.ModelDemand{{Service: "s", Model: "m", Arrivals: 50, Returning: 40}}}, now, time.Second)
+	if got := tt.arrivalsByKind(now, key).Returning; got != 40 {
+		t.Errorf("%.0f returning callers per second, expected 40", got)
+	}
+	later := now.Add(1100 * time.Millisecond)
+	tt.dropExpiredPeers(later)
+	if got := tt.arrivalsByKind(later, key).Returning; got != 0 {
+		t.Errorf("%.0f returning callers per second after the state expired", got)
+	}
+}
+
+// TestReturnsAreScheduledForModelsOnly guards against long retry delays for plain services, whose callers are
+// refused for a fraction of a second at a time.
+func TestReturnsAreScheduledForModelsOnly(t *testing.T) {
+	tt, now := newCallTable(t)
+	call := recordCall(tt, now, 6*time.Second)
+	if _, scheduled := tt.returnDelay(call, allFull); !scheduled {
+		t.Error("the return of a refused caller of a model was not scheduled")
+	}
+	if _, scheduled := tt.returnDelay(&Call{Service: "plain", CallerTimeout: time.Second, Arrived: now}, allFull); scheduled {
+		t.Error("the return of a caller of a plain service was scheduled")
+	}
+	if _, scheduled := tt.returnDelay(call, noUpstream); scheduled {
+		t.Error("the return of a caller without an upstream was scheduled")
+	}
+}
--- a/internal/returns/timeouts.go
+++ b/internal/returns/timeouts.go
@@ -16,9 +16,9 @@
 	// returningShare is the fraction of the typical timeout below which a caller is returning. First attempts
 	// have at least 0.85 of the longest timeout, returning callers at most 1 - minDelayShare of theirs.
 	returningShare = 0.8
-	// maxShort is the fraction of callers without recent rejections that may be below the limit. If there are
-	// more, timeouts differ too much to recognize anyone.
-	maxShort = 0.1
+	// maxShort is the fraction of callers without recent rejections at this node that may be below the limit. If
+	// there are more, timeouts differ too much to recognize anyone. Some may be: they were rejected elsewhere.
+	maxShort = 0.25
 )
 
 // Timeouts learns the timeouts with which the callers of a route make their first attempt, and recognizes
