--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -77,18 +77,19 @@
 	for _, d := range m.GetDemand() {
 		key := demandKey{d.GetService(), d.GetModel()}
 		if d.GetRecentRate() > 0 && !fresh {
-			d = &marbleroadv1.ModelDemand{Service: d.GetService(), Model: d.GetModel(), Arrivals: d.GetArrivals()}
+			d = &marbleroadv1.ModelDemand{Service: d.GetService(), Model: d.GetModel(), Arrivals: d.GetArrivals(), Returning: d.GetReturning(), Teams: d.GetTeams()}
 		}
 		if known := s.demand[key]; known != nil {
 			known.Rate += d.GetRate()
 			known.RecentRate += d.GetRecentRate()
 			known.UnmetRate += d.GetUnmetRate()
 			known.Arrivals += d.GetArrivals()
+			known.Returning += d.GetReturning()
 			known.Teams = addTeams(known.Teams, d.GetTeams())
 			continue
 		}
 		added := &marbleroadv1.ModelDemand{Service: key.service, Model: key.model, Rate: d.GetRate(), RecentRate: d.GetRecentRate(), UnmetRate: d.GetUnmetRate(),
-			Arrivals: d.GetArrivals(), Teams: addTeams(nil, d.GetTeams())}
+			Arrivals: d.GetArrivals(), Returning: d.GetReturning(), Teams: addTeams(nil, d.GetTeams())}
 		s.demand[key] = added
 		s.out.Demand = append(s.out.Demand, added)
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -68,7 +68,7 @@
 		return nil, evaluation{}, noUpstream
 	}
 	resent := len(tried) > 0 || c.LastEvent != ""
-	hr := headRequest{key: key, call: c, request: request, quarantineVerdict: c.quarantineVerdict, offset: tt.offset(key).Value(), resent: resent}
+	hr := headRequest{key: key, call: c, request: request, quarantineVerdict: c.quarantineVerdict, offset: tt.offset(key).Value(), resent: resent, returning: c.Returning}
 	selected := tt.selectTarget(now, candidates, hr, headroom)
 	selected.throttled = throttled
 	reason := selected.refusal(p.service.Engine != nil)
--- a/internal/gateway/crowd_test.go
+++ b/internal/gateway/crowd_test.go
@@ -212,9 +212,9 @@
 // aggregateStates sends all nodes an aggregate of the others' states after a delay, once per interval.
 func (c *burstSimulation) aggregateStates() {
 	all, allUnread := make(map[string]uint32), make(map[string]uint32)
-	arrivals := 0.0
+	arrivals, returning := 0.0, 0.0
 	var localLoads, localUnread []map[string]uint32
-	var arrivalsOf []float64
+	var arrivalsOf, returningOf []float64
 	var teamsOf [][]*marbleroadv1.TeamWork
 	for i, tt := range c.tables {
 		state := &marbleroadv1.NodeState{Node: fmt.Sprint(i), FailureDomain: "x"}
@@ -228,10 +228,13 @@
 		}
 		localLoads, localUnread = append(localLoads, loads), append(localUnread, unread)
 		arrivalsOf = append(arrivalsOf, 0)
+		returningOf = append(returningOf, 0)
 		teamsOf = append(teamsOf, nil)
 		for _, d := range state.GetDemand() {
 			arrivalsOf[i] += d.GetArrivals()
 			arrivals += d.GetArrivals()
+			returningOf[i] += d.GetReturning()
+			returning += d.GetReturning()
 			teamsOf[i] = d.GetTeams()
 		}
 	}
@@ -242,7 +245,7 @@
 			for group, n := range all {
 				sum.Loads = append(sum.Loads, &marbleroadv1.GroupLoad{Group: group, InFlight: n - localLoads[i][group], UnreadTokens: allUnread[group] - localUnread[i][group]})
 			}
-			sum.Demand = []*marbleroadv1.ModelDemand{{Service: "s", Model: "m", Arrivals: arrivals - arrivalsOf[i], Teams: otherTeams(teamsOf, i)}}
+			sum.Demand = []*marbleroadv1.ModelDemand{{Service: "s", Model: "m", Arrivals: arrivals - arrivalsOf[i], Returning: returning - returningOf[i], Teams: otherTeams(teamsOf, i)}}
 			tt.receiveState(c.now, sum, sentAt, 2*time.Second)
 		}
 	})
@@ -297,6 +300,7 @@
 	call.CallerTimeout = one.timeout - c.now.Sub(one.firstAttempt)
 	tt.recordRequest(c.now, &call)
 	call.Waited = tt.waitedBefore(c.now, &call)
+	tt.recordArrival(c.now, &call)
 	tt.recordOffered(c.now, &call)
 	const headroom = 5
 	s, basis, reason := tt.choose(c.now, &call, nil, headroom, false, func(error) {})
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -189,6 +189,7 @@
 	}
 	s.targets.pauses = newPauseLimit(c.Overload.PauseLimit)
 	s.targets.fair = newFairShares(c.Overload)
+	s.targets.returnsEnabled = c.Overload.Returns
 	if p.Sharing != nil {
 		s.targets.sharing = s.sharing
 	}
