Hubs: nodes that do not measure their demand count in full

Cause: a hub added the recent rates of its members, of which those without measured_demand have none. A sum above zero counts by its recent rate alone, so a reader lost the work of these members while the setting was changed node by node. The direct states of such nodes counted in full.

Change: if only one of two entries has a recent rate, the smoothed rate of the other counts as recent. Messages are unchanged while no node measures.

--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -80,8 +80,8 @@
 			d = &marbleroadv1.ModelDemand{Service: d.GetService(), Model: d.GetModel(), Arrivals: d.GetArrivals(), Returning: d.GetReturning(), Teams: d.GetTeams()}
 		}
 		if known := s.demand[key]; known != nil {
+			known.RecentRate = addRecent(known, d)
 			known.Rate += d.GetRate()
-			known.RecentRate += d.GetRecentRate()
 			known.UnmetRate += d.GetUnmetRate()
 			known.Arrivals += d.GetArrivals()
 			known.Returning += d.GetReturning()
@@ -106,6 +106,18 @@
 	}
 }
 
+// addRecent adds up the recent rates of two entries. If only one of them measures its recent work, the smoothed rate of
+// the other counts as recent too: a sum with a recent rate counts by that alone. It is zero if neither does.
+func addRecent(a, b *marbleroadv1.ModelDemand) float64 {
+	switch {
+	case a.GetRecentRate() > 0 && b.GetRecentRate() == 0:
+		return a.GetRecentRate() + b.GetRate()
+	case a.GetRecentRate() == 0 && b.GetRecentRate() > 0:
+		return a.GetRate() + b.GetRecentRate()
+	}
+	return a.GetRecentRate() + b.GetRecentRate()
+}
+
 // leadingStates returns short states of the members that manage groups or are among the first of
 // the failure domain.
 func leadingStates(members []receivedState, domain, exclude string, now time.Time) []*marbleroadv1.NodeState {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -522,7 +522,9 @@
 mutant "measured demand: the gateway does not recognize returning callers" internal/gateway/measureddemand.go \
   's/Returning: c\.Waited > minRetryWait/Returning: false/' ./internal/gateway TestReturningCallersCountOnce
 mutant "measured demand: hubs do not add up recent work" internal/cluster/sum.go \
-  's/\t\t\tknown\.RecentRate \+= d\.GetRecentRate\(\)\n//' ./internal/cluster TestHubAddsUpMeasuredDemand
+  's/\t\t\tknown\.RecentRate = addRecent\(known, d\)\n//' ./internal/cluster TestHubAddsUpMeasuredDemand
+mutant "measured demand: hubs lose the demand of nodes that do not measure" internal/cluster/sum.go \
+  's/return a\.GetRate\(\) \+ b\.GetRecentRate\(\)/return b.GetRecentRate()/' ./internal/cluster TestHubThatDoesNotMeasureCountsInFull
 mutant "measured demand: groups are dissolved for a surge" internal/placement/placement.go \
   's/\t\td\.smoothed = true\n//' ./internal/placement TestSurgeDissolvesNoGroups
 mutant "measured demand: a model loses groups during its surge" internal/placement/placement.go \
