--- a/internal/director/packing.go
+++ b/internal/director/packing.go
@@ -63,16 +63,6 @@
 	return v.failures > 0 && v.failures <= maxReturningFailures
 }
 
-// packingReservation returns the reservation of the fabric domain in which a decision dissolves
-// groups.
-func packingReservation(d placement.Decision, until time.Time) fabricReservation {
-	r := fabricReservation{model: d.DissolvedFor, until: until, groups: max(d.DissolvedCount, 1)}
-	if d.Change != nil {
-		r.payback = d.Change.Payback
-	}
-	return r
-}
-
 // reportPackingChange logs and counts a change of a packing.
 func (s *state) reportPackingChange(d placement.Decision) {
 	c := d.Change
--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -135,18 +135,6 @@
 	return now.Sub(s.expectedSince[domain]) < maxDecisionWait
 }
 
-// reservedFabrics returns the fabric domains whose free VMs are reserved for a model until the
-// remaining groups that were dissolved for it are released.
-func (s *state) reservedFabrics(now time.Time) map[string]string {
-	out := make(map[string]string)
-	for fabric, reservation := range s.fabricReservations {
-		if now.Before(reservation.until) {
-			out[fabric] = reservation.model
-		}
-	}
-	return out
-}
-
 func (s *state) placementVM(vm *fleet.VM) placement.VM {
 	v := s.vm(vm.ID)
 	return placement.VM{ID: vm.ID, Fabric: vm.Fabric, Last: v.lastModel, Staged: vm.Staged, Staging: v.staging}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -146,16 +146,6 @@
 	deadline time.Time
 }
 
-// fabricReservation reserves the free VMs of a fabric domain for a model.
-type fabricReservation struct {
-	model string
-	until time.Time
-	// groups is the number of groups to be formed, and payback the time in which they pay for the
-	// dissolutions; 0 without packing.
-	groups  int
-	payback time.Duration
-}
-
 // groupState is the director's state of a group that is being formed or that the fleet lists.
 type groupState struct {
 	firstSeen time.Time
@@ -354,23 +344,6 @@
 	s.d.parts.Nodes.TriggerExchange()
 }
 
-// publishPreparing publishes the models for whose groups other groups are being dissolved.
-func (s *state) publishPreparing(now time.Time) {
-	models := []string{}
-	for _, fabric := range sorted(s.fabricReservations) {
-		if reservation := s.fabricReservations[fabric]; now.Before(reservation.until) {
-			for range reservation.groups {
-				models = append(models, reservation.model)
-			}
-		}
-	}
-	if slices.Equal(models, s.d.Preparing()) {
-		return
-	}
-	s.d.preparing.Store(&models)
-	s.d.parts.Nodes.TriggerExchange()
-}
-
 func (s *state) vm(id string) *vmState {
 	v := s.vms[id]
 	if v == nil {
