Packing: reservations last until their last group, and free VMs do not count as returning

Cause: when groups are dissolved for several new ones, the first formation removed the reservation of the fabric domain. The VMs of the groups that still closed could go to another model, the other directors no longer counted the missing groups (Preparing), and further groups, also of the same decision, had no payback and could be dissolved at once. An expired reservation stayed and gave its payback to any later group. A free VM with one failed call counted both as free and as returning, and nothing calls it while it is free, so the VMs of a lost group waited for it without bound.

Change: a formation removes one group of its model from the reservation; payback comes from a reservation for the same model that still holds; a VM returns only while it may get no orders. Without packing, a reservation is for one group and is removed by the first formation, as before.

--- a/internal/director/packing.go
+++ b/internal/director/packing.go
@@ -53,14 +53,15 @@
 }
 
 // returning reports whether a VM is expected to become free soon: its group closes gracefully, or it
-// is in no group and has not responded for a short time.
+// is in no group and has not responded for a short time. A VM that may get orders is free already, also after a failed
+// call.
 func (s *state) returning(now time.Time, vm *fleet.VM) bool {
 	if !s.unattached(vm) {
 		gs := s.groups[s.membership(vm).Group]
 		return gs != nil && gs.dissolving && gs.graceful && now.Sub(gs.dissolvingSince) < s.maxCloseTime(gs.service)
 	}
 	v := s.vm(vm.ID)
-	return v.failures > 0 && v.failures <= maxReturningFailures
+	return !v.available(now) && v.failures <= maxReturningFailures
 }
 
 // reportPackingChange logs and counts a change of a packing.
--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -46,7 +46,7 @@
 	}
 	for _, f := range d.Formations {
 		s.startFormation(now, service, e, f, in)
-		delete(s.fabricReservations, s.snapshot.VMs[f.Members[0]].Fabric)
+		s.fulfillReservation(now, s.snapshot.VMs[f.Members[0]].Fabric, f.Model)
 	}
 	for _, st := range d.Stagings {
 		s.startStaging(now, e, st)
@@ -287,7 +287,7 @@
 func (s *state) responsive(now time.Time, vm *fleet.VM) bool {
 	v := s.vm(vm.ID)
 	if v.failures < maxFailures {
-		return !now.Before(v.lostUntil)
+		return v.available(now)
 	}
 	if !now.Before(v.lostUntil) && !v.callPending {
 		v.callPending = true
@@ -296,6 +296,11 @@
 	return false
 }
 
+// available reports whether the VM may get orders by the calls so far.
+func (v *vmState) available(now time.Time) bool {
+	return v.failures < maxFailures && !now.Before(v.lostUntil)
+}
+
 // released reports whether the group's VMs may go to other groups. A group that the director
 // has not seen yet may still serve.
 func (s *state) released(name string) bool {
@@ -334,7 +339,7 @@
 	s.formations[f.name] = f
 	head := s.snapshot.VMs[planned.Members[0]]
 	s.groups[f.name] = &groupState{firstSeen: now, head: head.ID, headVM: head, domain: head.FailureDomain, generation: f.generation,
-		formedHere: true, payback: s.fabricReservations[head.Fabric].payback}
+		formedHere: true, payback: s.reservationFor(now, head.Fabric, model.Name).payback}
 	line := s.d.parts.Log.Emit(event.GroupPlanned).Str("group", f.name).Uint64("generation", f.generation).Str("model", model.Name).
 		Strs("members", f.members).Int("loads", f.loads).EmbedObject(platform.LogRevision(s.snapshot.Revision)).
 		Str("groups", fmt.Sprint(in.Groups)).Str("demand", formatDemand(in.Demand))
--- a/internal/director/reservation.go
+++ b/internal/director/reservation.go
@@ -27,6 +27,28 @@
 	return r
 }
 
+// reservationFor returns the reservation of the fabric domain for a model; the zero value if there is none that still
+// holds.
+func (s *state) reservationFor(now time.Time, fabric, model string) fabricReservation {
+	r := s.fabricReservations[fabric]
+	if r.model != model || !now.Before(r.until) {
+		return fabricReservation{}
+	}
+	return r
+}
+
+// fulfillReservation removes one group of the model from the fabric domain's reservation, and the reservation with its
+// last group. A reservation that no longer holds is removed too.
+func (s *state) fulfillReservation(now time.Time, fabric, model string) {
+	r := s.reservationFor(now, fabric, model)
+	r.groups--
+	if r.groups <= 0 {
+		delete(s.fabricReservations, fabric)
+		return
+	}
+	s.fabricReservations[fabric] = r
+}
+
 // reservedFabrics returns the fabric domains whose free VMs are reserved for a model until the
 // remaining groups that were dissolved for it are released.
 func (s *state) reservedFabrics(now time.Time) map[string]string {
