Packing: models without groups that need or can get none do not count as worst supplied

Cause: a model without demand or larger than every fabric domain has supply 0 whatever is planned. It counted as the worst supplied one, so no VMs waited to complete a lost group of another model, and the bound on the lowest supply, which keeps a model from being starved for another, had no effect.

Change: such models are left out of the lowest supply while they have no group. An existing group of a model without demand still counts, so the last one is kept as before.

Result: TestModelsWithoutDemandOrRoom fails without the change in all four cases (small groups of the waiting VMs, the only large group dissolved).

--- a/internal/placement/change.go
+++ b/internal/placement/change.go
@@ -77,14 +77,11 @@
 // changeOf replaces best by the best change of the fabric domain if that ranks higher, and unstaged
 // by the best one that lacks copies.
 func (p *packer) changeOf(f *fabricState, best, unstaged *candidate) {
-	vms := len(f.free)
-	for i, n := range f.packed {
-		vms += n * p.value.sizes[i]
-	}
+	vms := p.vms(f)
 	present := append([]int(nil), f.packed...)
 	served, now := p.value.served(p.groups), p.value.value(p.groups, f.packed, len(f.free))
 	lowest := p.value.lowestSupply(p.groups)
-	worst := p.worst()
+	worst, _ := p.value.worst(p.groups)
 	packings(vms, p.value.sizes, present, p.window, func(after []int) {
 		model, count := formedModel(present, after)
 		if count == 0 {
--- a/internal/placement/packing.go
+++ b/internal/placement/packing.go
@@ -54,6 +54,9 @@
 	demand []float64
 	// work is the work of one group, and starvedWork its value while the model is starved.
 	work, starvedWork []float64
+	// unsupplied is true for models that have no group and need or can get none: they do not count for the lowest
+	// supply, which would be zero whatever is planned.
+	unsupplied []bool
 }
 
 // newValuation returns the valuation for models whose demand is known. All groups have the same
@@ -89,13 +92,29 @@
 	return sum
 }
 
+// markUnsupplied sets unsupplied, given the numbers of groups and the VMs of the largest fabric domain.
+func (v *valuation) markUnsupplied(groups []int, largest int) {
+	v.unsupplied = make([]bool, len(groups))
+	for i, n := range groups {
+		v.unsupplied[i] = n == 0 && (v.demand[i] <= minDemand || v.sizes[i] > largest)
+	}
+}
+
 // lowestSupply returns the lowest supply of any model.
 func (v valuation) lowestSupply(groups []int) float64 {
-	lowest := math.Inf(1)
+	_, lowest := v.worst(groups)
+	return lowest
+}
+
+// worst returns the index of the model with the lowest supply, among equals the first, and its supply.
+func (v valuation) worst(groups []int) (model int, supply float64) {
+	supply = math.Inf(1)
 	for i, n := range groups {
-		lowest = min(lowest, float64(n)/v.demand[i])
+		if s := float64(n) / v.demand[i]; s < supply && !v.unsupplied[i] {
+			model, supply = i, s
+		}
 	}
-	return lowest
+	return model, supply
 }
 
 // lossWeight is the part of PackingHorizon in which the loss of a VM counts: without a spare, it takes
--- a/internal/placement/packing_test.go
+++ b/internal/placement/packing_test.go
@@ -118,6 +118,35 @@
 	}
 }
 
+// TestModelsWithoutDemandOrRoom guards against a model that has no group, because it has no demand or is larger than any
+// fabric domain, counting as the worst supplied one: then no VMs wait for a replacement, and another model may lose
+// the groups without which it is starved.
+func TestModelsWithoutDemandOrRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		model  catalog.Model
+		demand float64
+	}{"no demand": {catalog.Model{Name: "other", Size: 20, Pace: 1}, 0}, "no room": {catalog.Model{Name: "other", Size: 200, Pace: 1}, 3}} {
+		with := func(in Input) Input {
+			in.Models = append(slices.Clone(in.Models), c.model)
+			in.Demand["other"] = c.demand
+			return in
+		}
+		in := with(packedFabric(1, 1, 7, 4, 2))
+		in.Open[1].Protected = true
+		in.Returning["f"] = 1
+		if got := formed(Decide(in)); len(got) > 0 {
+			t.Errorf("%s: formed %v although a VM is about to return", name, got)
+		}
+		starving := packedFabric(1, 2, 0, 1, 20)
+		if d := Decide(starving); len(d.Dissolutions) > 0 {
+			t.Fatalf("%v are dissolved for %s", d.Dissolutions, d.DissolvedFor)
+		}
+		if d := Decide(with(starving)); len(d.Dissolutions) > 0 {
+			t.Errorf("%s: %v are dissolved for %s", name, d.Dissolutions, d.DissolvedFor)
+		}
+	}
+}
+
 // TestCopiesPrecedeTheChange guards against groups that are dissolved before their VMs have copies.
 func TestCopiesPrecedeTheChange(t *testing.T) {
 	in := packedFabric(1, 5, 0, 2, 1)
--- a/internal/placement/repack.go
+++ b/internal/placement/repack.go
@@ -111,9 +111,23 @@
 		}
 	}
 	sort.Slice(p.fabrics, func(i, k int) bool { return p.fabrics[i].name < p.fabrics[k].name })
+	largestFabric := 0
+	for _, f := range p.fabrics {
+		largestFabric = max(largestFabric, p.vms(f))
+	}
+	p.value.markUnsupplied(p.groups, largestFabric)
 	return p
 }
 
+// vms returns the number of VMs of a fabric domain that are free or in open groups.
+func (p *packer) vms(f *fabricState) int {
+	vms := len(f.free)
+	for i, n := range f.packed {
+		vms += n * p.value.sizes[i]
+	}
+	return vms
+}
+
 // index returns the index of a model; -1 if the service has none of that name.
 func (p *packer) index(model string) int {
 	for i, m := range p.models {
@@ -239,7 +253,7 @@
 	defer p.add(f, added, -1)
 	free := len(f.free) - used
 	r := rank{value: p.value.value(p.groups, f.packed, free) + p.value.surplus(p.groups), lowest: p.value.lowestSupply(p.groups), kept: -used}
-	worst := p.worst()
+	worst, _ := p.value.worst(p.groups)
 	size := p.value.sizes[worst]
 	if missing := size - free; missing > 0 && missing <= p.d.in.Returning[f.name] && free > 0 {
 		f.packed[worst]++
@@ -261,17 +275,6 @@
 	}
 }
 
-// worst returns the index of the model with the lowest supply; among equals the first.
-func (p *packer) worst() int {
-	worst := 0
-	for i := range p.groups {
-		if float64(p.groups[i])/p.value.demand[i] < float64(p.groups[worst])/p.value.demand[worst] {
-			worst = i
-		}
-	}
-	return worst
-}
-
 // formGroups forms the numbers of groups of free VMs whose costs are given.
 func (p *packer) formGroups(f *fabricState, costs [][]float64, added []int) {
 	taken := make([]bool, len(f.free))
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -295,6 +295,12 @@
   's/in\.Groups = s\.predictGroupCounts\(/_ = s.predictGroupCounts(/' ./internal/director TestDirectorsDoNotPackTooMuch
 mutant "packing: a change that begins is not counted until the other director's state arrives" internal/director/packing.go \
   's/counts\[p\.model\] \+= p\.groups/_ = p/' ./internal/director TestDirectorsDoNotPackTooMuch
+mutant "packing: a model without groups and demand counts as the worst supplied" internal/placement/packing.go \
+  's/v\.unsupplied\[i\] = n == 0 &&/v.unsupplied[i] = n < 0 \&\&/' ./internal/placement TestModelsWithoutDemandOrRoom
+mutant "packing: the first group ends the reservation for several" internal/director/reservation.go \
+  's/r\.groups--/r.groups = 0/' ./internal/director TestReservationLastsUntilItsLastGroup
+mutant "packing: free VMs count as returning after a failed call" internal/director/packing.go \
+  's/!v\.available\(now\) && //' ./internal/director TestFreeVMIsNotReturning
 mutant "no free VMs are reserved" internal/placement/placement.go \
   's/if !ok \|\| d\.reserveFree\(m\)/if !ok/' ./internal/placement TestFreeVMsAreKept
 
