Packing: a surge does not dissolve groups of other models

Cause: with packing and measured_demand on, changes of packings were valued by the surge demand. A dissolution and a join take 3 s or more, so groups were dissolved for a surge that is over before it helps, and missed afterwards. placement.Input and the design note of measured demand say that groups are dissolved by the smoothed demand.

Change: a change is valued by the smoothed demand of the model for which groups are dissolved and by the larger demand of the others, which keep their groups in their own surge. Groups of free VMs follow the surge as before. The methods of valuation have pointer receivers, since it has grown.

Result: TestSurgeChangesNoPacking fails without the change (four small groups dissolved in a surge of the large model); both mutants are seen failing.

--- a/internal/placement/change.go
+++ b/internal/placement/change.go
@@ -79,14 +79,13 @@
 func (p *packer) changeOf(f *fabricState, best, unstaged *candidate) {
 	vms := p.vms(f)
 	present := append([]int(nil), f.packed...)
-	served, now := p.value.served(p.groups), p.value.value(p.groups, f.packed, len(f.free))
-	lowest := p.value.lowestSupply(p.groups)
-	worst, _ := p.value.worst(p.groups)
+	bases := p.changeBases(f)
 	packings(vms, p.value.sizes, present, p.window, func(after []int) {
 		model, count := formedModel(present, after)
 		if count == 0 {
 			return
 		}
+		base := &bases[model]
 		for i := range after {
 			p.groups[i] += after[i] - present[i]
 		}
@@ -95,23 +94,23 @@
 				p.groups[i] -= after[i] - present[i]
 			}
 		}()
-		afterLowest := p.value.lowestSupply(p.groups)
+		afterLowest := base.value.lowestSupply(p.groups)
 		// The value after a loss is never higher than before it.
-		limit := (p.value.served(p.groups) - now) * PackingHorizon.Seconds()
+		limit := (base.value.served(p.groups) - base.now) * PackingHorizon.Seconds()
 		least := min(best.rank.value, unstaged.rank.value) - valueTolerance
-		if limit < minNetGain || limit < least || afterLowest < min(lowest, starvedSupply) {
+		if limit < minNetGain || limit < least || afterLowest < min(base.lowest, starvedSupply) {
 			return
 		}
 		free := vms
 		for i, n := range after {
 			free -= n * p.value.sizes[i]
 		}
-		gain := (p.value.value(p.groups, after, free) - now) * PackingHorizon.Seconds()
+		gain := (base.value.value(p.groups, after, free) - base.now) * PackingHorizon.Seconds()
 		if gain < minNetGain || gain < least {
 			return
 		}
-		c := candidate{fabric: f, model: model, count: count, gain: gain, makesRoom: present[worst] == 0 && model == worst}
-		c.cost = p.closingCost(served, present, after, p.models[model])
+		c := candidate{fabric: f, model: model, count: count, gain: gain, makesRoom: present[model] == 0 && model == base.worst}
+		c.cost = p.closingCost(base, present, after, p.models[model])
 		if gain-c.cost < minNetGain || gain-c.cost < least || !p.choose(&c, present, after) {
 			return
 		}
@@ -127,6 +126,31 @@
 	})
 }
 
+// changeBase is what changes for groups of one model are compared with: the state without a change.
+type changeBase struct {
+	value *valuation
+	// served is the work served, now its mean over PackingHorizon, and lowest the supply of the worst supplied model.
+	served, now, lowest float64
+	worst               int
+}
+
+// changeBases returns the bases for the changes of a fabric domain by the model for which groups are dissolved.
+func (p *packer) changeBases(f *fabricState) []changeBase {
+	out := make([]changeBase, len(p.models))
+	for i := range p.changeValues {
+		v := &p.changeValues[i]
+		if i > 0 && v.demand[i] == p.value.demand[i] && p.changeValues[0].demand[0] == p.value.demand[0] {
+			// Neither model has a surge, so both valuations are those of free VMs.
+			out[i] = out[0]
+			continue
+		}
+		b := changeBase{value: v, served: v.served(p.groups), now: v.value(p.groups, f.packed, len(f.free))}
+		b.worst, b.lowest = v.worst(p.groups)
+		out[i] = b
+	}
+	return out
+}
+
 // exceeds reports whether a change ranks above another one. Among equal values, a change in a
 // fabric domain without a group of the worst supplied model goes first: after further losses there
 // it would have no room for one.
@@ -160,12 +184,12 @@
 
 // closingCost returns the work not served while groups close and their VMs join from copies. p.groups
 // holds the counts after the change.
-func (p *packer) closingCost(served float64, present, after []int, m catalog.Model) float64 {
+func (p *packer) closingCost(base *changeBase, present, after []int, m catalog.Model) float64 {
 	during := append([]int(nil), p.groups...)
 	for i := range after {
 		during[i] -= max(after[i]-present[i], 0)
 	}
-	lost := max(served-p.value.served(during), 0)
+	lost := max(base.served-base.value.served(during), 0)
 	return lost * (closeTime + m.WarmTime).Seconds()
 }
 
--- a/internal/placement/packing.go
+++ b/internal/placement/packing.go
@@ -82,7 +82,7 @@
 
 // served returns the work that the groups serve: min(demand, capacity) summed over the models,
 // where groups of a model count as starvedWork up to starvedSupply.
-func (v valuation) served(groups []int) float64 {
+func (v *valuation) served(groups []int) float64 {
 	sum := 0.0
 	for i, n := range groups {
 		busy := min(float64(n), v.demand[i])
@@ -101,13 +101,13 @@
 }
 
 // lowestSupply returns the lowest supply of any model.
-func (v valuation) lowestSupply(groups []int) float64 {
+func (v *valuation) lowestSupply(groups []int) float64 {
 	_, lowest := v.worst(groups)
 	return lowest
 }
 
 // worst returns the index of the model with the lowest supply, among equals the first, and its supply.
-func (v valuation) worst(groups []int) (model int, supply float64) {
+func (v *valuation) worst(groups []int) (model int, supply float64) {
 	supply = math.Inf(1)
 	for i, n := range groups {
 		if s := float64(n) / v.demand[i]; s < supply && !v.unsupplied[i] {
@@ -124,7 +124,7 @@
 // value returns the mean work served over PackingHorizon, in which a fabric domain is expected to
 // lose one VM, with what its free VMs can replace at once. groups counts all groups of each model, packed
 // those in the fabric domain, which has free further VMs.
-func (v valuation) value(groups, packed []int, free int) float64 {
+func (v *valuation) value(groups, packed []int, free int) float64 {
 	now := v.served(groups)
 	vms := free
 	for i, n := range packed {
@@ -147,7 +147,7 @@
 
 // refilled returns the most work that can be served if left free VMs form further groups of the
 // models from the given one on.
-func (v valuation) refilled(groups []int, model, left int) float64 {
+func (v *valuation) refilled(groups []int, model, left int) float64 {
 	if model == len(v.sizes) {
 		return v.served(groups)
 	}
@@ -171,7 +171,7 @@
 const surplusWeight = 0.1
 
 // surplus returns the value of the capacity beyond the demand.
-func (v valuation) surplus(groups []int) float64 {
+func (v *valuation) surplus(groups []int) float64 {
 	sum := 0.0
 	for i, n := range groups {
 		sum += surplusWeight * v.work[i] * min(max(float64(n)-v.demand[i], 0), (wellSupplied-1)*v.demand[i])
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -134,6 +134,13 @@
 	return max(m.Share/float64(m.Size), minDemand)
 }
 
+// lastingDemand returns the demand without a surge.
+func (d *decider) lastingDemand(m catalog.Model) float64 {
+	d.smoothed = true
+	defer func() { d.smoothed = false }()
+	return d.demand(m)
+}
+
 // supply returns the number of groups of the model per group's worth of demand.
 func (d *decider) supply(m catalog.Model) float64 {
 	return float64(d.groups[m.Name]) / d.demand(m)
--- a/internal/placement/repack.go
+++ b/internal/placement/repack.go
@@ -41,10 +41,13 @@
 
 // packer plans the fabric domains of one decision.
 type packer struct {
-	d       *decider
-	models  []catalog.Model
-	value   valuation
-	fabrics []*fabricState
+	d      *decider
+	models []catalog.Model
+	value  valuation
+	// changeValues are the valuations of changes by the model for which groups are dissolved: its demand counts without
+	// a surge, which is over before the dissolutions help. The other models keep their groups in a surge.
+	changeValues []valuation
+	fabrics      []*fabricState
 	// groups counts the groups of each model in all failure domains.
 	groups []int
 	window int
@@ -116,6 +119,12 @@
 		largestFabric = max(largestFabric, p.vms(f))
 	}
 	p.value.markUnsupplied(p.groups, largestFabric)
+	for i, m := range p.models {
+		v := p.value
+		v.demand = append([]float64(nil), v.demand...)
+		v.demand[i] = d.lastingDemand(m)
+		p.changeValues = append(p.changeValues, v)
+	}
 	return p
 }
 
--- a/internal/placement/surge_test.go
+++ b/internal/placement/surge_test.go
@@ -62,3 +62,25 @@
 		t.Errorf("during a surge of the small model: %+v", d.Formations)
 	}
 }
+
+// TestSurgeChangesNoPacking guards against groups that are dissolved with packing for a surge of another model, or that
+// a model loses in its own surge.
+func TestSurgeChangesNoPacking(t *testing.T) {
+	for name, c := range map[string]struct {
+		big, small           float64
+		surgeBig, surgeSmall float64
+		dissolvedFor         string
+	}{
+		"lasting demand of the large model": {2, 1, 2, 1, "big"},
+		"no demand for a second group":      {0.2, 1, 0.2, 1, ""},
+		"surge of the large model":          {0.2, 1, 2, 1, ""},
+		"surge of the small model":          {2, 1, 2, 5, ""},
+		"surge of a well supplied model":    {2, 0.5, 2, 1, "big"},
+	} {
+		in := packedFabric(1, 5, 0, c.big, c.small)
+		in.SurgeDemand = map[string]float64{"big": c.surgeBig, "small": c.surgeSmall}
+		if d := Decide(in); d.DissolvedFor != c.dissolvedFor {
+			t.Errorf("%s: %v are dissolved for %q", name, d.Dissolutions, d.DissolvedFor)
+		}
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -533,6 +533,10 @@
   's/return a\.GetRate\(\) \+ b\.GetRecentRate\(\)/return b.GetRecentRate()/' ./internal/cluster TestHubThatDoesNotMeasureCountsInFull
 mutant "measured demand: groups are dissolved for a surge" internal/placement/placement.go \
   's/\t\td\.smoothed = true\n//' ./internal/placement TestSurgeDissolvesNoGroups
+mutant "packing: groups are dissolved for a surge" internal/placement/repack.go \
+  's/\t\tv\.demand\[i\] = d\.lastingDemand\(m\)\n/\t\t_, _ = i, m\n/' ./internal/placement TestSurgeChangesNoPacking
+mutant "packing: a model loses groups during its surge" internal/placement/repack.go \
+  's/(v\.demand = append.*\n)/$1\t\tfor k, o := range p.models {\n\t\t\tv.demand[k] = d.lastingDemand(o)\n\t\t}\n/' ./internal/placement TestSurgeChangesNoPacking
 mutant "measured demand: a model loses groups during its surge" internal/placement/placement.go \
   's/max\(d\.demand\(o\), d\.in\.SurgeDemand\[other\]\)/d.demand(o)/' ./internal/placement TestSurgingModelKeepsItsGroups
 mutant "fair shares: all teams are refused alike" internal/gateway/fairshares.go \
