Packing: copies for a change go first to hosts that lose no other copy

Cause: the copies that a change lacks went to free VMs and members in their order, whether or not a copy of another model was replaced by it. Two changes that are preferred by turns could replace each other's copies, at 12 to 16 s for each.

Change: hosts that lose no copy come first. Variables for lower bounds are not called least.

Result: TestCopiesDisplaceNoOthers fails without the order (copies on two hosts with a copy of another model).

--- a/internal/placement/change.go
+++ b/internal/placement/change.go
@@ -50,7 +50,7 @@
 		Gain: best.gain, Cost: best.cost, Payback: payback(best)}
 }
 
-// minNetGain is the least by which the gain of a change must exceed its cost: the work of one group
+// minNetGain is the minimum by which the gain of a change must exceed its cost: the work of one group
 // of pace 1 for 3 s. Its VMs serve nothing for about that long, so that a surge in that time finds
 // less capacity; spare groups are not exchanged for spare groups of another model.
 const minNetGain = 3
@@ -97,8 +97,8 @@
 		afterLowest := base.value.lowestSupply(p.groups)
 		// The value after a loss is never higher than before it.
 		limit := (base.value.served(p.groups) - base.now) * PackingHorizon.Seconds()
-		least := min(best.rank.value, unstaged.rank.value) - valueTolerance
-		if limit < minNetGain || limit < least || afterLowest < min(base.lowest, starvedSupply) {
+		minGain := min(best.rank.value, unstaged.rank.value) - valueTolerance
+		if limit < minNetGain || limit < minGain || afterLowest < min(base.lowest, starvedSupply) {
 			return
 		}
 		free := vms
@@ -106,12 +106,12 @@
 			free -= n * p.value.sizes[i]
 		}
 		gain := (base.value.value(p.groups, after, free) - base.now) * PackingHorizon.Seconds()
-		if gain < minNetGain || gain < least {
+		if gain < minNetGain || gain < minGain {
 			return
 		}
 		c := candidate{fabric: f, model: model, count: count, gain: gain, makesRoom: present[model] == 0 && model == base.worst}
 		c.cost = p.closingCost(base, present, after, p.models[model])
-		if gain-c.cost < minNetGain || gain-c.cost < least || !p.choose(&c, present, after) {
+		if gain-c.cost < minNetGain || gain-c.cost < minGain || !p.choose(&c, present, after) {
 			return
 		}
 		c.rank = rank{value: gain - c.cost, lowest: afterLowest, kept: -len(c.dissolved)}
@@ -235,6 +235,8 @@
 		if missing > len(lacking) {
 			return false
 		}
+		// A copy may replace that of another model, so hosts that lose none come first.
+		sort.SliceStable(lacking, func(i, k int) bool { return joinCost(lacking[i], m.Name) < joinCost(lacking[k], m.Name) })
 		c.missing = lacking[:missing]
 	}
 	return true
--- a/internal/placement/packing.go
+++ b/internal/placement/packing.go
@@ -28,8 +28,8 @@
 			visit(counts)
 			return
 		}
-		least := max(present[model]-window, 0)
-		for c := least; c <= present[model]+window && (c == 0 || c*sizes[model] <= left); c++ {
+		lowest := max(present[model]-window, 0)
+		for c := lowest; c <= present[model]+window && (c == 0 || c*sizes[model] <= left); c++ {
 			counts[model] = c
 			fill(model+1, left-c*sizes[model])
 		}
--- a/internal/placement/packing_test.go
+++ b/internal/placement/packing_test.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// TestCopiesDisplaceNoOthers guards against copies for a change on hosts that lose a copy by it while others lose none:
+// two changes that are preferred by turns would replace each other's copies.
+func TestCopiesDisplaceNoOthers(t *testing.T) {
+	in := packedFabric(1, 5, 0, 2, 1)
+	in.LoadBudget, in.UrgentLoadBudget = 2, 2
+	keeps := map[string]bool{}
+	for i, g := range in.Open {
+		for k := range g.Members {
+			g.Members[k].Last, g.Members[k].Staged = g.Model, []string{"other"}
+			if g.Model == "small" && i > 3 {
+				g.Members[k].Staged = nil
+				keeps[g.Members[k].ID] = true
+			}
+		}
+	}
+	d := Decide(in)
+	if len(d.Stagings) != 2 || !keeps[d.Stagings[0].VM] || !keeps[d.Stagings[1].VM] {
+		t.Errorf("copied %v, expected hosts of %v", d.Stagings, keeps)
+	}
+}
+
 // TestPackedDecisionsAreConsistent guards against orders that contradict each other: a VM in two
 // groups, groups across fabric domains, and dissolutions that do not yield enough VMs.
 func TestPackedDecisionsAreConsistent(t *testing.T) {
