Measured demand: the tracker of a node that has not read the demand for long starts anew

Cause: after a long time without a call, the weight of the newest recent work is 1, so the smoothed work became that of half a second. This happens at a director of a service of which the node receives no requests, when the role returns to it: publishDemand reads only services with requests of its own.

Change: after more than trackerWindow without a call, the tracker adopts the nodes' own smoothed rates again.

Result: TestTrackerStartsAnewAfterGap fails without the change (17.0 instead of 10).

--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -202,6 +202,22 @@
 	}
 }
 
+// TestTrackerStartsAnewAfterGap guards against a smoothed demand that follows a surge of half a second, at a node that
+// becomes a director again and has not read the demand in between.
+func TestTrackerStartsAnewAfterGap(t *testing.T) {
+	var tracker Tracker
+	now := time.Unix(1000, 0)
+	tracker.Update(now, Rates{Smoothed: 4, Recent: 4})
+	now = now.Add(time.Minute)
+	if got := tracker.Update(now, Rates{Smoothed: 10, Recent: 17}).Smoothed; got != 10 {
+		t.Errorf("smoothed work %.1f after a minute without a call, expected that of the nodes, 10", got)
+	}
+	now = now.Add(trackerStart)
+	if got := tracker.Update(now, Rates{Smoothed: 10, Recent: 17}).Smoothed; got <= 10 || got >= 17 {
+		t.Errorf("smoothed work %.1f once the tracker has started", got)
+	}
+}
+
 // TestStoppingNodeCountsByItsRecentWork guards against the smoothed work of a node whose callers have moved.
 func TestStoppingNodeCountsByItsRecentWork(t *testing.T) {
 	var m Meter
--- a/internal/demand/sum.go
+++ b/internal/demand/sum.go
@@ -89,9 +89,12 @@
 	startedAt, updatedAt time.Time
 }
 
-// Update returns the sum with the smoothed work of the tracker. It may be called at any intervals up to some
-// seconds.
+// Update returns the sum with the smoothed work of the tracker. It may be called at any intervals. After more than
+// trackerWindow without a call, it starts anew: its smoothed work would be that of a single half second.
 func (t *Tracker) Update(now time.Time, sum Rates) Rates {
+	if now.Sub(t.updatedAt) > trackerWindow {
+		t.startedAt = time.Time{}
+	}
 	if t.startedAt.IsZero() && sum.Smoothed > 0 {
 		t.startedAt = now
 	}
