Measured demand: utilization of engines with one slot, and sizes without a published mean

Cause: the search for a utilization ended at two running requests, so an engine with one slot had the lower bound of 0.4, and its demand counted 2.5 times. A mean size that the engine does not publish counted as 32 requests of size 0.

Change: one running request is tried too, and an unknown mean does not count.

Result: TestUtilizationOfSmallEngines (0.40) and TestUnknownPriorSizes (30 instead of 1000) fail without the change.

--- a/internal/demand/capacity.go
+++ b/internal/demand/capacity.go
@@ -34,8 +34,11 @@
 // the capacity is usable from the first request on and directors with few samples agree.
 const priorRequests = 32
 
-// or returns the mean, with the prior value counted as priorRequests samples.
+// or returns the mean, with the prior value counted as priorRequests samples if it is known.
 func (m *mean) or(prior float64) float64 {
+	if prior <= 0 {
+		return m.value
+	}
 	n := float64(m.count)
 	return (n*m.value + priorRequests*prior) / (n + priorRequests)
 }
@@ -81,7 +84,7 @@
 	idle := e.TimeToFirstEvent(batch.Load{}, longPrompt*e.MeanPrompt)
 	left = max(left, time.Duration(minWaitFactor*float64(idle)))
 	full := requestsPerSecond(e, e.Slots)
-	for running := e.Slots; running > 1; running-- {
+	for running := e.Slots; running >= 1; running-- {
 		rate := requestsPerSecond(e, running)
 		if rate/full <= minUtilization {
 			break
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -280,6 +280,25 @@
 	}
 }
 
+// TestUtilizationOfSmallEngines guards against demand that is 2.5 times too high for engines with one slot, which meet
+// the objective while they are busy.
+func TestUtilizationOfSmallEngines(t *testing.T) {
+	e := testEngine
+	e.Slots = 1
+	if got := Utilization(e, sizesOf(100, 168, 5*time.Second), 0); got != 1 {
+		t.Errorf("utilization %.2f of an engine with one slot", got)
+	}
+}
+
+// TestUnknownPriorSizes guards against mean sizes that are too low while the engine publishes none.
+func TestUnknownPriorSizes(t *testing.T) {
+	var m mean
+	m.add(1000)
+	if got := m.or(0); got != 1000 {
+		t.Errorf("mean %.0f of one request of 1000 tokens", got)
+	}
+}
+
 // TestSilentNodeDoesNotCount compares sums with those computed by hand, for states that are fresh, unconfirmed
 // and lapsed.
 func TestSilentNodeDoesNotCount(t *testing.T) {
