Measured demand: a model without states keeps its demand for some seconds

Cause: a director that receives no requests of a model knows it by states alone. Once none was valid, for example while a hub was away, the model was missing from the demand and counted as 0.001 groups, so that its groups could be dissolved for others. Its tracker still had the smoothed work, but was not read.

Change: models with a tracker are read also without states; the work falls with the time constant of 10 s.

--- a/internal/gateway/measureddemand.go
+++ b/internal/gateway/measureddemand.go
@@ -101,6 +101,12 @@
 			})
 		}
 	}
+	for key := range tt.measured.trackers {
+		if _, reported := rates[key.model]; key.service == service && !reported {
+			// No state with this model is valid, for example since a hub is away. Its smoothed work falls slowly.
+			rates[key.model] = nil
+		}
+	}
 	out := demand.Models{ByModel: make(map[string]demand.Groups), Measured: true}
 	total := 0.0
 	for model, nodes := range rates {
--- a/internal/gateway/measureddemand_test.go
+++ b/internal/gateway/measureddemand_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/demand"
 )
 
@@ -115,3 +116,29 @@
 		t.Errorf("30 s later the demand is %.2f of %.2f, which a seventh of the callers asks for", late.Smoothed, before.Smoothed)
 	}
 }
+
+// TestMeasuredDemandWithoutStates guards against a model whose demand is unknown at once, so that its groups are
+// dissolved for others, when a director that receives none of its requests receives no more states.
+func TestMeasuredDemandWithoutStates(t *testing.T) {
+	params := fewNodes
+	params.measuredDemand = true
+	c := newBurst(t, params, &params.engine)
+	tt, now := c.tables[0], c.now
+	for range 100 {
+		now = now.Add(burstExchange)
+		tt.receiveState(now, &marbleroadv1.NodeState{Node: "hub", TrafficSeen: true, Demand: []*marbleroadv1.ModelDemand{
+			{Service: "s", Model: "m", Rate: 4, RecentRate: 4, Arrivals: 50}}}, now, time.Second)
+		tt.measuredGroups(now, "s")
+	}
+	before := tt.measuredGroups(now, "s").ByModel["m"]
+	delete(tt.peers, "hub")
+	now = now.Add(2 * time.Second)
+	after := tt.measuredGroups(now, "s").ByModel["m"]
+	if before.Smoothed < 4 || after.Smoothed < 0.7*before.Smoothed {
+		t.Errorf("demand %+v before, %+v 2 s after the last state", before, after)
+	}
+	now = now.Add(time.Minute)
+	if late := tt.measuredGroups(now, "s").ByModel["m"]; late.Smoothed > 0.1 {
+		t.Errorf("demand %+v a minute later", late)
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -527,6 +527,8 @@
   's/d\.Rate, d\.RecentRate, d\.UnmetRate = r\.Smoothed, r\.Recent, r\.Unmet/_ = r/' ./internal/gateway TestMeasuredDemandUnderOverload
 mutant "measured demand: the gateway does not recognize returning callers" internal/gateway/measureddemand.go \
   's/Returning: c\.Waited > minRetryWait/Returning: false/' ./internal/gateway TestReturningCallersCountOnce
+mutant "measured demand: a model without states has no demand at once" internal/gateway/measureddemand.go \
+  's/\t\t\trates\[key\.model\] = nil\n/\t\t\t_ = rates\n/' ./internal/gateway TestMeasuredDemandWithoutStates
 mutant "measured demand: hubs do not add up recent work" internal/cluster/sum.go \
   's/\t\t\tknown\.RecentRate = addRecent\(known, d\)\n//' ./internal/cluster TestHubAddsUpMeasuredDemand
 mutant "measured demand: hubs lose the demand of nodes that do not measure" internal/cluster/sum.go \
