Packing: few fabric domains wait for a change, and none for groups that its free VMs form

Cause: free VMs stayed free for a change of their fabric domain that gains more than new groups. One fabric domain changes at a time, every 3 s, so with many of them free VMs would wait for minutes. The comparison leaves out that the change starts to gain after the close: eight free VMs waited for a small group to be dissolved to form the same large group.

Change: at most five fabric domains wait in one decision (15 s of changes), and none whose free VMs form as many groups of the model by themselves.

Result: TestFewFabricsWaitForChanges (0 groups in 20 fabric domains) and TestFreeVMsFormWhatTheyCan (small0 dissolved, none formed) fail without the change.

--- a/internal/placement/packing_test.go
+++ b/internal/placement/packing_test.go
@@ -147,6 +147,37 @@
 	}
 }
 
+// TestFreeVMsFormWhatTheyCan guards against eight free VMs that wait for the dissolution of a small group to form the
+// same large group together with its VMs.
+func TestFreeVMsFormWhatTheyCan(t *testing.T) {
+	if d := Decide(packedFabric(1, 2, 8, 3, 0.5)); formed(d)["big"] != 1 || len(d.Dissolutions) > 0 {
+		t.Errorf("formed %v, dissolved %v", formed(d), d.Dissolutions)
+	}
+}
+
+// TestFewFabricsWaitForChanges guards against free VMs of many fabric domains that wait for changes although one fabric
+// domain changes at a time.
+func TestFewFabricsWaitForChanges(t *testing.T) {
+	const fabrics = 20
+	in := Input{Models: packedModels, Packing: true, Groups: map[string]int{}, Demand: map[string]float64{"big": 4 * fabrics, "small": 3.5 * fabrics}}
+	for f := range fabrics {
+		one := packedFabric(1, 2, 6, 0, 0)
+		name := fmt.Sprint("f", f)
+		for i := range one.Free {
+			one.Free[i].ID, one.Free[i].Fabric = fmt.Sprint(name, one.Free[i].ID), name
+		}
+		for _, g := range one.Open {
+			g.Name, g.Fabric = fmt.Sprint(name, g.Name), name
+			in.Open = append(in.Open, g)
+			in.Groups[g.Model]++
+		}
+		in.Free = append(in.Free, one.Free...)
+	}
+	if got := formed(Decide(in))["small"]; got < 2*(fabrics-maxHeldFabrics) || got == 2*fabrics {
+		t.Errorf("%d small groups are formed in %d fabric domains", got, fabrics)
+	}
+}
+
 // TestCopiesPrecedeTheChange guards against groups that are dissolved before their VMs have copies.
 func TestCopiesPrecedeTheChange(t *testing.T) {
 	in := packedFabric(1, 5, 0, 2, 1)
--- a/internal/placement/repack.go
+++ b/internal/placement/repack.go
@@ -53,6 +53,8 @@
 	window int
 	// order holds the indices of the models, largest groups first: they are the hardest to complete.
 	order []int
+	// held is the number of fabric domains whose VMs stay free for a change.
+	held int
 	// taken is scratch space of formable.
 	taken []bool
 }
@@ -162,12 +164,17 @@
 			best, bestRank = append(best[:0], added...), r
 		}
 	})
-	if p.changeRanksHigher(f, best) {
+	if p.held < maxHeldFabrics && p.changeRanksHigher(f, best) {
+		p.held++
 		return
 	}
 	p.formGroups(f, costs, best)
 }
 
+// maxHeldFabrics is the number of fabric domains whose VMs stay free for a change. One changes at a time, every 3 s, so
+// this is how many can begin within PackingHorizon; in others the VMs would serve nothing for longer.
+const maxHeldFabrics = 5
+
 // changeRanksHigher reports whether a change of the fabric domain that needs no further copies gains
 // more than the new groups. Its VMs stay free for it: otherwise the groups would be dissolved at once.
 func (p *packer) changeRanksHigher(f *fabricState, added []int) bool {
@@ -183,7 +190,8 @@
 	p.add(f, added, -1)
 	var best, unstaged candidate
 	p.changeOf(f, &best, &unstaged)
-	if best.fabric == nil {
+	if best.fabric == nil || added[best.model] >= best.count {
+		// The free VMs form the same groups at once.
 		return false
 	}
 	now := p.value.value(p.groups, f.packed, len(f.free))
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -297,6 +297,12 @@
   's/counts\[p\.model\] \+= p\.groups/_ = p/' ./internal/director TestDirectorsDoNotPackTooMuch
 mutant "packing: a model without groups and demand counts as the worst supplied" internal/placement/packing.go \
   's/v\.unsupplied\[i\] = n == 0 &&/v.unsupplied[i] = n < 0 \&\&/' ./internal/placement TestModelsWithoutDemandOrRoom
+mutant "packing: all fabric domains wait for changes" internal/placement/repack.go \
+  's/p\.held < maxHeldFabrics && //' ./internal/placement TestFewFabricsWaitForChanges
+mutant "packing: free VMs wait for a change that forms the same groups" internal/placement/repack.go \
+  's/ \|\| added\[best\.model\] >= best\.count//' ./internal/placement TestFreeVMsFormWhatTheyCan
+mutant "packing: copies for a change displace others" internal/placement/change.go \
+  's/joinCost\(lacking\[i\], m\.Name\) < joinCost\(lacking\[k\], m\.Name\)/false/' ./internal/placement TestCopiesDisplaceNoOthers
 mutant "packing: the first group ends the reservation for several" internal/director/reservation.go \
   's/r\.groups--/r.groups = 0/' ./internal/director TestReservationLastsUntilItsLastGroup
 mutant "packing: free VMs count as returning after a failed call" internal/director/packing.go \
@@ -529,6 +535,8 @@
   's/Returning: c\.Waited > minRetryWait/Returning: false/' ./internal/gateway TestReturningCallersCountOnce
 mutant "measured demand: a model without states has no demand at once" internal/gateway/measureddemand.go \
   's/\t\t\trates\[key\.model\] = nil\n/\t\t\t_ = rates\n/' ./internal/gateway TestMeasuredDemandWithoutStates
+mutant "measured demand: a tracker keeps its state over a gap" internal/demand/sum.go \
+  's/if now\.Sub\(t\.updatedAt\) > trackerWindow \{/if false {/' ./internal/demand TestTrackerStartsAnewAfterGap
 mutant "measured demand: hubs do not add up recent work" internal/cluster/sum.go \
   's/\t\t\tknown\.RecentRate = addRecent\(known, d\)\n//' ./internal/cluster TestHubAddsUpMeasuredDemand
 mutant "measured demand: hubs lose the demand of nodes that do not measure" internal/cluster/sum.go \
