Returning callers: delay by the time that is left, and first attempts after all have returned

Cause: returnDelay took the caller's timeout at its arrival as its remaining time. After a failed send of 3 s, a caller with 6 s was sent away for up to 2 s instead of up to 1 s. And timeouts counted as those of first attempts from 2 s after the last rejection on, while callers with more than 6 s return later: 12 such returns among 36 timeouts ended the recognition, since timeouts seemed to differ. Change: retryAfter gets the time, and the delay is a part of what is left. A caller counts as calm once the longest delay (a third of the typical timeout) has passed, and not before 2 s. Three comments said that returns reserves room and that a returning caller kept to its time; neither is checked. Result: TestReturnIsAPartOfTheRemainingTime failed before ('return after 1.735573954s with 3 s left, expected 0.75 to 1 s'), as did TestReturnsAreRecognizedAfterARefusal ('a caller that returned 2.2 s after its refusal was not recognized'); both pass. TestMadeUpModelsLeaveNoReturns is new and fails without the check for known models ('1 routes').

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -226,7 +226,7 @@
 		failure.Status = http.StatusBadGateway
 	}
 	if failure.Verdict == verdict.NotRun && failure.Status == http.StatusServiceUnavailable && failure.RetryAfter == 0 {
-		failure.RetryAfter = j.s.retryAfter(j.c, allFull)
+		failure.RetryAfter = j.s.retryAfter(clock.Now(), j.c, allFull)
 	}
 	return failure
 }
@@ -330,7 +330,7 @@
 		Status:     http.StatusServiceUnavailable,
 		Code:       codeNoUpstream,
 		Detail:     "nothing serves the request now",
-		RetryAfter: j.s.retryAfter(j.c, reason),
+		RetryAfter: j.s.retryAfter(clock.Now(), j.c, reason),
 	}
 	switch reason {
 	case allFull:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -57,7 +57,7 @@
 	Service  string
 	// Waited is the estimated time that the caller has spent on earlier attempts.
 	Waited time.Duration
-	// Returning is true if the caller was refused for overload and returns when it was told to.
+	// Returning is true if, by its timeout, the caller was refused before; only with the setting overload.returns.
 	Returning bool
 	// CatalogVersion is the version of the configuration that applies to the call, CatalogAge the time
 	// since it was last verified to be the newest.
--- a/internal/gateway/crowd_test.go
+++ b/internal/gateway/crowd_test.go
@@ -312,7 +312,7 @@
 			return
 		}
 		c.retried++
-		c.schedule(c.servers[node].retryAfter(&call, reason), func() { c.deliver(one) })
+		c.schedule(c.servers[node].retryAfter(c.now, &call, reason), func() { c.deliver(one) })
 		return
 	}
 	one.table, one.send = tt, s
--- a/internal/gateway/divide.go
+++ b/internal/gateway/divide.go
@@ -40,7 +40,7 @@
 	// resent is true for a request that this node has sent to another upstream before, and for one that
 	// resumes a stream. It is not rejected for lack of capacity.
 	resent bool
-	// returning is true for a caller that was refused for overload and returns when it was told to.
+	// returning is Call.Returning.
 	returning bool
 }
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -86,7 +86,7 @@
 	}
 	if s.config.RevokeBound > 0 && c.CatalogAge > s.config.RevokeBound {
 		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: codeUnverifiedKeys,
-			Detail: "the platform has been away for too long to tell which keys still hold", RetryAfter: s.retryAfter(c, noUpstream)}
+			Detail: "the platform has been away for too long to tell which keys still hold", RetryAfter: s.retryAfter(clock.Now(), c, noUpstream)}
 	}
 	team, ok := current.Team(c.Key)
 	if !ok {
@@ -123,7 +123,7 @@
 	}
 	if errors.Is(err, errBuffersFull) {
 		s.metrics.Count("requests.no_buffer", 1)
-		return data, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: codeNoBuffer, Detail: err.Error(), RetryAfter: s.retryAfter(c, allFull)}
+		return data, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: codeNoBuffer, Detail: err.Error(), RetryAfter: s.retryAfter(clock.Now(), c, allFull)}
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return data, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusRequestTimeout, Code: codeSlowBody, Detail: "the body was not complete within the time for the request", Cause: err}
--- a/internal/gateway/returning.go
+++ b/internal/gateway/returning.go
@@ -27,7 +27,9 @@
 		timeouts = &returns.Timeouts{}
 		tt.firstAttempts[c.Route.Name] = timeouts
 	}
-	timeouts.Record(c.CallerTimeout, now.Sub(tt.lastRejection) > noRejectionPeriod)
+	// Callers that were rejected return up to LongestDelay later, which exceeds noRejectionPeriod for timeouts
+	// over 6 s.
+	timeouts.Record(c.CallerTimeout, now.Sub(tt.lastRejection) > max(noRejectionPeriod, timeouts.LongestDelay()))
 	c.Waited = timeouts.Waited(c.CallerTimeout)
 	c.Returning = c.Waited > 0
 	if c.Returning {
@@ -35,10 +37,10 @@
 	}
 }
 
-// returnDelay returns when a refused caller is to return, and false if that is not scheduled: the setting is
+// returnDelay returns after what time a refused caller is to return, and false if that is not scheduled: the setting is
 // off, the refusal has another reason than overload, the call is not for a model, or the caller's timeout is
 // unknown.
-func (tt *targetTable) returnDelay(c *Call, reason refusal) (time.Duration, bool) {
+func (tt *targetTable) returnDelay(now time.Time, c *Call, reason refusal) (time.Duration, bool) {
 	if !tt.returnsEnabled || c == nil || reason != allFull || c.CallerTimeout <= 0 {
 		return 0, false
 	}
@@ -47,7 +49,7 @@
 	if tt.demand[demandKey{c.Service, c.Model}] == nil {
 		return 0, false
 	}
-	return returns.Delay(c.CallerTimeout, tt.random.Float64()), true
+	return returns.Delay(c.CallerTimeout-now.Sub(c.Arrived), tt.random.Float64()), true
 }
 
 // divideRejections returns the probability that a request is rejected, by whether its caller returns. The
--- a/internal/gateway/returning_test.go
+++ b/internal/gateway/returning_test.go
@@ -107,13 +107,54 @@
 func TestReturnsAreScheduledForModelsOnly(t *testing.T) {
 	tt, now := newCallTable(t)
 	call := recordCall(tt, now, 6*time.Second)
-	if _, scheduled := tt.returnDelay(call, allFull); !scheduled {
+	if _, scheduled := tt.returnDelay(now, call, allFull); !scheduled {
 		t.Error("the return of a refused caller of a model was not scheduled")
 	}
-	if _, scheduled := tt.returnDelay(&Call{Service: "plain", CallerTimeout: time.Second, Arrived: now}, allFull); scheduled {
+	if _, scheduled := tt.returnDelay(now, &Call{Service: "plain", CallerTimeout: time.Second, Arrived: now}, allFull); scheduled {
 		t.Error("the return of a caller of a plain service was scheduled")
 	}
-	if _, scheduled := tt.returnDelay(call, noUpstream); scheduled {
+	if _, scheduled := tt.returnDelay(now, call, noUpstream); scheduled {
 		t.Error("the return of a caller without an upstream was scheduled")
 	}
 }
+
+// TestReturnsAreRecognizedAfterARefusal guards against counting callers that return more than two seconds after
+// the last refusal as first attempts: recognition would end because timeouts seem to differ.
+func TestReturnsAreRecognizedAfterARefusal(t *testing.T) {
+	tt, now := newCallTable(t)
+	for range 24 {
+		recordCall(tt, now, 8*time.Second)
+	}
+	tt.lastRejection = now
+	later := now.Add(2200 * time.Millisecond)
+	for range 12 {
+		recordCall(tt, later, 5800*time.Millisecond)
+	}
+	if call := recordCall(tt, later, 5800*time.Millisecond); !call.Returning {
+		t.Error("a caller that returned 2.2 s after its refusal was not recognized")
+	}
+}
+
+// TestReturnIsAPartOfTheRemainingTime guards against a delay by the time that a caller had when its request
+// arrived: after a failed send, less of it is left.
+func TestReturnIsAPartOfTheRemainingTime(t *testing.T) {
+	tt, now := newCallTable(t)
+	call := recordCall(tt, now, 6*time.Second)
+	for range 100 {
+		delay, _ := tt.returnDelay(now.Add(3*time.Second), call, allFull)
+		if delay < 750*time.Millisecond || delay > time.Second {
+			t.Fatalf("return after %v with 3 s left, expected 0.75 to 1 s", delay)
+		}
+	}
+}
+
+// TestMadeUpModelsLeaveNoReturns guards against state for model names and routes that callers make up.
+func TestMadeUpModelsLeaveNoReturns(t *testing.T) {
+	tt, now := newCallTable(t)
+	call := &Call{Service: "s", Model: "made up", Route: &catalog.Route{Name: "r"}, Arrived: now, CallerTimeout: 6 * time.Second}
+	tt.recordRequest(now, call)
+	tt.recordArrival(now, call)
+	if _, scheduled := tt.returnDelay(now, call, allFull); scheduled || len(tt.firstAttempts) > 0 || len(tt.demand) > 0 {
+		t.Errorf("scheduled %v, %d routes, %d models", scheduled, len(tt.firstAttempts), len(tt.demand))
+	}
+}
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -74,7 +74,7 @@
 
 // retryAfter returns the retry delay for a rejected call, spread so that rejected callers don't all retry at
 // the same time.
-func (s *Server) retryAfter(c *Call, reason refusal) time.Duration {
+func (s *Server) retryAfter(now time.Time, c *Call, reason refusal) time.Duration {
 	minDelay, spread := fullRetryAfter, fullRetryAfter
 	switch {
 	case reason == noUpstream:
@@ -82,7 +82,7 @@
 	case c != nil:
 		spread += time.Duration(s.targets.rejectedShare(c) * float64(overloadRetrySpread))
 	}
-	if delay, scheduled := s.targets.returnDelay(c, reason); scheduled {
+	if delay, scheduled := s.targets.returnDelay(now, c, reason); scheduled {
 		return delay
 	}
 	delay := minDelay + s.targets.jitter(spread)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -81,7 +81,7 @@
 // Overload switches on features for times when callers ask for more than the upstreams can serve.
 // docs/OVERLOAD.md describes them.
 type Overload struct {
-	// Returns reserves room for refused callers at the time at which they are told to return.
+	// Returns schedules the return of refused callers and recognizes them when they do.
 	Returns bool
 	// PauseLimit bounds the delay of running streams by the prompts that are sent to their head.
 	PauseLimit bool
--- a/internal/returns/timeouts.go
+++ b/internal/returns/timeouts.go
@@ -59,6 +59,12 @@
 	return t.typical - timeout
 }
 
+// LongestDelay returns the longest time for which a caller that is refused at its first attempt waits; zero while
+// the typical timeout is unknown.
+func (t *Timeouts) LongestDelay() time.Duration {
+	return time.Duration(maxDelayShare * float64(t.typical))
+}
+
 // update recomputes typical and limit.
 func (t *Timeouts) update() {
 	var sorted [maxSamples]time.Duration
