Returning callers: counters, and a field in the lines of sends and refusals

Cause: operators could not see whether refused callers are told when to return, and whether they are recognized and refused again. Change: returns.scheduled, returns.recognized and returns.refused; 'returning' in events 5007 and 5002 of such callers. With the setting off, lines and counters stay as they are.

--- a/internal/gateway/crowd_test.go
+++ b/internal/gateway/crowd_test.go
@@ -12,6 +12,7 @@
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/metrics"
 	"github.com/marbleroad/marbleroad/internal/retry"
 )
 
@@ -198,7 +199,7 @@
 		// The fleet is a map; sorting makes the simulation deterministic.
 		slices.SortFunc(tt.pools["s"].heads["m"], func(x, y *target) int { return strings.Compare(x.vm.ID, y.vm.ID) })
 		c.tables = append(c.tables, tt)
-		c.servers = append(c.servers, &Server{targets: tt})
+		c.servers = append(c.servers, &Server{targets: tt, metrics: metrics.NewRegistry()})
 		if params.stateDelay == 0 {
 			c.schedule(time.Duration(i)*burstExchange/time.Duration(params.nodes), func() { c.exchange(i) })
 		}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -180,6 +180,7 @@
 	}
 	c.Waited = s.targets.waitedBefore(c.Arrived, c)
 	s.targets.recordArrival(c.Arrived, c)
+	s.countReturning(c)
 	s.targets.recordOffered(c.Arrived, c)
 	ctx, span := s.parts.Tracer.Start(s.parts.Tracer.Extract(r.Context(), r.Header), "request", trace.SpanKindServer,
 		attribute.String("request", c.ID), attribute.String("route", c.Route.Name))
@@ -234,6 +235,7 @@
 	if j != nil {
 		line = line.Int("sends", j.sends).Int("may_have_run", j.mayHaveRun).Stringer("fingerprint", c.fingerprint())
 		line = j.fairFields(line)
+		line = s.recordReturningRefusal(line, c, failure)
 	}
 	line.Send()
 	s.closeIfStopping(w)
--- a/internal/gateway/returning.go
+++ b/internal/gateway/returning.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/marbleroad/marbleroad/internal/returns"
+	"github.com/marbleroad/marbleroad/internal/verdict"
 )
 
 // returningPreference is the ratio of the probability that a returning caller is rejected to that of a new one.
@@ -52,6 +55,30 @@
 	return returns.Delay(c.CallerTimeout-now.Sub(c.Arrived), tt.random.Float64()), true
 }
 
+// countReturning counts a call whose caller returns.
+func (s *Server) countReturning(c *Call) {
+	if c.Returning {
+		s.metrics.Count("returns.recognized", 1)
+	}
+}
+
+// recordReturningRefusal counts the refusal of a call whose caller returns, if the heads could not take it, and
+// marks the log line of the refusal.
+func (s *Server) recordReturningRefusal(line *zerolog.Event, c *Call, failure *verdict.Error) *zerolog.Event {
+	if c.Returning && failure.Code == codeOverload {
+		s.metrics.Count("returns.refused", 1)
+	}
+	return c.returningField(line)
+}
+
+// returningField marks the log line of a call whose caller returns.
+func (c *Call) returningField(line *zerolog.Event) *zerolog.Event {
+	if c.Returning {
+		return line.Bool("returning", true)
+	}
+	return line
+}
+
 // divideRejections returns the probability that a request is rejected, by whether its caller returns. The
 // caller holds mu.
 func (tt *targetTable) divideRejections(now time.Time, hr headRequest, rejected float64) float64 {
--- a/internal/gateway/returning_test.go
+++ b/internal/gateway/returning_test.go
@@ -1,11 +1,17 @@
 package gateway
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/metrics"
+	"github.com/marbleroad/marbleroad/internal/verdict"
 )
 
 const (
@@ -148,6 +154,40 @@
 	}
 }
 
+// TestReturnsAreCountedAndLogged guards against operators who can't see whether refused callers return and are
+// recognized, and against log lines that change while the setting is off.
+func TestReturnsAreCountedAndLogged(t *testing.T) {
+	tt, now := newCallTable(t)
+	s := &Server{targets: tt, metrics: metrics.NewRegistry()}
+	call := recordCall(tt, now, 6*time.Second)
+	s.retryAfter(now, call, allFull)
+	line := func(c *Call, code string) string {
+		var out bytes.Buffer
+		log := zerolog.New(&out)
+		s.countReturning(c)
+		s.recordReturningRefusal(log.Info(), c, &verdict.Error{Code: code}).Send()
+		return out.String()
+	}
+	if got := line(call, codeOverload); strings.Contains(got, "returning") {
+		t.Errorf("a new caller: %s", got)
+	}
+	call.Returning = true
+	if got := line(call, codeOverload); !strings.Contains(got, `"returning":true`) {
+		t.Errorf("a returning caller: %s", got)
+	}
+	line(call, codeNoUpstream)
+	for name, want := range map[string]int64{"returns.scheduled": 1, "returns.recognized": 2, "returns.refused": 1} {
+		if got := s.metrics.Counter(name); got != want {
+			t.Errorf("%s is %d, expected %d", name, got, want)
+		}
+	}
+	tt.returnsEnabled = false
+	s.retryAfter(now, call, allFull)
+	if got := s.metrics.Counter("returns.scheduled"); got != 1 {
+		t.Errorf("%d returns are scheduled with the setting off", got-1)
+	}
+}
+
 // TestMadeUpModelsLeaveNoReturns guards against state for model names and routes that callers make up.
 func TestMadeUpModelsLeaveNoReturns(t *testing.T) {
 	tt, now := newCallTable(t)
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -83,6 +83,7 @@
 		spread += time.Duration(s.targets.rejectedShare(c) * float64(overloadRetrySpread))
 	}
 	if delay, scheduled := s.targets.returnDelay(now, c, reason); scheduled {
+		s.metrics.Count("returns.scheduled", 1)
 		return delay
 	}
 	delay := minDelay + s.targets.jitter(spread)
