Returning callers: mutants and tests of the divided rejections

Cause: no mutant removed the scheduled return or the recognition, and no test of the gateway failed if returning callers were refused like new ones or admitted by the time since their first attempt. Change: six mutants; TestReturningCallersAreRefusedMoreOften and TestReturningCallersAreAdmittedByTheirNewAttempt.

--- a/internal/gateway/returning_test.go
+++ b/internal/gateway/returning_test.go
@@ -198,3 +198,38 @@
 		t.Errorf("scheduled %v, %d routes, %d models", scheduled, len(tt.firstAttempts), len(tt.demand))
 	}
 }
+
+// TestReturningCallersAreRefusedMoreOften guards against new callers, whose responses can be in time, losing their
+// places to returning ones.
+func TestReturningCallersAreRefusedMoreOften(t *testing.T) {
+	tt, now := newCallTable(t)
+	for range 30 {
+		recordCall(tt, now, 6*time.Second)
+	}
+	for range 10 {
+		recordCall(tt, now, 4*time.Second)
+	}
+	hr := headRequest{key: demandKey{"s", "m"}}
+	asNew := tt.rejectionProbability(now, hr, 0.1)
+	hr.returning = true
+	if got := tt.rejectionProbability(now, hr, 0.1); asNew <= 0 || got < 3.9*asNew || got > 4.1*asNew {
+		t.Errorf("returning callers are rejected with probability %.3f, new ones with %.3f", got, asNew)
+	}
+	hr.resent = true
+	if got := tt.rejectionProbability(now, hr, 0.1); got != 0.1 {
+		t.Errorf("a request that was sent before is rejected with probability %.3f", got)
+	}
+}
+
+// TestReturningCallersAreAdmittedByTheirNewAttempt guards against heads that refuse returning callers because the
+// objective has passed since their first attempt: their requests would be lost.
+func TestReturningCallersAreAdmittedByTheirNewAttempt(t *testing.T) {
+	tt, now := newCallTable(t)
+	for range 8 {
+		recordCall(tt, now, 6*time.Second)
+	}
+	call := recordCall(tt, now, 4*time.Second)
+	if got := tt.request(now, call, false).Elapsed; got != 0 || call.Waited <= 0 {
+		t.Errorf("%v count as passed at the arrival of a caller that waited for %v", got, call.Waited)
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -503,6 +503,18 @@
   's/\); ok \{\n\t\treturn out\n\t\}\n\tout :=/); ok \&\& false {\n\t\treturn out\n\t}\n\tout :=/' ./internal/gateway TestPausesWithStaleLoads
 mutant "pause limit: hubs drop unread prompts" internal/cluster/sum.go \
   's/known\.UnreadTokens \+= l\.GetUnreadTokens\(\)//' ./internal/cluster TestHubAddsUpUnreadPrompts
+mutant "returns: callers return after 150 ms" internal/gateway/returning.go \
+  's/return returns\.Delay\([^\n]*, true/return 150 * time.Millisecond, true/' ./internal/gateway TestRefusedCallersReturnAfterTheSurge
+mutant "returns: returning callers count as new" internal/gateway/returning.go \
+  's/c\.Returning = c\.Waited > 0/c.Returning = false/' ./internal/gateway TestRestartedNodeTakesCallersAsNew
+mutant "returns: returning callers count as new when rejections are divided" internal/gateway/returning.go \
+  's/if hr\.returning \{/if false {/' ./internal/gateway TestReturningCallersAreRefusedMoreOften
+mutant "returns: returning callers are admitted by the time since their first attempt" internal/gateway/predict.go \
+  's/if c\.Returning \{/if false {/' ./internal/gateway TestReturningCallersAreAdmittedByTheirNewAttempt
+mutant "returns: a delay is a part of the timeout at the arrival" internal/gateway/returning.go \
+  's/c\.CallerTimeout-now\.Sub\(c\.Arrived\)/c.CallerTimeout/' ./internal/gateway TestReturnIsAPartOfTheRemainingTime
+mutant "returns: callers that return late count as first attempts" internal/gateway/returning.go \
+  's/max\(noRejectionPeriod, timeouts\.LongestDelay\(\)\)/noRejectionPeriod/' ./internal/gateway TestReturnsAreRecognizedAfterARefusal
 mutant "homes: only the route restricts" internal/gateway/homes.go \
   's/ \|\| !c\.TeamHomes\.Allow\(region\)//' ./internal/gateway TestHomesRestrictRequests
 mutant "measured demand: a surge does not count" internal/demand/sum.go \
