Pause limit: requests that are sent again go by headroom, and long prompts compare nine heads

Cause: the maximum load of a head is unlimited for requests that were sent before or resume a stream, so that their weights were equal: of 100 requests, 50 went to the two full heads of four. A prompt that is over the limit at an idle head was compared at all heads. Change: the weight is the headroom in the slots. The search for a head within the limit ends at nine heads if an idle head would not be within it.

--- a/internal/gateway/pauselimit.go
+++ b/internal/gateway/pauselimit.go
@@ -17,7 +17,8 @@
 	pauseNetworkTime = 10 * time.Millisecond
 	// maxCompared is the number of admitting heads among which one is chosen at random. A head takes 0.8
 	// to 1 microseconds, and a decision must take less than 10. The heads are consecutive from a random one on, so
-	// that each is compared equally often. Further heads are considered only while all are over the limit.
+	// that each is compared equally often. Further heads are considered only while all are over the limit and an
+	// idle head would be within it.
 	maxCompared = 9
 )
 
@@ -96,8 +97,10 @@
 // passForecast is the basis for predicting the passes that one request causes.
 type passForecast struct {
 	// limit is the longest pass that meets the pause objective; zero without an objective.
-	limit  time.Duration
-	prompt float64
+	limit time.Duration
+	// unavoidable is true if the prompt alone exceeds the limit, at an idle head.
+	unavoidable bool
+	prompt      float64
 	// age is the mean age of the states of other nodes, tokensPerSecond the estimated rate at which these
 	// nodes send prompt tokens to one head.
 	age             time.Duration
@@ -105,14 +108,15 @@
 }
 
 // passForecast returns the basis for a request that one of the given number of heads gets.
-func (tt *targetTable) passForecast(now time.Time, hr headRequest, meanPrompt float64, heads int) passForecast {
+func (tt *targetTable) passForecast(now time.Time, hr headRequest, engine batch.Engine, heads int) passForecast {
 	f := passForecast{prompt: hr.request.PromptTokens, age: tt.meanStateAge(now)}
 	if objective := tt.pauses.objectives[hr.key]; objective > 0 {
 		f.limit = max(objective-pauseNetworkTime, 1)
+		f.unavoidable = engine.LongestPass(batch.Load{}, f.prompt) > f.limit
 	}
 	if m := tt.demand[hr.key]; m != nil && len(tt.peers) > 0 {
 		others := max(tt.arrivalRate(now, hr.key)-m.arrivals.Value(now), 0)
-		f.tokensPerSecond = others * (1 - m.rejectedShare) * meanPrompt / float64(heads)
+		f.tokensPerSecond = others * (1 - m.rejectedShare) * engine.MeanPrompt / float64(heads)
 	}
 	return f
 }
@@ -136,9 +140,12 @@
 		return out, false
 	}
 	p.shares = p.shares[:0]
-	forecast := tt.passForecast(now, hr, candidates[0].engine.MeanPrompt, len(candidates))
+	forecast := tt.passForecast(now, hr, candidates[0].engine, len(candidates))
 	horizon := forecast.age + stateInterval
 	out.scored = make([]scoredTarget, 0, min(len(candidates), maxCompared+1))
+	// The weight of a head is what it can take in its slots, also for requests that are not refused for its load.
+	weighted := hr
+	weighted.resent = false
 	first, within := tt.random.IntN(len(candidates)), false
 	for i := range candidates {
 		t := candidates[(first+i)%len(candidates)]
@@ -155,9 +162,9 @@
 		}
 		within = within || isWithin
 		out.scored = append(out.scored, candidate)
-		head := [1]spread.Head{tt.headLoad(now, t, hr, horizon, penalty)}
+		head := [1]spread.Head{tt.headLoad(now, t, weighted, horizon, penalty)}
 		p.shares = append(p.shares, headShare{index: len(out.scored) - 1, fraction: spread.Headroom(head[:])})
-		if len(p.shares) >= maxCompared && within {
+		if len(p.shares) >= maxCompared && (within || forecast.unavoidable) {
 			break
 		}
 	}
--- a/internal/gateway/pauselimit_test.go
+++ b/internal/gateway/pauselimit_test.go
@@ -109,6 +109,38 @@
 	}
 }
 
+// TestResentRequestsGoByHeadroom guards against requests that are sent again, or resume a stream, to heads that are
+// full while others are idle: the load of a head for such requests is not limited, so that all heads seemed alike.
+func TestResentRequestsGoByHeadroom(t *testing.T) {
+	now := time.Now()
+	tt, c := newPauseTable(t, now, 4)
+	slots := uint32(tt.pools["s"].heads["m"][0].slots)
+	tt.receiveState(now, &marbleroadv1.NodeState{Node: "n2", Loads: []*marbleroadv1.GroupLoad{
+		{Group: "g0", InFlight: slots}, {Group: "g1", InFlight: slots}}}, now, time.Second)
+	c.LastEvent = "7"
+	counts := countChoices(t, tt, now, c, 100)
+	if n := counts["g2"] + counts["g3"]; n < 75 {
+		t.Errorf("%d of 100 requests went to idle heads, and the others to full ones", n)
+	}
+}
+
+// TestLongPromptsCompareFewHeads guards against decisions whose cost grows with the heads: a prompt over the limit at
+// an idle head is over it at all heads, and no search finds a better one.
+func TestLongPromptsCompareFewHeads(t *testing.T) {
+	now := time.Now()
+	tt, c := newPauseTable(t, now, 1)
+	engine := tt.pools["s"].heads["m"][0].engine
+	c.Route = &catalog.Route{Objective: 10 * time.Second, PauseObjective: 200 * time.Millisecond}
+	tt.recordRequest(now, c)
+	for prompt, want := range map[int]bool{1000: false, 12_000: true} {
+		c.PromptTokens = prompt
+		hr := headRequest{key: demandKey{"s", "m"}, request: tt.request(now, c, false)}
+		if got := tt.passForecast(now, hr, engine, 1).unavoidable; got != want {
+			t.Errorf("%d tokens: %v, expected %v", prompt, got, want)
+		}
+	}
+}
+
 // TestUnreadPromptsAreReported guards against nodes that do not know of each other's prompts, and against a
 // change of the messages while the limit is off.
 func TestUnreadPromptsAreReported(t *testing.T) {
@@ -129,18 +161,27 @@
 }
 
 // BenchmarkPauseLimit measures one choice at a node among 100, with 200 heads, without and with the limit: while
-// the known loads are fresh, and while requests are divided.
+// the known loads are fresh, for a prompt that is over the limit at all heads, and while requests are divided.
 func BenchmarkPauseLimit(b *testing.B) {
-	for name, arrivals := range map[string]float64{"fresh": 1000, "divided": 2000} {
+	for _, c := range []struct {
+		name     string
+		arrivals float64
+		prompt   int
+	}{{"fresh", 1000, 1000}, {"long", 1000, 12_000}, {"divided", 2000, 1000}} {
 		for _, on := range []bool{false, true} {
-			b.Run(fmt.Sprintf("%s/on=%v", name, on), func(b *testing.B) { benchmarkPauseLimit(b, arrivals, on) })
+			b.Run(fmt.Sprintf("%s/on=%v", c.name, on), func(b *testing.B) { benchmarkPauseLimit(b, c.arrivals, c.prompt, on) })
 		}
 	}
 }
 
-func benchmarkPauseLimit(b *testing.B, arrivals float64, on bool) {
+func benchmarkPauseLimit(b *testing.B, arrivals float64, prompt int, on bool) {
 	now := time.Now()
 	tt, c := newPauseTable(b, now, 200)
+	if prompt > 10_000 {
+		c.Route = &catalog.Route{Objective: 10 * time.Second, PauseObjective: 200 * time.Millisecond}
+		tt.recordRequest(now, c)
+	}
+	c.PromptTokens = prompt
 	if !on {
 		tt.pauses = nil
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -503,6 +503,10 @@
   's/\); ok \{\n\t\treturn out\n\t\}\n\tout :=/); ok \&\& false {\n\t\treturn out\n\t}\n\tout :=/' ./internal/gateway TestPausesWithStaleLoads
 mutant "pause limit: hubs drop unread prompts" internal/cluster/sum.go \
   's/known\.UnreadTokens \+= l\.GetUnreadTokens\(\)//' ./internal/cluster TestHubAddsUpUnreadPrompts
+mutant "pause limit: requests that are sent again go to any head" internal/gateway/pauselimit.go \
+  's/\tweighted\.resent = false\n//' ./internal/gateway TestResentRequestsGoByHeadroom
+mutant "pause limit: all heads are compared for a long prompt" internal/gateway/pauselimit.go \
+  's/f\.unavoidable = [^\n]*/f.unavoidable = false/' ./internal/gateway TestLongPromptsCompareFewHeads
 mutant "returns: callers return after 150 ms" internal/gateway/returning.go \
   's/return returns\.Delay\([^\n]*, true/return 150 * time.Millisecond, true/' ./internal/gateway TestRefusedCallersReturnAfterTheSurge
 mutant "returns: returning callers count as new" internal/gateway/returning.go \
