Fair shares: a past overload is not reported, and decides nothing

Cause: without an overload, requests are not divided, so the rejected fraction and the shares of the latest decision were shown by status and gauges until the next one. The average of the required fractions never reaches zero, and the fractions of admitted requests add up to 1 but for rounding: shares decided, with probabilities near zero, for minutes after an overload. Change: the report leaves out a decision older than 2 s. A required fraction below one in a million counts as none. Result: TestReportForgetsAPastOverload failed before ('3 s later: rejected 0.4'), as did TestSharesEndWithTheOverload ('8s after the overload: decided by shares true'); both pass, and the tests of the gateway that match Fair|Team|Share|Reserve|Refusal pass.

--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -109,3 +109,20 @@
 		t.Errorf("%.3f four seconds after an overload", got)
 	}
 }
+
+// TestReportForgetsAPastOverload guards against operators who see a rejected fraction and limits of teams long after
+// an overload: without one, requests are not divided, and no later decision replaces the latest.
+func TestReportForgetsAPastOverload(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, m := NewSettings(nil, nil), NewModel()
+	for range 20 {
+		m.Ask(now, s, "a", "r", 0.1)
+	}
+	m.Decide(now, s, "a", "r", 0.4, 20)
+	if rejected, teams := m.Teams(now, s, MaxListed); rejected != 0.4 || len(teams) != 1 || teams[0].Share == nil {
+		t.Errorf("during the overload: rejected %v, teams %+v", rejected, teams)
+	}
+	if rejected, teams := m.Teams(now.Add(3*time.Second), s, MaxListed); rejected != 0 || teams[0].Share != nil {
+		t.Errorf("3 s later: rejected %v, teams %+v", rejected, teams)
+	}
+}
--- a/internal/fairshare/model.go
+++ b/internal/fairshare/model.go
@@ -55,10 +55,12 @@
 	// truncated is true if other nodes may know teams that they don't list.
 	truncated bool
 
-	// claims is reused from decision to decision. plan and rejected are those of the latest decision.
-	claims   []Claim
-	plan     Plan
-	rejected float64
+	// claims is reused from decision to decision. plan and rejected are those of the latest decision, which was
+	// made at decidedAt.
+	claims    []Claim
+	plan      Plan
+	rejected  float64
+	decidedAt time.Time
 }
 
 // NewModel returns the state of a model that no team has called yet.
@@ -128,7 +130,7 @@
 // heads can't take, and the requests per second for the model at all nodes.
 func (m *Model) Decide(now time.Time, s *Settings, team, route string, rejected, arrivals float64) Decision {
 	own := m.collect(now, s, team, arrivals)
-	m.rejected = rejected
+	m.rejected, m.decidedAt = rejected, now
 	m.plan = NewPlan(m.claims, s.Reserves, rejected)
 	position := s.route(route)
 	d := Decision{Rejection: m.plan.Rejection(own, position), Share: m.plan.Share(own), Asked: own.Asked, Weight: own.Weight}
--- a/internal/fairshare/report.go
+++ b/internal/fairshare/report.go
@@ -18,7 +18,7 @@
 type ModelReport struct {
 	Service string `json:"service"`
 	Model   string `json:"model"`
-	// Rejected is the fraction of requests that the heads can't take.
+	// Rejected is the fraction of requests that the heads can't take; zero without a decision in the last two seconds.
 	Rejected float64      `json:"rejected"`
 	Teams    []TeamReport `json:"teams"`
 }
@@ -61,18 +61,22 @@
 		}
 	}
 	slices.SortFunc(sums, compareWork)
+	// Without an overload, requests are not divided, and no decision replaces the latest one.
+	if now.Sub(m.decidedAt) <= window {
+		rejected = m.rejected
+	}
 	for _, w := range sums[:min(len(sums), limit)] {
 		r := TeamReport{Team: w.Team, Weight: s.weight(w.Team), Asked: w.Asked, Admitted: w.Admitted}
 		meter := m.own[w.Team]
 		if meter == nil {
 			meter = &m.total
 		}
-		if share := m.plan.Share(m.claim(s, w.Team, meter, w.Asked)); m.rejected > 0 && !math.IsInf(share, 0) {
+		if share := m.plan.Share(m.claim(s, w.Team, meter, w.Asked)); rejected > 0 && !math.IsInf(share, 0) {
 			r.Share = &share
 		}
 		teams = append(teams, r)
 	}
-	return m.rejected, teams
+	return rejected, teams
 }
 
 // Calm records that a request was admitted without a division, so that no team is limited.
--- a/internal/gateway/fairshares.go
+++ b/internal/gateway/fairshares.go
@@ -28,6 +28,9 @@
 	maxRefusalPairs = 256
 	// maxShareGauges is the number of teams, over all models, for which gauges are published.
 	maxShareGauges = 64
+	// minRequired is the fraction of requests up to which none is rejected for a share. Rounding errors, and what is
+	// left in the average of a past overload, are below one in a million.
+	minRequired = 1e-6
 	// milli is the number of thousandths of a group in a group.
 	milli = 1000
 	// otherRefusals is the name under which refusals beyond maxRefusalPairs are counted.
@@ -142,7 +145,7 @@
 	if out.forecast.expected > listFromLoad*out.forecast.headroom {
 		m.overloadedAt = now
 	}
-	if required <= 0 {
+	if required < minRequired {
 		m.Calm()
 		return 0
 	}
--- a/internal/gateway/fairshares_test.go
+++ b/internal/gateway/fairshares_test.go
@@ -282,3 +282,25 @@
 		t.Errorf("with the feature off: %s", got)
 	}
 }
+
+// TestSharesEndWithTheOverload guards against shares that decide, and cost time, long after an overload: the average
+// of the required fractions approaches zero and never reaches it.
+func TestSharesEndWithTheOverload(t *testing.T) {
+	tt, now := newCallTable(t)
+	tt.fair = newFairShares(Overload{FairShares: true})
+	call := recordCall(tt, now, 0)
+	for i, c := range []struct {
+		rejected float64
+		made     bool
+	}{{0.5, true}, {0, true}, {1e-16, false}} {
+		var out selection
+		at := now.Add(time.Duration(i*i) * 2 * time.Second)
+		for range 100 {
+			out = selection{evaluation: evaluation{forecast: forecast{expected: 10, horizon: time.Second}}}
+			tt.fairRejection(at, headRequest{key: demandKey{"s", "m"}, call: call}, c.rejected, &out)
+		}
+		if out.fair.made != c.made {
+			t.Errorf("%v after the overload: decided by shares %v, expected %v", at.Sub(now), out.fair.made, c.made)
+		}
+	}
+}
