One function keeps the meters of routes

Cause: waitedBefore and recordArrival kept a meter for each route, with its bound, by the same lines. Change: routeMeter; the comment of maxMeters counts the meters of overload.returns (1 KB each). Result: TestRouteMetersAreBounded; decisions stay as they are.

--- a/internal/gateway/predict.go
+++ b/internal/gateway/predict.go
@@ -97,23 +97,29 @@
 
 // maxMeters limits the number of routes for which caller timeouts are learned, and likewise the number for
 // which durations are learned, since each configuration may add and remove routes. So many caller timeouts
-// take about 2 MB. When the limit is reached, all caller timeouts are discarded and learned again, which takes
+// take about 2 MB, and those of overload.returns 4 MB more. When the limit is reached, all caller timeouts are discarded and learned again, which takes
 // some dozens of callers per route; durations are not learned for further routes.
 const maxMeters = 4096
 
+// routeMeter returns the meter of a route, which it creates if necessary. If there are maxMeters, it discards all.
+func routeMeter[T any](meters map[string]*T, route string) *T {
+	m := meters[route]
+	if m == nil {
+		if len(meters) >= maxMeters {
+			clear(meters)
+		}
+		m = new(T)
+		meters[route] = m
+	}
+	return m
+}
+
 // waitedBefore returns the estimated time that the caller has spent on earlier attempts. Unless this node has
 // recently rejected a request, it also learns the caller's timeout as that of a first attempt.
 func (tt *targetTable) waitedBefore(now time.Time, c *Call) time.Duration {
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
-	m := tt.callerTimeouts[c.Route.Name]
-	if m == nil {
-		if len(tt.callerTimeouts) >= maxMeters {
-			clear(tt.callerTimeouts)
-		}
-		m = &callerTimeoutMeter{}
-		tt.callerTimeouts[c.Route.Name] = m
-	}
+	m := routeMeter(tt.callerTimeouts, c.Route.Name)
 	if now.Sub(tt.lastRejection) > noRejectionPeriod {
 		m.record(c.CallerTimeout)
 	}
--- a/internal/gateway/returning.go
+++ b/internal/gateway/returning.go
@@ -22,14 +22,7 @@
 	if !tt.returnsEnabled || m == nil {
 		return
 	}
-	timeouts := tt.firstAttempts[c.Route.Name]
-	if timeouts == nil {
-		if len(tt.firstAttempts) >= maxMeters {
-			clear(tt.firstAttempts)
-		}
-		timeouts = &returns.Timeouts{}
-		tt.firstAttempts[c.Route.Name] = timeouts
-	}
+	timeouts := routeMeter(tt.firstAttempts, c.Route.Name)
 	// Callers that were rejected return up to LongestDelay later, which exceeds noRejectionPeriod for timeouts
 	// over 6 s.
 	timeouts.Record(c.CallerTimeout, now.Sub(tt.lastRejection) > max(noRejectionPeriod, timeouts.LongestDelay()))
--- a/internal/gateway/returning_test.go
+++ b/internal/gateway/returning_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/metrics"
+	"github.com/marbleroad/marbleroad/internal/returns"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
 
@@ -233,3 +235,17 @@
 		t.Errorf("%v count as passed at the arrival of a caller that waited for %v", got, call.Waited)
 	}
 }
+
+// TestRouteMetersAreBounded guards against memory that grows with the routes of each new configuration.
+func TestRouteMetersAreBounded(t *testing.T) {
+	meters := make(map[string]*returns.Timeouts)
+	for i := range 2*maxMeters + 1 {
+		m := routeMeter(meters, fmt.Sprint(i))
+		if m == nil || routeMeter(meters, fmt.Sprint(i)) != m {
+			t.Fatal("the meter of a route is not kept")
+		}
+	}
+	if len(meters) > maxMeters {
+		t.Errorf("%d meters, at most %d expected", len(meters), maxMeters)
+	}
+}
