Settings: the text of returns says what it does

Cause: docs/CONFIGURATION.md and the comments said that room is reserved for returning callers and that they are admitted before new ones. Nothing reserves room, and they are rejected four times as often as new callers. Change: the text and the comment; docs/CONFIGURATION.md was written by go test ./internal/settings -update. Result: go test ./internal/settings passes.

--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -159,7 +159,7 @@
 	{"cluster", "interval", "300ms", allowedDuration, "Interval at which this node exchanges state with each other node.", nil,
 		func(s *Settings, t string) error { return parseDuration(t, &s.Cluster.Interval) }},
 
-	{"overload", "returns", "no", "yes or no", "Tells callers of model requests that are refused for overload to return when room is reserved for them, and admits them before new callers then.", nil,
+	{"overload", "returns", "no", "yes or no", "Tells callers of model requests that are refused for overload to return after a quarter to a third of the time that they have left, and admits them by the time of that new attempt.", nil,
 		func(s *Settings, t string) error { return parseYesNo(t, &s.Overload.Returns) }},
 	{"overload", "pause_limit", "no", "yes or no", "Heads are chosen so that the prompts that all nodes send there do not delay running streams beyond the pause objective of their route.", nil,
 		func(s *Settings, t string) error { return parseYesNo(t, &s.Overload.PauseLimit) }},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,7 +120,7 @@
 // Overload holds the settings of marbleroad-node for times when callers ask for more than the upstreams can
 // serve. All features are off by default.
 type Overload struct {
-	// Returns reserves room for refused callers at the time at which they are told to return.
+	// Returns schedules the return of refused callers and recognizes them when they do.
 	Returns bool
 	// PauseLimit bounds the delay of running streams by the prompts that are sent to their head.
 	PauseLimit bool
