Pause limit: the latest head is left out only if the others have as much headroom

Cause: the head of a node's latest send got no share whenever any other head had one. With two heads, one of them with one free slot, every other request went to the latter, at all nodes alike; while requests are divided, a head got more than it can take. Change: the head is left out if the other shares add up to at least its own. Result: TestNearlyFullHeadGetsFewRequests: 100 of 200 requests went to the head with one free slot, and 26 do now. TestConsecutiveRequestsGoToDifferentHeads passes unchanged.

--- a/internal/gateway/pauselimit.go
+++ b/internal/gateway/pauselimit.go
@@ -201,20 +201,21 @@
 	return pauseResult{avoided: over}
 }
 
-// dropLastHead sets the share of the head of the latest send for the model to zero, unless that leaves no share.
+// dropLastHead sets the share of the head of the latest send for the model to zero if the other shares add up to at
+// least as much. Otherwise every other request of each node would go to heads that can take few.
 func (tt *targetTable) dropLastHead(key demandKey, shares []headShare, out *selection) {
 	if tt.pauses == nil {
 		return
 	}
-	last, others := -1, false
+	last, others := -1, 0.0
 	for i, s := range shares {
 		if out.scored[s.index].target == tt.pauses.lastHeads[key] {
 			last = i
-		} else if s.fraction > 0 {
-			others = true
+		} else {
+			others += s.fraction
 		}
 	}
-	if last >= 0 && others {
+	if last >= 0 && others > 0 && others >= shares[last].fraction {
 		shares[last].fraction = 0
 	}
 }
--- a/internal/gateway/pauselimit_test.go
+++ b/internal/gateway/pauselimit_test.go
@@ -109,6 +109,19 @@
 	}
 }
 
+// TestNearlyFullHeadGetsFewRequests guards against every other request of each node going to a head with little
+// headroom, while the only other one is idle.
+func TestNearlyFullHeadGetsFewRequests(t *testing.T) {
+	now := time.Now()
+	tt, c := newPauseTable(t, now, 2)
+	slots := uint32(tt.pools["s"].heads["m"][0].slots)
+	tt.receiveState(now, &marbleroadv1.NodeState{Node: "n2", Loads: []*marbleroadv1.GroupLoad{{Group: "g0", InFlight: slots - 1}}}, now, time.Second)
+	c.Route = &catalog.Route{Objective: 10 * time.Second}
+	if n := countChoices(t, tt, now, c, 200)["g0"]; n > 60 {
+		t.Errorf("%d of 200 requests went to a head with one free slot", n)
+	}
+}
+
 // TestResentRequestsGoByHeadroom guards against requests that are sent again, or resume a stream, to heads that are
 // full while others are idle: the load of a head for such requests is not limited, so that all heads seemed alike.
 func TestResentRequestsGoByHeadroom(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -507,6 +507,8 @@
   's/\tweighted\.resent = false\n//' ./internal/gateway TestResentRequestsGoByHeadroom
 mutant "pause limit: all heads are compared for a long prompt" internal/gateway/pauselimit.go \
   's/f\.unavoidable = [^\n]*/f.unavoidable = false/' ./internal/gateway TestLongPromptsCompareFewHeads
+mutant "pause limit: every other request goes to a nearly full head" internal/gateway/pauselimit.go \
+  's/ && others >= shares\[last\]\.fraction//' ./internal/gateway TestNearlyFullHeadGetsFewRequests
 mutant "returns: callers return after 150 ms" internal/gateway/returning.go \
   's/return returns\.Delay\([^\n]*, true/return 150 * time.Millisecond, true/' ./internal/gateway TestRefusedCallersReturnAfterTheSurge
 mutant "returns: returning callers count as new" internal/gateway/returning.go \
