Arrival rates of other nodes are added up when their states change

Cause: each decision walked the states of all nodes, with returns once more. At 100 nodes and two models the division of rejections took 16 microseconds, above the 10 that a decision may take. Change: the sums are kept by model and renewed with the loads. The same sums with any setting; tests of the gateway that match Return|SilentPeers|Loads|Peer|Hub|Burst|State|Fair|OneTeam|Reserve|Pause pass.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -14,7 +14,6 @@
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/quarantine"
 	"github.com/marbleroad/marbleroad/internal/retry"
-	"github.com/marbleroad/marbleroad/internal/returns"
 )
 
 const (
@@ -183,10 +182,7 @@
 	// this node last rejected a request.
 	callerTimeouts map[string]*callerTimeoutMeter
 	lastRejection  time.Time
-	// returnsEnabled is the setting overload.returns. firstAttempts learns the timeouts of first attempts, by
-	// route.
-	returnsEnabled bool
-	firstAttempts  map[string]*returns.Timeouts
+	returningCallers
 
 	demand           map[demandKey]*demandMeter
 	demandMeasuredAt time.Time
@@ -248,7 +244,7 @@
 		budgets:          make(map[string]*retry.Budget),
 		offsets:          make(map[demandKey]*batch.Offset),
 		callerTimeouts:   make(map[string]*callerTimeoutMeter),
-		firstAttempts:    make(map[string]*returns.Timeouts),
+		returningCallers: newReturningCallers(),
 		repeatLimit:      limit,
 		startedAt:        now,
 		demand:           make(map[demandKey]*demandMeter),
--- a/internal/gateway/divide.go
+++ b/internal/gateway/divide.go
@@ -223,16 +223,9 @@
 
 // arrivalRate returns the number of requests for the model per second at all nodes.
 func (tt *targetTable) arrivalRate(now time.Time, key demandKey) float64 {
-	total := 0.0
+	total := tt.peerRates[key].all
 	if m := tt.demand[key]; m != nil {
-		total = m.arrivals.Value(now)
-	}
-	for _, p := range tt.peers {
-		for _, d := range p.GetDemand() {
-			if d.GetService() == key.service && d.GetModel() == key.model {
-				total += d.GetArrivals()
-			}
-		}
+		total += m.arrivals.Value(now)
 	}
 	return total
 }
--- a/internal/gateway/returning.go
+++ b/internal/gateway/returning.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/returns"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
@@ -13,6 +14,36 @@
 // A response to a returning caller is late in any case.
 const returningPreference = 4
 
+// returningCallers holds what a node knows of new and returning callers. The lock of the target table guards it.
+type returningCallers struct {
+	// returnsEnabled is the setting overload.returns. firstAttempts learns the timeouts of first attempts, by
+	// route; it is used only with the setting.
+	returnsEnabled bool
+	firstAttempts  map[string]*returns.Timeouts
+	// peerRates holds the sums over the valid states of other nodes.
+	peerRates map[demandKey]arrivalRates
+}
+
+// arrivalRates holds requests per second: all, and those of returning callers.
+type arrivalRates struct{ all, returning float64 }
+
+// newReturningCallers returns the state of a node that has just started.
+func newReturningCallers() returningCallers {
+	return returningCallers{firstAttempts: make(map[string]*returns.Timeouts), peerRates: make(map[demandKey]arrivalRates)}
+}
+
+// sumRates adds up the arrival rates of other nodes, whenever their states change, so that a decision need not.
+func (r *returningCallers) sumRates(peers map[string]*marbleroadv1.NodeState) {
+	clear(r.peerRates)
+	for _, p := range peers {
+		for _, d := range p.GetDemand() {
+			key := demandKey{d.GetService(), d.GetModel()}
+			sum := r.peerRates[key]
+			r.peerRates[key] = arrivalRates{sum.all + d.GetArrivals(), sum.returning + d.GetReturning()}
+		}
+	}
+}
+
 // recordArrival records whether the call's caller returns after a refusal, if the setting overload.returns
 // is on. It must follow recordRequest.
 func (tt *targetTable) recordArrival(now time.Time, c *Call) {
@@ -84,16 +115,9 @@
 
 // arrivalsByKind returns the rates of new and returning callers at all nodes. The caller holds mu.
 func (tt *targetTable) arrivalsByKind(now time.Time, key demandKey) returns.Arrivals {
-	var out returns.Arrivals
+	out := returns.Arrivals{Returning: tt.peerRates[key].returning}
 	if m := tt.demand[key]; m != nil {
-		out.Returning = m.returning.Value(now)
-	}
-	for _, p := range tt.peers {
-		for _, d := range p.GetDemand() {
-			if d.GetService() == key.service && d.GetModel() == key.model {
-				out.Returning += d.GetReturning()
-			}
-		}
+		out.Returning += m.returning.Value(now)
 	}
 	out.New = max(tt.arrivalRate(now, key)-out.Returning, 0)
 	return out
--- a/internal/gateway/returning_test.go
+++ b/internal/gateway/returning_test.go
@@ -249,3 +249,23 @@
 		t.Errorf("%d meters, at most %d expected", len(meters), maxMeters)
 	}
 }
+
+// BenchmarkDivideRejections measures what returns add to a decision at a node that has the states of 100 others.
+func BenchmarkDivideRejections(b *testing.B) {
+	tt := newBurst(b, burstParams{nodes: 1, heads: 1, objective: time.Second, engine: manyNodes.engine}, &manyNodes.engine).tables[0]
+	tt.returnsEnabled = true
+	now := time.Unix(1_000_000, 0)
+	for i := range 100 {
+		state := &marbleroadv1.NodeState{Node: fmt.Sprint(i), Demand: []*marbleroadv1.ModelDemand{
+			{Service: "s", Model: "other", Arrivals: 5}, {Service: "s", Model: "m", Arrivals: 3, Returning: 1}}}
+		tt.receiveState(now, state, now, time.Hour)
+	}
+	hr := headRequest{key: demandKey{"s", "m"}, returning: true}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if p := tt.rejectionProbability(now, hr, 0.1); p <= 0.1 {
+			b.Fatal(p)
+		}
+	}
+}
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -139,6 +139,7 @@
 			tt.peerSuspects[l.GetGroup()] += int(l.GetSuspects())
 		}
 	}
+	tt.sumRates(tt.peers)
 	tt.pauses.sumPeers(tt.peers)
 	tt.sumTeams()
 	tt.updateDissolving()
