--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -394,7 +394,7 @@
 mutant "stale loads are compared without sampling" internal/gateway/choose.go \
   's/&& !tt\.loadsAreFresh\(now, hr\.key, len\(candidates\)\)/\&\& false/' ./internal/gateway TestBurstAtManyNodes
 mutant "arrivals at other nodes are ignored" internal/gateway/divide.go \
-  's/total \+= d\.GetArrivals\(\)/total += 0/' ./internal/gateway TestBurstAtManyNodes
+  's/total := tt\.peerRates\[key\]\.all/total := 0.0/' ./internal/gateway TestBurstAtManyNodes
 mutant "rejected callers retry at once" internal/gateway/room.go \
   's/overloadRetrySpread = 3 \* time\.Second/overloadRetrySpread = time.Nanosecond/' ./internal/gateway TestBurstWithRetries
 mutant "caller timeouts are learned under overload" internal/gateway/predict.go \
@@ -521,6 +521,8 @@
   's/c\.CallerTimeout-now\.Sub\(c\.Arrived\)/c.CallerTimeout/' ./internal/gateway TestReturnIsAPartOfTheRemainingTime
 mutant "returns: callers that return late count as first attempts" internal/gateway/returning.go \
   's/max\(noRejectionPeriod, timeouts\.LongestDelay\(\)\)/noRejectionPeriod/' ./internal/gateway TestReturnsAreRecognizedAfterARefusal
+mutant "returns: the rates of other nodes outlive their states" internal/gateway/returning.go \
+  's/\tclear\(r\.peerRates\)\n//' ./internal/gateway TestSilentPeersReturnsExpire
 mutant "homes: only the route restricts" internal/gateway/homes.go \
   's/ \|\| !c\.TeamHomes\.Allow\(region\)//' ./internal/gateway TestHomesRestrictRequests
 mutant "measured demand: a surge does not count" internal/demand/sum.go \
--- a/scripts/proof.sh
+++ b/scripts/proof.sh
@@ -50,6 +50,9 @@
   promise "On the users' platform: groups, requests, changes, stops" \
     'TestRandomFaults|TestTwoDirectors|TestHeadPartitioned.*|TestDeadHead|TestLostMember|TestSuccessor|TestMemberIn.*|TestUnanswered.*|TestStreamContinues.*|TestTruncatedStream.*|TestUnavailableOnlyIfNotRun|TestNonIdempotent.*|TestLeavingVM.*|TestConfiguration.*|TestKeysNeed.*|TestVersionNever.*|TestNoWindow.*|TestAnswers.*|TestResponseVerdicts|TestGatewayErrors|TestResponsesOfManyVMs.*' \
     ./internal/director ./internal/gateway ./internal/catalog ./internal/retry ./platform
+  promise "With the settings of section [overload]" \
+    'TestRefusedCallers.*|TestLongestPass.*|TestUnreadPrompts.*|TestStoppingNode.*|TestUtilization.*|TestReturning.*|TestReturn.*|TestRestartedNode(TakesCallersAsNew|sCountOnce)|TestDivide.*|TestTimeoutsThatDiffer.*|TestSilentPeers.*|TestPauses?[A-Z].*|TestHeadsWithUnread.*|TestNearlyFull.*|TestResentRequests.*|TestLongPrompts.*|TestHubAddsUp.*|TestConsecutive.*|TestSurge.*|TestRefused.*|TestPack.*|TestChangeMustPay.*|TestFormationPays.*|TestRemainingVMs.*|TestDirectors?(DoNotPackTooMuch|StopsBetweenDissolutions)|TestOneTeam.*|TestReserve.*|TestNodeAlone.*|TestShares.*|TestReportForgets.*|TestNodesWithout.*|TestRefusal.*|TestMeasuredDemand.*' \
+    ./internal/returns ./internal/batch ./internal/spread ./internal/fairshare ./internal/demand ./internal/placement ./internal/director ./internal/cluster ./internal/gateway
   promise "On the users' platform, with real processes" 'TestNode.*|TestStreamOutlives.*|TestDirectorKilled' $int
   promise "All of them under random faults, two at once" 'TestRandomFaults' $int
 done
