--- a/internal/gateway/returning_test.go
+++ b/internal/gateway/returning_test.go
@@ -1,11 +1,19 @@
 package gateway
 
 import (
+	"bytes"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/metrics"
+	"github.com/marbleroad/marbleroad/internal/returns"
+	"github.com/marbleroad/marbleroad/internal/verdict"
 )
 
 const (
@@ -107,13 +115,157 @@
 func TestReturnsAreScheduledForModelsOnly(t *testing.T) {
 	tt, now := newCallTable(t)
 	call := recordCall(tt, now, 6*time.Second)
-	if _, scheduled := tt.returnDelay(call, allFull); !scheduled {
+	if _, scheduled := tt.returnDelay(now, call, allFull); !scheduled {
 		t.Error("the return of a refused caller of a model was not scheduled")
 	}
-	if _, scheduled := tt.returnDelay(&Call{Service: "plain", CallerTimeout: time.Second, Arrived: now}, allFull); scheduled {
+	if _, scheduled := tt.returnDelay(now, &Call{Service: "plain", CallerTimeout: time.Second, Arrived: now}, allFull); scheduled {
 		t.Error("the return of a caller of a plain service was scheduled")
 	}
-	if _, scheduled := tt.returnDelay(call, noUpstream); scheduled {
+	if _, scheduled := tt.returnDelay(now, call, noUpstream); scheduled {
 		t.Error("the return of a caller without an upstream was scheduled")
 	}
 }
+
+// TestReturnsAreRecognizedAfterARefusal guards against counting callers that return more than two seconds after
+// the last refusal as first attempts: recognition would end because timeouts seem to differ.
+func TestReturnsAreRecognizedAfterARefusal(t *testing.T) {
+	tt, now := newCallTable(t)
+	for range 24 {
+		recordCall(tt, now, 8*time.Second)
+	}
+	tt.lastRejection = now
+	later := now.Add(2200 * time.Millisecond)
+	for range 12 {
+		recordCall(tt, later, 5800*time.Millisecond)
+	}
+	if call := recordCall(tt, later, 5800*time.Millisecond); !call.Returning {
+		t.Error("a caller that returned 2.2 s after its refusal was not recognized")
+	}
+}
+
+// TestReturnIsAPartOfTheRemainingTime guards against a delay by the time that a caller had when its request
+// arrived: after a failed send, less of it is left.
+func TestReturnIsAPartOfTheRemainingTime(t *testing.T) {
+	tt, now := newCallTable(t)
+	call := recordCall(tt, now, 6*time.Second)
+	for range 100 {
+		delay, _ := tt.returnDelay(now.Add(3*time.Second), call, allFull)
+		if delay < 750*time.Millisecond || delay > time.Second {
+			t.Fatalf("return after %v with 3 s left, expected 0.75 to 1 s", delay)
+		}
+	}
+}
+
+// TestReturnsAreCountedAndLogged guards against operators who can't see whether refused callers return and are
+// recognized, and against log lines that change while the setting is off.
+func TestReturnsAreCountedAndLogged(t *testing.T) {
+	tt, now := newCallTable(t)
+	s := &Server{targets: tt, metrics: metrics.NewRegistry()}
+	call := recordCall(tt, now, 6*time.Second)
+	s.retryAfter(now, call, allFull)
+	line := func(c *Call, code string) string {
+		var out bytes.Buffer
+		log := zerolog.New(&out)
+		s.countReturning(c)
+		s.recordReturningRefusal(log.Info(), c, &verdict.Error{Code: code}).Send()
+		return out.String()
+	}
+	if got := line(call, codeOverload); strings.Contains(got, "returning") {
+		t.Errorf("a new caller: %s", got)
+	}
+	call.Returning = true
+	if got := line(call, codeOverload); !strings.Contains(got, `"returning":true`) {
+		t.Errorf("a returning caller: %s", got)
+	}
+	line(call, codeNoUpstream)
+	for name, want := range map[string]int64{"returns.scheduled": 1, "returns.recognized": 2, "returns.refused": 1} {
+		if got := s.metrics.Counter(name); got != want {
+			t.Errorf("%s is %d, expected %d", name, got, want)
+		}
+	}
+	tt.returnsEnabled = false
+	s.retryAfter(now, call, allFull)
+	if got := s.metrics.Counter("returns.scheduled"); got != 1 {
+		t.Errorf("%d returns are scheduled with the setting off", got-1)
+	}
+}
+
+// TestMadeUpModelsLeaveNoReturns guards against state for model names and routes that callers make up.
+func TestMadeUpModelsLeaveNoReturns(t *testing.T) {
+	tt, now := newCallTable(t)
+	call := &Call{Service: "s", Model: "made up", Route: &catalog.Route{Name: "r"}, Arrived: now, CallerTimeout: 6 * time.Second}
+	tt.recordRequest(now, call)
+	tt.recordArrival(now, call)
+	if _, scheduled := tt.returnDelay(now, call, allFull); scheduled || len(tt.firstAttempts) > 0 || len(tt.demand) > 0 {
+		t.Errorf("scheduled %v, %d routes, %d models", scheduled, len(tt.firstAttempts), len(tt.demand))
+	}
+}
+
+// TestReturningCallersAreRefusedMoreOften guards against new callers, whose responses can be in time, losing their
+// places to returning ones.
+func TestReturningCallersAreRefusedMoreOften(t *testing.T) {
+	tt, now := newCallTable(t)
+	for range 30 {
+		recordCall(tt, now, 6*time.Second)
+	}
+	for range 10 {
+		recordCall(tt, now, 4*time.Second)
+	}
+	hr := headRequest{key: demandKey{"s", "m"}}
+	asNew := tt.rejectionProbability(now, hr, 0.1)
+	hr.returning = true
+	if got := tt.rejectionProbability(now, hr, 0.1); asNew <= 0 || got < 3.9*asNew || got > 4.1*asNew {
+		t.Errorf("returning callers are rejected with probability %.3f, new ones with %.3f", got, asNew)
+	}
+	hr.resent = true
+	if got := tt.rejectionProbability(now, hr, 0.1); got != 0.1 {
+		t.Errorf("a request that was sent before is rejected with probability %.3f", got)
+	}
+}
+
+// TestReturningCallersAreAdmittedByTheirNewAttempt guards against heads that refuse returning callers because the
+// objective has passed since their first attempt: their requests would be lost.
+func TestReturningCallersAreAdmittedByTheirNewAttempt(t *testing.T) {
+	tt, now := newCallTable(t)
+	for range 8 {
+		recordCall(tt, now, 6*time.Second)
+	}
+	call := recordCall(tt, now, 4*time.Second)
+	if got := tt.request(now, call, false).Elapsed; got != 0 || call.Waited <= 0 {
+		t.Errorf("%v count as passed at the arrival of a caller that waited for %v", got, call.Waited)
+	}
+}
+
+// TestRouteMetersAreBounded guards against memory that grows with the routes of each new configuration.
+func TestRouteMetersAreBounded(t *testing.T) {
+	meters := make(map[string]*returns.Timeouts)
+	for i := range 2*maxMeters + 1 {
+		m := routeMeter(meters, fmt.Sprint(i))
+		if m == nil || routeMeter(meters, fmt.Sprint(i)) != m {
+			t.Fatal("the meter of a route is not kept")
+		}
+	}
+	if len(meters) > maxMeters {
+		t.Errorf("%d meters, at most %d expected", len(meters), maxMeters)
+	}
+}
+
+// BenchmarkDivideRejections measures what returns add to a decision at a node that has the states of 100 others.
+func BenchmarkDivideRejections(b *testing.B) {
+	tt := newBurst(b, burstParams{nodes: 1, heads: 1, objective: time.Second, engine: manyNodes.engine}, &manyNodes.engine).tables[0]
+	tt.returnsEnabled = true
+	now := time.Unix(1_000_000, 0)
+	for i := range 100 {
+		state := &marbleroadv1.NodeState{Node: fmt.Sprint(i), Demand: []*marbleroadv1.ModelDemand{
+			{Service: "s", Model: "other", Arrivals: 5}, {Service: "s", Model: "m", Arrivals: 3, Returning: 1}}}
+		tt.receiveState(now, state, now, time.Hour)
+	}
+	hr := headRequest{key: demandKey{"s", "m"}, returning: true}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if p := tt.rejectionProbability(now, hr, 0.1); p <= 0.1 {
+			b.Fatal(p)
+		}
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -406,7 +406,7 @@
 mutant "stale loads are compared without sampling" internal/gateway/choose.go \
   's/&& !tt\.loadsAreFresh\(now, hr\.key, len\(candidates\)\)/\&\& false/' ./internal/gateway TestBurstAtManyNodes
 mutant "arrivals at other nodes are ignored" internal/gateway/divide.go \
-  's/total \+= d\.GetArrivals\(\)/total += 0/' ./internal/gateway TestBurstAtManyNodes
+  's/total := tt\.peerRates\[key\]\.all/total := 0.0/' ./internal/gateway TestBurstAtManyNodes
 mutant "rejected callers retry at once" internal/gateway/room.go \
   's/overloadRetrySpread = 3 \* time\.Second/overloadRetrySpread = time.Nanosecond/' ./internal/gateway TestBurstWithRetries
 mutant "caller timeouts are learned under overload" internal/gateway/predict.go \
@@ -515,6 +515,26 @@
   's/\); ok \{\n\t\treturn out\n\t\}\n\tout :=/); ok \&\& false {\n\t\treturn out\n\t}\n\tout :=/' ./internal/gateway TestPausesWithStaleLoads
 mutant "pause limit: hubs drop unread prompts" internal/cluster/sum.go \
   's/known\.UnreadTokens \+= l\.GetUnreadTokens\(\)//' ./internal/cluster TestHubAddsUpUnreadPrompts
+mutant "pause limit: requests that are sent again go to any head" internal/gateway/pauselimit.go \
+  's/\tweighted\.resent = false\n//' ./internal/gateway TestResentRequestsGoByHeadroom
+mutant "pause limit: all heads are compared for a long prompt" internal/gateway/pauselimit.go \
+  's/f\.unavoidable = [^\n]*/f.unavoidable = false/' ./internal/gateway TestLongPromptsCompareFewHeads
+mutant "pause limit: every other request goes to a nearly full head" internal/gateway/pauselimit.go \
+  's/ && others >= shares\[last\]\.fraction//' ./internal/gateway TestNearlyFullHeadGetsFewRequests
+mutant "returns: callers return after 150 ms" internal/gateway/returning.go \
+  's/return returns\.Delay\([^\n]*, true/return 150 * time.Millisecond, true/' ./internal/gateway TestRefusedCallersReturnAfterTheSurge
+mutant "returns: returning callers count as new" internal/gateway/returning.go \
+  's/c\.Returning = c\.Waited > 0/c.Returning = false/' ./internal/gateway TestRestartedNodeTakesCallersAsNew
+mutant "returns: returning callers count as new when rejections are divided" internal/gateway/returning.go \
+  's/if hr\.returning \{/if false {/' ./internal/gateway TestReturningCallersAreRefusedMoreOften
+mutant "returns: returning callers are admitted by the time since their first attempt" internal/gateway/predict.go \
+  's/if c\.Returning \{/if false {/' ./internal/gateway TestReturningCallersAreAdmittedByTheirNewAttempt
+mutant "returns: a delay is a part of the timeout at the arrival" internal/gateway/returning.go \
+  's/c\.CallerTimeout-now\.Sub\(c\.Arrived\)/c.CallerTimeout/' ./internal/gateway TestReturnIsAPartOfTheRemainingTime
+mutant "returns: callers that return late count as first attempts" internal/gateway/returning.go \
+  's/max\(noRejectionPeriod, timeouts\.LongestDelay\(\)\)/noRejectionPeriod/' ./internal/gateway TestReturnsAreRecognizedAfterARefusal
+mutant "returns: the rates of other nodes outlive their states" internal/gateway/returning.go \
+  's/\tclear\(r\.peerRates\)\n//' ./internal/gateway TestSilentPeersReturnsExpire
 mutant "homes: only the route restricts" internal/gateway/homes.go \
   's/ \|\| !c\.TeamHomes\.Allow\(region\)//' ./internal/gateway TestHomesRestrictRequests
 mutant "measured demand: a surge does not count" internal/demand/sum.go \
