--- a/test/soak/nodes.go
+++ b/test/soak/nodes.go
@@ -33,6 +33,22 @@
 	ready bool
 }
 
+// overloadSettings returns the section [overload] of the nodes' settings: with even seeds all features are on,
+// with odd ones off.
+func (tb *testbed) overloadSettings() string {
+	if tb.seed%2 != 0 {
+		return ""
+	}
+	return `[overload]
+returns = yes
+pause_limit = yes
+measured_demand = yes
+packing = yes
+fair_shares = yes
+team_weights = team=2
+`
+}
+
 func (tb *testbed) addNode(number int) error {
 	storeProxy, err := faultproxy.New(tb.addr(roleStoreProxy, number, storePort), tb.addr(roleStore, 0, storePort))
 	if err != nil {
@@ -67,9 +83,9 @@
 [cluster]
 listen = %s
 advertise = %s
-`, number, tb.failureDomain(number), storeProxy.Address(), tb.addr(roleNode, number, listenPort), tb.addr(roleNode, number, readyPort),
+%s`, number, tb.failureDomain(number), storeProxy.Address(), tb.addr(roleNode, number, listenPort), tb.addr(roleNode, number, readyPort),
 		tb.addr(roleNode, number, adminPort), stopGrace, revokeBound, repeatRatio, repeatExtra, repeatWindow, stallBound, warmupExcess, warmupSlack,
-		tb.addr(roleNode, number, clusterPort), peerProxy.Address())
+		tb.addr(roleNode, number, clusterPort), peerProxy.Address(), tb.overloadSettings())
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"os/exec"
 	"path/filepath"
@@ -11,15 +12,24 @@
 // ciSlack is added to the time limits in CI, whose machine may be busy.
 const ciSlack = 3 * time.Second
 
-// TestOneSeed runs one short seed of the soak against marbleroad-node.
+// TestOneSeed runs two short seeds of the soak against marbleroad-node: one with the features of [overload] off,
+// one with all of them on.
 func TestOneSeed(t *testing.T) {
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "marbleroad-node")
 	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/marbleroad-node").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	c := config{binary: binary, seed: 1, nodes: 3, engines: 8, plain: 3, callers: 12, length: 6 * time.Second, slack: ciSlack}
-	r, err := runOnce(c, drawSchedule(rand.New(rand.NewPCG(c.seed, 0)), c.length), dir)
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSeedOnce(t, binary, seed) })
+	}
+}
+
+// runSeedOnce runs one short seed and reports its violations.
+func runSeedOnce(t *testing.T, binary string, seed uint64) {
+	t.Helper()
+	c := config{binary: binary, seed: seed, nodes: 3, engines: 8, plain: 3, callers: 12, length: 6 * time.Second, slack: ciSlack}
+	r, err := runOnce(c, drawSchedule(rand.New(rand.NewPCG(c.seed, 0)), c.length), t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
