Log from whom a version of the configuration came and who proved it

Cause: a 401 or 404 named its version and the age of its proof, but not whom the node followed nor how long the version had been in force; 2007 did not say from whom a version came. The hypotheses of docs/incidents/late-configuration.md (a leader that is cut off, leaders that follow each other, a reader that asks nobody) differ just in these.

Change: WatchResult carries its source, the cache keeps that of the version in force and of its last verification. 2007 has source and proven_age_ms; 5002 with 401, 403 or 404 has catalog_in_force_ms, catalog_source, catalog_proven_by, and host and path of a request without a route.

go test ./internal/catalog ./internal/feed passes; no decision changes.

--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -37,6 +37,8 @@
 	// VerifiedAt is when the call that verified this result was sent. At that time no
 	// newer configuration was stored.
 	VerifiedAt time.Time
+	// Source is the node that the result was read from; empty for the platform.
+	Source string
 }
 
 const (
@@ -61,6 +63,7 @@
 	wait time.Duration
 
 	current      atomic.Pointer[Catalog]
+	adoption     atomic.Pointer[adoption]
 	verification atomic.Pointer[verification]
 	onChange     []func()
 	onReconnect  []func()
@@ -84,6 +87,23 @@
 	at time.Time
 	// revision is the source's revision up to which all changes were seen.
 	revision uint64
+	// source is the node that verified it; empty for the platform.
+	source string
+}
+
+// adoption records when and from where the catalog in force was read.
+type adoption struct {
+	at     time.Time
+	source string
+}
+
+// Origin describes where the catalog in force comes from, for log lines.
+type Origin struct {
+	// Source is the node that the version in force was read from, VerifiedBy the one that verified it last; empty
+	// for the platform.
+	Source, VerifiedBy string
+	// InForce is the time since this process adopted the version.
+	InForce time.Duration
 }
 
 // State is what Await returns: the version in force, and how recently it was verified.
@@ -138,6 +158,18 @@
 	return now.Sub(v.at)
 }
 
+// Origin returns where the catalog in force comes from.
+func (c *Cache) Origin(now time.Time) Origin {
+	var out Origin
+	if a := c.adoption.Load(); a != nil {
+		out.Source, out.InForce = a.source, now.Sub(a.at)
+	}
+	if v := c.verification.Load(); v != nil {
+		out.VerifiedBy = v.source
+	}
+	return out
+}
+
 func (c *Cache) state() State {
 	// The verification is read before the version, so that a catalog adopted in
 	// between is newer than the reported revision, never older.
@@ -238,9 +270,9 @@
 			f()
 		}
 	}
-	c.adopt(w.Catalog)
+	c.adopt(w)
 	if old := c.verification.Load(); old == nil || w.VerifiedAt.After(old.at) {
-		c.verification.Store(&verification{at: w.VerifiedAt, revision: w.Revision})
+		c.verification.Store(&verification{at: w.VerifiedAt, revision: w.Revision, source: w.Source})
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -249,14 +281,17 @@
 }
 
 // adopt puts a catalog in force unless its version is not newer.
-func (c *Cache) adopt(next *Catalog) {
-	old := c.current.Load()
+func (c *Cache) adopt(w WatchResult) {
+	old, next := c.current.Load(), w.Catalog
 	if next == nil || (old != nil && next.version <= old.version) {
 		return
 	}
+	now := clock.Now()
+	c.adoption.Store(&adoption{at: now, source: w.Source})
 	c.current.Store(next)
 	c.log.Emit(event.CatalogAdopted).Uint64("version", next.version).Int("routes", next.routes).
-		Int("services", len(next.services)).Int("keys", len(next.keys)).Send()
+		Int("services", len(next.services)).Int("keys", len(next.keys)).
+		Str("source", w.Source).Int64("proven_age_ms", now.Sub(w.VerifiedAt).Milliseconds()).Send()
 	for _, f := range c.onChange {
 		f()
 	}
--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -96,7 +96,7 @@
 		return catalog.WatchResult{}, err
 	}
 	clock.Sync()
-	w := catalog.WatchResult{Revision: receivedRevision(resp.Msg.Era, resp.Msg.GetRevision(), newerThan), VerifiedAt: requestedAt.Add(milliseconds(resp.Msg.GetProvenAfterMs()))}
+	w := catalog.WatchResult{Revision: receivedRevision(resp.Msg.Era, resp.Msg.GetRevision(), newerThan), VerifiedAt: requestedAt.Add(milliseconds(resp.Msg.GetProvenAfterMs())), Source: source.ID}
 	if w.Revision <= newerThan {
 		return catalog.WatchResult{}, errSourceEmpty
 	}
@@ -106,32 +106,33 @@
 	return w, err
 }
 
+// answer is what another node answered about the configuration.
+type answer struct {
+	*marbleroadv1.FollowCatalogResponse
+	// source is the node that answered, verifiedAt when its version was known to be the newest.
+	source     string
+	verifiedAt time.Time
+}
+
 // Changed implements catalog.Source.
 func (c *Catalog) Changed(ctx context.Context, revision uint64, wait time.Duration) (catalog.WatchResult, error) {
 	known := c.version()
-	// newest holds the newest version of all leaders that were asked, usable or not, and when it was verified.
-	var newest *marbleroadv1.FollowCatalogResponse
-	var newestVerifiedAt time.Time
-	next, verifiedAt, err := followFirst(ctx, c.selector, catalogQuery, func(ctx context.Context, leader cluster.Record, leaderWait time.Duration) (*marbleroadv1.FollowCatalogResponse, time.Duration, error) {
-		requestedAt := clock.Now()
-		resp, err := c.selector.client(leader).FollowCatalog(ctx, connect.NewRequest(&marbleroadv1.FollowCatalogRequest{
-			Version: known, WaitMs: uint32(min(wait, leaderWait).Milliseconds())}))
-		if err != nil {
-			return nil, 0, err
-		}
-		verifiedAfter := milliseconds(resp.Msg.GetProvenAfterMs())
-		if resp.Msg.GetVersion() > newest.GetVersion() {
-			newest, newestVerifiedAt = resp.Msg, requestedAt.Add(verifiedAfter)
+	// newest has the newest version of all leaders that were asked, usable or not.
+	var newest answer
+	next, _, err := followFirst(ctx, c.selector, catalogQuery, func(ctx context.Context, leader cluster.Record, leaderWait time.Duration) (answer, time.Duration, error) {
+		got, verifiedAfter, err := c.ask(ctx, leader, known, min(wait, leaderWait))
+		if err == nil && got.GetVersion() > newest.GetVersion() {
+			newest = got
 		}
-		return resp.Msg, verifiedAfter, nil
+		return got, verifiedAfter, err
 	})
 	if errors.Is(err, errNoLeader) && newest.GetVersion() <= known {
 		return c.watch(ctx, revision, wait)
 	}
 	if newest.GetVersion() > known {
 		// The received version is newer than the one in force here, even if it was verified long ago.
-		received := catalog.WatchResult{Revision: max(revision, receivedRevision(newest.Era, newest.GetRevision(), revision)), VerifiedAt: newestVerifiedAt}
-		if received.Catalog, err = c.unpack(newest.GetDocument()); err == nil {
+		received, err := c.received(newest, revision)
+		if err == nil {
 			return received, nil
 		}
 		c.selector.log.Emit(event.EntryUnreadable).Str("of", "configuration from the leader").Err(err).Send()
@@ -141,7 +142,34 @@
 		// once.
 		return c.watch(ctx, revision, 0)
 	}
-	return catalog.WatchResult{Revision: max(revision, receivedRevision(next.Era, next.GetRevision(), revision)), VerifiedAt: verifiedAt}, nil
+	return c.verified(next, revision), nil
+}
+
+// ask asks another node for a version above the known one, for which it may wait. ask also returns when the answer was
+// verified, relative to the time of the request.
+func (c *Catalog) ask(ctx context.Context, node cluster.Record, known uint64, wait time.Duration) (answer, time.Duration, error) {
+	requestedAt := clock.Now()
+	resp, err := c.selector.client(node).FollowCatalog(ctx, connect.NewRequest(&marbleroadv1.FollowCatalogRequest{
+		Version: known, WaitMs: uint32(wait.Milliseconds())}))
+	if err != nil {
+		return answer{}, 0, err
+	}
+	verifiedAfter := milliseconds(resp.Msg.GetProvenAfterMs())
+	return answer{resp.Msg, node.ID, requestedAt.Add(verifiedAfter)}, verifiedAfter, nil
+}
+
+// verified returns the result of an answer without a newer version; revision is the one up to which this node has seen
+// all changes.
+func (c *Catalog) verified(a answer, revision uint64) catalog.WatchResult {
+	return catalog.WatchResult{Revision: max(revision, receivedRevision(a.Era, a.GetRevision(), revision)), VerifiedAt: a.verifiedAt, Source: a.source}
+}
+
+// received returns the result of an answer with a newer version.
+func (c *Catalog) received(a answer, revision uint64) (catalog.WatchResult, error) {
+	out := c.verified(a, revision)
+	var err error
+	out.Catalog, err = c.unpack(a.GetDocument())
+	return out, err
 }
 
 // unpack decodes a document as the leader sends it.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -266,6 +266,7 @@
 		Int("status", failure.Status).Str("code", failure.Code).Stringer("verdict", failure.Verdict).Str("detail", failure.Detail).
 		Dur("retry_after_ms", failure.RetryAfter).Dur("took_ms", elapsed).
 		Int64("waited_ms", c.Waited.Milliseconds()).Uint64("catalog", c.CatalogVersion).Int64("catalog_age_ms", c.CatalogAge.Milliseconds()).AnErr("cause", failure.Cause)
+	line = s.originFields(line, c, failure)
 	if j != nil {
 		line = line.Int("sends", j.sends).Int("may_have_run", j.mayHaveRun).Stringer("fingerprint", c.fingerprint())
 		line = j.fairFields(line)
