--- /dev/null
+++ b/internal/feed/virtual_catalog_test.go
@@ -0,0 +1,135 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/platform"
+)
+
+// configurationOf is a virtual node's access to the operators' configuration. It implements catalog.Source. The store's
+// revision is the version.
+type configurationOf struct {
+	store *virtualConfigurations
+	node  string
+}
+
+// virtualConfigurations is the operators' configuration in the virtual store.
+type virtualConfigurations struct {
+	*virtualStore
+	version uint64
+	// history is the number of the oldest version from which a watch finds all changes.
+	history uint64
+}
+
+func (s *virtualConfigurations) publish() { s.update(func() { s.version++ }) }
+
+// call waits for the store's response to a call; ready reports, under the store's lock, whether it may be sent.
+func (c configurationOf) call(ctx context.Context, wait time.Duration, ready func() bool) (catalog.WatchResult, error) {
+	out := catalog.WatchResult{VerifiedAt: clock.Now()}
+	time.Sleep(storeCallTime)
+	deadline, timeout := time.NewTimer(wait), time.NewTimer(wait+storeTimeout)
+	defer deadline.Stop()
+	defer timeout.Stop()
+	for waited := wait == 0; ; {
+		c.store.mu.Lock()
+		state, changed, version, answers := c.store.access[c.node], c.store.changed, c.store.version, ready()
+		c.store.mu.Unlock()
+		switch {
+		case state == refused:
+			return out, platform.ErrUnavailable
+		case state == served && (answers || waited):
+			var err error
+			out.Revision = version
+			out.Catalog, err = decodeVersion(strconv.AppendUint(nil, version, 10))
+			return out, err
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			waited = true
+		case <-timeout.C:
+			return out, platform.ErrUnavailable
+		case <-ctx.Done():
+			return out, ctx.Err()
+		}
+	}
+}
+
+// Current implements catalog.Source.
+func (c configurationOf) Current(ctx context.Context, _ uint64) (catalog.WatchResult, error) {
+	return c.call(ctx, 0, func() bool { return true })
+}
+
+// Changed implements catalog.Source.
+func (c configurationOf) Changed(ctx context.Context, revision uint64, wait time.Duration) (catalog.WatchResult, error) {
+	c.store.mu.Lock()
+	expired := c.store.access[c.node] == served && revision < c.store.history
+	c.store.mu.Unlock()
+	if expired {
+		return catalog.WatchResult{}, platform.ErrCompacted
+	}
+	return c.call(ctx, wait, func() bool { return c.store.version > revision })
+}
+
+// versionBound is the time within which a new version must be in force at each node that reaches the others. Operators
+// are promised 2 s; the rest is for nodes with a fraction of a processor.
+const versionBound = 1500 * time.Millisecond
+
+// checkVersion reports the nodes at which the store's version is not in force.
+func (f *virtualFleet) checkVersion(t *testing.T, s *virtualConfigurations) {
+	t.Helper()
+	var late []string
+	for _, node := range f.nodes {
+		if node.cache.Version() < s.version {
+			late = append(late, node.record.ID)
+		}
+	}
+	if len(late) > 0 {
+		t.Errorf("%d of %d nodes don't have version %d %s after it was accepted: %v", len(late), len(f.nodes), s.version, versionBound, late[:min(len(late), 12)])
+	}
+}
+
+// publishesAfter are the times after a fault at which the operator changes the configuration.
+var publishesAfter = []time.Duration{0, 300 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second}
+
+// playVersion makes a fault happen at a site of n nodes, and reports the nodes at which a version that is accepted some
+// time later is not in force in time.
+func playVersion(t *testing.T, n int, after time.Duration, fault func(f *virtualFleet, s *virtualConfigurations)) {
+	t.Helper()
+	s := &virtualConfigurations{virtualStore: storeOfPlainVMs(), version: 1}
+	runVirtualWith(t, n, s.virtualStore, s, func(t *testing.T, f *virtualFleet) {
+		start := time.Now()
+		fault(f, s)
+		at(start, after, s.publish)
+		at(start, after+versionBound, func() { f.checkVersion(t, s) })
+	})
+}
+
+// TestVersionReachesNodesWhoseReadersAreCutOff guards against a change that is not in force in time while the nodes
+// that read the configuration for others don't reach the store: neither at these nodes nor at their followers.
+func TestVersionReachesNodesWhoseReadersAreCutOff(t *testing.T) {
+	for _, n := range []int{8, 80} {
+		for _, cut := range []int{1, 2, 9} {
+			if n == 8 && cut > 1 {
+				continue
+			}
+			for name, how := range map[string]access{"refused": refused, "silent": silent} {
+				for _, after := range publishesAfter {
+					t.Run(fmt.Sprintf("%d nodes, %d of each domain %s for %s", n, cut, name, after), func(t *testing.T) {
+						playVersion(t, n, after, func(f *virtualFleet, s *virtualConfigurations) {
+							for _, node := range f.nodes[:virtualDomains*cut] {
+								s.setAccess(node.record.ID, how)
+							}
+						})
+					})
+				}
+			}
+		}
+	}
+}
--- a/internal/feed/virtual_test.go
+++ b/internal/feed/virtual_test.go
@@ -32,7 +32,17 @@
 	connectedAfter = 3 * time.Second
 )
 
-// virtualStore is the platform's store in virtual time. It implements fleet.Source.
+// access is what the virtual store does with the calls of one node.
+type access int
+
+const (
+	served access = iota
+	// refused calls fail at once, silent ones time out.
+	refused
+	silent
+)
+
+// virtualStore is the platform's store in virtual time.
 type virtualStore struct {
 	mu      sync.Mutex
 	era     uint64
@@ -45,9 +55,21 @@
 	cuts         int
 	calls        int
 	changed      chan struct{}
+	// access holds the nodes that are not served.
+	access map[string]access
+}
+
+func newVirtualStore() *virtualStore {
+	return &virtualStore{era: 1, changed: make(chan struct{}), access: make(map[string]access)}
 }
 
-func newVirtualStore() *virtualStore { return &virtualStore{era: 1, changed: make(chan struct{})} }
+func (s *virtualStore) setAccess(node string, a access) { s.update(func() { s.access[node] = a }) }
+
+// listOf is a virtual node's access to the list of upstream VMs. It implements fleet.Source.
+type listOf struct {
+	*virtualStore
+	node string
+}
 
 // update changes the store under its lock and wakes the watches.
 func (s *virtualStore) update(change func()) {
@@ -101,12 +123,16 @@
 }
 
 // List implements fleet.Source.
-func (s *virtualStore) List(context.Context, uint64) (fleet.WatchResult, error) {
+func (s listOf) List(context.Context, uint64) (fleet.WatchResult, error) {
 	sentAt := clock.Now()
 	time.Sleep(storeCallTime)
 	s.mu.Lock()
 	s.calls++
-	if s.down {
+	if s.access[s.node] == refused {
+		s.mu.Unlock()
+		return fleet.WatchResult{}, platform.ErrUnavailable
+	}
+	if s.down || s.access[s.node] == silent {
 		s.mu.Unlock()
 		time.Sleep(storeTimeout)
 		return fleet.WatchResult{}, platform.ErrUnavailable
@@ -116,7 +142,7 @@
 }
 
 // Watch implements fleet.Source.
-func (s *virtualStore) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.WatchResult, error) {
+func (s listOf) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.WatchResult, error) {
 	sentAt := clock.Now()
 	time.Sleep(storeCallTime)
 	era, number := platform.SplitRevision(revision)
@@ -130,11 +156,11 @@
 	s.mu.Unlock()
 	for waited := false; ; {
 		s.mu.Lock()
-		if s.cuts != cuts {
+		if s.cuts != cuts || s.access[s.node] == refused {
 			s.mu.Unlock()
 			return fleet.WatchResult{}, platform.ErrUnavailable
 		}
-		unanswered, changed := s.down || s.silent, s.changed
+		unanswered, changed := s.down || s.silent || s.access[s.node] == silent, s.changed
 		if !unanswered && (era != s.era || int(number) < s.compacted) {
 			s.mu.Unlock()
 			return fleet.WatchResult{}, platform.ErrCompacted
@@ -175,6 +201,7 @@
 	site      *virtualFleet
 	record    cluster.Record
 	directory *fleet.Directory
+	cache     *catalog.Cache
 }
 
 // Size implements Nodes.
@@ -222,6 +249,12 @@
 
 // runVirtual starts a site of n nodes in virtual time, lets all read the store, and calls play.
 func runVirtual(t *testing.T, n int, store *virtualStore, play func(t *testing.T, f *virtualFleet)) {
+	t.Helper()
+	runVirtualWith(t, n, store, nil, play)
+}
+
+// runVirtualWith does the work of runVirtual. The nodes also read the configuration, unless there is none.
+func runVirtualWith(t *testing.T, n int, store *virtualStore, configurations *virtualConfigurations, play func(t *testing.T, f *virtualFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		// A channel from outside the bubble would keep its time from passing.
@@ -235,19 +268,33 @@
 		}
 		for _, node := range f.nodes {
 			selector := NewLeader(node.record, node, func() bool { return false }, log, client, func(a string) string { return "http://" + a })
-			node.directory = fleet.NewDirectory(NewFleet(store, selector), log, fleet.WatchWait, func() time.Duration { return IdleWatchPause })
+			node.directory = fleet.NewDirectory(NewFleet(listOf{store, node.record.ID}, selector), log, fleet.WatchWait, func() time.Duration { return IdleWatchPause })
 			mux := http.NewServeMux()
-			mux.Handle(marbleroadv1connect.NewClusterServiceHandler(handler{&Server{Directory: node.directory, Cache: catalog.NewCache(nil, log, 0)}}))
+			node.cache = catalog.NewCache(nil, log, 0)
+			if configurations != nil {
+				source := NewCatalog(configurationOf{configurations, node.record.ID}, selector, func() uint64 { return node.cache.Version() }, decodeVersion)
+				node.cache = catalog.NewCache(source, log, time.Second)
+			}
+			mux.Handle(marbleroadv1connect.NewClusterServiceHandler(handler{&Server{Directory: node.directory, Cache: node.cache}}))
 			f.handlers[node.record.Address] = mux
 		}
 		for _, node := range f.nodes {
 			if err := node.directory.Start(context.Background()); err != nil {
 				t.Fatal(err)
 			}
+			if configurations == nil {
+				continue
+			}
+			if err := node.cache.Start(context.Background()); err != nil {
+				t.Fatal(err)
+			}
 		}
 		defer func() {
 			for _, node := range f.nodes {
 				_ = node.directory.Stop(context.Background())
+				if configurations != nil {
+					_ = node.cache.Stop(context.Background())
+				}
 			}
 		}()
 		time.Sleep(10 * time.Second)
