Nodes fetch versions of the configuration that other nodes have

Cause: a node learns of a version only from the store or from leaders before it in their order. The first reader asks nobody, the second only the first, and with twelve nodes or fewer nobody asks another node.

Change: the exchanged states carry the version in force at the sender.

--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -72,6 +72,9 @@
 	// disconnected is true after a failed call, until the source responds again.
 	disconnected bool
 
+	// adopting serializes Adopt.
+	adopting sync.Mutex
+
 	mu sync.Mutex
 	// updated is closed and replaced when the catalog or its verification changes.
 	updated chan struct{}
@@ -261,7 +264,7 @@
 	}
 }
 
-// recordVerified adopts the result of a successful call and wakes the callers of Await.
+// recordVerified records a successful call of the refresh loop.
 func (c *Cache) recordVerified(w WatchResult) {
 	if c.disconnected {
 		c.disconnected = false
@@ -270,6 +273,14 @@
 			f()
 		}
 	}
+	c.Adopt(w)
+}
+
+// Adopt puts the result's catalog in force if it is newer, records the verification if it is more recent, and wakes the
+// callers of Await. It is safe for concurrent use.
+func (c *Cache) Adopt(w WatchResult) {
+	c.adopting.Lock()
+	defer c.adopting.Unlock()
 	c.adopt(w)
 	if old := c.verification.Load(); old == nil || w.VerifiedAt.After(old.at) {
 		c.verification.Store(&verification{at: w.VerifiedAt, revision: w.Revision, source: w.Source})
@@ -280,7 +291,7 @@
 	c.updated = make(chan struct{})
 }
 
-// adopt puts a catalog in force unless its version is not newer.
+// adopt puts a catalog in force unless its version is not newer. It is called with adopting held.
 func (c *Cache) adopt(w WatchResult) {
 	old, next := c.current.Load(), w.Catalog
 	if next == nil || (old != nil && next.version <= old.version) {
--- a/internal/cluster/receive.go
+++ b/internal/cluster/receive.go
@@ -170,6 +170,7 @@
 		Loading:       s.GetLoading(),
 		Preparing:     s.GetPreparing(),
 		Leading:       s.GetLeading(),
+		Platform:      s.GetPlatform(),
 		AgeMs:         age,
 	}
 }
--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -143,6 +143,7 @@
 			Directing:     m.state.GetDirecting(),
 			Loading:       m.state.GetLoading(),
 			Preparing:     m.state.GetPreparing(),
+			Platform:      m.state.GetPlatform(),
 			AgeMs:         ageMS(now, m.asOf),
 		})
 	}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -67,7 +67,9 @@
 	self := cluster.Record{ID: s.Node.ID, Address: s.Cluster.Advertise, FailureDomain: s.Node.FailureDomain, Processor: s.Node.Processor}
 	feedLeader := feed.NewLeader(self, deferredNodes{&nodes}, func() bool { return len(groupDirector.Directing()) > 0 }, b.log, b.peers.Client(), b.peers.URL)
 	var catalogCache *catalog.Cache
-	catalogCache = catalog.NewCache(feed.NewCatalog(platform.NewConfiguration(store), feedLeader, func() uint64 { return catalogCache.Version() }, platform.DecodeConfiguration), b.log, catalogWatchWait)
+	catalogSource := feed.NewCatalog(platform.NewConfiguration(store), feedLeader, func() uint64 { return catalogCache.Version() }, platform.DecodeConfiguration)
+	catalogCache = catalog.NewCache(catalogSource, b.log, catalogWatchWait)
+	catchUp := feed.NewCatchUp(catalogSource, catalogCache, b.log)
 	vmList := platform.NewDirectory(store, s.Platform.Evacuations)
 	fleetSource := feed.NewFleet(vmList, feedLeader)
 	directory := fleet.NewDirectory(fleetSource, b.log, fleet.WatchWait, func() time.Duration {
@@ -79,6 +81,7 @@
 	if s.Platform.Evacuations {
 		directory.FollowEvacuations(fleetSource.WithEvacuations(vmList))
 	}
+	feedServer := &feed.Server{Directory: directory, Cache: catalogCache}
 	localState := func() *marbleroadv1.NodeState {
 		state := &marbleroadv1.NodeState{
 			Node:          self.ID,
@@ -88,6 +91,7 @@
 			Dissolving:    groupDirector.Dissolving(),
 			Loading:       uint32(groupDirector.Loading()),
 			Preparing:     groupDirector.Preparing(),
+			Platform:      feedServer.Knowledge(clock.Now()),
 		}
 		server.FillState(state)
 		return state
@@ -137,7 +141,8 @@
 	})
 	nodes.OnPeer(server.ReceiveState)
 	nodes.ServeForwarded(server.ForwardedHandler())
-	nodes.ServeFeed(&feed.Server{Directory: directory, Cache: catalogCache})
+	nodes.OnPeer(catchUp.HandleState)
+	nodes.ServeFeed(feedServer)
 	catalogCache.OnChange(server.Rebuild)
 	catalogCache.OnReconnect(archive.Refresh)
 	directory.OnChange(func(*fleet.Snapshot) { server.Rebuild() })
@@ -170,6 +175,7 @@
 		adminServer,
 		archive,
 		catalogCache,
+		catchUp,
 		directory,
 		nodes,
 		groupDirector,
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -152,6 +152,8 @@
 		"None."}
 	PackingChanged = Event{4037, zerolog.InfoLevel, "groups of a fabric domain are dissolved for groups of another model; gain and cost are in the work of a group of pace 1 times seconds",
 		"None; if it repeats for one fabric domain within its payback, report the demand that the 4015 events show."}
+	VersionFetched = Event{4038, zerolog.InfoLevel, "another node had a newer configuration than this node's reader delivered; it was fetched from there",
+		"If it repeats, see 4025, 4026 and 3001 of this node for why its reader is late."}
 )
 
 // Events of requests.
@@ -244,7 +246,7 @@
 	UpstreamAdded, UpstreamDraining, UpstreamRemoved, MembershipChanged, OrderSent,
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
 	DirectorRoleAcquired, DirectorRoleReleased, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceQueried, ListRead, UnverifiedStateAdopted,
-	EvacuationStarted, EvacuationEnded, LeaderOutdated, EntryOutdated, PackingChanged,
+	EvacuationStarted, EvacuationEnded, LeaderOutdated, EntryOutdated, PackingChanged, VersionFetched,
 	RequestDone, RequestRefused, RequestFailed, InvalidInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerDisconnected, RetryRefused, UpstreamTerminated, RequestQuarantined,
 	SuspectsReceived, QuarantineUnavailable, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamBackoff, UpstreamLeaving, UpstreamWarming, CallerSlow,
--- a/internal/feed/virtual_test.go
+++ b/internal/feed/virtual_test.go
@@ -19,6 +19,7 @@
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/platform"
+	"github.com/marbleroad/marbleroad/internal/wait"
 )
 
 const (
@@ -202,6 +203,12 @@
 	record    cluster.Record
 	directory *fleet.Directory
 	cache     *catalog.Cache
+	catchUp   *CatchUp
+	server    *Server
+
+	mu sync.Mutex
+	// heard holds the last received states of other nodes.
+	heard map[string]cluster.Peer
 }
 
 // Size implements Nodes.
@@ -220,15 +227,67 @@
 
 // Live implements Nodes.
 func (n *virtualNode) Live(now time.Time) []cluster.Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	var out []cluster.Peer
 	for _, other := range n.site.nodes {
-		if other != n && !n.site.dead[other.record.Address] {
-			out = append(out, cluster.Peer{Record: other.record, State: &marbleroadv1.NodeState{}, LastSeen: now})
+		if other == n || n.site.dead[other.record.Address] {
+			continue
+		}
+		heard, ok := n.heard[other.record.ID]
+		if !ok {
+			heard = cluster.Peer{Record: other.record, State: &marbleroadv1.NodeState{}, LastSeen: now}
 		}
+		out = append(out, heard)
 	}
 	return out
 }
 
+const (
+	// exchangeInterval is the time between two exchanges of a node's state, hubsOfDomain how many nodes of a failure
+	// domain pass on states, if there are more nodes than maxIndependentNodes.
+	exchangeInterval = 300 * time.Millisecond
+	hubsOfDomain     = 2
+)
+
+// exchange lets the nodes exchange what they know of the platform: in a small site each with all others, else the hubs with
+// each other and with the members of their failure domain. A hub passes on what it heard of other hubs the last time.
+func (f *virtualFleet) exchange(ctx context.Context) {
+	for wait.Sleep(ctx, exchangeInterval) {
+		now := time.Now()
+		for i, node := range f.nodes {
+			isHub := len(f.nodes) <= maxIndependentNodes || i < virtualDomains*hubsOfDomain
+			for k, other := range f.nodes {
+				otherIsHub := len(f.nodes) <= maxIndependentNodes || k < virtualDomains*hubsOfDomain
+				sameDomain := node.record.FailureDomain == other.record.FailureDomain
+				switch {
+				case other == node || !otherIsHub && !(isHub && sameDomain):
+				case isHub || sameDomain:
+					node.hear(cluster.Peer{Record: other.record, LastSeen: now, State: &marbleroadv1.NodeState{Node: other.record.ID, Platform: other.server.Knowledge(now)}})
+				default:
+					node.hear(f.nodes[i%virtualDomains].heardOf(other.record.ID))
+				}
+			}
+		}
+	}
+}
+
+func (n *virtualNode) heardOf(id string) cluster.Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.heard[id]
+}
+
+func (n *virtualNode) hear(p cluster.Peer) {
+	if p.State == nil {
+		return
+	}
+	n.mu.Lock()
+	n.heard[p.ID] = p
+	n.mu.Unlock()
+	n.catchUp.HandleState(p.State, p.LastSeen)
+}
+
 // RoundTrip implements http.RoundTripper: it calls the other node's handler.
 func (f *virtualFleet) RoundTrip(r *http.Request) (*http.Response, error) {
 	defer func() { _ = r.Body.Close() }()
@@ -264,7 +323,7 @@
 		log := testLog(t)
 		for i := range n {
 			address := fmt.Sprintf("n%03d", i)
-			f.nodes = append(f.nodes, &virtualNode{site: f, record: cluster.Record{ID: address, Address: address, FailureDomain: fmt.Sprintf("d%d", i%virtualDomains)}})
+			f.nodes = append(f.nodes, &virtualNode{site: f, heard: make(map[string]cluster.Peer), record: cluster.Record{ID: address, Address: address, FailureDomain: fmt.Sprintf("d%d", i%virtualDomains)}})
 		}
 		for _, node := range f.nodes {
 			selector := NewLeader(node.record, node, func() bool { return false }, log, client, func(a string) string { return "http://" + a })
@@ -274,8 +333,10 @@
 			if configurations != nil {
 				source := NewCatalog(configurationOf{configurations, node.record.ID}, selector, func() uint64 { return node.cache.Version() }, decodeVersion)
 				node.cache = catalog.NewCache(source, log, time.Second)
+				node.catchUp = NewCatchUp(source, node.cache, log)
 			}
-			mux.Handle(marbleroadv1connect.NewClusterServiceHandler(handler{&Server{Directory: node.directory, Cache: node.cache}}))
+			node.server = &Server{Directory: node.directory, Cache: node.cache}
+			mux.Handle(marbleroadv1connect.NewClusterServiceHandler(handler{node.server}))
 			f.handlers[node.record.Address] = mux
 		}
 		for _, node := range f.nodes {
@@ -285,15 +346,23 @@
 			if configurations == nil {
 				continue
 			}
-			if err := node.cache.Start(context.Background()); err != nil {
-				t.Fatal(err)
+			for _, start := range []func(context.Context) error{node.cache.Start, node.catchUp.Start} {
+				if err := start(context.Background()); err != nil {
+					t.Fatal(err)
+				}
 			}
 		}
+		if configurations != nil {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go f.exchange(ctx)
+		}
 		defer func() {
 			for _, node := range f.nodes {
 				_ = node.directory.Stop(context.Background())
 				if configurations != nil {
 					_ = node.cache.Stop(context.Background())
+					_ = node.catchUp.Stop(context.Background())
 				}
 			}
 		}()
