A reader that does not read says so at once

What callers saw: nodes that the store serves came 1.5 to 2.4 s late when their reader was cut off or stood still, of 3 s allowed, and every further fault adds to that.

Cause: a follower waited at its leader for up to 0.7 s (0.4 s for the list) before it judged the age of the leader's proof, and did so again 0.8 s after it had left that leader; a leader whose own call had failed answered as if it had no news.

Change: a leader answers by the time at which its proof becomes unusable, and at once when its own call for the configuration fails; FollowCatalogResponse says so, and the follower leaves it.

--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -69,8 +69,8 @@
 	onReconnect  []func()
 
 	refresher wait.Loop
-	// disconnected is true after a failed call, until the source responds again.
-	disconnected bool
+	// disconnected is true after a failed call, until the source responds again. Only the refresh loop changes it.
+	disconnected atomic.Bool
 
 	// adopting serializes Adopt.
 	adopting sync.Mutex
@@ -118,6 +118,8 @@
 	// VerifiedAge is the time since the version was last known to be the newest, counted
 	// from when the verifying call was sent.
 	VerifiedAge time.Duration
+	// Disconnected is true while the last call to the source has failed.
+	Disconnected bool
 }
 
 // NewCache returns a cache that watches the source with calls of the given waiting time.
@@ -178,9 +180,9 @@
 	// between is newer than the reported revision, never older.
 	v := c.verification.Load()
 	if v == nil {
-		return State{Version: c.Version(), VerifiedAge: neverVerified}
+		return State{Version: c.Version(), VerifiedAge: neverVerified, Disconnected: c.disconnected.Load()}
 	}
-	return State{Version: c.Version(), Revision: v.revision, VerifiedAge: clock.Since(v.at)}
+	return State{Version: c.Version(), Revision: v.revision, VerifiedAge: clock.Since(v.at), Disconnected: c.disconnected.Load()}
 }
 
 // refreshLoop reads the configuration and then watches it from the revision that was read.
@@ -225,7 +227,7 @@
 // watchWait returns how long the next watch may wait for a change. While the source is
 // unreachable it is zero, so that the first response after the outage is not delayed by it.
 func (c *Cache) watchWait() time.Duration {
-	if c.disconnected {
+	if c.disconnected.Load() {
 		return 0
 	}
 	return c.wait
@@ -245,13 +247,25 @@
 // Await waits up to wait until the version in force is above the given one and all changes up to a later revision
 // than newerThan were seen, and returns the state at the end of the wait.
 func (c *Cache) Await(ctx context.Context, version, newerThan uint64, wait time.Duration) State {
+	return c.await(ctx, wait, func(s State) bool {
+		return s.Version > version && (newerThan == 0 || s.Revision > newerThan)
+	})
+}
+
+// AwaitConnected waits like Await for a version above the given one, but at most until a call to the source fails.
+func (c *Cache) AwaitConnected(ctx context.Context, version uint64, wait time.Duration) State {
+	return c.await(ctx, wait, func(s State) bool { return s.Version > version || s.Disconnected })
+}
+
+// await waits up to wait until the state satisfies the condition, and returns it.
+func (c *Cache) await(ctx context.Context, wait time.Duration, satisfied func(State) bool) State {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		c.mu.Lock()
 		updated := c.updated
 		c.mu.Unlock()
-		if current := c.state(); current.Version > version && (newerThan == 0 || current.Revision > newerThan) {
+		if current := c.state(); satisfied(current) {
 			return current
 		}
 		select {
@@ -266,8 +280,7 @@
 
 // recordVerified records a successful call of the refresh loop.
 func (c *Cache) recordVerified(w WatchResult) {
-	if c.disconnected {
-		c.disconnected = false
+	if c.disconnected.Swap(false) {
 		c.log.Emit(event.PlatformUp).Str("of", "catalog").Send()
 		for _, f := range c.onReconnect {
 			f()
@@ -285,6 +298,11 @@
 	if old := c.verification.Load(); old == nil || w.VerifiedAt.After(old.at) {
 		c.verification.Store(&verification{at: w.VerifiedAt, revision: w.Revision, source: w.Source})
 	}
+	c.wakeWaiters()
+}
+
+// wakeWaiters wakes the callers of Await.
+func (c *Cache) wakeWaiters() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	close(c.updated)
@@ -310,9 +328,9 @@
 
 // recordFailure logs the first failed call of an outage.
 func (c *Cache) recordFailure(ctx context.Context, err error) {
-	if c.disconnected || ctx.Err() != nil {
+	if ctx.Err() != nil || c.disconnected.Swap(true) {
 		return
 	}
-	c.disconnected = true
+	c.wakeWaiters()
 	c.log.Emit(event.PlatformDown).Str("of", "catalog").Dur("proven_age_ms", c.VerifiedAge(clock.Now())).Err(err).Send()
 }
--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -114,6 +114,9 @@
 	verifiedAt time.Time
 }
 
+// errLeaderDisconnected means that the leader's own last call for the configuration failed.
+var errLeaderDisconnected = errors.Mark(errors.New("the leader's own call failed"), errLeaderUnusable)
+
 // Changed implements catalog.Source.
 func (c *Catalog) Changed(ctx context.Context, revision uint64, wait time.Duration) (catalog.WatchResult, error) {
 	known := c.version()
@@ -124,6 +127,9 @@
 		if err == nil && got.GetVersion() > newest.GetVersion() {
 			newest = got
 		}
+		if err == nil && got.GetDisconnected() && got.GetVersion() <= known {
+			err = errLeaderDisconnected
+		}
 		return got, verifiedAfter, err
 	})
 	if errors.Is(err, errNoLeader) && newest.GetVersion() <= known {
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -70,7 +70,7 @@
 		newerThan := receivedRevision(r.Era, r.GetNewerThan(), own)
 		return s.Directory.AwaitList(ctx, newerThan, renewalWait(newerThan, s.listAge(), limit))
 	}
-	return s.Directory.Await(ctx, receivedRevision(r.Era, r.GetRevision(), own), limit)
+	return s.Directory.Await(ctx, receivedRevision(r.Era, r.GetRevision(), own), min(limit, max(fleetQuery.maxAge-s.listAge(), 0)))
 }
 
 // listAge returns the time since this node's list was verified; zero while it has none.
@@ -94,13 +94,19 @@
 func (s *Server) FollowCatalog(ctx context.Context, r *connect.Request[marbleroadv1.FollowCatalogRequest]) (*connect.Response[marbleroadv1.FollowCatalogResponse], error) {
 	arrived := clock.Now()
 	newerThan := receivedRevision(r.Msg.Era, r.Msg.GetNewerThan(), s.Cache.Revision())
+	age := s.Cache.VerifiedAge(arrived)
 	limit := min(milliseconds(r.Msg.GetWaitMs()), maxFollowWait)
-	state := s.Cache.Await(ctx, r.Msg.GetVersion(), newerThan, renewalWait(newerThan, s.Cache.VerifiedAge(arrived), limit))
+	var state catalog.State
+	if newerThan == 0 {
+		state = s.Cache.AwaitConnected(ctx, r.Msg.GetVersion(), min(limit, max(catalogQuery.maxAge-age, 0)))
+	} else {
+		state = s.Cache.Await(ctx, r.Msg.GetVersion(), newerThan, renewalWait(newerThan, age, limit))
+	}
 	if newerThan != 0 && state.Revision <= newerThan {
 		return connect.NewResponse(&marbleroadv1.FollowCatalogResponse{ProvenAfterMs: verifiedAfterMS(arrived, time.Time{})}), nil
 	}
 	era, number := sentRevision(state.Revision)
-	out := &marbleroadv1.FollowCatalogResponse{Version: state.Version, Revision: number, Era: era,
+	out := &marbleroadv1.FollowCatalogResponse{Version: state.Version, Revision: number, Era: era, Disconnected: state.Disconnected,
 		ProvenAfterMs: verifiedAfterMS(arrived, clock.Now().Add(-state.VerifiedAge))}
 	if state.Version <= r.Msg.GetVersion() {
 		return connect.NewResponse(out), nil
