A node that neither the platform nor a leader serves follows a node that reads

Change: nodes report how long ago they verified the configuration at the platform themselves. A node whose own call fails asks two of these, one after the other; nodes that only follow others don't count, as they may follow this one. Hubs list two members that read the platform. Event 4039 says so once.

Evidence: TestConfigurationStaysVerifiedWhileReadersAreCutOff failed in 8 of 8 cases before and passes.

--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -65,8 +65,10 @@
 	current      atomic.Pointer[Catalog]
 	adoption     atomic.Pointer[adoption]
 	verification atomic.Pointer[verification]
-	onChange     []func()
-	onReconnect  []func()
+	// readAt is when the last call that the platform itself answered was sent; nil if there was none.
+	readAt      atomic.Pointer[time.Time]
+	onChange    []func()
+	onReconnect []func()
 
 	refresher wait.Loop
 	// disconnected is true after a failed call, until the source responds again. Only the refresh loop changes it.
@@ -163,6 +165,15 @@
 	return now.Sub(v.at)
 }
 
+// ReadAt returns when the call was sent by which this node last verified the catalog at the platform itself; zero if
+// another node verified it since.
+func (c *Cache) ReadAt() time.Time {
+	if v := c.verification.Load(); v != nil && v.source == "" {
+		return v.at
+	}
+	return time.Time{}
+}
+
 // Origin returns where the catalog in force comes from.
 func (c *Cache) Origin(now time.Time) Origin {
 	var out Origin
--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -7,9 +7,14 @@
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 )
 
-// maxLeadingNodes is the number of nodes of its failure domain that a hub lists, besides those that
-// manage groups: roles fall to the first nodes of a failure domain.
-const maxLeadingNodes = 3
+const (
+	// maxLeadingNodes is the number of nodes of its failure domain that a hub lists, besides those that
+	// manage groups: roles fall to the first nodes of a failure domain.
+	maxLeadingNodes = 3
+	// maxReaderNodes is the number of further nodes that a hub lists because they read the platform: nodes that the
+	// platform does not serve follow them.
+	maxReaderNodes = 2
+)
 
 // receivedState is a node's state and the time from which it dates.
 type receivedState struct {
@@ -118,21 +123,25 @@
 	return a.GetRecentRate() + b.GetRecentRate()
 }
 
-// leadingStates returns short states of the members that manage groups or are among the first of
-// the failure domain.
+// leadingStates returns short states of the members that manage groups, are among the first of
+// the failure domain, or read the platform.
 func leadingStates(members []receivedState, domain, exclude string, now time.Time) []*marbleroadv1.NodeState {
 	members = slices.DeleteFunc(slices.Clone(members), func(m receivedState) bool { return m.state.GetNode() == exclude })
 	slices.SortFunc(members, func(a, b receivedState) int { return CompareForRole(recordOf(a.state), recordOf(b.state)) })
 	var out []*marbleroadv1.NodeState
-	local := 0
+	local, readers := 0, 0
 	for _, m := range members {
 		if m.state.GetFailureDomain() == domain {
 			local++
 		}
 		first := m.state.GetFailureDomain() == domain && local <= maxLeadingNodes
-		if !first && len(m.state.GetDirecting()) == 0 {
+		reader := m.state.GetPlatform().GetVersionReadMs() > 0 && readers < maxReaderNodes
+		if !first && !reader && len(m.state.GetDirecting()) == 0 {
 			continue
 		}
+		if reader {
+			readers++
+		}
 		out = append(out, &marbleroadv1.NodeState{
 			Node:          m.state.GetNode(),
 			FailureDomain: m.state.GetFailureDomain(),
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -154,6 +154,8 @@
 		"None; if it repeats for one fabric domain within its payback, report the demand that the 4015 events show."}
 	VersionFetched = Event{4038, zerolog.InfoLevel, "another node had a newer configuration than this node's reader delivered; it was fetched from there",
 		"If it repeats, see 4025, 4026 and 3001 of this node for why its reader is late."}
+	RelayFollowed = Event{4039, zerolog.WarnLevel, "neither the platform nor a leader serves this node; it follows another node that has a recent proof",
+		"Check the platform, and this node's path to it. Serving continues."}
 )
 
 // Events of requests.
@@ -246,7 +248,7 @@
 	UpstreamAdded, UpstreamDraining, UpstreamRemoved, MembershipChanged, OrderSent,
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
 	DirectorRoleAcquired, DirectorRoleReleased, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceQueried, ListRead, UnverifiedStateAdopted,
-	EvacuationStarted, EvacuationEnded, LeaderOutdated, EntryOutdated, PackingChanged, VersionFetched,
+	EvacuationStarted, EvacuationEnded, LeaderOutdated, EntryOutdated, PackingChanged, VersionFetched, RelayFollowed,
 	RequestDone, RequestRefused, RequestFailed, InvalidInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerDisconnected, RetryRefused, UpstreamTerminated, RequestQuarantined,
 	SuspectsReceived, QuarantineUnavailable, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamBackoff, UpstreamLeaving, UpstreamWarming, CallerSlow,
--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -29,6 +29,8 @@
 	version func() uint64
 	// decode parses the operators' document.
 	decode func([]byte) (*catalog.Catalog, error)
+	// verifiedAt is when the configuration was last known to be the newest. Only Changed uses it.
+	verifiedAt time.Time
 }
 
 // NewCatalog returns a source that reads from the leader, and falls back to the platform's source.
@@ -117,12 +119,51 @@
 // errLeaderDisconnected means that the leader's own last call for the configuration failed.
 var errLeaderDisconnected = errors.Mark(errors.New("the leader's own call failed"), errLeaderUnusable)
 
-// Changed implements catalog.Source.
+// Changed implements catalog.Source. A node that neither the platform nor a leader serves follows another node, so that
+// its configuration stays verified.
 func (c *Catalog) Changed(ctx context.Context, revision uint64, wait time.Duration) (catalog.WatchResult, error) {
+	if clock.Since(c.verifiedAt) > catalogQuery.maxAge {
+		// A proof is needed sooner than a change.
+		wait = 0
+	}
+	w, err := c.changed(ctx, revision, wait)
+	if errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil {
+		w, err = c.relayed(ctx, revision, wait, err)
+	}
+	if err == nil {
+		c.verifiedAt = w.VerifiedAt
+	}
+	return w, err
+}
+
+// relayed asks nodes that read the platform, after this node's own call failed with cause.
+func (c *Catalog) relayed(ctx context.Context, revision uint64, wait time.Duration, cause error) (catalog.WatchResult, error) {
+	known := c.version()
+	got, _, err := followRelay(ctx, &c.calls, "configuration", cause, catalogQuery, versionRead,
+		func(ctx context.Context, node cluster.Record) (answer, time.Duration, error) {
+			got, verifiedAfter, err := c.ask(ctx, node, known, c.calls.relayWait(min(wait, catalogQuery.wait)))
+			if err == nil && (got.GetVersion() < known || got.GetVersion() == known && got.GetDisconnected()) {
+				err = errLeaderUnusable
+			}
+			return got, verifiedAfter, err
+		})
+	switch {
+	case err != nil:
+		return catalog.WatchResult{}, err
+	case got.GetVersion() > known:
+		return c.received(got, revision)
+	}
+	return c.verified(got, revision), nil
+}
+
+// changed asks the leaders for a newer version, else waits for one at the platform.
+func (c *Catalog) changed(ctx context.Context, revision uint64, wait time.Duration) (catalog.WatchResult, error) {
 	known := c.version()
 	// newest has the newest version of all leaders that were asked, usable or not.
 	var newest answer
+	asked := false
 	next, _, err := followFirst(ctx, c.selector, catalogQuery, func(ctx context.Context, leader cluster.Record, leaderWait time.Duration) (answer, time.Duration, error) {
+		asked = true
 		got, verifiedAfter, err := c.ask(ctx, leader, known, min(wait, leaderWait))
 		if err == nil && got.GetVersion() > newest.GetVersion() {
 			newest = got
@@ -132,7 +173,7 @@
 		}
 		return got, verifiedAfter, err
 	})
-	if errors.Is(err, errNoLeader) && newest.GetVersion() <= known {
+	if errors.Is(err, errNoLeader) && !asked {
 		return c.watch(ctx, revision, wait)
 	}
 	if newest.GetVersion() > known {
@@ -193,7 +234,7 @@
 	if err := c.calls.allowed(clock.Now()); err != nil {
 		return catalog.WatchResult{}, err
 	}
-	w, err := c.source.Changed(ctx, revision, wait)
+	w, err := c.source.Changed(ctx, revision, c.calls.wait(wait))
 	c.calls.finished(clock.Now(), err)
 	return w, err
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,6 +21,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
@@ -51,6 +52,11 @@
 	// refuses all of these with a probability below 0.0002. When all of these are disconnected, the store
 	// itself is the likelier cause.
 	maxLeaders = 8
+	// maxRelays is how many nodes are asked, one after the other, in place of the platform.
+	maxRelays = 2
+	// maxReadAge is how long ago such a node has last read the platform at most. A watch of the configuration that
+	// waits for a second, and its report, are 2.6 s old at most.
+	maxReadAge = 3 * time.Second
 	// maxEagerLeaders is how many of these retry failed calls to the platform without minPlatformBackoff,
 	// so that its recovery is noticed at once.
 	maxEagerLeaders = 3
@@ -138,6 +144,10 @@
 	selector *Leader
 	// backoffUntil is the time until which only leaders are queried.
 	backoffUntil time.Time
+	// failed is true if this node's last call failed.
+	failed bool
+	// relayed is true while this node follows one that is no leader.
+	relayed bool
 }
 
 // errPlatformBackoff means that the leaders are disconnected and that a call of this node failed
@@ -161,11 +171,54 @@
 // finished records the outcome of a call of this node.
 func (p *platformCalls) finished(now time.Time, err error) {
 	p.backoffUntil = time.Time{}
-	if errors.Is(err, platform.ErrUnavailable) {
+	p.failed = errors.Is(err, platform.ErrUnavailable)
+	p.relayed = p.relayed && p.failed
+	if p.failed {
 		p.backoffUntil = now.Add(minPlatformBackoff + rand.N(minPlatformBackoff/2))
 	}
 }
 
+// wait returns how long this node's next call may wait for changes: not at all after a failed one, so that it is
+// noticed at once when the platform responds again.
+func (p *platformCalls) wait(maxWait time.Duration) time.Duration {
+	if p.failed {
+		return 0
+	}
+	return maxWait
+}
+
+// relayWait returns how long a relay may wait for changes: not at all when this node turns to it, since a proof is needed
+// sooner then.
+func (p *platformCalls) relayWait(maxWait time.Duration) time.Duration {
+	if !p.relayed {
+		return 0
+	}
+	return maxWait
+}
+
+// followRelay follows a node that reads the platform, whichever its rank and failure domain, after this node's own call
+// failed with cause. Nodes that only follow others don't count: they may follow this one. readAge returns how long ago a
+// node read the object, in milliseconds; nil if it did not.
+func followRelay[T any](ctx context.Context, p *platformCalls, object string, cause error, q query, readAge func(*marbleroadv1.PlatformKnowledge) *uint32, request func(context.Context, cluster.Record) (T, time.Duration, error)) (T, time.Time, error) {
+	relays := p.selector.nodesWith(clock.Now(), func(k *marbleroadv1.PlatformKnowledge, reported time.Duration) bool {
+		age := readAge(k)
+		return age != nil && milliseconds(*age)+reported <= maxReadAge
+	})
+	for _, node := range relays[:min(len(relays), maxRelays)] {
+		response, verifiedAt, err := follow(ctx, p.selector, node, q, func(ctx context.Context) (T, time.Duration, error) { return request(ctx, node) })
+		if err != nil && ctx.Err() == nil {
+			continue
+		}
+		if err == nil && !p.relayed {
+			p.relayed = true
+			p.selector.log.Emit(event.RelayFollowed).Str("of", object).Str("node", node.ID).AnErr("cause", cause).Send()
+		}
+		return response, verifiedAt, err
+	}
+	var zero T
+	return zero, time.Time{}, cause
+}
+
 // first returns the first leader of the failure domain that has not failed this node; empty when that
 // is this node itself, or when there is none.
 func (l *Leader) first(now time.Time) cluster.Record {
--- a/internal/feed/knowledge.go
+++ b/internal/feed/knowledge.go
@@ -12,21 +12,20 @@
 
 // Knowledge returns what this node knows of the platform's state, for the states that nodes exchange.
 func (s *Server) Knowledge(now time.Time) *marbleroadv1.PlatformKnowledge {
-	out := &marbleroadv1.PlatformKnowledge{Version: s.Cache.Version()}
-	if age := s.Cache.VerifiedAge(now); age <= maxReportedAge {
-		out.VersionAgeMs = ageMS(age)
+	return &marbleroadv1.PlatformKnowledge{
+		Version:       s.Cache.Version(),
+		VersionReadMs: reportedAge(now, s.Cache.ReadAt()),
+		ListReadMs:    reportedAge(now, s.Directory.ReadAt()),
 	}
-	if snapshot := s.Directory.Snapshot(); snapshot != nil && now.Sub(snapshot.VerifiedAt) <= maxReportedAge {
-		out.ListAgeMs = ageMS(now.Sub(snapshot.VerifiedAt))
-	}
-	return out
 }
 
-// maxReportedAge is the age of a verification above which a node does not report it: other nodes don't follow it then.
-const maxReportedAge = time.Minute
-
-// ageMS returns an age in milliseconds, rounded up.
-func ageMS(age time.Duration) *uint32 {
+// reportedAge returns the time since a call was sent, in milliseconds; nil after a minute, and if there was no call.
+func reportedAge(now, sentAt time.Time) *uint32 {
+	const maxAge = time.Minute
+	age := now.Sub(sentAt)
+	if sentAt.IsZero() || age > maxAge {
+		return nil
+	}
 	ms := uint32(max(age, 0)/time.Millisecond) + 1
 	return &ms
 }
@@ -63,3 +62,19 @@
 	})
 	return out
 }
+
+// versionRead and listRead return how long ago a node reported to have read the configuration and the list, in
+// milliseconds; nil if it did not.
+func versionRead(k *marbleroadv1.PlatformKnowledge) *uint32 {
+	if k == nil {
+		return nil
+	}
+	return k.VersionReadMs
+}
+
+func listRead(k *marbleroadv1.PlatformKnowledge) *uint32 {
+	if k == nil {
+		return nil
+	}
+	return k.ListReadMs
+}
--- a/internal/feed/virtual_catalog_test.go
+++ b/internal/feed/virtual_catalog_test.go
@@ -111,25 +111,56 @@
 	})
 }
 
-// TestVersionReachesNodesWhoseReadersAreCutOff guards against a change that is not in force in time while the nodes
-// that read the configuration for others don't reach the store: neither at these nodes nor at their followers.
-func TestVersionReachesNodesWhoseReadersAreCutOff(t *testing.T) {
+// forEachCut calls test for sites of 8 and 80 nodes in which the first nodes of each failure domain, which read the store
+// for others, are not served by it.
+func forEachCut(t *testing.T, test func(t *testing.T, n int, cut func(f *virtualFleet, s *virtualConfigurations))) {
 	for _, n := range []int{8, 80} {
-		for _, cut := range []int{1, 2, 9} {
-			if n == 8 && cut > 1 {
+		for _, count := range []int{1, 2, 9} {
+			if n == 8 && count > 1 {
 				continue
 			}
 			for name, how := range map[string]access{"refused": refused, "silent": silent} {
-				for _, after := range publishesAfter {
-					t.Run(fmt.Sprintf("%d nodes, %d of each domain %s for %s", n, cut, name, after), func(t *testing.T) {
-						playVersion(t, n, after, func(f *virtualFleet, s *virtualConfigurations) {
-							for _, node := range f.nodes[:virtualDomains*cut] {
-								s.setAccess(node.record.ID, how)
-							}
-						})
+				t.Run(fmt.Sprintf("%d nodes, %d of each domain %s", n, count, name), func(t *testing.T) {
+					test(t, n, func(f *virtualFleet, s *virtualConfigurations) {
+						for _, node := range f.nodes[:virtualDomains*count] {
+							s.setAccess(node.record.ID, how)
+						}
 					})
-				}
+				})
 			}
 		}
 	}
 }
+
+// TestVersionReachesNodesWhoseReadersAreCutOff guards against a change that is not in force in time while the nodes
+// that read the configuration for others don't reach the store: neither at these nodes nor at their followers.
+func TestVersionReachesNodesWhoseReadersAreCutOff(t *testing.T) {
+	forEachCut(t, func(t *testing.T, n int, cut func(f *virtualFleet, s *virtualConfigurations)) {
+		for _, after := range publishesAfter {
+			t.Run(after.String(), func(t *testing.T) { playVersion(t, n, after, cut) })
+		}
+	})
+}
+
+// TestConfigurationStaysVerifiedWhileReadersAreCutOff guards against nodes that refuse keys, because they can't tell
+// whether these were revoked, although other nodes know.
+func TestConfigurationStaysVerifiedWhileReadersAreCutOff(t *testing.T) {
+	// maxAge is how long keys are accepted after the configuration was verified, with a revocation bound of 5 s.
+	const maxAge = 4700 * time.Millisecond
+	forEachCut(t, func(t *testing.T, n int, cut func(f *virtualFleet, s *virtualConfigurations)) {
+		s := &virtualConfigurations{virtualStore: storeOfPlainVMs(), version: 1}
+		runVirtualWith(t, n, s.virtualStore, s, func(t *testing.T, f *virtualFleet) {
+			start := time.Now()
+			cut(f, s)
+			for after := time.Duration(0); after < 12*time.Second; after += time.Second {
+				at(start, after, func() {
+					for _, node := range f.nodes {
+						if age := node.cache.VerifiedAge(time.Now()); age > maxAge {
+							t.Fatalf("%s after the cut, %s verified its configuration %s ago", after, node.record.ID, age)
+						}
+					}
+				})
+			}
+		})
+	})
+}
--- a/internal/feed/virtual_test.go
+++ b/internal/feed/virtual_test.go
@@ -251,17 +251,25 @@
 )
 
 // exchange lets the nodes exchange what they know of the platform: in a small site each with all others, else the hubs with
-// each other and with the members of their failure domain. A hub passes on what it heard of other hubs the last time.
+// each other and with the members of their failure domain. A hub passes on what it heard of other hubs the last time, and of
+// two members that read the platform.
 func (f *virtualFleet) exchange(ctx context.Context) {
 	for wait.Sleep(ctx, exchangeInterval) {
 		now := time.Now()
 		for i, node := range f.nodes {
 			isHub := len(f.nodes) <= maxIndependentNodes || i < virtualDomains*hubsOfDomain
+			readers := 0
 			for k, other := range f.nodes {
 				otherIsHub := len(f.nodes) <= maxIndependentNodes || k < virtualDomains*hubsOfDomain
 				sameDomain := node.record.FailureDomain == other.record.FailureDomain
 				switch {
-				case other == node || !otherIsHub && !(isHub && sameDomain):
+				case other == node:
+				case !otherIsHub && !isHub && sameDomain && readers < 2:
+					if reported := f.nodes[i%virtualDomains].heardOf(other.record.ID); versionRead(reported.State.GetPlatform()) != nil {
+						readers++
+						node.hear(reported)
+					}
+				case !otherIsHub && !(isHub && sameDomain):
 				case isHub || sameDomain:
 					node.hear(cluster.Peer{Record: other.record, LastSeen: now, State: &marbleroadv1.NodeState{Node: other.record.ID, Platform: other.server.Knowledge(now)}})
 				default:
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -59,6 +59,9 @@
 
 	running        wait.Loop
 	evacuationLoop wait.Loop
+	// readAt is when the call was sent by which this node last verified the list at the platform itself; nil if another
+	// node verified it since.
+	readAt atomic.Pointer[time.Time]
 	// rejected counts the invalid entries.
 	rejected atomic.Int64
 
@@ -141,6 +144,15 @@
 	return nil
 }
 
+// ReadAt returns when the call was sent by which this node last verified the list at the platform itself; zero if
+// another node verified it since.
+func (d *Directory) ReadAt() time.Time {
+	if at := d.readAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Snapshot returns the newest snapshot; nil before the list was first read.
 func (d *Directory) Snapshot() *Snapshot { return d.snapshot.Load() }
 
@@ -320,6 +332,10 @@
 // recordResponse records a successful call, before its response is applied.
 func (d *Directory) recordResponse(w WatchResult) {
 	verifiedAt := w.VerifiedAt
+	d.readAt.Store(nil)
+	if !w.Relayed {
+		d.readAt.Store(&verifiedAt)
+	}
 	if d.disconnected {
 		d.disconnected = false
 		d.log.Emit(event.PlatformUp).Str("of", "directory").Int64("silent_ms", d.outage.unverifiedFor(verifiedAt).Milliseconds()).
