Nodes that the store refuses hear of upstreams that leave

The list of upstream VMs came only from the store or from leaders before the node, so a refused first reader sent requests to VMs that had left.

Change: Fleet.Watch falls back to nodes that read the platform, like the configuration; evacuations come with the list. A relay's proof may be 4 s old: a node of a small site watches the list for 1.5 s and pauses for 0.5 s. Nodes that have read within 2 s are asked first.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -54,9 +54,11 @@
 	maxLeaders = 8
 	// maxRelays is how many nodes are asked, one after the other, in place of the platform.
 	maxRelays = 2
-	// maxReadAge is how long ago such a node has last read the platform at most. A watch of the configuration that
-	// waits for a second, and its report, are 2.6 s old at most.
-	maxReadAge = 3 * time.Second
+	// maxReadAge is how long ago such a node has last read the platform at most: a node that reads for itself alone
+	// waits 1.5 s for changes of the list and pauses for 0.5 s, so its proof is up to 3.5 s old. Nodes that have read
+	// within freshReadAge come first; others may be cut off as well.
+	maxReadAge   = 4 * time.Second
+	freshReadAge = 2 * time.Second
 	// maxEagerLeaders is how many of these retry failed calls to the platform without minPlatformBackoff,
 	// so that its recovery is noticed at once.
 	maxEagerLeaders = 3
@@ -200,10 +202,17 @@
 // failed with cause. Nodes that only follow others don't count: they may follow this one. readAge returns how long ago a
 // node read the object, in milliseconds; nil if it did not.
 func followRelay[T any](ctx context.Context, p *platformCalls, object string, cause error, q query, readAge func(*marbleroadv1.PlatformKnowledge) *uint32, request func(context.Context, cluster.Record) (T, time.Duration, error)) (T, time.Time, error) {
-	relays := p.selector.nodesWith(clock.Now(), func(k *marbleroadv1.PlatformKnowledge, reported time.Duration) bool {
-		age := readAge(k)
-		return age != nil && milliseconds(*age)+reported <= maxReadAge
-	})
+	q.maxAge = maxReadAge
+	readWithin := func(limit time.Duration) func(*marbleroadv1.PlatformKnowledge, time.Duration) bool {
+		return func(k *marbleroadv1.PlatformKnowledge, reported time.Duration) bool {
+			age := readAge(k)
+			return age != nil && milliseconds(*age)+reported <= limit
+		}
+	}
+	relays := p.selector.nodesWith(clock.Now(), readWithin(freshReadAge))
+	if len(relays) == 0 {
+		relays = p.selector.nodesWith(clock.Now(), readWithin(maxReadAge))
+	}
 	for _, node := range relays[:min(len(relays), maxRelays)] {
 		response, verifiedAt, err := follow(ctx, p.selector, node, q, func(ctx context.Context) (T, time.Duration, error) { return request(ctx, node) })
 		if err != nil && ctx.Err() == nil {
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -128,29 +128,64 @@
 // errLeaderOutdated means that the leader has not noticed yet that the platform's store was restored.
 var errLeaderOutdated = errors.Mark(errors.New("the leader's list is from before the store's last restore"), errLeaderUnusable)
 
-// Watch implements fleet.Source. A leader that has read a store that was restored since responds that the
-// history of this node's revision is gone.
+// Watch implements fleet.Source. A node that neither the platform nor a leader serves follows another node, so that it
+// hears of changes.
 func (f *Fleet) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.WatchResult, error) {
+	w, err := f.changed(ctx, revision, wait)
+	if errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil {
+		w, err = f.relayed(ctx, revision, wait, err)
+	}
+	return w, err
+}
+
+// changed asks the leaders for changes, else waits for them at the platform.
+func (f *Fleet) changed(ctx context.Context, revision uint64, wait time.Duration) (fleet.WatchResult, error) {
 	q := fleetQuery
 	q.wait = min(q.wait, wait)
 	response, verifiedAt, err := followFirst(ctx, f.selector, q, func(ctx context.Context, leader cluster.Record, wait time.Duration) (*marbleroadv1.FollowFleetResponse, time.Duration, error) {
-		era, number := sentRevision(revision)
-		resp, err := f.selector.client(leader).FollowFleet(ctx, connect.NewRequest(&marbleroadv1.FollowFleetRequest{
-			Revision: number, Era: era, WaitMs: uint32(wait.Milliseconds())}))
-		if connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeUnavailable {
-			return nil, 0, errors.Mark(err, errLeaderUnusable)
-		}
-		if err != nil {
-			return nil, 0, err
-		}
-		return resp.Msg, milliseconds(resp.Msg.GetProvenAfterMs()), f.checkEra(revision, resp.Msg)
+		return f.ask(ctx, leader, revision, wait)
 	})
 	switch {
 	case errors.Is(err, errNoLeader):
 		return f.watch(ctx, revision, f.selector.watchWait(wait))
 	case err != nil:
 		return f.watch(ctx, revision, wait)
-	case response.GetCompacted():
+	}
+	return f.result(response, verifiedAt, revision)
+}
+
+// relayed asks nodes that read the platform, after this node's own call failed with cause.
+func (f *Fleet) relayed(ctx context.Context, revision uint64, wait time.Duration, cause error) (fleet.WatchResult, error) {
+	q := fleetQuery
+	q.wait = f.calls.relayWait(min(q.wait, wait))
+	response, verifiedAt, err := followRelay(ctx, &f.calls, "list", cause, q, listRead, func(ctx context.Context, node cluster.Record) (*marbleroadv1.FollowFleetResponse, time.Duration, error) {
+		return f.ask(ctx, node, revision, q.wait)
+	})
+	if err != nil {
+		return fleet.WatchResult{}, err
+	}
+	return f.result(response, verifiedAt, revision)
+}
+
+// ask asks another node for changes after the revision, for which it may wait. ask also returns when the answer was
+// verified, relative to the time of the request. A node that has read a store that was restored since responds that
+// the history of this node's revision is gone.
+func (f *Fleet) ask(ctx context.Context, node cluster.Record, revision uint64, wait time.Duration) (*marbleroadv1.FollowFleetResponse, time.Duration, error) {
+	era, number := sentRevision(revision)
+	resp, err := f.selector.client(node).FollowFleet(ctx, connect.NewRequest(&marbleroadv1.FollowFleetRequest{
+		Revision: number, Era: era, WaitMs: uint32(wait.Milliseconds())}))
+	if connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeUnavailable {
+		return nil, 0, errors.Mark(err, errLeaderUnusable)
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	return resp.Msg, milliseconds(resp.Msg.GetProvenAfterMs()), f.checkEra(revision, resp.Msg)
+}
+
+// result decodes another node's response; revision is that of this node's list.
+func (f *Fleet) result(response *marbleroadv1.FollowFleetResponse, verifiedAt time.Time, revision uint64) (fleet.WatchResult, error) {
+	if response.GetCompacted() {
 		return fleet.WatchResult{}, platform.ErrCompacted
 	}
 	w := watched(response, verifiedAt, revision)
@@ -193,7 +228,7 @@
 	if err := f.calls.allowed(clock.Now()); err != nil {
 		return fleet.WatchResult{}, err
 	}
-	w, err := f.source.Watch(ctx, revision, wait)
+	w, err := f.source.Watch(ctx, revision, f.calls.wait(wait))
 	f.calls.finished(clock.Now(), err)
 	return w, err
 }
--- a/internal/feed/virtual_catalog_test.go
+++ b/internal/feed/virtual_catalog_test.go
@@ -164,3 +164,22 @@
 		})
 	})
 }
+
+// TestListReachesNodesWhoseReadersAreCutOff guards against nodes that send requests to a VM long after it left, because the
+// store does not serve them, although other nodes know.
+func TestListReachesNodesWhoseReadersAreCutOff(t *testing.T) {
+	forEachCut(t, func(t *testing.T, n int, cut func(f *virtualFleet, s *virtualConfigurations)) {
+		for _, notice := range []bool{true, false} {
+			t.Run(fmt.Sprintf("notice %t", notice), func(t *testing.T) {
+				s := &virtualConfigurations{virtualStore: storeOfPlainVMs(), version: 1}
+				runVirtualWith(t, n, s.virtualStore, s, func(t *testing.T, f *virtualFleet) {
+					start := time.Now()
+					cut(f, s)
+					const left = 3 * time.Second
+					at(start, left, func() { s.leave(7, notice) })
+					f.checkGone(t, start, "vm-07", left, 0)
+				})
+			})
+		}
+	})
+}
