An outdated configuration refuses nothing for good

What callers saw: 404 and 401 for routes and keys that all other nodes already served; callers don't repeat such requests.

Cause: a node answered 404 and 401 by the version in force, however old its proof was and whatever other nodes had.

If that does not come, or if the configuration was not proven within the new setting change_bound, the answer is 503 configuration-not-proven with Retry-After. Requests that the known configuration allows are served as before.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -106,6 +106,7 @@
 		Tracer:          b.tracer,
 		Catalog:         catalogCache,
 		Directory:       directory,
+		NewestVersion:   catchUp.NewestVersion,
 		Caller:          platform.Caller{},
 		Upstream:        platform.Upstream{},
 		Nodes:           nodes.KnownSize,
@@ -226,6 +227,7 @@
 		ShutdownLimit: s.Gateway.StopGrace - s.Gateway.BalancerDelay - stopMargin,
 		Linger:        s.Gateway.Linger,
 		RevokeBound:   revokeBound,
+		ChangeBound:   s.Gateway.ChangeBound,
 		Repeats: retry.Limit{
 			Ratio:  s.Gateway.RepeatRatio,
 			Extra:  s.Gateway.RepeatExtra,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,6 +38,7 @@
 	codeNoRoute        = "no-route"
 	codeBadKey         = "bad-key"
 	codeUnverifiedKeys = "keys-not-proven"
+	codeOutdated       = "configuration-not-proven"
 	codeTooLarge       = "too-large"
 	codeBadBody        = "bad-body"
 	codeSlowBody       = "slow-body"
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -232,7 +232,7 @@
 		return forward.Taken
 	}
 	switch failure.Code {
-	case relay.CodeUnreachable, codeCutOff, codeStopping, codeOlderCatalog, codeNotReady, codeUnverifiedKeys:
+	case relay.CodeUnreachable, codeCutOff, codeStopping, codeOlderCatalog, codeNotReady, codeUnverifiedKeys, codeOutdated:
 		return forward.Rejected
 	case codeNoUpstream:
 		return forward.Declined
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -38,7 +38,7 @@
 func (s *Server) process(w http.ResponseWriter, r *http.Request, c *Call, failure *verdict.Error) {
 	var j *job
 	if failure == nil {
-		failure = s.route(c)
+		failure = s.route(r.Context(), c)
 	}
 	if failure == nil {
 		var body *bufferedBody
@@ -61,7 +61,16 @@
 
 // route determines the call's route, team, priority, service and deadline. It returns an error for a call that
 // this node does not accept.
-func (s *Server) route(c *Call) *verdict.Error {
+func (s *Server) route(ctx context.Context, c *Call) *verdict.Error {
+	failure := s.routeByCatalog(c)
+	if failure == nil || !isFinal(failure.Status) {
+		return failure
+	}
+	return s.confirmRefusal(ctx, c, failure)
+}
+
+// routeByCatalog does the work of route by the catalog in force.
+func (s *Server) routeByCatalog(c *Call) *verdict.Error {
 	current := s.catalog.Catalog()
 	if current == nil {
 		return s.notReadyError()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -72,6 +72,9 @@
 	// RevokeBound limits how long a revoked key is still accepted: while the catalog was last verified to be
 	// the newest longer ago than this, no keys are accepted. Zero means no limit.
 	RevokeBound time.Duration
+	// ChangeBound is the time within which a new configuration must be in force everywhere. A catalog that was last
+	// verified to be the newest before that refuses no call for good. Zero means no bound.
+	ChangeBound time.Duration
 	// Repeats is the budget for repeated sends of requests, over all nodes together.
 	Repeats retry.Limit
 	// Warmups bounds the requests to upstreams that are warming up.
@@ -109,6 +112,8 @@
 	Directory *fleet.Directory
 	Caller    CallerDialect
 	Upstream  UpstreamDialect
+	// NewestVersion returns the newest version of the configuration that a live node has; nil for a node without peers.
+	NewestVersion func() uint64
 	// Nodes returns the number of nodes that may share the budget for repeats; 0 while it is unknown.
 	Nodes func() int
 	// StateTTL returns how long the state of another node is valid.
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -57,6 +57,10 @@
 	// prefill is the time from the receipt of a streaming request to its execution.
 	prefill time.Duration
 	observe func(groupengine.Observation)
+	// changeBound is the configuration's ChangeBound; newestVersion returns the newest version of all nodes, nil for
+	// a node without peers.
+	changeBound   time.Duration
+	newestVersion func() uint64
 	// noConfiguration leaves the store without a configuration.
 	noConfiguration bool
 	// work is the service time of a plain VM.
@@ -110,10 +114,10 @@
 	}
 	s.server = gateway.NewServer(gateway.Config{
 		NodeID: "n", FailureDomain: "a", Listen: s.listen, ReadyListen: "127.0.0.1:0", ReadyPath: platform.ReadyPath, Local: "127.0.0.1:0",
-		BalancerDelay: time.Millisecond, ShutdownLimit: cmp.Or(o.stopLimit, waitLimit), Linger: o.linger, RevokeBound: o.revokeBound,
+		BalancerDelay: time.Millisecond, ShutdownLimit: cmp.Or(o.stopLimit, waitLimit), Linger: o.linger, RevokeBound: o.revokeBound, ChangeBound: o.changeBound,
 		Repeats: repeats, Processor: o.processor,
 	}, gateway.Parts{
-		Log: log, Metrics: metrics.NewRegistry(), Tracer: tracing.Off(), Catalog: catalogs, Directory: directory,
+		Log: log, Metrics: metrics.NewRegistry(), Tracer: tracing.Off(), Catalog: catalogs, Directory: directory, NewestVersion: o.newestVersion,
 		Caller: platform.Caller{}, Upstream: platform.Upstream{}, Nodes: func() int { return 1 }, StateTTL: func() time.Duration { return time.Second },
 		OtherNodes: func(time.Time) []forward.Candidate { return o.otherNodes }, Probe: o.probe,
 		Suspect: func(string, uint64) {}, Dissolving: func() []string { return nil }, StepDown: func() {}, TriggerExchange: func() {},
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -65,6 +65,8 @@
 	{"fair_shares.used_milligroups.MODEL.TEAM", "gauge", "Work of the team's admitted requests at all nodes, in thousandths of a busy group. For at most 64 pairs."},
 	{"catalog.version", "gauge", "Version of the configuration in force."},
 	{"catalog.age_ms", "gauge", "Time since the configuration was last verified to be the newest, as of the balancer's latest readiness check."},
+	{"refusals.awaited", "counter", "Requests without a route or with an unknown key that waited for a newer configuration that another node has."},
+	{"refusals.outdated", "counter", "Requests that got 503 instead of 404 or 401 since a newer configuration may accept them."},
 	{"start.PART_ms", "gauge", "Time from the start until the node had a part of what it needs: configuration, upstreams, nodes, keys, groups."},
 	{"platform.era", "gauge", "The era of the platform's store after its last restore from an older copy; absent before the first."},
 	{"platform.calls.VERB.KIND", "counter", "Calls to the platform's store: get, list, watch or write, and the kind of object."},
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -137,6 +137,8 @@
 		func(s *Settings, t string) error { return parseDuration(t, &s.Gateway.StopGrace) }},
 	{"gateway", "revoke_bound", "0s", "a duration, or 0s for none", "Time within which a revoked key must be rejected everywhere. Keys are rejected while the configuration is not verified to be that recent.", nil,
 		func(s *Settings, t string) error { return parseDurationOrZero(t, &s.Gateway.RevokeBound) }},
+	{"gateway", "change_bound", "0s", "a duration, or 0s for none", "Time within which a new configuration must be in force everywhere. While the configuration is not verified to be that recent, requests without a route or with an unknown key get 503 instead of 404 or 401.", nil,
+		func(s *Settings, t string) error { return parseDurationOrZero(t, &s.Gateway.ChangeBound) }},
 	{"gateway", "repeat_ratio", "0.1", "a number from 0 to 1", "Retries that each request to a service adds to its retry budget, over all nodes.", nil,
 		func(s *Settings, t string) error { return parseFraction(t, &s.Gateway.RepeatRatio) }},
 	{"gateway", "repeat_extra", "20", "a number, 0 or more", "Retries per window that the budget of each service allows in addition, over all nodes.", nil,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,6 +93,9 @@
 	// RevokeBound is the time within which a revoked key must be rejected everywhere. At
 	// zero, keys are accepted even if the configuration is not verified to be the newest.
 	RevokeBound time.Duration
+	// ChangeBound is the time within which a new configuration must be in force everywhere. Requests are refused for
+	// good only by a configuration that was verified to be the newest within it. Zero means no bound.
+	ChangeBound time.Duration
 	// RepeatRatio, RepeatExtra and RepeatWindow are the retry budget over all nodes.
 	RepeatRatio  float64
 	RepeatExtra  float64
