A node of a small site starts though the store refuses it

Cause: with twelve nodes or fewer the first read of the list asked nobody but the store; with more, only nodes of the same failure domain.

Change: after a refused first read a node asks the other nodes of its failure domain and the live nodes of others.

Evidence: TestNodeStartsThoughTheStoreRefusesIt failed with 8 nodes (no list) and passes.

--- a/internal/feed/firstread.go
+++ b/internal/feed/firstread.go
@@ -69,11 +69,7 @@
 // readers.
 func (r firstRead[T]) read(ctx context.Context) (T, error) {
 	r.selector.awaitRecords(ctx)
-	rank, ranked := r.selector.rank()
-	if !ranked {
-		return r.fromPlatform(ctx)
-	}
-	if rank >= firstReaders {
+	if rank, ranked := r.selector.rank(); ranked && rank >= firstReaders {
 		got, err := r.readFromPeers(ctx, r.picker(rank))
 		if !errors.Is(err, errReadLocally) {
 			return got, err
@@ -84,7 +80,7 @@
 		return got, err
 	}
 	// The platform may refuse this node and serve others.
-	other, otherErr := r.readFromPeers(ctx, newFallbackPicker(r.selector.self, r.selector.domain()))
+	other, otherErr := r.readFromPeers(ctx, newFallbackPicker(r.selector.self, r.selector.reachable(clock.Now())))
 	if otherErr == nil {
 		return other, nil
 	}
@@ -193,6 +189,17 @@
 	return records
 }
 
+// reachable returns the nodes of the failure domain, the preferred ones first, and then the live nodes of the others.
+func (l *Leader) reachable(now time.Time) []cluster.Record {
+	out := slices.Clone(l.domain())
+	for _, p := range l.nodes.Live(now) {
+		if !slices.ContainsFunc(out, func(r cluster.Record) bool { return r.ID == p.ID }) {
+			out = append(out, p.Record)
+		}
+	}
+	return out
+}
+
 // rank returns this node's rank among the nodes of its failure domain; false when it reads everything
 // for itself, because there are few nodes or nothing is known of them.
 func (l *Leader) rank() (int, bool) {
--- a/internal/feed/virtual_catalog_test.go
+++ b/internal/feed/virtual_catalog_test.go
@@ -183,3 +183,21 @@
 		}
 	})
 }
+
+// TestNodeStartsThoughTheStoreRefusesIt guards against nodes that get neither a configuration nor a list when they start
+// while the store does not serve them, although other nodes have both.
+func TestNodeStartsThoughTheStoreRefusesIt(t *testing.T) {
+	for _, n := range []int{8, 80} {
+		for name, how := range map[string]access{"refused": refused, "silent": silent} {
+			t.Run(fmt.Sprintf("%d nodes, %s", n, name), func(t *testing.T) {
+				s := &virtualConfigurations{virtualStore: storeOfPlainVMs(), version: 1}
+				s.access["n000"] = how
+				runVirtualWith(t, n, s.virtualStore, s, func(t *testing.T, f *virtualFleet) {
+					if node := f.nodes[0]; node.cache.Version() != 1 || node.directory.Snapshot() == nil {
+						t.Errorf("version %d, list read: %t", node.cache.Version(), node.directory.Snapshot() != nil)
+					}
+				})
+			})
+		}
+	}
+}
