Soak: readers cut off from the store while the configuration changes

The soak had no follower at its usual size, and nodes that the store does not serve were exempt from the check of changes. The new fault cuts the first nodes of each failure domain off, hanging or refused, and adds a route each second; a new check asks that each change holds there too while all nodes reach each other. A 503 configuration-not-proven counts as a change that does not hold.

Mutants for the new mechanisms; two patterns follow the code.

--- a/internal/cluster/sum_test.go
+++ b/internal/cluster/sum_test.go
@@ -64,3 +64,33 @@
 		t.Errorf("unread tokens %v, expected 1400 for both groups", got)
 	}
 }
+
+// TestHubListsNodesThatReadThePlatform guards against nodes that the platform does not serve, and whose leaders it does
+// not serve either, not knowing whom to follow.
+func TestHubListsNodesThatReadThePlatform(t *testing.T) {
+	now := time.Now()
+	readMs := uint32(300)
+	var members []receivedState
+	for i, name := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		knowledge := &marbleroadv1.PlatformKnowledge{Version: 7}
+		if i >= 3 {
+			knowledge.VersionReadMs = &readMs
+		}
+		members = append(members, receivedState{&marbleroadv1.NodeState{Node: name, FailureDomain: "x", Platform: knowledge}, now})
+	}
+	readers := 0
+	for _, s := range leadingStates(members, "x", "", now) {
+		if s.GetPlatform().GetVersion() != 7 {
+			t.Errorf("%s is listed without its version", s.GetNode())
+		}
+		if s.GetPlatform().GetVersionReadMs() == readMs {
+			readers++
+		}
+	}
+	if readers != maxReaderNodes {
+		t.Errorf("%d readers are listed, expected %d", readers, maxReaderNodes)
+	}
+	if got := relayedState(members[4].state, 0); got.GetPlatform().GetVersionReadMs() != readMs {
+		t.Error("a hub passes on another one without what it read")
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -394,9 +394,9 @@
   's/for id, p := range c\.known \{\n\t\t_, member/for id, p := range map[string]*peer(nil) {\n\t\t_, member/' ./internal/cluster TestNodesThatCountDifferently
 
 mutant "each node reads the whole list" internal/feed/firstread.go \
-  's/if !ranked \{/if !ranked || rank >= 0 {/' ./internal/feed TestAllNodesStartAtOnce
+  's/ranked \&\& rank >= firstReaders \{/ranked \&\& false {/' ./internal/feed TestAllNodesStartAtOnce
 mutant "each node reads the whole configuration" internal/feed/firstread.go \
-  's/if !ranked \{/if !ranked || rank >= 0 {/' ./internal/feed TestLargeConfigurationAtARestartOfAllNodes
+  's/ranked \&\& rank >= firstReaders \{/ranked \&\& false {/' ./internal/feed TestLargeConfigurationAtARestartOfAllNodes
 mutant "a reader that the platform refuses queries no other node" internal/feed/firstread.go \
   's/if otherErr == nil \{/if otherErr == nil \&\& false {/' ./internal/feed TestUnavailableReadersDoNotDelayOthers
 mutant "no other node reads for disconnected readers" internal/feed/picker.go \
@@ -626,6 +626,22 @@
   's/if s\.reach\.CutOff\(\) \{/if false {/' ./test/integration TestEntryCutFromAllUpstreamsIsServedByAnother
 mutant "an entry waits for a silent control process" internal/entry/source.go \
   's/if !s\.responded \{/if true {/' ./test/integration TestEntryLeavesFrozenControl
+mutant "versions: nodes don't hear of newer ones" internal/feed/catchup.go \
+  's/state\.GetPlatform\(\)\.GetVersion\(\) <= u\.cache\.Version\(\)/true/' ./internal/feed TestVersionReachesNodesWhoseReadersAreCutOff
+mutant "versions: a leader does not say that it is disconnected" internal/feed/server.go \
+  's/ Disconnected: state\.Disconnected,//' ./internal/feed TestVersionReachesNodesWhoseReadersAreCutOff
+mutant "versions: a node that the store refuses follows nobody else" internal/feed/catalog.go \
+  's/errors\.Is\(err, platform\.ErrUnavailable\) \&\& ctx\.Err\(\) == nil/false/' ./internal/feed TestConfigurationStaysVerifiedWhileReadersAreCutOff
+mutant "versions: nor for the list" internal/feed/fleet.go \
+  's/errors\.Is\(err, platform\.ErrUnavailable\) \&\& ctx\.Err\(\) == nil/false/' ./internal/feed TestListReachesNodesWhoseReadersAreCutOff
+mutant "versions: a first read asks only the failure domain" internal/feed/firstread.go \
+  's/r\.selector\.reachable\(clock\.Now\(\)\)/r.selector.domain()[:0]/' ./internal/feed TestNodeStartsThoughTheStoreRefusesIt
+mutant "versions: hubs list no readers" internal/cluster/sum.go \
+  's/maxReaderNodes = 2/maxReaderNodes = 0/' ./internal/cluster TestHubListsNodesThatReadThePlatform
+mutant "versions: refusals by an older configuration stand" internal/gateway/handle.go \
+  's/return s\.confirmRefusal\(ctx, c, failure\)/return failure/' ./internal/gateway TestNewRouteIsNotRefusedByOlderConfiguration
+mutant "versions: refusals by an unproven configuration stand" internal/gateway/refusal.go \
+  's/c\.CatalogAge > s\.config\.ChangeBound/false/' ./internal/gateway TestUnprovenConfigurationRefusesNothingForGood
 
 echo "$survivors survived or not applied"
 [ "$survivors" = 0 ]
--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -54,6 +54,7 @@
 mutant "one group at a time" internal/director/dissolve.go 's/gs\.dissolving, gs\.graceful, gs\.dissolvingSince = true, graceful, now/gs.dissolving, gs.graceful, gs.dissolvingSince, gs.released = true, graceful, now, true/'
 mutant "leaving upstreams" internal/gateway/board.go 's/ \|\| vm\.Draining//'
 mutant "changes hold in time" internal/catalog/keeper.go 's/next\.version <= old\.version\)/next.version <= old.version+1)/'
+mutant "changes hold at nodes without the store" 'internal/feed/catchup.go internal/feed/catalog.go' 's/state\.GetPlatform\(\)\.GetVersion\(\) <= u\.cache\.Version\(\)/true/; s/errors\.Is\(err, platform\.ErrUnavailable\) \&\& ctx\.Err\(\) == nil/false/' '--nodes 6 --engines 12'
 mutant "changes never revert" internal/catalog/keeper.go 's/c\.current\.Store\(next\)/c.current.Store(next)\n\ttime.AfterFunc(1500*time.Millisecond, func() { c.current.Store(old) })/'
 mutant "revoked keys end" internal/gateway/handle.go 's/team, ok := current\.Team\(c\.Key\)\n\tif !ok/team, ok := current.Team("key-7")\n\tif !ok/'
 mutant "budget for repeats" internal/retry/budget.go 's/if decision\.Earned\+decision\.Fixed < 1-roundingTolerance/if false/'
--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -204,8 +204,9 @@
 		a.problem = "the response belongs to request " + echo
 	}
 	if resp.StatusCode != http.StatusOK {
-		_, err := io.Copy(io.Discard, resp.Body)
+		text, err := io.ReadAll(resp.Body)
 		a.complete = err == nil
+		a.refusal, _, _ = strings.Cut(string(text), ":")
 		seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		return time.Duration(seconds * float64(time.Second))
 	}
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -55,7 +55,7 @@
 	for _, c := range h.calls {
 		ck.calls[c.id] = c
 	}
-	for _, checkFunc := range []func(){ck.checkResponses, ck.checkNotRun, ck.checkAttempts, ck.checkRequested, ck.checkGroups, ck.checkLeavingUpstreams, ck.checkChanges, ck.checkRevokedKeys, ck.checkRepeatBudget, ck.checkCanceledWork, ck.checkRefusalTimes, ck.checkDeadlines, ck.checkInterruptions, ck.checkStalledNodes, ck.checkCrashingRequests, ck.checkConditions, ck.checkEvacuations, ck.checkWarmups, ck.checkCutOffNodes, ck.checkCrashingParts, ck.checkCrowdedNodes} {
+	for _, checkFunc := range []func(){ck.checkResponses, ck.checkNotRun, ck.checkAttempts, ck.checkRequested, ck.checkGroups, ck.checkLeavingUpstreams, ck.checkChanges, ck.checkChangesAtCutReaders, ck.checkRevokedKeys, ck.checkRepeatBudget, ck.checkCanceledWork, ck.checkRefusalTimes, ck.checkDeadlines, ck.checkInterruptions, ck.checkStalledNodes, ck.checkCrashingRequests, ck.checkConditions, ck.checkEvacuations, ck.checkWarmups, ck.checkCutOffNodes, ck.checkCrashingParts, ck.checkCrowdedNodes} {
 		checkFunc()
 	}
 	return ck.violations
@@ -219,10 +219,7 @@
 // checkChanges checks that an accepted change is in force within applyBound, and that no incarnation of
 // a node reverts it.
 func (ck *checker) checkChanges() {
-	acceptedAt := make(map[int]time.Time)
-	for _, v := range ck.history.versions {
-		acceptedAt[v.version] = v.at
-	}
+	acceptedAt := ck.acceptanceTimes()
 	type probedVersion struct{ node, incarnation, version int }
 	firstServed := make(map[probedVersion]time.Time)
 	for _, c := range ck.history.calls {
@@ -234,7 +231,7 @@
 		}
 	}
 	for _, c := range ck.history.calls {
-		if c.class != routeProbe || c.status != 404 {
+		if !c.showsOlderVersion() {
 			continue
 		}
 		if late := c.sent.Sub(acceptedAt[c.version]); late > applyBound+ck.slack && ck.undisturbed(c.node, c.sent) {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -87,6 +87,8 @@
 		tb.callers.done.Go(func() { tb.callers.sendCrashingParts(f) })
 	case NodeGetsMostConnections:
 		tb.crowd(f)
+	case ReadersCutFromStore:
+		tb.cutReaders(f)
 	case RouteAdded:
 		tb.addRoute()
 	case KeyRevoked:
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -28,6 +28,8 @@
 	node  int
 	// incarnation is the node's process that the request was sent to.
 	incarnation int
+	// refusal is the code of the node's error.
+	refusal string
 	// version is the version of the configuration that added the route of a routeProbe.
 	version  int
 	sent     time.Time
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -66,6 +66,7 @@
 	RequestCrashesUpstreams     Kind = "request-crashes-upstreams"
 	PromptPartCrashesUpstreams  Kind = "prompt-part-crashes-upstreams"
 	NodeGetsMostConnections     Kind = "node-gets-most-connections"
+	ReadersCutFromStore         Kind = "readers-cut-from-store"
 	// SchedulingStall is only recorded, never part of a schedule.
 	SchedulingStall Kind = "machine-late"
 	RouteAdded      Kind = "route-added"
@@ -131,6 +132,7 @@
 	{RequestCrashesUpstreams, 2, 2 * time.Second, 8 * time.Second},
 	{PromptPartCrashesUpstreams, 2, 2 * time.Second, 10 * time.Second},
 	{NodeGetsMostConnections, 2, 2 * time.Second, 8 * time.Second},
+	{ReadersCutFromStore, 3, 2 * time.Second, 7 * time.Second},
 	{RouteAdded, 3, 0, 0},
 	{KeyRevoked, 1, 0, 0},
 	{UpstreamReportsLimit, 3, 5 * time.Second, 9 * time.Second},
@@ -167,6 +169,8 @@
 	out = append(out, restores(random, length)...)
 	out = append(out, finalCut(random, length))
 	out = append(out, finalCrowding(random, length)...)
+	last := out[len(out)-1]
+	out = append(out, finalReaderCut(random, last.At+last.For+reconnectTime))
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
