Test: changes at several phases of the readers' calls

The mutant without any hearing of newer versions survived: with relays in place a node whose call hangs learns of the version when that call fails, which the one phase of the test made early enough.

--- a/internal/feed/virtual_catalog_test.go
+++ b/internal/feed/virtual_catalog_test.go
@@ -95,15 +95,23 @@
 	}
 }
 
-// publishesAfter are the times after a fault at which the operator changes the configuration.
-var publishesAfter = []time.Duration{0, 300 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second}
+// changeTimes are the phases of the readers' calls at which a fault happens, and the times after it at which the operator
+// changes the configuration.
+var changeTimes = []struct{ phase, after time.Duration }{
+	{0, 0},
+	{400 * time.Millisecond, 0},
+	{700 * time.Millisecond, 300 * time.Millisecond},
+	{200 * time.Millisecond, 900 * time.Millisecond},
+	{0, 3 * time.Second},
+}
 
 // playVersion makes a fault happen at a site of n nodes, and reports the nodes at which a version that is accepted some
 // time later is not in force in time.
-func playVersion(t *testing.T, n int, after time.Duration, fault func(f *virtualFleet, s *virtualConfigurations)) {
+func playVersion(t *testing.T, n int, phase, after time.Duration, fault func(f *virtualFleet, s *virtualConfigurations)) {
 	t.Helper()
 	s := &virtualConfigurations{virtualStore: storeOfPlainVMs(), version: 1}
 	runVirtualWith(t, n, s.virtualStore, s, func(t *testing.T, f *virtualFleet) {
+		time.Sleep(phase)
 		start := time.Now()
 		fault(f, s)
 		at(start, after, s.publish)
@@ -136,8 +144,8 @@
 // that read the configuration for others don't reach the store: neither at these nodes nor at their followers.
 func TestVersionReachesNodesWhoseReadersAreCutOff(t *testing.T) {
 	forEachCut(t, func(t *testing.T, n int, cut func(f *virtualFleet, s *virtualConfigurations)) {
-		for _, after := range publishesAfter {
-			t.Run(after.String(), func(t *testing.T) { playVersion(t, n, after, cut) })
+		for _, at := range changeTimes {
+			t.Run(fmt.Sprintf("%s after %s", at.after, at.phase), func(t *testing.T) { playVersion(t, n, at.phase, at.after, cut) })
 		}
 	})
 }
