A node that follows a relay is no leader

Cause: a refused node followed one of its own followers; those then found its proof fresh and followed it again, so nobody read the store until the proof was too old, about every second.

Change: responses say that their sender follows a node that is none of its leaders; followers take its newer version and go on to the next leader.

The bounded wait at a leader stays, and applies to followers only: a first read waits at a source that has nothing yet, as before.

--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -71,8 +71,8 @@
 	onReconnect []func()
 
 	refresher wait.Loop
-	// disconnected is true after a failed call, until the source responds again. Only the refresh loop changes it.
-	disconnected atomic.Bool
+	// disconnected is true after a failed call, until the source responds again.
+	disconnected bool
 
 	// adopting serializes Adopt.
 	adopting sync.Mutex
@@ -120,8 +120,6 @@
 	// VerifiedAge is the time since the version was last known to be the newest, counted
 	// from when the verifying call was sent.
 	VerifiedAge time.Duration
-	// Disconnected is true while the last call to the source has failed.
-	Disconnected bool
 }
 
 // NewCache returns a cache that watches the source with calls of the given waiting time.
@@ -191,9 +189,9 @@
 	// between is newer than the reported revision, never older.
 	v := c.verification.Load()
 	if v == nil {
-		return State{Version: c.Version(), VerifiedAge: neverVerified, Disconnected: c.disconnected.Load()}
+		return State{Version: c.Version(), VerifiedAge: neverVerified}
 	}
-	return State{Version: c.Version(), Revision: v.revision, VerifiedAge: clock.Since(v.at), Disconnected: c.disconnected.Load()}
+	return State{Version: c.Version(), Revision: v.revision, VerifiedAge: clock.Since(v.at)}
 }
 
 // refreshLoop reads the configuration and then watches it from the revision that was read.
@@ -238,7 +236,7 @@
 // watchWait returns how long the next watch may wait for a change. While the source is
 // unreachable it is zero, so that the first response after the outage is not delayed by it.
 func (c *Cache) watchWait() time.Duration {
-	if c.disconnected.Load() {
+	if c.disconnected {
 		return 0
 	}
 	return c.wait
@@ -258,25 +256,13 @@
 // Await waits up to wait until the version in force is above the given one and all changes up to a later revision
 // than newerThan were seen, and returns the state at the end of the wait.
 func (c *Cache) Await(ctx context.Context, version, newerThan uint64, wait time.Duration) State {
-	return c.await(ctx, wait, func(s State) bool {
-		return s.Version > version && (newerThan == 0 || s.Revision > newerThan)
-	})
-}
-
-// AwaitConnected waits like Await for a version above the given one, but at most until a call to the source fails.
-func (c *Cache) AwaitConnected(ctx context.Context, version uint64, wait time.Duration) State {
-	return c.await(ctx, wait, func(s State) bool { return s.Version > version || s.Disconnected })
-}
-
-// await waits up to wait until the state satisfies the condition, and returns it.
-func (c *Cache) await(ctx context.Context, wait time.Duration, satisfied func(State) bool) State {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		c.mu.Lock()
 		updated := c.updated
 		c.mu.Unlock()
-		if current := c.state(); satisfied(current) {
+		if current := c.state(); current.Version > version && (newerThan == 0 || current.Revision > newerThan) {
 			return current
 		}
 		select {
@@ -291,7 +277,8 @@
 
 // recordVerified records a successful call of the refresh loop.
 func (c *Cache) recordVerified(w WatchResult) {
-	if c.disconnected.Swap(false) {
+	if c.disconnected {
+		c.disconnected = false
 		c.log.Emit(event.PlatformUp).Str("of", "catalog").Send()
 		for _, f := range c.onReconnect {
 			f()
@@ -309,11 +296,6 @@
 	if old := c.verification.Load(); old == nil || w.VerifiedAt.After(old.at) {
 		c.verification.Store(&verification{at: w.VerifiedAt, revision: w.Revision, source: w.Source})
 	}
-	c.wakeWaiters()
-}
-
-// wakeWaiters wakes the callers of Await.
-func (c *Cache) wakeWaiters() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	close(c.updated)
@@ -339,9 +321,9 @@
 
 // recordFailure logs the first failed call of an outage.
 func (c *Cache) recordFailure(ctx context.Context, err error) {
-	if ctx.Err() != nil || c.disconnected.Swap(true) {
+	if c.disconnected || ctx.Err() != nil {
 		return
 	}
-	c.wakeWaiters()
+	c.disconnected = true
 	c.log.Emit(event.PlatformDown).Str("of", "catalog").Dur("proven_age_ms", c.VerifiedAge(clock.Now())).Err(err).Send()
 }
--- a/internal/cluster/sum_test.go
+++ b/internal/cluster/sum_test.go
@@ -87,8 +87,8 @@
 			readers++
 		}
 	}
-	if readers != maxReaderNodes {
-		t.Errorf("%d readers are listed, expected %d", readers, maxReaderNodes)
+	if readers != 2 {
+		t.Errorf("%d readers are listed, expected 2 of 4", readers)
 	}
 	if got := relayedState(members[4].state, 0); got.GetPlatform().GetVersionReadMs() != readMs {
 		t.Error("a hub passes on another one without what it read")
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -81,7 +81,7 @@
 	if s.Platform.Evacuations {
 		directory.FollowEvacuations(fleetSource.WithEvacuations(vmList))
 	}
-	feedServer := &feed.Server{Directory: directory, Cache: catalogCache}
+	feedServer := &feed.Server{Directory: directory, Cache: catalogCache, FleetRelayed: fleetSource.Relayed, CatalogRelayed: catalogSource.Relayed}
 	localState := func() *marbleroadv1.NodeState {
 		state := &marbleroadv1.NodeState{
 			Node:          self.ID,
--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -116,9 +116,6 @@
 	verifiedAt time.Time
 }
 
-// errLeaderDisconnected means that the leader's own last call for the configuration failed.
-var errLeaderDisconnected = errors.Mark(errors.New("the leader's own call failed"), errLeaderUnusable)
-
 // Changed implements catalog.Source. A node that neither the platform nor a leader serves follows another node, so that
 // its configuration stays verified.
 func (c *Catalog) Changed(ctx context.Context, revision uint64, wait time.Duration) (catalog.WatchResult, error) {
@@ -129,6 +126,8 @@
 	w, err := c.changed(ctx, revision, wait)
 	if errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil {
 		w, err = c.relayed(ctx, revision, wait, err)
+	} else {
+		c.calls.relayed.Store(false)
 	}
 	if err == nil {
 		c.verifiedAt = w.VerifiedAt
@@ -136,13 +135,16 @@
 	return w, err
 }
 
+// Relayed reports whether this node follows one that is none of its leaders.
+func (c *Catalog) Relayed() bool { return c.calls.relayed.Load() }
+
 // relayed asks nodes that read the platform, after this node's own call failed with cause.
 func (c *Catalog) relayed(ctx context.Context, revision uint64, wait time.Duration, cause error) (catalog.WatchResult, error) {
 	known := c.version()
 	got, _, err := followRelay(ctx, &c.calls, "configuration", cause, catalogQuery, versionRead,
 		func(ctx context.Context, node cluster.Record) (answer, time.Duration, error) {
 			got, verifiedAfter, err := c.ask(ctx, node, known, c.calls.relayWait(min(wait, catalogQuery.wait)))
-			if err == nil && (got.GetVersion() < known || got.GetVersion() == known && got.GetDisconnected()) {
+			if err == nil && got.GetVersion() < known {
 				err = errLeaderUnusable
 			}
 			return got, verifiedAfter, err
@@ -168,8 +170,8 @@
 		if err == nil && got.GetVersion() > newest.GetVersion() {
 			newest = got
 		}
-		if err == nil && got.GetDisconnected() && got.GetVersion() <= known {
-			err = errLeaderDisconnected
+		if err == nil && got.GetRelayed() {
+			err = errLeaderRelayed
 		}
 		return got, verifiedAfter, err
 	})
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -148,8 +149,8 @@
 	backoffUntil time.Time
 	// failed is true if this node's last call failed.
 	failed bool
-	// relayed is true while this node follows one that is no leader.
-	relayed bool
+	// relayed is true while this node follows one that is no leader. Other goroutines read it.
+	relayed atomic.Bool
 }
 
 // errPlatformBackoff means that the leaders are disconnected and that a call of this node failed
@@ -174,7 +175,6 @@
 func (p *platformCalls) finished(now time.Time, err error) {
 	p.backoffUntil = time.Time{}
 	p.failed = errors.Is(err, platform.ErrUnavailable)
-	p.relayed = p.relayed && p.failed
 	if p.failed {
 		p.backoffUntil = now.Add(minPlatformBackoff + rand.N(minPlatformBackoff/2))
 	}
@@ -192,7 +192,7 @@
 // relayWait returns how long a relay may wait for changes: not at all when this node turns to it, since a proof is needed
 // sooner then.
 func (p *platformCalls) relayWait(maxWait time.Duration) time.Duration {
-	if !p.relayed {
+	if !p.relayed.Load() {
 		return 0
 	}
 	return maxWait
@@ -218,8 +218,7 @@
 		if err != nil && ctx.Err() == nil {
 			continue
 		}
-		if err == nil && !p.relayed {
-			p.relayed = true
+		if err == nil && !p.relayed.Swap(true) {
 			p.selector.log.Emit(event.RelayFollowed).Str("of", object).Str("node", node.ID).AnErr("cause", cause).Send()
 		}
 		return response, verifiedAt, err
@@ -315,6 +314,10 @@
 	return response, verifiedAt, err
 }
 
+// errLeaderRelayed means that the leader follows a node that is none of its leaders. That node may follow this one: if
+// both followed each other, nobody would read the platform.
+var errLeaderRelayed = errors.Mark(errors.New("the leader follows another node since the platform does not serve it"), errLeaderUnusable)
+
 // errNoLeader means that this node follows no leader now.
 var errNoLeader = errors.New("there is no leader to follow")
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -436,7 +436,8 @@
 	if err := follower.allowed(now); err != nil {
 		t.Errorf("a follower that reaches the store does not call it: %v", err)
 	}
-	for name, one := range map[string]platformCalls{"a leader": callsOf("b", liveNodes{"d", "c", "a"}), "one of a few": callsOf("n", smallCluster{})} {
+	leader, oneOfAFew := callsOf("b", liveNodes{"d", "c", "a"}), callsOf("n", smallCluster{})
+	for name, one := range map[string]*platformCalls{"a leader": &leader, "one of a few": &oneOfAFew} {
 		one.finished(now, platform.ErrUnavailable)
 		if err := one.allowed(now); err != nil {
 			t.Errorf("%s does not call the store: %v", name, err)
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -133,17 +133,25 @@
 func (f *Fleet) Watch(ctx context.Context, revision uint64, wait time.Duration) (fleet.WatchResult, error) {
 	w, err := f.changed(ctx, revision, wait)
 	if errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil {
-		w, err = f.relayed(ctx, revision, wait, err)
+		return f.relayed(ctx, revision, wait, err)
 	}
+	f.calls.relayed.Store(false)
 	return w, err
 }
 
+// Relayed reports whether this node follows one that is none of its leaders.
+func (f *Fleet) Relayed() bool { return f.calls.relayed.Load() }
+
 // changed asks the leaders for changes, else waits for them at the platform.
 func (f *Fleet) changed(ctx context.Context, revision uint64, wait time.Duration) (fleet.WatchResult, error) {
 	q := fleetQuery
 	q.wait = min(q.wait, wait)
 	response, verifiedAt, err := followFirst(ctx, f.selector, q, func(ctx context.Context, leader cluster.Record, wait time.Duration) (*marbleroadv1.FollowFleetResponse, time.Duration, error) {
-		return f.ask(ctx, leader, revision, wait)
+		response, verifiedAfter, err := f.ask(ctx, leader, revision, wait)
+		if err == nil && response.GetRelayed() {
+			err = errLeaderRelayed
+		}
+		return response, verifiedAfter, err
 	})
 	switch {
 	case errors.Is(err, errNoLeader):
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -21,6 +21,9 @@
 type Server struct {
 	Directory *fleet.Directory
 	Cache     *catalog.Cache
+	// FleetRelayed and CatalogRelayed report whether this node has the list and the configuration from a node that is
+	// none of its leaders; nil for a node that follows none.
+	FleetRelayed, CatalogRelayed func() bool
 
 	packer packer
 }
@@ -44,6 +47,7 @@
 	if e, known := s.Directory.Evacuations(); known {
 		out.Evacuations = &marbleroadv1.Evacuations{FailureDomains: e.Domains, Revision: sentEntryRevision(e.Revision, *era)}
 	}
+	out.Relayed = s.FleetRelayed != nil && s.FleetRelayed()
 	for _, c := range w.Changes {
 		out.Changes = append(out.Changes, &marbleroadv1.FleetChange{Vm: encodeVM(c.VM, *era), Removed: c.Removed})
 	}
@@ -70,9 +74,13 @@
 		newerThan := receivedRevision(r.Era, r.GetNewerThan(), own)
 		return s.Directory.AwaitList(ctx, newerThan, renewalWait(newerThan, s.listAge(), limit))
 	}
-	return s.Directory.Await(ctx, receivedRevision(r.Era, r.GetRevision(), own), min(limit, max(fleetQuery.maxAge-s.listAge(), 0)))
+	return s.Directory.Await(ctx, receivedRevision(r.Era, r.GetRevision(), own), min(limit, usableFor(fleetQuery, s.listAge())))
 }
 
+// usableFor returns how much longer followers accept a proof of that age. Waiting for longer would keep them from turning
+// to another leader.
+func usableFor(q query, age time.Duration) time.Duration { return max(q.maxAge-age, 0) }
+
 // listAge returns the time since this node's list was verified; zero while it has none.
 func (s *Server) listAge() time.Duration {
 	if snapshot := s.Directory.Snapshot(); snapshot != nil {
@@ -95,19 +103,18 @@
 	arrived := clock.Now()
 	newerThan := receivedRevision(r.Msg.Era, r.Msg.GetNewerThan(), s.Cache.Revision())
 	age := s.Cache.VerifiedAge(arrived)
-	limit := min(milliseconds(r.Msg.GetWaitMs()), maxFollowWait)
-	var state catalog.State
-	if newerThan == 0 {
-		state = s.Cache.AwaitConnected(ctx, r.Msg.GetVersion(), min(limit, max(catalogQuery.maxAge-age, 0)))
-	} else {
-		state = s.Cache.Await(ctx, r.Msg.GetVersion(), newerThan, renewalWait(newerThan, age, limit))
+	limit := renewalWait(newerThan, age, min(milliseconds(r.Msg.GetWaitMs()), maxFollowWait))
+	if r.Msg.GetVersion() > 0 {
+		limit = min(limit, usableFor(catalogQuery, age))
 	}
+	state := s.Cache.Await(ctx, r.Msg.GetVersion(), newerThan, limit)
 	if newerThan != 0 && state.Revision <= newerThan {
 		return connect.NewResponse(&marbleroadv1.FollowCatalogResponse{ProvenAfterMs: verifiedAfterMS(arrived, time.Time{})}), nil
 	}
 	era, number := sentRevision(state.Revision)
-	out := &marbleroadv1.FollowCatalogResponse{Version: state.Version, Revision: number, Era: era, Disconnected: state.Disconnected,
+	out := &marbleroadv1.FollowCatalogResponse{Version: state.Version, Revision: number, Era: era,
 		ProvenAfterMs: verifiedAfterMS(arrived, clock.Now().Add(-state.VerifiedAge))}
+	out.Relayed = s.CatalogRelayed != nil && s.CatalogRelayed()
 	if state.Version <= r.Msg.GetVersion() {
 		return connect.NewResponse(out), nil
 	}
--- a/internal/feed/virtual_catalog_test.go
+++ b/internal/feed/virtual_catalog_test.go
@@ -150,6 +150,33 @@
 	})
 }
 
+// TestSeriesOfVersionsReachesNodesWhoseReadersAreCutOff guards against nodes that follow each other, so that nobody reads the
+// store for a second at a time: nodes that it refuses follow their followers.
+func TestSeriesOfVersionsReachesNodesWhoseReadersAreCutOff(t *testing.T) {
+	const changes, changeInterval = 24, 300 * time.Millisecond
+	forEachCut(t, func(t *testing.T, n int, cut func(f *virtualFleet, s *virtualConfigurations)) {
+		s := &virtualConfigurations{virtualStore: storeOfPlainVMs(), version: 1}
+		runVirtualWith(t, n, s.virtualStore, s, func(t *testing.T, f *virtualFleet) {
+			cut(f, s)
+			time.Sleep(2 * time.Second)
+			start := time.Now()
+			const stepsToApply = int(versionBound / changeInterval)
+			for step := range changes + stepsToApply {
+				at(start, time.Duration(step)*changeInterval, func() {
+					if step < changes {
+						s.publish()
+					}
+					for _, node := range f.nodes {
+						if due := min(step-stepsToApply, changes-1) + 2; int(node.cache.Version()) < due {
+							t.Fatalf("%s has version %d, %s after version %d was accepted", node.record.ID, node.cache.Version(), versionBound, due)
+						}
+					}
+				})
+			}
+		})
+	})
+}
+
 // TestConfigurationStaysVerifiedWhileReadersAreCutOff guards against nodes that refuse keys, because they can't tell
 // whether these were revoked, although other nodes know.
 func TestConfigurationStaysVerifiedWhileReadersAreCutOff(t *testing.T) {
--- a/internal/feed/virtual_test.go
+++ b/internal/feed/virtual_test.go
@@ -335,15 +335,18 @@
 		}
 		for _, node := range f.nodes {
 			selector := NewLeader(node.record, node, func() bool { return false }, log, client, func(a string) string { return "http://" + a })
-			node.directory = fleet.NewDirectory(NewFleet(listOf{store, node.record.ID}, selector), log, fleet.WatchWait, func() time.Duration { return IdleWatchPause })
+			list := NewFleet(listOf{store, node.record.ID}, selector)
+			node.directory = fleet.NewDirectory(list, log, fleet.WatchWait, func() time.Duration { return IdleWatchPause })
 			mux := http.NewServeMux()
 			node.cache = catalog.NewCache(nil, log, 0)
+			node.server = &Server{Directory: node.directory, FleetRelayed: list.Relayed}
 			if configurations != nil {
 				source := NewCatalog(configurationOf{configurations, node.record.ID}, selector, func() uint64 { return node.cache.Version() }, decodeVersion)
 				node.cache = catalog.NewCache(source, log, time.Second)
 				node.catchUp = NewCatchUp(source, node.cache, log)
+				node.server.CatalogRelayed = source.Relayed
 			}
-			node.server = &Server{Directory: node.directory, Cache: node.cache}
+			node.server.Cache = node.cache
 			mux.Handle(marbleroadv1connect.NewClusterServiceHandler(handler{node.server}))
 			f.handlers[node.record.Address] = mux
 		}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -628,10 +628,10 @@
   's/if !s\.responded \{/if true {/' ./test/integration TestEntryLeavesFrozenControl
 mutant "versions: nodes don't hear of newer ones" internal/feed/catchup.go \
   's/state\.GetPlatform\(\)\.GetVersion\(\) <= u\.cache\.Version\(\)/true/' ./internal/feed TestVersionReachesNodesWhoseReadersAreCutOff
-mutant "versions: a leader does not say that it is disconnected" internal/feed/server.go \
-  's/ Disconnected: state\.Disconnected,//' ./internal/feed TestVersionReachesNodesWhoseReadersAreCutOff
 mutant "versions: a node that the store refuses follows nobody else" internal/feed/catalog.go \
   's/errors\.Is\(err, platform\.ErrUnavailable\) \&\& ctx\.Err\(\) == nil/false/' ./internal/feed TestConfigurationStaysVerifiedWhileReadersAreCutOff
+mutant "versions: a node that follows its followers is their leader" internal/feed/catalog.go \
+  's/err = errLeaderRelayed/_ = errLeaderRelayed/' ./internal/feed TestSeriesOfVersionsReachesNodesWhoseReadersAreCutOff
 mutant "versions: nor for the list" internal/feed/fleet.go \
   's/errors\.Is\(err, platform\.ErrUnavailable\) \&\& ctx\.Err\(\) == nil/false/' ./internal/feed TestListReachesNodesWhoseReadersAreCutOff
 mutant "versions: a first read asks only the failure domain" internal/feed/firstread.go \
