A node that follows a relay calls the store every two to three seconds

TestListReachesNodesWhoseReadersAreCutOff failed once more in 30 runs (36 of 80 nodes 2 s after a VM left). Cause: a refused node went through its leaders (0.4 s at the first), its own call (0.7 s until it times out), the relay (0.4 s) and a pause (0.5 s): two seconds, in which it hears of changes only at the relay.

Change: a relayed leader answers at once, and a node that has a relay leaves the store alone until its backoff is over. If the relay fails, it calls at once as before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -163,9 +163,9 @@
 }
 
 // allowed returns errPlatformBackoff while this node, whose own call failed recently, leaves the
-// platform to its leaders.
+// platform to its leaders or to the node that it follows instead.
 func (p *platformCalls) allowed(now time.Time) error {
-	if now.Before(p.backoffUntil) && !p.selector.leads(now) {
+	if now.Before(p.backoffUntil) && (p.relayed.Load() || !p.selector.leads(now)) {
 		return errPlatformBackoff
 	}
 	return nil
@@ -223,6 +223,7 @@
 		}
 		return response, verifiedAt, err
 	}
+	p.relayed.Store(false)
 	var zero T
 	return zero, time.Time{}, cause
 }
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -28,6 +28,10 @@
 	packer packer
 }
 
+// fleetRelayed and catalogRelayed report whether this node is no leader, so that followers are not kept waiting.
+func (s *Server) fleetRelayed() bool   { return s.FleetRelayed != nil && s.FleetRelayed() }
+func (s *Server) catalogRelayed() bool { return s.CatalogRelayed != nil && s.CatalogRelayed() }
+
 // FollowFleet implements part of ClusterService.
 func (s *Server) FollowFleet(ctx context.Context, r *connect.Request[marbleroadv1.FollowFleetRequest]) (*connect.Response[marbleroadv1.FollowFleetResponse], error) {
 	arrived := clock.Now()
@@ -47,7 +51,7 @@
 	if e, known := s.Directory.Evacuations(); known {
 		out.Evacuations = &marbleroadv1.Evacuations{FailureDomains: e.Domains, Revision: sentEntryRevision(e.Revision, *era)}
 	}
-	out.Relayed = s.FleetRelayed != nil && s.FleetRelayed()
+	out.Relayed = s.fleetRelayed()
 	for _, c := range w.Changes {
 		out.Changes = append(out.Changes, &marbleroadv1.FleetChange{Vm: encodeVM(c.VM, *era), Removed: c.Removed})
 	}
@@ -69,6 +73,9 @@
 // awaitChanges waits for changes after the follower's revision. A follower at revision 0 gets the full list.
 func (s *Server) awaitChanges(ctx context.Context, r *marbleroadv1.FollowFleetRequest) (fleet.WatchResult, error) {
 	limit := min(milliseconds(r.GetWaitMs()), maxFollowWait)
+	if s.fleetRelayed() {
+		limit = 0
+	}
 	own := s.Directory.Revision()
 	if r.GetRevision() == 0 {
 		newerThan := receivedRevision(r.Era, r.GetNewerThan(), own)
@@ -107,6 +114,9 @@
 	if r.Msg.GetVersion() > 0 {
 		limit = min(limit, usableFor(catalogQuery, age))
 	}
+	if s.catalogRelayed() {
+		limit = 0
+	}
 	state := s.Cache.Await(ctx, r.Msg.GetVersion(), newerThan, limit)
 	if newerThan != 0 && state.Revision <= newerThan {
 		return connect.NewResponse(&marbleroadv1.FollowCatalogResponse{ProvenAfterMs: verifiedAfterMS(arrived, time.Time{})}), nil
@@ -114,7 +124,7 @@
 	era, number := sentRevision(state.Revision)
 	out := &marbleroadv1.FollowCatalogResponse{Version: state.Version, Revision: number, Era: era,
 		ProvenAfterMs: verifiedAfterMS(arrived, clock.Now().Add(-state.VerifiedAge))}
-	out.Relayed = s.CatalogRelayed != nil && s.CatalogRelayed()
+	out.Relayed = s.catalogRelayed()
 	if state.Version <= r.Msg.GetVersion() {
 		return connect.NewResponse(out), nil
 	}
