--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -65,10 +65,8 @@
 	current      atomic.Pointer[Catalog]
 	adoption     atomic.Pointer[adoption]
 	verification atomic.Pointer[verification]
-	// readAt is when the last call that the platform itself answered was sent; nil if there was none.
-	readAt      atomic.Pointer[time.Time]
-	onChange    []func()
-	onReconnect []func()
+	onChange     []func()
+	onReconnect  []func()
 
 	refresher wait.Loop
 	// disconnected is true after a failed call, until the source responds again.
