Answers without news from other nodes are paced

A node whose proof is old asks without waiting for changes, and a relay whose own proof is older than 2.6 s answers at once: without a pause they would exchange requests as fast as they can for up to 1.4 s.

--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -13,12 +13,17 @@
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/platform"
+	pause "github.com/marbleroad/marbleroad/internal/wait"
 )
 
 // catalogQuery bounds how the configuration is followed. A leader's own watch waits for a second, so
 // its state was verified up to two seconds ago.
 var catalogQuery = query{wait: 700 * time.Millisecond, maxAge: 2600 * time.Millisecond}
 
+// minFollowInterval is the minimum time between two requests to other nodes that bring no news: a node whose proof is old
+// answers without waiting for changes.
+const minFollowInterval = 50 * time.Millisecond
+
 // Catalog reads newer configurations from the leader, else from the platform. It implements
 // catalog.Source.
 type Catalog struct {
@@ -123,16 +128,21 @@
 		// A proof is needed sooner than a change.
 		wait = 0
 	}
+	asked := clock.Now()
 	w, err := c.changed(ctx, revision, wait)
 	if errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil {
 		w, err = c.relayed(ctx, revision, wait, err)
 	} else {
 		c.calls.relayed.Store(false)
 	}
-	if err == nil {
-		c.verifiedAt = w.VerifiedAt
+	if err != nil {
+		return w, err
+	}
+	c.verifiedAt = w.VerifiedAt
+	if w.Source != "" && w.Catalog == nil {
+		pause.Sleep(ctx, minFollowInterval-clock.Since(asked))
 	}
-	return w, err
+	return w, nil
 }
 
 // Relayed reports whether this node follows one that is none of its leaders.
