--- a/internal/feed/virtual_catalog_test.go
+++ b/internal/feed/virtual_catalog_test.go
@@ -190,7 +190,7 @@
 			for after := time.Duration(0); after < 12*time.Second; after += time.Second {
 				at(start, after, func() {
 					for _, node := range f.nodes {
-						if age := node.cache.VerifiedAge(time.Now()); age > maxAge {
+						if age := node.cache.VerifiedAge(clock.Now()); age > maxAge {
 							t.Fatalf("%s after the cut, %s verified its configuration %s ago", after, node.record.ID, age)
 						}
 					}
--- a/internal/feed/virtual_test.go
+++ b/internal/feed/virtual_test.go
@@ -255,7 +255,7 @@
 // two members that read the platform.
 func (f *virtualFleet) exchange(ctx context.Context) {
 	for wait.Sleep(ctx, exchangeInterval) {
-		now := time.Now()
+		now := clock.Now()
 		for i, node := range f.nodes {
 			isHub := len(f.nodes) <= maxIndependentNodes || i < virtualDomains*hubsOfDomain
 			readers := 0
