--- a/review/cases/restore.go
+++ b/review/cases/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/marbleroad/marbleroad/test/standin/groupengine"
@@ -13,10 +14,12 @@
 	storeAway = 500 * time.Millisecond
 	// rewriteAfter is how long after its return the operator writes the configuration again.
 	rewriteAfter = 1500 * time.Millisecond
+	stopGrace    = 8 * time.Second
 	revokedKey   = "key-2"
 )
 
-// restore revokes a key, brings the store back from a copy from before that, and restarts one process meanwhile.
+// restore takes a key away, brings the store back from a copy from before that, and stops and starts one process meanwhile, as
+// a rolling restart does.
 func restore(w *world, trouble bool) error {
 	beat := func(_ string, v *groupengine.VM) { v.RewriteEntry() }
 	for i, zone := range []string{"za", "zb", "za"} {
@@ -38,13 +41,20 @@
 	time.Sleep(6 * time.Second)
 	w.configure(2, key)
 	acknowledged := time.Now()
-	time.Sleep(copyAge)
 	n := w.nodes[0]
+	w.logf("node %s gets SIGTERM", n.id)
+	_ = n.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-n.exited:
+		w.logf("node %s has ended", n.id)
+	case <-time.After(stopGrace):
+		w.kill(n)
+	}
+	time.Sleep(time.Until(acknowledged.Add(copyAge)))
 	if trouble {
 		w.logf("the store is away")
 		w.store.SetDown(true)
 	}
-	w.kill(n)
 	time.Sleep(storeAway)
 	if trouble {
 		w.store.Restore(acknowledged.Add(-50 * time.Millisecond))
