--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Plays the case; see claim.txt. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec bin/review/cases restore review/2/record.txt
+exec bin/review/cases late-beat review/2/record.txt
--- a/review/cases/latebeat.go
+++ b/review/cases/latebeat.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"encoding/json"
-	"fmt"
 	"sync"
 	"time"
 
@@ -48,52 +46,12 @@
 			w.store.Put("servers", id, old)
 		})
 	}
-	for i, zone := range []string{"za", "za"} {
-		if err := w.addServer(i+1, serviceLLM, zone, beat); err != nil {
-			return err
-		}
-	}
-	for i := range 3 {
-		if err := w.addServer(10+i, serviceAPI, "za", beat); err != nil {
-			return err
-		}
-	}
-	w.running.Add(1)
-	go w.checkHeads()
-	w.configure(1, key)
-	for i, zone := range []string{"za", "za", "zb"} {
-		if _, err := w.addNode(i+1, zone); err != nil {
-			return err
-		}
-	}
-	for _, n := range w.nodes {
-		if err := w.awaitReady(n, 15*time.Second); err != nil {
-			return err
-		}
-	}
-	if err := w.awaitGroup("i-01", "i-02"); err != nil {
+	if err := w.startSmall(beat); err != nil {
 		return err
 	}
 	var callers sync.WaitGroup
 	quit := make(chan struct{})
-	for i := range 14 {
-		callers.Add(1)
-		go func() {
-			defer callers.Done()
-			for {
-				select {
-				case <-quit:
-					return
-				default:
-				}
-				a := w.stream(w.nodes[i%len(w.nodes)], key)
-				w.logf("client: %s status %d whole %v seal %s", a.id, a.status, a.whole, a.seal)
-				if a.status != 200 {
-					time.Sleep(200 * time.Millisecond)
-				}
-			}
-		}()
-	}
+	w.askForMore(&callers, quit, 14)
 	time.Sleep(4 * time.Second)
 	mu.Lock()
 	from, to = time.Now(), time.Now().Add(lateWindow)
@@ -110,17 +68,3 @@
 	w.logf("%d beats in the window, %d of them late", beats, late)
 	return nil
 }
-
-// awaitGroup waits until one of the servers is the open head of a group.
-func (w *world) awaitGroup(ids ...string) error {
-	for range 300 {
-		for _, id := range ids {
-			if v := w.find(id); v != nil && v.State() == "open" {
-				return nil
-			}
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	all, err := json.Marshal(ids)
-	return fmt.Errorf("no group of %s opened: %w", all, err)
-}
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -21,6 +21,7 @@
 // cases are the scripts by name. With trouble false a case does the same without its disruption. An error means that it could
 // not run.
 var cases = map[string]func(w *world, trouble bool) error{
+	"frozen":    frozen,
 	"late-beat": lateBeat,
 	"restore":   restore,
 }
--- a/review/cases/world.go
+++ b/review/cases/world.go
@@ -52,11 +52,15 @@
 	broken   []string
 	vms      map[string]*groupengine.VM
 	nodes    []*node
-	version  int
 	closers  []io.Closer
 	stopped  chan struct{}
 	requests int
 	running  sync.WaitGroup
+	// lastOrder is where the last order to each server came from. joinsOf are the servers whose joins are awaited, and joined
+	// gets the process that sent the last of them.
+	lastOrder map[string]string
+	joinsOf   map[string]bool
+	joined    chan *node
 }
 
 // node is one process of the system.
@@ -75,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{started: time.Now(), dir: dir, store: objectstore.New(), record: f, vms: make(map[string]*groupengine.VM), stopped: make(chan struct{})}
+	w := &world{started: time.Now(), dir: dir, store: objectstore.New(), record: f, vms: make(map[string]*groupengine.VM), stopped: make(chan struct{}), lastOrder: make(map[string]string)}
 	// Another script may run at the same time: take the first range of addresses whose store address is free.
 	for w.subnet = 30 + os.Getpid()%100; w.subnet < 250; w.subnet++ {
 		if err = w.serve(w.addr(1, 8000), w.store); err == nil {
@@ -115,9 +119,11 @@
 	return nil
 }
 
+func serverID(number int) string { return fmt.Sprintf("i-%02d", number) }
+
 // addServer starts a server. It writes its entry every heartbeat, unless beat says otherwise.
 func (w *world) addServer(number int, service, zone string, beat func(id string, v *groupengine.VM)) error {
-	id := fmt.Sprintf("i-%02d", number)
+	id := serverID(number)
 	events := streamSize
 	if service == serviceAPI {
 		events = 0
@@ -128,7 +134,7 @@
 	w.mu.Lock()
 	w.vms[id] = v
 	w.mu.Unlock()
-	if err := w.serve(w.addr(100+number, 8080), v); err != nil {
+	if err := w.serve(w.addr(100+number, 8080), w.noteOrders(id, v)); err != nil {
 		return err
 	}
 	w.running.Add(1)
@@ -403,3 +409,109 @@
 	w.logf("%d rule breaks", len(w.broken))
 	_ = w.record.Close()
 }
+
+// noteOrders returns the handler of a server, which also notes the process that an order comes from.
+func (w *world) noteOrders(id string, v *groupengine.VM) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/-/order" {
+			v.ServeHTTP(rw, r)
+			return
+		}
+		from, _, _ := net.SplitHostPort(r.RemoteAddr)
+		w.mu.Lock()
+		w.lastOrder[id] = from
+		w.mu.Unlock()
+		v.ServeHTTP(rw, r)
+		w.orderDone(id, v, from)
+	})
+}
+
+// orderDone tells who sent the last join once all awaited servers have taken theirs.
+func (w *world) orderDone(id string, v *groupengine.VM, from string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.joined == nil || !w.joinsOf[id] || v.Rank() < 0 {
+		return
+	}
+	delete(w.joinsOf, id)
+	if len(w.joinsOf) > 0 {
+		return
+	}
+	for _, n := range w.nodes {
+		if n.ip == from {
+			w.joined <- n
+			w.joined = nil
+			return
+		}
+	}
+}
+
+// watchJoins returns a channel that gets the process which sends the last of the servers to its first group.
+func (w *world) watchJoins(ids ...string) <-chan *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.joinsOf, w.joined = make(map[string]bool), make(chan *node, 1)
+	for _, id := range ids {
+		w.joinsOf[id] = true
+	}
+	return w.joined
+}
+
+// startSmall starts a deployment of three processes, two servers of the model and three of the plain service, and waits until
+// the first group is open.
+func (w *world) startSmall(beat func(id string, v *groupengine.VM)) error {
+	for i := range 2 {
+		if err := w.addServer(i+1, serviceLLM, "za", beat); err != nil {
+			return err
+		}
+	}
+	for i := range 3 {
+		if err := w.addServer(10+i, serviceAPI, "za", beat); err != nil {
+			return err
+		}
+	}
+	w.running.Add(1)
+	go w.checkHeads()
+	w.configure(1, key)
+	for i, zone := range []string{"za", "za", "zb"} {
+		if _, err := w.addNode(i+1, zone); err != nil {
+			return err
+		}
+	}
+	for _, n := range w.nodes {
+		if err := w.awaitReady(n, 15*time.Second); err != nil {
+			return err
+		}
+	}
+	for range 300 {
+		for _, id := range []string{"i-01", "i-02"} {
+			if v := w.find(id); v != nil && v.State() == "open" {
+				return nil
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("no group opened")
+}
+
+// askForMore starts clients that ask for more streams than one group serves, until quit is closed.
+func (w *world) askForMore(callers *sync.WaitGroup, quit <-chan struct{}, clients int) {
+	for i := range clients {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for {
+				select {
+				case <-quit:
+					return
+				default:
+				}
+				a := w.stream(w.nodes[i%len(w.nodes)], key)
+				w.logf("client: %s status %d whole %v seal %s", a.id, a.status, a.whole, a.seal)
+				if a.status != http.StatusOK {
+					time.Sleep(200 * time.Millisecond)
+				}
+			}
+		}()
+	}
+}
