Test, known red: a head that leaves unannounced loses its streams at once

Some upstreams never report that they drain: their entry is removed, and they go on serving for a while. The director orders such a head to close at once and to leave; all its streams break off at all nodes in the same moment. Those that were sent twice already, or for which no credit is left, end without a whole answer.

--- a/internal/director/closing_test.go
+++ b/internal/director/closing_test.go
@@ -63,3 +63,23 @@
 	}
 	w.check(t)
 }
+
+// TestHeadThatLeavesUnannouncedFinishesItsWork guards against a head whose entry is removed without a notice
+// and that is ordered to end its streams at once, though it still serves them.
+func TestHeadThatLeavesUnannouncedFinishesItsWork(t *testing.T) {
+	w := newWorld(t, 2, 8)
+	w.addNode(t, "n1")
+	w.run(20*time.Second, func() bool { return false })
+	head := w.openHeads()[0]
+	group := head.Group
+	head.busyUntil = w.now.Add(3 * time.Second)
+	head.partitioned = true
+	w.run(10*time.Second, func() bool { return false })
+	for _, interrupted := range w.interruptedWork {
+		t.Error(interrupted)
+	}
+	if head.Group == group {
+		t.Error("the group's VMs were not released")
+	}
+	w.check(t)
+}
