A head that leaves unannounced finishes its work

What callers saw: beside a new version, with nothing but planned work, the streams of one or two heads broke off at all nodes in the same moment; some ended without a whole answer (a second head did the same, no credit was left for a repeat, or no place was free).

Cause: some upstreams never report that they drain. Their entry is removed and they go on serving for seconds. The director took a head without an entry for lost, ordered it to close at once and to leave, though the head answered it. That order ends all its streams.

Change: such a head closes as at any planned departure: it takes nothing new and finishes its streams. A head that does not answer is treated as before.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -173,7 +173,7 @@
 	w.formAndStage(n)
 	head := w.openHeads()[0]
 	w.chooseOutcome = func(e *engineVM, o engine.GroupOrder) orderOutcome {
-		if e == head && o.Operation == engine.CloseHeadNow {
+		if e == head && (o.Operation == engine.CloseHead || o.Operation == engine.CloseHeadNow) {
 			e.dead = true
 		}
 		return executed
--- a/internal/director/dissolve.go
+++ b/internal/director/dissolve.go
@@ -29,7 +29,8 @@
 	s.queryHead(now, gs)
 	if !gs.dissolving {
 		s.d.parts.Log.Emit(event.HeadLost).Str("group", name).Str("vm", gs.head).EmbedObject(platform.LogRevision(s.snapshot.Revision)).Send()
-		s.startDissolving(now, name, gs, "head is no longer listed", false)
+		// A VM that leaves without a notice goes on serving for a while, so its work may finish.
+		s.startDissolving(now, name, gs, "head is no longer listed", true)
 	}
 	if s.vm(gs.head).failures >= maxFailures {
 		s.removeMember(now, name, gs)
@@ -89,10 +90,12 @@
 	}
 }
 
-// queryHead requests a report from a head whose entry is missing, until it responds.
+// queryHead requests a report from a head whose entry is missing: until it responds, and again while it
+// finishes its work, since no entry shows when it has.
 func (s *state) queryHead(now time.Time, gs *groupState) {
 	v := s.vm(gs.head)
-	if gs.headRespondedAt.After(gs.headMissingSince) || v.callPending || now.Sub(gs.headQueriedAt) < minSuspicionInterval {
+	responded := gs.headRespondedAt.After(gs.headMissingSince)
+	if (responded && !gs.closeAccepted) || v.callPending || now.Sub(gs.headQueriedAt) < minSuspicionInterval {
 		return
 	}
 	gs.headQueriedAt = now
