A member that leaves unannounced counts as leaving, not as lost when it ends

What callers saw: some four seconds after an upstream had left without a notice, all streams of its group's head broke off.

Cause: a member without an entry that answers was taken for one that is only cut off from the platform, so its group served on until the member terminated. The other way round, a group must not be dissolved because a member's entry lapsed: such a member goes on serving.

Change: the health check tells the two apart. A check that was rejected for lack of a slot, or that another VM answers, tells nothing. Ruled out: the time since the last change of the entry, which is no heartbeat (5.0, 5.6 and 12.4 s for entries that were removed on departure).

--- a/internal/director/batch_test.go
+++ b/internal/director/batch_test.go
@@ -38,6 +38,11 @@
 	return false, engine.ErrNoResponse
 }
 
+// CheckHealth implements engine.GroupEngine.
+func (unreachableEngine) CheckHealth(context.Context, *fleet.VM, string) (bool, error) {
+	return false, engine.ErrNoResponse
+}
+
 // TestResponsesOfManyVMsAreEvaluatedTogether: a director evaluated all VMs after each single response to
 // its orders and queries. One evaluation of 3,000 VMs takes a few milliseconds and the first plan has
 // 2,000 responses, so directors were still occupied long after callers had arrived: with 300 nodes, 25
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -219,6 +219,7 @@
 type vmCaller interface {
 	report(vm *fleet.VM, reason reportReason)
 	order(vm *fleet.VM, o engine.GroupOrder)
+	checkHealth(vm *fleet.VM, path string)
 }
 
 // report requests a VM's report and sends the result to the actor.
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -288,6 +288,9 @@
 		entry := s.snapshot.VMs[member.ID]
 		switch {
 		case entry == nil && s.confirmsMembership(now, member, name):
+			if s.departing(now, member) {
+				leaving = member.ID
+			}
 		case entry == nil || s.membership(entry).Group != name || now.Before(s.vm(entry.ID).lostUntil):
 			missing = member.ID
 		case entry.Draining:
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -34,6 +34,13 @@
 		requestedAt time.Time
 		reason      reportReason
 	}
+	// healthResult is the result of a health check that was requested at requestedAt.
+	healthResult struct {
+		vm          *fleet.VM
+		healthy     bool
+		err         error
+		requestedAt time.Time
+	}
 	// orderResult is the result of an order. started is true if the VM reports that it started
 	// to carry the order out, and false if the VM is in the requested state already.
 	orderResult struct {
@@ -128,6 +135,7 @@
 	// is newer than the entry if entrySeenAt is earlier.
 	reported          fleet.Membership
 	reportRequestedAt time.Time
+	departure         departure
 }
 
 // formation is a group that this director is forming.
@@ -266,6 +274,9 @@
 	case reportResult:
 		s.handleReport(clock.Now(), m)
 		s.scheduleReconcile()
+	case healthResult:
+		s.handleHealth(m)
+		s.scheduleReconcile()
 	case orderResult:
 		s.handleOrderResult(clock.Now(), m)
 		s.scheduleReconcile()
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -76,6 +76,7 @@
 			}
 			v.entry, v.entrySeenAt = vm, now
 		}
+		v.departure = departure{}
 		if v.staging != "" && (vm.HasStaged(v.staging) || now.After(v.stagingUntil)) {
 			v.staging = ""
 		}
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -63,6 +63,8 @@
 	dead      bool
 	// partitioned VMs have no entry but keep running; unresponsive ones do not respond to directors.
 	partitioned bool
+	// leaving VMs respond to health checks that they are unhealthy.
+	leaving bool
 	// renewedAt is when the VM last renewed its entry.
 	renewedAt    time.Time
 	unresponsive bool
@@ -104,7 +106,8 @@
 	c, err := catalog.New(catalog.Content{Version: 1, Routes: []catalog.Route{{
 		Name: "r", Host: "h", Prefix: "/", Timeout: 12 * time.Second, Targets: []catalog.Target{{Service: "llm", Weight: 1}},
 	}}, Services: []catalog.Service{{
-		Name: "llm",
+		Name:       "llm",
+		HealthPath: "/health",
 		Engine: &catalog.Engine{Slots: 8, LoadsAtOnce: 6, FormTime: 300 * time.Millisecond, Models: []catalog.Model{
 			{Name: "big", Size: 4, Share: 0.67, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
 			{Name: "small", Size: 2, Share: 0.33, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
@@ -200,6 +203,22 @@
 	})
 }
 
+func (n *node) checkHealth(vm *fleet.VM, _ string) {
+	e := n.w.vms[vm.ID]
+	requestedAt := n.w.now
+	n.w.pending = append(n.w.pending, func() {
+		m := healthResult{vm: vm, requestedAt: requestedAt}
+		if e == nil || e.dead || e.unresponsive || n.cutOff {
+			m.err = engine.ErrNoResponse
+		} else {
+			m.healthy = !e.leaving
+		}
+		if !n.down {
+			n.s.handleHealth(m)
+		}
+	})
+}
+
 func (n *node) order(vm *fleet.VM, o engine.GroupOrder) {
 	w := n.w
 	e := w.vms[vm.ID]
--- a/internal/engine/groups.go
+++ b/internal/engine/groups.go
@@ -85,4 +85,7 @@
 	// Order sends an order. It returns true if the VM counts the order as accepted, and
 	// false if the VM was already in the requested state.
 	Order(ctx context.Context, vm *fleet.VM, o GroupOrder) (accepted bool, err error)
+	// CheckHealth requests the health check at the path. It returns false if the VM itself responds that it is
+	// leaving or failing, and an error if the response tells nothing about that.
+	CheckHealth(ctx context.Context, vm *fleet.VM, path string) (healthy bool, err error)
 }
