Streams at a head that closes stay under watch

What callers saw: a stream at a head that was closing, or had left the list, waited until its deadline when that head fell silent or restarted.

Cause: the checks for silent heads, lost answers, restarts and quarantined requests look at the targets alone, and a head that gets no new requests is no target any more. With graceful closings that is most of a head's end.

Change: a target that gets no new requests stays under watch while requests are in progress there; a head that opens again keeps its counts.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -177,6 +177,8 @@
 	domain  string
 	pools   map[string]*pool
 	targets map[string]*target
+	// retired holds targets that get no new requests and still have some in progress.
+	retired []*target
 
 	// budgets limits the repeats of each service to repeatLimit. The fixed part of a budget accumulates
 	// credits over time from startedAt on.
@@ -302,14 +304,14 @@
 	tt.markWarming(clock.Now(), c, s)
 	tt.pauses.applyCatalog(c.Version())
 	tt.pools = pools
-	tt.targets = targets
+	tt.retire(targets)
 }
 
 // cancelRestarted cancels the requests at VMs that have restarted under the same ID, since they will never
 // be answered. It compares the snapshot with the old targets, so it must run before they are replaced. The
 // caller holds mu.
 func (tt *targetTable) cancelRestarted(snapshot *fleet.Snapshot) {
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		vm := snapshot.VMs[t.vm.ID]
 		if vm == nil || vm.SameIncarnation(t.vm) {
 			continue
@@ -357,6 +359,9 @@
 // caller holds mu.
 func (tt *targetTable) retainState(next *target) *target {
 	old := tt.targets[next.key()]
+	if old == nil {
+		old = tt.retiredTarget(next.key())
+	}
 	if old == nil || !old.vm.SameIncarnation(next.vm) {
 		next.running = make(map[*send]struct{})
 		return next
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -282,7 +282,7 @@
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
 	var out []*send
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		for s := range t.running {
 			if now.Sub(s.lastActivity) < silence || !s.movable() || s.forwardPaid {
 				continue
@@ -314,7 +314,7 @@
 	if cutOff {
 		return
 	}
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		t.suspectedUntil, t.ejectedUntil = time.Time{}, time.Time{}
 		t.failures, t.unresponsiveCount = 0, 0
 	}
--- a/internal/gateway/heldup.go
+++ b/internal/gateway/heldup.go
@@ -39,7 +39,7 @@
 		}
 		return at
 	}
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		t.lastActivity = shift(t.lastActivity)
 		for s := range t.running {
 			s.lastActivity = shift(s.lastActivity)
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -72,7 +72,7 @@
 func (tt *targetTable) silentSends(now time.Time, silence time.Duration) bool {
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		for s := range t.running {
 			if now.Sub(s.lastActivity) >= silence {
 				return true
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -68,7 +68,7 @@
 				Group: f.group, Generation: f.generation, SilentMs: uint32(f.silence.Milliseconds())})
 		}
 	}
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		if t.group != "" && t.localInFlight > 0 {
 			into.Loads = append(into.Loads, &marbleroadv1.GroupLoad{Group: t.group, InFlight: uint32(t.localInFlight), Suspects: uint32(t.suspects), UnreadTokens: tt.pauses.reportedUnread(t)})
 		}
--- a/internal/gateway/stalls.go
+++ b/internal/gateway/stalls.go
@@ -74,7 +74,7 @@
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
 	var out []*send
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		if t.group == "" || now.Before(t.suspectedUntil) {
 			continue
 		}
@@ -96,7 +96,7 @@
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
 	var out []*send
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		if t.group != "" {
 			continue
 		}
@@ -115,7 +115,7 @@
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
 	var out []*send
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		if t.group == "" || !now.Before(t.suspectedUntil) {
 			continue
 		}
@@ -205,7 +205,7 @@
 		minSilence = maxStall
 	}
 	var out []stall
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		if t.group == "" || t.localInFlight == 0 || now.Before(t.suspectedUntil) {
 			continue
 		}
@@ -236,7 +236,7 @@
 // same 0.36 s.
 func (tt *targetTable) allHeadsSilent(now time.Time) bool {
 	heads := 0
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		if t.group == "" || t.startedStreams == 0 {
 			continue
 		}
@@ -293,7 +293,7 @@
 // there and has recently received data from it. A head without requests of this node gets none for a while;
 // at one with requests, a shorter silence counts as a stall. The caller holds mu.
 func (tt *targetTable) applyPeerReport(now time.Time, group string) {
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		if t.group != group || (t.localInFlight > 0 && now.Sub(t.lastActivity) < t.reportedStallAfter()) {
 			continue
 		}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -123,7 +123,7 @@
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
 	var out []*send
-	for _, t := range tt.targets {
+	for t := range tt.watched() {
 		for s := range t.running {
 			if selected(s) {
 				out = append(out, s)
