A member counts as lost by its own report, not by an entry alone

Callers would see: the streams of a complete group cut at all nodes at one moment. An entry of a member from before its join, which the store does late, made the director take the member for lost and the group apart without letting its work finish.

--- a/internal/director/closing_test.go
+++ b/internal/director/closing_test.go
@@ -86,6 +86,34 @@
 	w.check(t)
 }
 
+// TestOutdatedEntryOfAMemberEndsNoWork: a member's entry from before its join arrived late. The member counted as lost, and
+// the streams of its group were cut.
+func TestOutdatedEntryOfAMemberEndsNoWork(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	n := w.addNode(t, "n1")
+	w.run(6*time.Second, func() bool { return w.servingGroups() > 0 && len(n.s.formations) == 0 })
+	head := w.openHeads()[0]
+	group := head.Group
+	head.busyUntil = w.now.Add(workDuration)
+	vms := make(map[string]*fleet.VM)
+	for id, vm := range w.snapshot.VMs {
+		entry := *vm
+		if entry.Group == group && id != head.ID {
+			entry.Membership = fleet.Membership{}
+		}
+		vms[id] = &entry
+	}
+	n.outdated, n.reachesOthersAt = fleet.NewSnapshot(vms, w.revision, w.now), w.now.Add(3*time.Second)
+	w.run(2*workDuration, func() bool { return false })
+	for _, interrupted := range w.interruptedWork {
+		t.Error(interrupted)
+	}
+	if head.Group != group || head.State != fleet.Open {
+		t.Errorf("the head is %s in %q", head.State, head.Group)
+	}
+	w.check(t)
+}
+
 // TestReadyHeadWithWorkIsNotMadeToLeave: a head that counts as ready while it still has work was made to leave.
 func TestReadyHeadWithWorkIsNotMadeToLeave(t *testing.T) {
 	w := newWorld(t, 2, 8)
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -295,8 +295,12 @@
 			if s.departing(now, member) {
 				leaving = member.ID
 			}
-		case entry == nil || s.membership(entry).Group != name || now.Before(s.vm(entry.ID).lostUntil):
+		case entry == nil || now.Before(s.vm(entry.ID).lostUntil):
 			missing = member.ID
+		case s.membership(entry).Group != name:
+			if s.confirmsLeaving(now, entry, name) {
+				missing = member.ID
+			}
 		case entry.Draining:
 			leaving = entry.ID
 		}
@@ -318,6 +322,20 @@
 	return true
 }
 
+// confirmsLeaving reports whether a member whose entry does not show it in the group is out of it by its own report as well,
+// or does not respond. The entry may be from before the member joined.
+func (s *state) confirmsLeaving(now time.Time, member *fleet.VM, name string) bool {
+	v := s.vm(member.ID)
+	switch {
+	case v.failures >= maxFailures:
+		return true
+	case now.Sub(v.countedAt) <= confirmInterval && !v.countedAt.Before(v.doubtedAt):
+		return v.counted.Group != name
+	}
+	s.queryMember(now, member)
+	return false
+}
+
 // allReady reports whether all recorded members of the group are ready.
 func (s *state) allReady(gs *groupState) bool {
 	for _, vm := range gs.members {
