--- a/internal/director/dissolve.go
+++ b/internal/director/dissolve.go
@@ -7,44 +7,8 @@
 	"github.com/marbleroad/marbleroad/internal/engine"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
-	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
-// maintainHeadless dissolves a group whose head is no longer listed. A head that is only
-// partitioned from the store still serves, so the head itself is queried first. A head that
-// does not respond may still have an open group, for new callers or for streams that it
-// finishes.
-func (s *state) maintainHeadless(now time.Time, name string, gs *groupState) {
-	switch {
-	case s.snapshot.Groups[name] == nil:
-		s.release(now, name, gs, "group has no members")
-		return
-	case gs.headVM == nil && now.Sub(gs.firstSeen) <= orphanTimeout:
-		// The head may be about to report that it joined.
-		return
-	case gs.headVM == nil:
-		s.removeMember(now, name, gs)
-		return
-	}
-	s.queryHead(now, gs)
-	if !gs.dissolving {
-		s.d.parts.Log.Emit(event.HeadLost).Str("group", name).Str("vm", gs.head).EmbedObject(platform.LogRevision(s.snapshot.Revision)).Send()
-		// A VM that leaves without a notice goes on serving for a while, so its work may finish.
-		s.startDissolving(now, name, gs, "head is no longer listed", true)
-	}
-	if s.vm(gs.head).failures >= maxFailures {
-		s.removeMember(now, name, gs)
-		return
-	}
-	if !gs.headRespondedAt.After(gs.headMissingSince) {
-		return
-	}
-	s.releaseIfHeadLeft(now, name, gs, s.membership(gs.headVM))
-	if !gs.released {
-		s.dissolve(now, name, gs, gs.headVM)
-	}
-}
-
 // unresponsive reports whether a head that is still listed neither responds nor renews its
 // entry.
 func (s *state) unresponsive(head *fleet.VM) bool {
@@ -90,19 +54,6 @@
 	}
 }
 
-// queryHead requests a report from a head whose entry is missing: until it responds, and again while it
-// finishes its work, since no entry shows when it has.
-func (s *state) queryHead(now time.Time, gs *groupState) {
-	v := s.vm(gs.head)
-	responded := gs.headRespondedAt.After(gs.headMissingSince)
-	if (responded && !gs.closeAccepted) || v.callPending || now.Sub(gs.headQueriedAt) < minSuspicionInterval {
-		return
-	}
-	gs.headQueriedAt = now
-	v.callPending = true
-	s.vmCalls.report(gs.headVM, forOrder)
-}
-
 // startDissolving marks a group as being dissolved; graceful lets its work finish first.
 func (s *state) startDissolving(now time.Time, name string, gs *groupState, reason string, graceful bool) {
 	gs.dissolving, gs.graceful, gs.dissolvingSince, gs.unopened = true, graceful, now, false
--- a/internal/director/fence_test.go
+++ b/internal/director/fence_test.go
@@ -101,6 +101,11 @@
 // recordingEngine counts orders.
 type recordingEngine struct{ orders int }
 
+// CheckHealth implements engine.GroupEngine.
+func (*recordingEngine) CheckHealth(context.Context, *fleet.VM, string) (bool, error) {
+	return false, engine.ErrNoResponse
+}
+
 func (*recordingEngine) Report(context.Context, *fleet.VM) (engine.Report, error) {
 	return engine.Report{}, nil
 }
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -253,6 +253,13 @@
 		return
 	}
 	state := s.membership(head).State
+	if rank, unknown := gs.unknownMember(model.Size); unknown && state == fleet.Open {
+		// It may only be missing from the list. If it is lost, the head breaks by itself.
+		if now.Sub(gs.firstSeen) > orphanTimeout {
+			s.startDissolving(now, name, gs, fmt.Sprintf("member of rank %d is unknown", rank), true)
+		}
+		return
+	}
 	missing, leaving := s.lostAndLeavingMembers(now, gs, name, model.Size)
 	switch {
 	case state == fleet.Open && missing != "":
@@ -273,6 +280,16 @@
 	}
 }
 
+// unknownMember returns the first rank of which no VM has been seen; false if there is none.
+func (gs *groupState) unknownMember(size int) (int, bool) {
+	for rank := range size {
+		if gs.members[rank] == nil {
+			return rank, true
+		}
+	}
+	return 0, false
+}
+
 // groupModel returns the catalog's definition of the group's model.
 func (s *state) groupModel(g *fleet.Group) (catalog.Model, bool) {
 	service := s.catalog.Service(g.Service)
