An old report of a closing head delays no release

What callers saw, beside planned departures of many upstreams: refusals, as groups stayed closed for nine seconds.

Cause: before a head is made to leave it is asked. Its report may be some hundred milliseconds old and still show it closing; as it was requested after the entry that shows it ready, it outweighed that entry, which doesn't change again. Nobody asked the head any more until no request could be left.

Change: a closing head is waited for only while its entry shows it closing too; otherwise it is asked again after the usual delay.

Evidence: TestOldReportOfAClosingHeadDelaysNoRelease fails without the change ('the head is ready') and passes. The simulated list keeps an entry that does not change, as the platform's list does.

--- a/internal/director/closing_test.go
+++ b/internal/director/closing_test.go
@@ -156,3 +156,27 @@
 		w.check(t)
 	}
 }
+
+// TestOldReportOfAClosingHeadDelaysNoRelease guards against a head that has finished its work by its entry and is not
+// asked again after a report from some moments before: its group was held for as long as any request may last.
+func TestOldReportOfAClosingHeadDelaysNoRelease(t *testing.T) {
+	w := newWorld(t, 2, 8)
+	n := w.addNode(t, "n1")
+	head := startClosingHead(t, w)
+	group := head.Group
+	head.busyUntil = w.now.Add(time.Second)
+	closing := head.report(w.now)
+	n.s.vm(head.ID).notBefore = w.now.Add(2 * time.Second)
+	if !w.run(2*time.Second, func() bool { return head.State == fleet.Ready }) {
+		t.Fatalf("the head is %v", head.State)
+	}
+	w.step(50 * time.Millisecond)
+	n.s.handleReport(w.now, reportResult{vm: w.snapshot.VMs[head.ID], requestedAt: w.now.Add(time.Millisecond), report: closing})
+	if !w.run(4*time.Second, func() bool { return head.Group != group }) {
+		t.Errorf("the head is %v", head.State)
+	}
+	for _, interrupted := range w.interruptedWork {
+		t.Error(interrupted)
+	}
+	w.check(t)
+}
--- a/internal/director/dissolve.go
+++ b/internal/director/dissolve.go
@@ -75,7 +75,8 @@
 // close.
 func (s *state) dissolve(now time.Time, name string, gs *groupState, head *fleet.VM) {
 	finishing := gs.finishing(now, s.maxCloseTime(gs.service))
-	if finishing && !gs.closeAcceptedAt.IsZero() && serving(s.membership(head).State) {
+	// A report may be some hundred milliseconds old, so that one of a head that closes doesn't outweigh its newer entry.
+	if finishing && !gs.closeAcceptedAt.IsZero() && serving(s.membership(head).State) && serving(head.State) {
 		return
 	}
 	if !s.readyForOrder(now, head) {
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"reflect"
 	"sort"
 
 	"time"
@@ -237,10 +238,7 @@
 		if e == nil || e.dead || e.unresponsive || n.cutOff {
 			m.err = engine.ErrNoResponse
 		} else {
-			m.report = engine.Report{AcceptedOrders: e.accepted, Born: e.Born, Membership: e.Membership}
-			if n.w.now.Before(e.busyUntil) {
-				m.report.Running = 1
-			}
+			m.report = e.report(n.w.now)
 		}
 		n.deliver(func() { n.s.handleReport(n.w.now, m) })
 	})
@@ -434,6 +432,15 @@
 	}
 }
 
+// report returns the VM's state.
+func (e *engineVM) report(now time.Time) engine.Report {
+	report := engine.Report{AcceptedOrders: e.accepted, Born: e.Born, Membership: e.Membership}
+	if now.Before(e.busyUntil) {
+		report.Running = 1
+	}
+	return report
+}
+
 func (w *world) advance(e *engineVM) {
 	if e.dead {
 		return
@@ -490,6 +497,10 @@
 		vm := e.VM
 		vm.Staged = append([]string(nil), e.Staged...)
 		vms[id] = &vm
+		if w.snapshot != nil && w.snapshot.VMs[id] != nil && reflect.DeepEqual(*w.snapshot.VMs[id], vm) {
+			// A renewal that changes nothing is no new entry.
+			vms[id] = w.snapshot.VMs[id]
+		}
 		renewedAt[id] = e.renewedAt
 	}
 	w.snapshot = fleet.NewSnapshot(vms, w.revision, w.now)
