A shorter timeout in a new version ends no request that began before

Callers would see: around a new version that shortens or removes a route's timeout, or removes a service, the streams of a head that is closing end at one moment at all nodes. The time that a closing head gets followed the configuration in force at each moment; the streams had begun under the older one.

Change: a service's longest timeout goes down only once the requests that began under the older version have ended. Each node follows the versions, so a node that takes over knows it too, unless it started after the change (open).

--- a/internal/director/closing_test.go
+++ b/internal/director/closing_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 )
 
@@ -180,3 +181,30 @@
 	}
 	w.check(t)
 }
+
+// TestShorterTimeoutCutsNoEarlierRequest: a new version shortened the timeout of the only route to a service, or removed the service,
+// while a head was closing. The head was made to leave by the new version's timeout, with streams that had begun under the
+// older one.
+func TestShorterTimeoutCutsNoEarlierRequest(t *testing.T) {
+	service := *testCatalog(t).Service("llm")
+	service.LongestTimeout = 0
+	for name, content := range map[string]catalog.Content{
+		"shortened": {Version: 2, Routes: []catalog.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: time.Second,
+			Targets: []catalog.Target{{Service: "llm", Weight: 1}}}}, Services: []catalog.Service{service}},
+		"removed": {Version: 2},
+	} {
+		w := newWorld(t, 2, 8)
+		w.addNode(t, "n1")
+		startClosingHead(t, w)
+		c, err := catalog.New(content)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.catalog = c
+		w.run(2*workDuration, func() bool { return false })
+		for _, interrupted := range w.interruptedWork {
+			t.Errorf("%s: %s", name, interrupted)
+		}
+		w.check(t)
+	}
+}
--- a/internal/director/dissolve.go
+++ b/internal/director/dissolve.go
@@ -121,16 +121,6 @@
 	s.d.parts.Log.Emit(event.GroupKept).Str("group", name).Str("head", gs.head).Dur("after_ms", now.Sub(gs.dissolvingSince)).Send()
 }
 
-// maxCloseTime returns how long a closing head of the service may take to finish its work: no
-// request lasts longer.
-func (s *state) maxCloseTime(service string) time.Duration {
-	svc := s.catalog.Service(service)
-	if svc == nil {
-		return minCloseTime
-	}
-	return max(minCloseTime, svc.LongestTimeout+closeMargin)
-}
-
 // handleSuspicion requests reports from all members of a stalled group.
 func (s *state) handleSuspicion(now time.Time, m suspected) {
 	if s.snapshot == nil || len(s.d.Directing()) == 0 {
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -1,7 +1,6 @@
 package director
 
 import (
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -14,7 +13,6 @@
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/engine"
 	"github.com/marbleroad/marbleroad/internal/fleet"
-	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
 // Messages to the actor.
@@ -255,6 +253,8 @@
 	expectedSince map[string]time.Time
 	// predictedChanges holds, by failure domain, the last change of a packing that was predicted there.
 	predictedChanges map[string]predictedChange
+	// timeouts bounds, by service, how long requests that have begun may still take.
+	timeouts map[string]timeoutBound
 	// domainLiveAt is when each failure domain last had a live node.
 	domainLiveAt map[string]time.Time
 	// referenceCursor counts the VMs that were considered as references, so that each call of
@@ -274,6 +274,7 @@
 		vms:                make(map[string]*vmState),
 		formations:         make(map[string]*formation),
 		groups:             make(map[string]*groupState),
+		timeouts:           make(map[string]timeoutBound),
 		domainLiveAt:       make(map[string]time.Time),
 		fabricReservations: make(map[string]fabricReservation),
 		expectedSince:      make(map[string]time.Time),
@@ -319,6 +320,7 @@
 	if s.snapshot == nil || s.catalog == nil {
 		return
 	}
+	s.updateTimeouts(now, s.catalog)
 	idle := len(s.d.Directing()) == 0 && len(s.formations) == 0
 	if !idle || previous == nil || !s.snapshot.SameVMs(previous) {
 		s.pruneRemoved()
@@ -388,23 +390,3 @@
 func sorted[V any](m map[string]V) []string {
 	return slices.Sorted(maps.Keys(m))
 }
-
-// nextName returns a group name that was never used: the nonce differs in each incarnation of
-// the process.
-func (s *state) nextName() string {
-	s.namesIssued++
-	return fmt.Sprintf("g%s-%d", s.nonce, s.namesIssued)
-}
-
-// eraGenerations is the number of generations by which each restore of the platform's store raises the next one. A
-// restore takes back some seconds of revisions, far fewer than these.
-const eraGenerations = 1 << 20
-
-// nextGeneration returns a generation above every one that any VM has reported. The store's
-// revision rises with each report, so a new incarnation of the director continues above the
-// generations of the previous one, also when the store was restored between the two.
-func (s *state) nextGeneration() uint64 {
-	era, number := platform.SplitRevision(s.snapshot.Revision)
-	s.lastGeneration = max(s.lastGeneration+1, era*eraGenerations+number)
-	return s.lastGeneration
-}
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -308,7 +308,10 @@
 	if o.AcceptedOrders != e.accepted {
 		return false, engine.ErrStateMismatch
 	}
-	model, _ := w.catalog.Service("llm").Engine.Model(o.Model)
+	var model catalog.Model
+	if service := w.catalog.Service("llm"); service != nil {
+		model, _ = service.Engine.Model(o.Model)
+	}
 	inGroup := e.Group == o.Group && e.Generation == o.Generation
 	switch o.Operation {
 	case engine.Join:
