Model check: two directors that act on outdated knowledge take no group apart

No VM fails, so that no VM may be taken from a serving group (TWO), no head may open without its members (PARTIAL), and no order may end work (LOST around planned work). TestRandomFaults gets standstills and late entries beside its faults of VMs.

--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -227,7 +227,7 @@
 }
 
 // TestRandomFaults runs directors through terminated, partitioned and restarted VMs, lost and late
-// orders, and directors that are down or isolated.
+// orders, late entries, and directors that are down, isolated or stand still.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, 2, 8)
@@ -262,7 +262,7 @@
 	}
 	e := w.vms[rapid.SampledFrom(ids).Draw(t, "vm")]
 	n := w.nodes[rapid.IntRange(0, 1).Draw(t, "node")]
-	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
 	case 0:
 		e.dead = true
 	case 1:
@@ -284,6 +284,10 @@
 		e.partitioned = e.unresponsive
 	case 7:
 		w.restart(e)
+	case 8:
+		n.toggleFreeze(t)
+	case 9:
+		e.delayEntry(w.now, t)
 	}
 }
 
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -41,6 +41,8 @@
 	pending         []func()
 	// messageDelay is the age of the records that nodes have of each other.
 	messageDelay time.Duration
+	// orderDelay is how much later orders with the outcome executedLate are executed.
+	orderDelay time.Duration
 	// chooseOutcome decides the outcome of an order; if it is nil, all orders are executed.
 	chooseOutcome func(vm *engineVM, o engine.GroupOrder) orderOutcome
 }
@@ -52,7 +54,7 @@
 	executed orderOutcome = iota
 	// executedUnanswered orders are executed, but their response is lost.
 	executedUnanswered
-	// executedLate orders get no response and are executed two seconds later.
+	// executedLate orders get no response and are executed orderDelay later.
 	executedLate
 )
 
@@ -74,6 +76,9 @@
 	brokenAt     time.Time
 	stagedAt     time.Time
 	stagingModel string
+	// lateEntry is listed in place of the VM's own state for a while after lateFrom.
+	lateEntry fleet.VM
+	lateFrom  time.Time
 	// busyUntil is when the head's work finishes.
 	busyUntil time.Time
 }
@@ -136,6 +141,7 @@
 		readyMembers: make(map[string]map[string]bool),
 		sizes:        make(map[string]int),
 		heads:        make(map[string]string),
+		orderDelay:   2 * time.Second,
 	}
 	for f := range fabrics {
 		for i := range perFabric {
@@ -179,9 +185,11 @@
 	return n.w.snapshot
 }
 
-// deliver runs f, which processes the result of a call, unless the node is down. A frozen node processes it later.
-func (n *node) deliver(f func()) {
+// deliver runs f, by which the director s processes the result of a call, unless the node is down or has restarted since. A frozen
+// node processes it later.
+func (n *node) deliver(s *state, f func()) {
 	switch {
+	case n.s != s:
 	case n.frozen:
 		n.held = append(n.held, f)
 	case !n.down:
@@ -231,7 +239,7 @@
 
 func (n *node) report(vm *fleet.VM, reason reportReason) {
 	n.reports++
-	e := n.w.vms[vm.ID]
+	e, s := n.w.vms[vm.ID], n.s
 	requestedAt := n.w.now
 	n.w.pending = append(n.w.pending, func() {
 		m := reportResult{vm: vm, requestedAt: requestedAt, reason: reason}
@@ -240,7 +248,7 @@
 		} else {
 			m.report = e.report(n.w.now)
 		}
-		n.deliver(func() { n.s.handleReport(n.w.now, m) })
+		n.deliver(s, func() { s.handleReport(n.w.now, m) })
 	})
 }
 
@@ -262,7 +270,7 @@
 
 func (n *node) order(vm *fleet.VM, o engine.GroupOrder, decidedAt time.Time) {
 	n.orders++
-	w := n.w
+	w, s := n.w, n.s
 	e := w.vms[vm.ID]
 	outcome := executed
 	if w.chooseOutcome != nil && e != nil {
@@ -274,7 +282,7 @@
 		case e == nil || e.dead || e.unresponsive || n.cutOff:
 			m.err = engine.ErrNoResponse
 		case outcome == executedLate:
-			due := w.now.Add(2 * time.Second)
+			due := w.now.Add(w.orderDelay)
 			w.runAt(due, func() { _, _ = w.execute(e, o) })
 			m.err = engine.ErrNoResponse
 		default:
@@ -283,7 +291,7 @@
 				m.err = engine.ErrNoResponse
 			}
 		}
-		n.deliver(func() { n.s.handleOrderResult(w.now, m) })
+		n.deliver(s, func() { s.handleOrderResult(w.now, m) })
 	})
 }
 
@@ -497,8 +505,8 @@
 		if w.now.Sub(e.renewedAt) > w.entryLife {
 			continue
 		}
-		vm := e.VM
-		vm.Staged = append([]string(nil), e.Staged...)
+		vm := e.entry(w.now)
+		vm.Staged = append([]string(nil), vm.Staged...)
 		vms[id] = &vm
 		if w.snapshot != nil && w.snapshot.VMs[id] != nil && reflect.DeepEqual(*w.snapshot.VMs[id], vm) {
 			// A renewal that changes nothing is no new entry.
