Entries of upstreams are ordered by their writers' words

Callers saw: an upstream's entry from before it joined, which the store writes seconds late, counted as the newest word.

Cause: the list ordered entries by the store's revision alone. A write without a response may be carried out after newer ones, so the last one in the store needn't be the last one that was written. The writer's count (`seq`) was decoded and not used.

With the order by revision (mutant "entries are ordered by the store's revision alone") eleven of the new tests fail, as "a late entry takes a head out of its open group", "a late entry undoes draining", "the entry of count 3 undoes the removal".

Change: fleet.Word is what an entry's writer says of it: incarnation and count. The later incarnation is newer, then the higher count, then the store's revision. The list keeps the newest word of each VM, also of those that left (a minute, 4,096 at most), and withholds older entries. One that is withheld for 12 s while no newer one comes is put in force: its writer counts anew (a clock set back, no start time). An entry with another address, service or failure domain within an incarnation is another writer's: its count orders nothing, so that it blocks no VM. Nodes send each other the count, at removals too; lists that are completed by later changes are merged by the same order; a restored copy takes nothing back that has a count. A count above 2^53 is invalid like the other numbers.

The tests of fleet, feed, cluster, director, gateway, event and platform pass.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -162,6 +162,8 @@
 		"If it repeats, see 4025, 4026 and 3001 of this node for why its reader is late."}
 	RelayFollowed = Event{4039, zerolog.WarnLevel, "neither the platform nor a leader serves this node; it follows another node that has a recent proof",
 		"Check the platform, and this node's path to it. Serving continues."}
+	EntryLate = Event{4043, zerolog.InfoLevel, "the store holds an entry of an upstream VM that is older than one that the VM wrote before; the newer one, or its removal, stays in force",
+		"None. If it repeats for one VM, another program writes under its ID, or its clock was set back when it started."}
 )
 
 // Events of requests.
@@ -254,7 +256,7 @@
 	UpstreamAdded, UpstreamDraining, UpstreamRemoved, MembershipChanged, OrderSent,
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
 	DirectorRoleAcquired, DirectorRoleReleased, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceQueried, ListRead, UnverifiedStateAdopted,
-	EvacuationStarted, EvacuationEnded, LeaderOutdated, EntryOutdated, PackingChanged, VersionFetched, RelayFollowed, DirectorResumed, ReleaseRevoked, GroupKept,
+	EvacuationStarted, EvacuationEnded, LeaderOutdated, EntryOutdated, PackingChanged, VersionFetched, RelayFollowed, DirectorResumed, ReleaseRevoked, GroupKept, EntryLate,
 	RequestDone, RequestRefused, RequestFailed, InvalidInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerDisconnected, RetryRefused, UpstreamTerminated, RequestQuarantined,
 	SuspectsReceived, QuarantineUnavailable, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamBackoff, UpstreamLeaving, UpstreamWarming, CallerSlow,
--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -98,33 +98,13 @@
 		f.selector.log.Emit(event.UnverifiedStateAdopted).Str("of", "list").Dur("age_ms", clock.Since(listed.VerifiedAt)).Err(err).Send()
 		return listed, nil
 	}
-	since.Changes = merge(listed.Changes, since.Changes)
+	since.Changes = fleet.Merge(listed.Changes, since.Changes)
 	since.Relayed = listed.Relayed
 	since.RetainUntil = listed.RetainUntil
 	since.Evacuations = listed.Evacuations
 	return since, nil
 }
 
-// merge returns a list with later changes applied.
-func merge(list, later []fleet.Change) []fleet.Change {
-	last := make(map[string]fleet.Change, len(later))
-	for _, c := range later {
-		last[c.VM.ID] = c
-	}
-	out := make([]fleet.Change, 0, len(list)+len(last))
-	for _, c := range list {
-		if _, changed := last[c.VM.ID]; !changed {
-			out = append(out, c)
-		}
-	}
-	for _, c := range last {
-		if !c.Removed {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
 // errLeaderOutdated means that the leader has not noticed yet that the platform's store was restored.
 var errLeaderOutdated = errors.Mark(errors.New("the leader's list is from before the store's last restore"), errLeaderUnusable)
 
@@ -260,6 +240,7 @@
 	return fleet.VM{
 		ID:            m.GetId(),
 		Born:          m.GetBorn(),
+		Count:         m.GetCount(),
 		Revision:      m.GetRevision(),
 		Address:       m.GetAddress(),
 		Service:       m.GetService(),
@@ -284,6 +265,7 @@
 	return &marbleroadv1.UpstreamVM{
 		Id:            vm.ID,
 		Born:          vm.Born,
+		Count:         vm.Count,
 		Revision:      sentEntryRevision(vm.Revision, era),
 		Address:       vm.Address,
 		Service:       vm.Service,
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -74,12 +74,11 @@
 	// outdated holds the entries that a restored store lists in an older version than the one known here. The known
 	// version, or removal, stays in force until the entry is written again or the time to retain missing ones is over.
 	outdated map[string]*VM
-	// removals holds the VMs that left recently.
-	removals removals
+	// words holds the newest word of each VM, and late the entries that are older than that.
+	words *words
+	late  map[string]lateEntry
 	// lastSeen is when each VM last renewed or changed its entry.
 	lastSeen map[string]time.Time
-	// revisions maps VMs to the revisions of their newest entries, including heartbeats.
-	revisions map[string]uint64
 	// invalid maps the IDs of invalid entries to the reasons.
 	invalid  map[string]string
 	revision uint64
@@ -104,11 +103,11 @@
 		missing:  make(map[string]bool),
 		lastSeen: make(map[string]time.Time),
 
-		revisions: make(map[string]uint64),
-		invalid:   make(map[string]string),
+		invalid: make(map[string]string),
 
 		outdated: make(map[string]*VM),
-		removals: make(removals),
+		words:    newWords(),
+		late:     make(map[string]lateEntry),
 
 		recent:  newRecentChanges(),
 		backoff: wait.Backoff{Min: retryPause, Max: maxRetryPause},
@@ -168,6 +167,7 @@
 		}
 		d.backoff.Reset()
 		changed = d.applyExpired(clock.Now()) || changed
+		changed = d.applyLate(clock.Now()) || changed
 		changed = d.leaving.takeUpdate() || changed
 		evacuationsChanged, ended := d.evacuated.takeUpdate(clock.Now())
 		d.logEvacuationsEnded(ended, d.revision)
@@ -237,13 +237,13 @@
 			d.reject(&entries[i])
 			continue
 		}
-		if !d.defersEntry(now, &entries[i].VM) {
-			d.put(&entries[i].VM)
+		if vm := &entries[i].VM; !d.defersEntry(now, vm) && d.accepts(now, vm) {
+			d.put(vm)
 		}
 	}
 	for id := range d.vms {
 		if !seen[id] {
-			d.remove(id)
+			d.remove(&VM{ID: id})
 		}
 	}
 	for id := range d.invalid {
@@ -261,11 +261,14 @@
 		return d.reject(&c)
 	case c.Removed:
 		delete(d.invalid, c.VM.ID)
-		return d.remove(c.VM.ID)
+		return d.remove(&c.VM)
+	}
+	vm, now := c.VM, clock.Now()
+	if !d.accepts(now, &vm) {
+		return false
 	}
-	vm := c.VM
 	if !relayed {
-		d.lastSeen[vm.ID] = clock.Now()
+		d.lastSeen[vm.ID] = now
 	}
 	if !d.put(&vm) {
 		return false
@@ -274,23 +277,13 @@
 	return true
 }
 
-// isOlder reports whether an entry is older than the newest one received for the VM. A
-// list is read in pages, and the changes that follow it may already be in some of them.
-func (d *Directory) isOlder(vm *VM) bool {
-	return vm.Revision != 0 && vm.Revision < d.revisions[vm.ID]
-}
-
-// put applies a VM's entry and reports whether it changed anything. An entry with the same
+// put puts a VM's entry in force and reports whether it changed anything. An entry with the same
 // content, such as a heartbeat's, doesn't replace the old one, unless that was only retained.
 func (d *Directory) put(vm *VM) bool {
-	if d.isOlder(vm) {
-		return false
-	}
 	retained := d.missing[vm.ID]
 	delete(d.missing, vm.ID)
 	delete(d.invalid, vm.ID)
 	delete(d.outdated, vm.ID)
-	d.revisions[vm.ID] = vm.Revision
 	old := d.vms[vm.ID]
 	warming := vm.setWarmUntil(clock.Now(), old)
 	if old != nil && old.sameContent(vm) && !warming && !retained {
@@ -323,8 +316,7 @@
 	delete(d.vms, id)
 	delete(d.missing, id)
 	delete(d.lastSeen, id)
-	delete(d.revisions, id)
-	d.removals.record(clock.Now(), id, d.revision)
+	d.words.remove(clock.Now(), id, d.revision)
 	d.log.Emit(event.UpstreamRemoved).Str("vm", id).Str("group", vm.Group).EmbedObject(platform.LogRevision(d.revision)).Send()
 	return true
 }
@@ -341,6 +333,9 @@
 		d.log.Emit(event.PlatformUp).Str("of", "directory").Int64("silent_ms", d.outage.unverifiedFor(verifiedAt).Milliseconds()).
 			Int64("waited_ms", clock.Since(verifiedAt).Milliseconds()).Send()
 	}
+	if d.outage.unverifiedFor(verifiedAt) > d.maxWait+minOutage {
+		d.restartLate(clock.Now())
+	}
 	d.outage.succeeded(verifiedAt, d.maxWait)
 	if !w.RetainUntil.IsZero() {
 		d.outage.adopt(clock.Now(), w.RetainUntil)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,10 +59,11 @@
 	// ID identifies the VM. A VM that restarts may keep its ID; Born then differs.
 	ID string
 	// Born is the start time of the incarnation in Unix milliseconds by the VM's clock;
-	// 0 if it is not reported. It only distinguishes incarnations: which one is newer
-	// follows from the order of the store's revisions, since clocks are set back at
-	// times.
+	// 0 if it is not reported.
 	Born int64
+	// Count is how many entries the incarnation had written with this one; 0 if that is not known. Word says how
+	// Born and Count order entries.
+	Count uint64
 	// Revision is the store's revision of the entry.
 	Revision      uint64
 	Address       string
--- a/internal/fleet/invalid.go
+++ b/internal/fleet/invalid.go
@@ -13,7 +13,7 @@
 // was dropped.
 func (d *Directory) reject(c *Change) bool {
 	id, reason := c.VM.ID, c.Err.Error()
-	if d.isOlder(&c.VM) {
+	if c.VM.Word().hasOlderRevision(d.words.newest(id)) {
 		return false
 	}
 	d.rejected.Add(1)
@@ -22,7 +22,7 @@
 		d.log.Emit(event.EntryUnreadable).Str("vm", id).Bool("known", d.vms[id] != nil).EmbedObject(platform.LogRevision(c.VM.Revision)).Str("reason", reason).Send()
 	}
 	if d.vms[id] != nil {
-		d.recent.add(Change{VM: VM{ID: id}, Removed: true})
+		d.recent.add(d.removal(id))
 	}
 	return d.drop(id)
 }
--- a/internal/fleet/missing.go
+++ b/internal/fleet/missing.go
@@ -9,21 +9,23 @@
 )
 
 // remove drops a VM whose entry was removed, unless the entry may have expired in an
-// outage. It reports whether anything changed. Other nodes learn of the removal at once: each decides for itself
+// outage. removed has what another node knows of the VM besides its ID. remove reports whether anything changed. Other nodes learn of the removal at once: each decides for itself
 // whether it retains the VM, and until when.
-func (d *Directory) remove(id string) bool {
+func (d *Directory) remove(removed *VM) bool {
+	id, now := removed.ID, clock.Now()
 	vm := d.vms[id]
-	now := clock.Now()
+	d.words.raise(now, id, removed.Word(), d.revision)
 	outdated := d.outdated[id]
 	delete(d.outdated, id)
+	delete(d.late, id)
 	if vm == nil && outdated != nil {
-		d.recent.add(Change{VM: VM{ID: id}, Removed: true})
+		d.recent.add(d.removal(id))
 		return true
 	}
 	if vm == nil || d.missing[id] {
 		return false
 	}
-	d.recent.add(Change{VM: VM{ID: id}, Removed: true})
+	d.recent.add(d.removal(id))
 	if !d.outage.retains(now) {
 		return d.drop(id)
 	}
@@ -52,12 +54,13 @@
 	changed := d.dropMissing()
 	for id, vm := range d.outdated {
 		delete(d.outdated, id)
-		changed = d.put(vm) || changed
+		changed = (d.accepts(now, vm) && d.put(vm)) || changed
 	}
 	return changed
 }
 
-// publishExpired publishes what applyExpired changes while calls fail.
+// publishExpired publishes what applyExpired changes while calls fail. Entries that are withheld stay so: newer ones can't
+// be read.
 func (d *Directory) publishExpired() {
 	if s := d.Snapshot(); s != nil && d.applyExpired(clock.Now()) {
 		d.publish(s.VerifiedAt, true)
--- a/internal/fleet/restored.go
+++ b/internal/fleet/restored.go
@@ -11,37 +11,6 @@
 // that are there, lists VMs that left, and has old versions of other entries. What the directory knows of the lost
 // seconds stays in force meanwhile.
 
-// maxRemovals bounds the number of VMs that are remembered after they left.
-const maxRemovals = 4096
-
-// removals holds VMs that left, by ID.
-type removals map[string]removal
-
-// removal is when a VM's entry was removed.
-type removal struct {
-	revision uint64
-	at       time.Time
-}
-
-// record remembers that a VM left.
-func (r removals) record(now time.Time, id string, revision uint64) {
-	if len(r) >= maxRemovals {
-		r.forget(now)
-	}
-	if len(r) < maxRemovals {
-		r[id] = removal{revision, now}
-	}
-}
-
-// forget forgets the VMs that left so long ago that no copy lists them.
-func (r removals) forget(now time.Time) {
-	for id, removed := range r {
-		if now.Sub(removed.at) > platform.MaxCopyAge {
-			delete(r, id)
-		}
-	}
-}
-
 // rewinds reports whether an entry of a restored store is older than a version, or a removal, of the revision known.
 func rewinds(vm *VM, known uint64) bool {
 	_, number := platform.SplitRevision(vm.Revision)
@@ -56,7 +25,7 @@
 	if list.RetainUntil.IsZero() {
 		d.outage.restored(now)
 	}
-	d.removals.forget(now)
+	d.words.forget(now)
 	for id, vm := range d.vms {
 		if vm.Draining {
 			d.MarkLeaving(id, vm.Born)
@@ -73,16 +42,10 @@
 // the directory's goroutine. OnRestore must be called before Start.
 func (d *Directory) OnRestore(f func()) { d.onRestore = append(d.onRestore, f) }
 
-// defersEntry reports whether an entry of a list is left aside as outdated. An entry that is draining never is.
+// defersEntry reports whether an entry of a list is left aside as outdated. An entry that is draining never is, nor one
+// whose count tells whether it is older.
 func (d *Directory) defersEntry(now time.Time, vm *VM) bool {
-	if vm.Draining || !d.outage.retains(now) {
-		return false
-	}
-	known := d.revisions[vm.ID]
-	if removed, left := d.removals[vm.ID]; left && d.vms[vm.ID] == nil {
-		known = removed.revision
-	}
-	if !rewinds(vm, known) {
+	if vm.Draining || !d.outage.retains(now) || d.words.comparesCount(vm) || !rewinds(vm, d.words.revision(vm.ID)) {
 		return false
 	}
 	previous := d.outdated[vm.ID]
