An entry without a group releases no group that its head reports

Callers see: streams of an open group are cut (TWO, LOST) when the first word that the store has of its head after a while is an entry of before it joined: the entries with the group were lost, or the director's node reads the store again after a gap.

Cause: the director took an entry that was seen later than the VM's own report for newer unless it named an earlier group. One without a group passed, and the group was released without a question to its head. The order of entries among each other doesn't help here: none of the newer ones has arrived. Reports had the like: their values are some hundred milliseconds old, so one that is requested just after an entry was seen may be older.

Change: an entry with a lower generation than the VM's report, or with none, doesn't count against the report. A report of an earlier group than the entry's counts only once it is as late. Generations of entries count up to 2^20 above the store's revision (the same distance as between eras), higher ones when the VM itself reports them.

Cost: questions only to VMs whose entry contradicts their last report: one to three each time.

--- a/internal/director/fence.go
+++ b/internal/director/fence.go
@@ -34,6 +34,7 @@
 		v.reported, v.reportRequestedAt = v.counted, m.decidedAt
 	case engine.Leave:
 		v.counted = fleet.Membership{}
+		v.reported, v.reportRequestedAt = v.counted, m.decidedAt
 	case engine.OpenHead:
 		v.counted.State = fleet.Open
 	case engine.CloseHead:
--- a/internal/director/names.go
+++ b/internal/director/names.go
@@ -1,10 +1,6 @@
 package director
 
-import (
-	"fmt"
-
-	"github.com/marbleroad/marbleroad/internal/platform"
-)
+import "fmt"
 
 // nextName returns a group name that was never used: the nonce differs in each incarnation of
 // the process.
@@ -21,7 +17,6 @@
 // revision rises with each report, so a new incarnation of the director continues above the
 // generations of the previous one, also when the store was restored between the two.
 func (s *state) nextGeneration() uint64 {
-	era, number := platform.SplitRevision(s.snapshot.Revision)
-	s.lastGeneration = max(s.lastGeneration+1, era*eraGenerations+number)
+	s.lastGeneration = max(s.lastGeneration+1, s.revisionGeneration())
 	return s.lastGeneration
 }
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -138,6 +138,8 @@
 	// entry is the VM's newest entry and entrySeenAt when it was first seen.
 	entry       *fleet.VM
 	entrySeenAt time.Time
+	// entryMembershipSeenAt is when an entry with the membership of the newest one was first seen.
+	entryMembershipSeenAt time.Time
 	// reported is the membership that the VM itself reported when queried at reportRequestedAt. It
 	// is newer than the entry if entrySeenAt is earlier.
 	reported          fleet.Membership
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -5,6 +5,7 @@
 
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
+	"github.com/marbleroad/marbleroad/internal/platform"
 )
 
 // pruneRemoved drops VMs and released groups that the fleet no longer lists.
@@ -33,17 +34,75 @@
 // last query.
 func (s *state) membership(vm *fleet.VM) fleet.Membership {
 	v := s.vms[vm.ID]
-	if v != nil && (v.reportRequestedAt.After(v.entrySeenAt) || v.isEntryOutdated(vm.Membership)) {
+	switch {
+	case v == nil || v.isReportOutdated(vm.Membership):
+		return vm.Membership
+	case v.reportRequestedAt.After(v.entrySeenAt) || v.isEntryOutdated(vm.Membership):
 		return v.reported
 	}
 	return vm.Membership
 }
 
-// isEntryOutdated reports whether an entry names an earlier group than the VM's own report,
-// even if the entry was seen later. An entry may be written late, and a VM never accepts a
-// lower generation than it had.
+// isEntryOutdated reports whether an entry names an earlier group than the VM's own report, or
+// none, even if the entry was seen later. An entry may be written late, and a VM never accepts a
+// lower generation than it had. An entry without a group may also be newer; verifyEntry finds out.
 func (v *vmState) isEntryOutdated(entry fleet.Membership) bool {
-	return entry.Group != "" && entry.Generation < v.reported.Generation
+	return entry.Generation < v.reported.Generation
+}
+
+// isReportOutdated reports whether the VM's own report names an earlier group than its entry, and
+// may be from before the entry though it was requested later.
+func (v *vmState) isReportOutdated(entry fleet.Membership) bool {
+	return v.reported.Group != "" && v.reported.Generation < entry.Generation && !v.isReportSettled()
+}
+
+// isReportSettled reports whether the last report shows a state of after the entry's membership was
+// first seen.
+func (v *vmState) isReportSettled() bool {
+	return v.reportRequestedAt.After(v.entryMembershipSeenAt.Add(maxReportLag))
+}
+
+// maxReportLag bounds how old the values in a report are when it is requested.
+const maxReportLag = 500 * time.Millisecond
+
+// verifyEntry requests a report of a VM whose entry contradicts its last report, until a report is
+// settled.
+func (s *state) verifyEntry(now time.Time, v *vmState, vm *fleet.VM) {
+	if !v.isEntryOutdated(vm.Membership) || v.isReportSettled() {
+		return
+	}
+	if !s.manages(vm.FailureDomain) || v.callPending || now.Before(v.notBefore) || now.Before(v.lostUntil) {
+		return
+	}
+	v.callPending = true
+	v.notBefore = now.Add(orderRetryDelay)
+	s.vmCalls.report(vm, forProgress)
+}
+
+// recordEntry records a VM's new entry.
+func (v *vmState) recordEntry(now time.Time, vm *fleet.VM) {
+	if v.entry == nil || v.entry.Membership != vm.Membership {
+		v.entryMembershipSeenAt = now
+	}
+	v.entry, v.entrySeenAt = vm, now
+}
+
+// recordGeneration raises the last generation to that of a VM. An entry may come from another
+// program: one whose generation is too far ahead of the store's revisions counts only once the VM
+// itself reports it. Otherwise the next generations would be higher than entries may name.
+func (s *state) recordGeneration(v *vmState, vm *fleet.VM) {
+	generation := vm.Generation
+	if generation > s.revisionGeneration()+eraGenerations {
+		generation = 0
+	}
+	s.lastGeneration = max(s.lastGeneration, generation, v.reported.Generation)
+}
+
+// revisionGeneration returns the lowest generation that a group which is formed at the current
+// revision may have.
+func (s *state) revisionGeneration() uint64 {
+	era, number := platform.SplitRevision(s.snapshot.Revision)
+	return era*eraGenerations + number
 }
 
 // recordServedDomains records once, from the first snapshot, where heads were open. Without
@@ -74,16 +133,17 @@
 			if !s.acceptEntryIncarnation(now, v, vm) {
 				continue
 			}
-			v.entry, v.entrySeenAt = vm, now
+			v.recordEntry(now, vm)
 		}
 		v.departure = departure{}
+		s.verifyEntry(now, v, vm)
 		if v.staging != "" && (vm.HasStaged(v.staging) || now.After(v.stagingUntil)) {
 			v.staging = ""
 		}
 		if vm.Model != "" && vm.Group != "" {
 			s.vm(id).lastModel = vm.Model
 		}
-		s.lastGeneration = max(s.lastGeneration, vm.Generation)
+		s.recordGeneration(v, vm)
 	}
 	for name, g := range s.snapshot.Groups {
 		gs := s.groups[name]
