A former incarnation's late response replaces nothing of the next one

Callers see: after a restart under the same ID, a VM that asks for fewer requests, or that leaves, gets requests as if it had said nothing (LIMIT, DRAIN).

Cause: a response of the former incarnation that arrives after one of the next replaced the whole condition of the next, and its mark as leaving in the list's record of leaving VMs. Records from other nodes had that check, the node's own responses had not.

Evidence: TestLateResponseOfPreviousIncarnationReplacesNothing fails before with "limit 0, limited false, leaving false", TestFormerIncarnationsLeaveHidesNoLaterOne with "a leaving VM is not draining".

Change: neither is replaced by that of an incarnation that started earlier. If a clock was set back, the list puts the new incarnation in force first; then the old one's condition is dropped, as before.

--- a/internal/backpressure/backpressure_test.go
+++ b/internal/backpressure/backpressure_test.go
@@ -230,6 +230,26 @@
 	}
 }
 
+// TestLateResponseOfPreviousIncarnationReplacesNothing guards against a response of before a restart that arrives after
+// it: the limit of the present incarnation was forgotten, and a leaving VM got requests again.
+func TestLateResponseOfPreviousIncarnationReplacesNothing(t *testing.T) {
+	table := NewTable()
+	present, previous := Incarnation{VM: "vm", Born: 8}, Incarnation{VM: "vm", Born: 7}
+	table.MarkLeaving(at(0), present)
+	table.Observe(at(0), at(0), present, limitSignals(3))
+	table.Observe(at(1), at(0), previous, limitSignals(9))
+	table.MarkLeaving(at(1), previous)
+	table.MarkUnreadable(previous)
+	if r, limited := table.Limit(present); !limited || r.Limit != 3 || !table.Leaving(present) {
+		t.Errorf("limit %v, limited %t, leaving %t", r.Limit, limited, table.Leaving(present))
+	}
+	next := Incarnation{VM: "vm", Born: 9}
+	table.MarkLeaving(at(2), next)
+	if !table.Leaving(next) {
+		t.Error("what the next incarnation says is not kept")
+	}
+}
+
 // TestRecordOfRemovedVMExpiresAtAllNodes guards against records that circulate forever: nodes that had
 // forgotten a removed VM received its record again from nodes that had not.
 func TestRecordOfRemovedVMExpiresAtAllNodes(t *testing.T) {
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -226,12 +226,16 @@
 }
 
 // add starts to track an incarnation, in place of a previous one of the same VM. A full table forgets
-// the VM with the oldest report first.
+// the VM with the oldest report first. A late response of a previous incarnation replaces nothing: its
+// condition is not kept.
 func (t *Table) add(incarnation Incarnation) *condition {
+	c := &condition{incarnation: incarnation}
+	if known := t.vms[incarnation.VM]; known != nil && incarnation.Born < known.incarnation.Born {
+		return c
+	}
 	if len(t.vms) >= maxVMs {
 		t.forgetOldest()
 	}
-	c := &condition{incarnation: incarnation}
 	t.vms[incarnation.VM] = c
 	t.shared = nil
 	return c
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -33,3 +33,16 @@
 		t.Error("the VM's next incarnation is draining too")
 	}
 }
+
+// TestFormerIncarnationsLeaveHidesNoLaterOne guards against a late response of a former incarnation that replaces the
+// mark of the present one: the VM, which was leaving, got requests again.
+func TestFormerIncarnationsLeaveHidesNoLaterOne(t *testing.T) {
+	d := newTestDirectory(t)
+	d.write(VM{ID: "a", Born: 8, Count: 1})
+	d.MarkLeaving("a", 8)
+	d.MarkLeaving("a", 7)
+	d.publish(time.Now(), true)
+	if !d.Snapshot().VMs["a"].Draining {
+		t.Error("a leaving VM is not draining")
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -97,8 +97,36 @@
   's/case v\.born != 0 && v\.entry != nil.*\n\t\treturn false\n//' ./internal/director TestNewIncarnationIsReportedByVM
 mutant "requests at a previous incarnation are not canceled" internal/gateway/board.go \
   's/s\.cancel\(errRestarted\)/_ = s/' ./internal/gateway TestRequestsAtRestartedVMAreCanceled
-mutant "an older entry counts" internal/fleet/directory.go \
-  's/return vm\.Revision != 0 && vm\.Revision < d\.revisions\[vm\.ID\]/return false/' ./internal/fleet TestOlderEntryChangesNothing
+mutant "an older entry counts" internal/fleet/word.go \
+  's/return w\.Revision != 0 \&\& w\.Revision < known\.Revision/return false/' ./internal/fleet TestOlderEntryChangesNothing
+mutant "entries are ordered by the store's revision alone" internal/fleet/word.go \
+  's/return w\.Count != 0 \&\& other\.Count != 0/return false/' ./internal/fleet 'TestLateEntryReplacesNoNewerOne|TestNewestWordStays'
+mutant "a late entry of a former incarnation counts" internal/fleet/word.go \
+  's/return w\.Born < known\.Born/return false/' ./internal/fleet TestLateEntryOfAFormerIncarnation
+mutant "the last entry undoes a removal when it is written late" internal/fleet/words.go \
+  's/case k\.left\(\) .*?\n\t\treturn true\n//' ./internal/fleet TestLateEntryUndoesNoRemoval
+mutant "a removal does not carry the newest word" internal/fleet/late.go \
+  's/Count: word\.Count\}, Removed/Count: 0*word.Count}, Removed/' ./internal/fleet TestRemovalCarriesTheNewestWord
+mutant "another writer's count blocks a VM" internal/fleet/words.go \
+  's/return vm\.writer\(\) == k\.writer \|\| .*?\n/return true\n/' ./internal/fleet TestEntryOfAnotherWriterBlocksNoVM
+mutant "a writer that counts anew is never used" internal/fleet/late.go \
+  's/if now\.Sub\(late\.since\) < maxWriteDelay/if true/' ./internal/fleet TestWriterThatCountsAnew
+mutant "a late entry counts after an outage" internal/fleet/directory.go \
+  's/\t\td\.restartLate\(clock\.Now\(\)\)\n//' ./internal/fleet TestLateEntryIsForgotten
+mutant "late entries are merged into a list" internal/fleet/late.go \
+  's/case !known\.isOlder\(&c\.VM\):/default:/' ./internal/fleet TestMergedListKeepsNewerEntries
+mutant "an entry without a group counts against the VM's report" internal/director/watch.go \
+  's/return entry\.Generation < v\.reported\.Generation/return entry.Group != "" \&\& entry.Generation < v.reported.Generation/' ./internal/director TestLateEntryWithoutAGroupReleasesNoOpenGroup
+mutant "a VM whose entry contradicts its report is not asked" internal/director/watch.go \
+  's/\t\ts\.verifyEntry\(now, v, vm\)\n//' ./internal/director TestLateEntryWithoutAGroupReleasesNoOpenGroup
+mutant "a report with values of before the entry counts" internal/director/watch.go \
+  's/ \&\& !v\.isReportSettled\(\)/ \&\& false/' ./internal/director TestReportOfAFormerGroupFreesNoVM
+mutant "another writer's generation counts" internal/director/watch.go \
+  's/if generation > s\.revisionGeneration\(\)\+eraGenerations/if false/' ./internal/director TestEntryOfAnotherWriterRaisesNoGeneration
+mutant "a late response of a former incarnation replaces its successor's condition" internal/backpressure/table.go \
+  's/known != nil \&\& incarnation\.Born < known\.incarnation\.Born/known == nil \&\& false/' ./internal/backpressure TestLateResponseOfPreviousIncarnationReplacesNothing
+mutant "a former incarnation's leave replaces its successor's" internal/fleet/leaving.go \
+  's/ \|\| recorded > born//' ./internal/fleet TestFormerIncarnationsLeaveHidesNoLaterOne
 mutant "an invalid entry is ignored" internal/fleet/invalid.go \
   's/return d\.drop\(id\)/return false/' ./internal/fleet TestInvalidEntryDropsVM
 mutant "an unknown state counts as serving" platform/entry.go \
@@ -250,7 +278,7 @@
 mutant "retained entries are passed on" internal/fleet/recent.go \
   's/stored, differs := s\.stored\[id\]; differs/stored, differs := s.stored[id]; false \&\& differs/' ./internal/fleet TestRetainedEntryIsNotPassedOn
 mutant "the removal of a retained entry is passed on when it is dropped" internal/fleet/missing.go \
-  's/\td\.recent\.add\(Change\{VM: VM\{ID: id\}, Removed: true\}\)\n\tif !d\.outage/\tif !d.outage/' ./internal/fleet TestRetainedEntryIsNotPassedOn
+  's/\td\.recent\.add\(d\.removal\(id\)\)\n\tif !d\.outage/\tif !d.outage/' ./internal/fleet TestRetainedEntryIsNotPassedOn
 mutant "an entry of a restored store is put in force at once" internal/fleet/restored.go \
   's/return isLaterEra\(vm\.Revision, known\) \&\& number/return false \&\& number/' ./internal/fleet TestRestoredCopyRevertsEntries
 mutant "entries that a restored store lacks are dropped at once" internal/fleet/restored.go \
@@ -269,8 +297,8 @@
   's/if era < e\.advance\(era\) \{/if e.advance(era); false {/' ./platform TestLateResponseOfAnOlderEra
 mutant "a leader of an older era is followed" internal/feed/fleet.go \
   's/if response\.Era == nil \|\| /if true || response.Era == nil || /' ./internal/feed TestLeaderOfAnOlderEraIsNotFollowed
-mutant "generations do not rise with the era" internal/director/state.go \
-  's/era\*eraGenerations\+number/number+0*era/' ./internal/director TestGenerationsRiseAcrossARestore
+mutant "generations do not rise with the era" internal/director/watch.go \
+  's/return era\*eraGenerations \+ number/return number + 0*era/' ./internal/director TestGenerationsRiseAcrossARestore
 mutant "a record that a restore lost is not written again" internal/cluster/records.go \
   's/case <-c\.restored:/case <-make(chan struct{}):/' ./internal/cluster TestRecordsLostByARestoreAreWrittenAgain
 mutant "a quarantine that a restore lost is not stored again" internal/quarantine/archive.go \
@@ -404,7 +432,7 @@
 mutant "an unresponsive source is not hedged" internal/feed/picker.go \
   's/hedgeDelay        = 600/hedgeDelay = 60000/; s/connectHedgeDelay = 200/connectHedgeDelay = 60000/' ./internal/feed TestUnavailableReadersDoNotDelayOthers
 mutant "changes since an old list are omitted" internal/feed/fleet.go \
-  's/since\.Changes = merge\(listed\.Changes, since\.Changes\)/since.Changes = listed.Changes/' ./internal/feed TestDisconnectedSourceIsUsed
+  's/since\.Changes = fleet\.Merge\(listed\.Changes, since\.Changes\)/since.Changes = listed.Changes/' ./internal/feed TestDisconnectedSourceIsUsed
 mutant "a list is only served while recently verified" internal/fleet/recent.go \
   's/s := d\.Snapshot\(\); s != nil \&\& \(/s := d.Snapshot(); s != nil \&\& time.Since(s.VerifiedAt) < time.Second \&\& (/' ./internal/feed TestDisconnectedSourceIsUsed
 mutant "roles are assigned by ID alone" internal/cluster/topology.go \
