--- a/internal/fleet/directory_test.go
+++ b/internal/fleet/directory_test.go
@@ -9,7 +9,7 @@
 	"github.com/marbleroad/marbleroad/internal/event"
 )
 
-func newTestDirectory(t *testing.T) *Directory {
+func newTestDirectory(t testing.TB) *Directory {
 	t.Helper()
 	log, err := event.New(io.Discard, "error", "n", "test")
 	if err != nil {
