The stand-in for model engines closes as the users' VMs do

Cause: its "close" set "ready" at once, with streams under way and 0 active in the report. A director then sends "leave", and all nodes lose their streams of that head at one moment. So no run of the soak tested that a planned closing ends no work, and the drains that caused it were excused.

Now: "close" in mode queue leads to "closing": the head accepts nothing new, "active" counts what it runs, and it is ready after its last stream. Mode preempt and "leave" end the streams, as do a join and a broken group (what has not begun gets 503 with Not-Executed). A closing head with a lost member stalls and breaks, too. A VM that has drained stops listening, its head accepts nothing new, and it remains while that head has work, 10 s at most. A join from a group whose head is closing counts against "one group at a time" as one from an open group does.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -239,6 +239,7 @@
 			u.vm.Drain()
 			tb.history.recordDeparture(u.id)
 			time.Sleep(f.For)
+			tb.awaitGroupWork(u)
 			u.vm.DeleteEntry()
 			tb.terminate(u)
 		})
@@ -305,6 +306,26 @@
 	tb.history.recordDisturbance(disturbance{node: anUpstream, from: from, to: time.Now(), kind: f.Kind})
 }
 
+const (
+	// maxRemainTime is how long a VM that has drained remains for the work of its group.
+	maxRemainTime = 10 * time.Second
+	// workCheckInterval is how often such a VM checks whether the work has ended.
+	workCheckInterval = 20 * time.Millisecond
+)
+
+// awaitGroupWork makes a VM that has drained take no new connection and remain while the head of its group has work.
+func (tb *testbed) awaitGroupWork(u *upstream) {
+	u.link.adjust(faultproxy.RefuseNew, 1)
+	u.vm.StopListening()
+	for until := time.Now().Add(maxRemainTime); u.vm.GroupHasWork() && time.Now().Before(until); {
+		select {
+		case <-tb.stopped:
+			return
+		case <-time.After(workCheckInterval):
+		}
+	}
+}
+
 // terminate ends a VM: it closes its server and proxy, which are not started again.
 func (tb *testbed) terminate(u *upstream) {
 	tb.mu.Lock()
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -138,7 +138,7 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.active[m] += by
-	for _, mode := range []faultproxy.Mode{faultproxy.Refuse, faultproxy.Freeze, faultproxy.HoldResponses} {
+	for _, mode := range []faultproxy.Mode{faultproxy.Refuse, faultproxy.Freeze, faultproxy.HoldResponses, faultproxy.RefuseNew} {
 		if fl.active[mode] > 0 {
 			fl.proxy.Set(mode)
 			return
@@ -261,17 +261,20 @@
 		return
 	}
 	if o.OldMembers[0] == o.VM {
-		if o.OldGroup.State == "open" {
+		if mayServe(o.OldGroup.State) {
 			tb.history.recordJoinFromOpenGroup(o)
 		}
 		return
 	}
 	head := tb.findVM(o.OldMembers[0])
-	if head != nil && head.InGroup(o.OldGroup.Name, o.OldGroup.Epoch) && head.State() == "open" {
+	if head != nil && head.InGroup(o.OldGroup.Name, o.OldGroup.Epoch) && mayServe(head.State()) {
 		tb.history.recordJoinFromOpenGroup(o)
 	}
 }
 
+// mayServe reports whether a head in the state runs requests or may do so.
+func mayServe(state string) bool { return state == "open" || state == "closing" }
+
 // liveUpstreams returns the VMs that were not terminated.
 func (tb *testbed) liveUpstreams() []*upstream {
 	tb.mu.Lock()
--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -151,6 +151,10 @@
 	warmUntil time.Time
 	// memberLostAt is when the head of an open group detected that a member is lost; zero if the group is complete.
 	memberLostAt time.Time
+	// work is that of the head since it last opened; nil if it has none and accepts none.
+	work *work
+	// deaf is true once the VM has stopped listening.
+	deaf bool
 	// headers and targets are those of the requests that were received.
 	headers []http.Header
 	targets []string
@@ -171,6 +175,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.born = max(time.Now().UnixMilli(), v.born+1)
+	v.endWork()
 	v.entriesWritten, v.ordersAccepted, v.group, v.members, v.model, v.draining = 0, 0, nil, nil, "", false
 	if publish {
 		v.publish()
@@ -204,41 +209,58 @@
 	return v.group != nil && v.group.Name == group && v.group.Epoch == epoch && v.group.State != "joining"
 }
 
-// CheckMembers checks, if the VM is the head of an open group, whether the group's members are still in it, and
-// breaks the group once a member has been lost for StallBound. The test must call it several times a second.
+// CheckMembers checks, if the VM is the head of an open or closing group, whether the group's members are still in it,
+// and breaks the group once a member has been lost for StallBound. The test must call it several times a second.
 func (v *VM) CheckMembers(now time.Time) {
 	v.mu.Lock()
-	g, members := v.group, v.members
+	name, epoch, serving, members := v.serving()
 	v.mu.Unlock()
-	if v.config.FindVM == nil || g == nil || g.State != "open" {
+	if v.config.FindVM == nil || !serving {
 		return
 	}
 	complete := true
 	for _, id := range members {
 		member := v.config.FindVM(id)
-		complete = complete && member != nil && member.InGroup(g.Name, g.Epoch)
+		complete = complete && member != nil && member.InGroup(name, epoch)
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	nameNow, epochNow, serving, _ := v.serving()
 	switch {
-	case v.group != g:
+	case !serving || nameNow != name || epochNow != epoch:
 	case complete:
 		v.memberLostAt = time.Time{}
 	case v.memberLostAt.IsZero():
 		v.memberLostAt = now
 	case now.Sub(v.memberLostAt) > v.config.StallBound:
-		broken := *g
-		broken.State = "broken"
-		v.group, v.memberLostAt = &broken, time.Time{}
+		v.memberLostAt = time.Time{}
+		v.endWork()
+		v.setState("broken")
 		v.publish()
 	}
 }
 
-// stallState reports whether the head stalls its streams, and whether it has broken.
-func (v *VM) stallState() (stalled, broken bool) {
+// serving returns the VM's group and whether the VM is its head and open or closing. The caller must hold v.mu.
+func (v *VM) serving() (name string, epoch uint64, serving bool, members []string) {
+	if v.group == nil {
+		return "", 0, false, nil
+	}
+	serving = v.group.Rank == 0 && (v.group.State == "open" || v.group.State == "closing")
+	return v.group.Name, v.group.Epoch, serving, v.members
+}
+
+// setState changes the state in the VM's group. The caller must hold v.mu.
+func (v *VM) setState(state string) {
+	changed := *v.group
+	changed.State = state
+	v.group = &changed
+}
+
+// stalled reports whether the head stalls its streams, because a member is lost.
+func (v *VM) stalled() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return !v.memberLostAt.IsZero(), v.group == nil || v.group.State == "broken"
+	return !v.memberLostAt.IsZero()
 }
 
 // observe passes an observation to Config.Observe.
@@ -280,7 +302,7 @@
 	v.publish()
 }
 
-// State returns the VM's state in its group: joining, ready, open or broken. It is empty if the VM is in no group.
+// State returns the VM's state in its group: joining, ready, open, closing or broken. It is empty if the VM is in no group.
 func (v *VM) State() string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -358,7 +380,7 @@
 	if v.model != "" {
 		models = append(models, model{v.model})
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"seq": v.ordersAccepted, "born": v.born, "queued": 0, "active": 0, "pace": 1,
+	_ = json.NewEncoder(w).Encode(map[string]any{"seq": v.ordersAccepted, "born": v.born, "queued": 0, "active": v.work.count(), "pace": 1,
 		"staged": v.staged, "models": models, "group": v.group})
 }
 
@@ -369,6 +391,8 @@
 	Epoch    uint64   `json:"epoch"`
 	Model    string   `json:"model"`
 	Members  []string `json:"members"`
+	// CloseMode is "queue" or "preempt"; empty counts as the former.
+	CloseMode string `json:"close-mode"`
 }
 
 func (v *VM) order(w http.ResponseWriter, r *http.Request) {
@@ -400,7 +424,7 @@
 		observation.OldGroup = *v.group
 	}
 	status := v.applyOrder(o)
-	if status != http.StatusConflict {
+	if status == http.StatusAccepted || o.Op == "leave" && status == http.StatusOK {
 		v.ordersAccepted++
 		v.publish()
 	}
@@ -423,18 +447,19 @@
 		if !matches || v.group.State != "ready" {
 			return http.StatusConflict
 		}
-		v.group.State = "open"
+		v.work, v.memberLostAt = newWork(), time.Time{}
+		v.setState("open")
 		return http.StatusAccepted
 	case "close":
-		if !matches || v.group.State != "open" {
+		if !matches {
 			return http.StatusConflict
 		}
-		v.group.State = "ready"
-		return http.StatusAccepted
+		return v.closeHead(o.CloseMode)
 	case "leave":
 		if !matches {
 			return http.StatusConflict
 		}
+		v.endWork()
 		v.group, v.members = nil, nil
 		return http.StatusOK
 	}
@@ -450,6 +475,7 @@
 		}
 	}
 	g := &Group{Name: o.Group, Epoch: o.Epoch, Rank: rank, State: "joining"}
+	v.endWork()
 	v.group, v.members, v.model = g, o.Members, o.Model
 	v.afterDelay(v.config.LoadTime, func() {
 		if v.group == g {
@@ -486,7 +512,6 @@
 	v.mu.Lock()
 	v.headers = append(v.headers, r.Header.Clone())
 	v.targets = append(v.targets, r.RequestURI)
-	open := v.config.Events == 0 || (v.group != nil && v.group.State == "open" && v.group.Rank == 0)
 	v.mu.Unlock()
 	echoedID := id
 	if v.WrongAttemptID.Load() {
@@ -494,12 +519,20 @@
 	}
 	w.Header().Set("Attempt-Id", echoedID)
 	v.addConditionHeaders(w.Header())
-	if v.Refuse.Load() || !open {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	admitted, accepted := v.admit()
+	defer v.finish(admitted)
+	if v.Refuse.Load() || !accepted {
+		refuse(w)
+		return
+	}
+	if !v.prefill(r.Context(), admitted) {
+		panic(http.ErrAbortHandler)
+	}
+	if admitted.hasEnded() {
+		refuse(w)
 		return
 	}
-	if !v.prefill(r.Context()) || !v.execute(func() { observeRequest(RequestExecuted) }) {
+	if !v.execute(func() { observeRequest(RequestExecuted) }) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Response-Seal", "seal-of-"+v.config.ID)
@@ -512,17 +545,25 @@
 		_, _ = fmt.Fprintf(w, "answer of %s to %s", v.config.Service, r.RequestURI)
 		return
 	}
-	v.stream(w, r)
+	v.stream(w, r, admitted)
+}
+
+// refuse rejects a request as not run.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// prefill waits until the VM has read the prompt. It returns false if the caller left meanwhile.
-func (v *VM) prefill(ctx context.Context) bool {
+// prefill waits until the VM has read the prompt or ended the work. It returns false if the caller left meanwhile.
+func (v *VM) prefill(ctx context.Context, admitted *work) bool {
 	if v.config.PrefillTime == 0 {
 		return true
 	}
 	select {
 	case <-ctx.Done():
 		return false
+	case <-admitted.ended():
+		return true
 	case <-time.After(v.config.PrefillTime):
 		return true
 	}
--- a/test/standin/groupengine/stream.go
+++ b/test/standin/groupengine/stream.go
@@ -9,7 +9,8 @@
 )
 
 // stream sends the events after the one that Last-Event-Id names, and injects the configured faults.
-func (v *VM) stream(w http.ResponseWriter, r *http.Request) {
+// It breaks off when the head ends the work.
+func (v *VM) stream(w http.ResponseWriter, r *http.Request, admitted *work) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -23,11 +24,11 @@
 			panic(http.ErrAbortHandler)
 		}
 		if n := v.StallAfter.Load(); n > 0 && sent >= n {
-			if !v.stall(r, sent == n) {
+			if !v.stall(r, admitted, sent == n) {
 				return
 			}
 		}
-		if !v.awaitMembers(r) {
+		if !v.awaitMembers(r, admitted) || admitted.hasEnded() {
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", i, r.Header.Get("Attempt-Id"), strings.Repeat("x", 20)); err != nil {
@@ -35,7 +36,7 @@
 		}
 		_ = flush.Flush()
 		sent++
-		time.Sleep(v.config.EventInterval)
+		admitted.sleep(v.config.EventInterval)
 	}
 }
 
@@ -52,18 +53,24 @@
 
 // stall stalls a stream for StallFor at its first call, or for good if StallFor is 0. It returns false if the caller
 // disconnected.
-func (v *VM) stall(r *http.Request, first bool) bool {
+func (v *VM) stall(r *http.Request, admitted *work, first bool) bool {
 	duration := time.Duration(v.StallFor.Load())
 	switch {
 	case duration == 0:
-		<-r.Context().Done()
-		return false
+		select {
+		case <-r.Context().Done():
+			return false
+		case <-admitted.ended():
+			return true
+		}
 	case !first:
 		return true
 	}
 	select {
 	case <-r.Context().Done():
 		return false
+	case <-admitted.ended():
+		return true
 	case <-time.After(duration):
 		return true
 	}
@@ -72,23 +79,17 @@
 // memberCheckInterval is how often a stalled stream checks whether its head may continue.
 const memberCheckInterval = 20 * time.Millisecond
 
-// awaitMembers waits while the head misses a member. It returns false if the head broke or the caller disconnected.
-func (v *VM) awaitMembers(r *http.Request) bool {
-	if v.config.FindVM == nil {
-		return true
-	}
-	for {
-		stalled, broken := v.stallState()
-		if broken {
-			return false
-		}
-		if !stalled {
-			return true
-		}
+// awaitMembers waits while the head misses a member. It returns false if the head ended the work meanwhile or the
+// caller disconnected.
+func (v *VM) awaitMembers(r *http.Request, admitted *work) bool {
+	for v.config.FindVM != nil && v.stalled() {
 		select {
 		case <-r.Context().Done():
 			return false
+		case <-admitted.ended():
+			return false
 		case <-time.After(memberCheckInterval):
 		}
 	}
+	return true
 }
