Soak: planned work is judged, not an excuse

Cause: checkInterruptions counted only stops of nodes and callers as planned. A request that was cut beside the drain of an upstream was excused.

Now planned work alone (releases, that is stops; drains; upstreams that leave after they served on; SIGHUP; new versions; evacuations) excuses nothing: a request that was run and ends without a whole answer is a violation, which names the planned work beside it and the order that ended it, if one did (the stand-in now says when an order ends work).

TestPlannedWorkCutsNothing passes (27 s).

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -45,10 +45,15 @@
 	slack      time.Duration
 	calls      map[string]call
 	violations []violation
+	// workEnded holds the observations of orders that ended work.
+	workEnded []groupengine.Observation
+	// judged is the number of requests beside planned work that checkInterruptions judged.
+	judged int
 }
 
-// checkHistory runs all checks on the history of a run and returns the violations.
-func checkHistory(h *history, slack time.Duration) []violation {
+// checkHistory runs all checks on the history of a run. It returns the violations and the number of requests that ran
+// beside planned work alone and had to get their whole answer.
+func checkHistory(h *history, slack time.Duration) ([]violation, int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	ck := &checker{history: h, slack: slack, calls: make(map[string]call)}
@@ -58,7 +63,7 @@
 	for _, checkFunc := range []func(){ck.checkResponses, ck.checkNotRun, ck.checkAttempts, ck.checkRequested, ck.checkGroups, ck.checkLeavingUpstreams, ck.checkChanges, ck.checkChangesAtCutReaders, ck.checkRevokedKeys, ck.checkRepeatBudget, ck.checkCanceledWork, ck.checkRefusalTimes, ck.checkDeadlines, ck.checkInterruptions, ck.checkStalledNodes, ck.checkCrashingRequests, ck.checkConditions, ck.checkEvacuations, ck.checkWarmups, ck.checkCutOffNodes, ck.checkCrashingParts, ck.checkCrowdedNodes} {
 		checkFunc()
 	}
-	return ck.violations
+	return ck.violations, ck.judged
 }
 
 func (ck *checker) report(check, request, format string, args ...any) {
@@ -363,26 +368,12 @@
 	}
 }
 
-// checkInterruptions checks that no request that reached an upstream is interrupted while there are
-// only planned operations, such as a graceful stop of its node or of another one.
-func (ck *checker) checkInterruptions() {
-	runs := ck.runTimes()
-	for _, c := range ck.history.calls {
-		if !c.disconnectedAt.IsZero() || c.complete || c.crashesUpstreams || len(runs[c.id]) == 0 || ck.crashedDuring(c) || !ck.allUndisturbed(c.sent, c.finished, isPlanned) {
-			continue
-		}
-		check := "nothing passed on is cut"
-		if ck.stoppedDuring(c) {
-			check = "a stop cuts nothing"
-		}
-		ck.report(check, c.id, "interrupted by node %d after %d ms; status %d, response incomplete", c.node, c.finished.Sub(c.sent).Milliseconds(), c.status)
-	}
-}
-
 // checkStalledNodes checks that a node that was paused does not repeat requests while the upstreams
 // are healthy, which it would do if it took its own pause for stalls of theirs.
 func (ck *checker) checkStalledNodes() {
-	plannedOrPaused := func(d disturbance) bool { return isPlanned(d) || d.kind == NodePause }
+	plannedOrPaused := func(d disturbance) bool {
+		return d.kind == NodeStop || d.node == callersOnly || d.kind == NodePause
+	}
 	for id, at := range ck.runTimes() {
 		c, known := ck.calls[id]
 		if !known || len(at) < 2 || c.crashesUpstreams || ck.crashedDuring(c) || !ck.allUndisturbed(c.sent, c.finished, plannedOrPaused) {
@@ -403,16 +394,6 @@
 	return out
 }
 
-// isPlanned reports whether a disturbance is a graceful stop or concerns only callers.
-func isPlanned(d disturbance) bool { return d.kind == NodeStop || d.node == callersOnly }
-
-// stoppedDuring reports whether the call's node was stopping or stopped during the call.
-func (ck *checker) stoppedDuring(c call) bool {
-	return slices.ContainsFunc(ck.history.disturbances, func(d disturbance) bool {
-		return d.kind == NodeStop && d.node == c.node && c.finished.After(d.from) && c.sent.Before(d.to)
-	})
-}
-
 // crashedDuring reports whether a request crashed a VM during the call or shortly before it.
 func (ck *checker) crashedDuring(c call) bool {
 	return slices.ContainsFunc(ck.history.crashes, func(crash vmEvent) bool {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -75,6 +75,7 @@
 		tb.pause(f, n)
 	case NodeReload:
 		n.signal(syscall.SIGHUP)
+		tb.history.recordReload(n.number)
 	case AllNodesKill:
 		for _, each := range tb.nodes {
 			tb.running.Go(func() { tb.restartNode(f, each, syscall.SIGKILL) })
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -103,7 +103,9 @@
 	calls        []call
 	observations []groupengine.Observation
 	disturbances []disturbance
-	departures   []vmEvent
+	// reloads holds the signals by which nodes reload their settings.
+	reloads    []disturbance
+	departures []vmEvent
 	// terminations holds all terminations of VMs; crashes holds only those caused by a request.
 	terminations []vmEvent
 	crashes      []vmEvent
@@ -141,6 +143,13 @@
 	h.disturbances = append(h.disturbances, d)
 }
 
+func (h *history) recordReload(node int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	h.reloads = append(h.reloads, disturbance{node: node, from: now, to: now, kind: NodeReload})
+}
+
 func (h *history) recordDeparture(vm string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/test/soak/interruptions.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/marbleroad/marbleroad/test/standin/groupengine"
+)
+
+// plannedKinds are the kinds of planned work: releases of nodes (stops) and upstreams that leave after they have served
+// on. Reloads, new versions and evacuations are planned too, and are not recorded as disturbances at all.
+var plannedKinds = []Kind{NodeStop, UpstreamDrains, PlainUpstreamDrains, UpstreamLeaves, UpstreamReportsLeaving}
+
+// isPlanned reports whether a disturbance is planned work or concerns only callers.
+func isPlanned(d disturbance) bool {
+	return slices.Contains(plannedKinds, d.kind) || d.node == callersOnly
+}
+
+// checkInterruptions checks that no request that reached an upstream is interrupted while there is no disturbance, or
+// only planned work.
+func (ck *checker) checkInterruptions() {
+	runs := ck.runsByRequest()
+	for _, o := range ck.history.observations {
+		if o.Kind == groupengine.WorkEnded {
+			ck.workEnded = append(ck.workEnded, o)
+		}
+	}
+	for _, c := range ck.history.calls {
+		if len(runs[c.id]) == 0 || !ck.owedAnswer(c) || ck.brokeOff(c, runs[c.id]) {
+			continue
+		}
+		beside := ck.plannedBeside(c)
+		if len(beside) > 0 {
+			ck.judged++
+		}
+		if c.complete {
+			continue
+		}
+		check := "nothing passed on is cut"
+		if ck.stoppedDuring(c) {
+			check = "a stop cuts nothing"
+		}
+		ck.report(check, c.id, "interrupted by node %d after %d ms; status %d, response incomplete%s; beside: %s", c.node, c.finished.Sub(c.sent).Milliseconds(), c.status,
+			ck.ordersThatEnded(c, runs[c.id]), strings.Join(beside, ", "))
+	}
+}
+
+// owedAnswer reports whether a caller that waits has to get a whole answer if its request is run: it did not leave, the
+// request's time is not used up, and no disturbance other than planned work was active from reconnectTime before the
+// request to its end.
+func (ck *checker) owedAnswer(c call) bool {
+	timeUp := !c.complete && c.finished.Sub(c.sent) >= callerTimeout
+	return c.disconnectedAt.IsZero() && !timeUp && !c.crashesUpstreams && !ck.crashedDuring(c) && ck.allUndisturbed(c.sent, c.finished, isPlanned)
+}
+
+// runsByRequest returns the observations that requests started to run, by request ID.
+func (ck *checker) runsByRequest() map[string][]groupengine.Observation {
+	out := make(map[string][]groupengine.Observation)
+	for _, o := range ck.history.observations {
+		if o.Kind == groupengine.RequestExecuted {
+			out[o.Request] = append(out[o.Request], o)
+		}
+	}
+	return out
+}
+
+// brokeOff reports whether an upstream broke off one of the request's runs: a VM of its group ended before the run did,
+// and before any order ended the run. The head of a group that misses a member serves on for stallBound.
+func (ck *checker) brokeOff(c call, runs []groupengine.Observation) bool {
+	return slices.ContainsFunc(runs, func(run groupengine.Observation) bool {
+		end := c.finished
+		for _, o := range ck.ordersAt(run, c) {
+			if o.At.Before(end) {
+				end = o.At
+			}
+		}
+		return slices.ContainsFunc(ck.history.terminations, func(t vmEvent) bool {
+			inGroup := t.vm == run.VM || slices.Contains(run.Members, t.vm)
+			return inGroup && t.at.After(run.At.Add(-stallBound-ck.slack)) && t.at.Before(end)
+		})
+	})
+}
+
+// ordersAt returns the orders that ended work at the VM of a run while the run may have lasted.
+func (ck *checker) ordersAt(run groupengine.Observation, c call) []groupengine.Observation {
+	var out []groupengine.Observation
+	for _, o := range ck.workEnded {
+		if o.VM == run.VM && o.Epoch == run.Epoch && o.At.After(run.At) && o.At.Before(c.finished) {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// ordersThatEnded describes the orders that ended the request's runs; it is empty for none.
+func (ck *checker) ordersThatEnded(c call, runs []groupengine.Observation) string {
+	var out strings.Builder
+	for _, run := range runs {
+		for _, o := range ck.ordersAt(run, c) {
+			fmt.Fprintf(&out, "; %q ended %d requests at %s", o.Order, o.Ended, o.VM)
+		}
+	}
+	return out.String()
+}
+
+// plannedBeside describes the planned work that was active from reconnectTime before the request to its end.
+func (ck *checker) plannedBeside(c call) []string {
+	var out []string
+	add := func(what string, from, to time.Time) {
+		if from.Before(c.finished) && to.Add(reconnectTime).After(c.sent) && !slices.Contains(out, what) {
+			out = append(out, what)
+		}
+	}
+	for _, d := range slices.Concat(ck.history.disturbances, ck.history.reloads) {
+		if isPlanned(d) && d.node != callersOnly || d.kind == NodeReload {
+			add(string(d.kind), d.from, d.to)
+		}
+	}
+	for _, e := range ck.history.evacuations {
+		add(string(DomainEvacuated), e.from, e.to)
+	}
+	for _, v := range ck.history.versions {
+		add(fmt.Sprintf("version %d", v.version), v.at, v.at)
+	}
+	return out
+}
+
+// stoppedDuring reports whether the call's node was stopping or stopped during the call.
+func (ck *checker) stoppedDuring(c call) bool {
+	return slices.ContainsFunc(ck.history.disturbances, func(d disturbance) bool {
+		return d.kind == NodeStop && d.node == c.node && c.finished.After(d.from) && c.sent.Before(d.to)
+	})
+}
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %d faults, %d requests, %d answered completely, %d arrivals at upstreams, %d scheduling stalls of the machine; %d violations\n", c.seed, len(faults), r.requests, r.complete, r.arrivals, r.stalls, len(r.violations))
+	fmt.Printf("seed %d: %d faults, %d requests, %d answered completely, %d arrivals at upstreams, %d judged beside planned work, %d scheduling stalls of the machine; %d violations\n", c.seed, len(faults), r.requests, r.complete, r.arrivals, r.judged, r.stalls, len(r.violations))
 	if len(r.violations) == 0 {
 		return true, nil
 	}
@@ -209,6 +209,8 @@
 	requests, complete, arrivals int
 	// stalls is the number of scheduling stalls of the soak process.
 	stalls int
+	// judged is the number of requests that ran beside planned work alone and had to get their whole answer.
+	judged int
 }
 
 // runOnce starts a testbed, injects the faults while callers send requests, and checks what was
@@ -235,7 +237,8 @@
 			return result{}, err
 		}
 	}
-	r := result{violations: checkHistory(tb.history, c.slack), requests: len(tb.history.calls)}
+	r := result{requests: len(tb.history.calls)}
+	r.violations, r.judged = checkHistory(tb.history, c.slack)
 	for _, call := range tb.history.calls {
 		if call.complete && call.status == 200 {
 			r.complete++
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -175,11 +175,13 @@
 	return out
 }
 
-// plannedFaultSpecs are stops, reloads and configuration changes, and pauses that are too short
+// plannedFaultSpecs are stops, reloads, drains of upstreams and configuration changes, and pauses that are too short
 // for the other nodes to consider the node lost.
 var plannedFaultSpecs = []faultSpec{
 	{NodeStop, 6, 300 * time.Millisecond, time.Second},
 	{NodeReload, 3, 0, 0},
+	{UpstreamDrains, 3, 3 * time.Second, 5 * time.Second},
+	{PlainUpstreamDrains, 1, 3 * time.Second, 5 * time.Second},
 	{NodePause, 3, 150 * time.Millisecond, 700 * time.Millisecond},
 	{RouteAdded, 5, 0, 0},
 	{KeyRevoked, 1, 0, 0},
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -44,6 +44,28 @@
 	}
 }
 
+// TestPlannedWorkCutsNothing guards against streams that end because an upstream drains, a node is released or reloads, or
+// the configuration changes: a closing head that is told to leave ends all of its streams at one moment.
+func TestPlannedWorkCutsNothing(t *testing.T) {
+	var faults []Fault
+	for i := range 6 {
+		at := time.Duration(i) * 2500 * time.Millisecond
+		faults = append(faults, Fault{at, UpstreamDrains, 2 * i, 3 * time.Second}, Fault{at + 200*time.Millisecond, RouteAdded, 0, 0},
+			Fault{at + 600*time.Millisecond, NodeReload, i, 0}, Fault{at + time.Second, NodeStop, i + 1, 300 * time.Millisecond})
+	}
+	c := config{binary: buildNode(t), seed: 1, nodes: 3, engines: 12, plain: 3, callers: 20, slack: ciSlack}
+	r, err := runOnce(c, faults, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.judged == 0 {
+		t.Error("no request was judged beside planned work")
+	}
+	for _, v := range r.violations {
+		t.Error(v)
+	}
+}
+
 // buildNode builds the program under test.
 func buildNode(t *testing.T) string {
 	t.Helper()
--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -62,7 +62,7 @@
 	// ServiceTime is how long a request to a plain service takes.
 	ServiceTime time.Duration
 	// Observe is called for each observation; nil for none. Observations of an order precede its response. For
-	// BecameReady it is called with the VM locked.
+	// BecameReady and WorkEnded it is called with the VM locked.
 	Observe func(Observation)
 	// FindVM returns another VM by its ID, nil for one that was removed. If it is set, a head stalls its streams
 	// while a member is lost and breaks after StallBound.
@@ -85,6 +85,8 @@
 	BecameReady
 	// Opened means that the VM accepted an open order.
 	Opened
+	// WorkEnded means that an order ended requests that the VM ran.
+	WorkEnded
 )
 
 // Observation is an event at a VM.
@@ -103,6 +105,9 @@
 	// OldGroup is the VM's group before a join or open order, and OldMembers its VMs.
 	OldGroup   Group
 	OldMembers []string
+	// Order is the operation that ended work, and Ended the number of requests that it ended.
+	Order string
+	Ended int
 }
 
 // VM is one upstream VM.
@@ -423,7 +428,11 @@
 	if v.group != nil {
 		observation.OldGroup = *v.group
 	}
+	running := v.work.count()
 	status := v.applyOrder(o)
+	if ended := running - v.work.count(); ended > 0 {
+		v.observe(Observation{Kind: WorkEnded, Group: observation.OldGroup.Name, Epoch: observation.OldGroup.Epoch, Order: o.Op, Ended: ended})
+	}
 	if status == http.StatusAccepted || o.Op == "leave" && status == http.StatusOK {
 		v.ordersAccepted++
 		v.publish()
