Soak: sound heads fall silent and go on

Kind upstream-silent: a head sends no event for 1 to 1.5 s and then goes on. The stand-in pauses the whole head (StallFor pauses each stream at one event). It reads a stream's body first, so that it sees a caller leave while it is silent.

--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -51,6 +51,7 @@
 	UpstreamConnectionsReset    Kind = "upstream-connections-reset"
 	UpstreamConnectionsSilent   Kind = "upstream-connections-silent"
 	UpstreamStalls              Kind = "upstream-stalls"
+	UpstreamSilent              Kind = "upstream-silent"
 	UpstreamRefuses             Kind = "upstream-refuses"
 	AllUpstreamsRefuse          Kind = "all-upstreams-refuse"
 	UpstreamTruncatesStreams    Kind = "upstream-cuts-streams"
@@ -121,6 +122,7 @@
 	{UpstreamConnectionsReset, 2, 0, 0},
 	{UpstreamConnectionsSilent, 2, 0, 0},
 	{UpstreamStalls, 2, time.Second, 3 * time.Second},
+	{UpstreamSilent, 2, time.Second, 1500 * time.Millisecond},
 	{UpstreamRefuses, 2, time.Second, 4 * time.Second},
 	{AllUpstreamsRefuse, 1, time.Second, 4 * time.Second},
 	{UpstreamTruncatesStreams, 2, time.Second, 3 * time.Second},
@@ -175,13 +177,14 @@
 	return out
 }
 
-// plannedFaultSpecs are stops, reloads, drains of upstreams and configuration changes, and pauses that are too short
-// for the other nodes to consider the node lost.
+// plannedFaultSpecs are stops, reloads, drains of upstreams, configuration changes and what disturbs nobody: silences of
+// sound heads, and pauses that are too short for the other nodes to consider the node lost.
 var plannedFaultSpecs = []faultSpec{
 	{NodeStop, 6, 300 * time.Millisecond, time.Second},
 	{NodeReload, 3, 0, 0},
 	{UpstreamDrains, 3, 3 * time.Second, 5 * time.Second},
 	{PlainUpstreamDrains, 1, 3 * time.Second, 5 * time.Second},
+	{UpstreamSilent, 3, time.Second, 1500 * time.Millisecond},
 	{NodePause, 3, 150 * time.Millisecond, 700 * time.Millisecond},
 	{RouteAdded, 5, 0, 0},
 	{KeyRevoked, 1, 0, 0},
--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -158,6 +158,8 @@
 	memberLostAt time.Time
 	// work is that of the head since it last opened; nil if it has none and accepts none.
 	work *work
+	// silentUntil is when the VM, which is sound, goes on with its work; zero if it never fell silent.
+	silentUntil time.Time
 	// deaf is true once the VM has stopped listening.
 	deaf bool
 	// headers and targets are those of the requests that were received.
--- a/test/standin/groupengine/stream.go
+++ b/test/standin/groupengine/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +14,8 @@
 func (v *VM) stream(w http.ResponseWriter, r *http.Request, admitted *work) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
+	// The request's context ends with the connection only once the body was read.
+	_, _ = io.Copy(io.Discard, r.Body)
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	sent := int64(0)
 	for i := from + 1; i <= v.eventCount(r); i++ {
@@ -28,6 +31,7 @@
 				return
 			}
 		}
+		v.awaitSilence(r, admitted)
 		if !v.awaitMembers(r, admitted) || admitted.hasEnded() {
 			panic(http.ErrAbortHandler)
 		}
@@ -76,6 +80,28 @@
 	}
 }
 
+// FallSilent makes the VM send no event for the duration and then go on, as a sound VM may do.
+func (v *VM) FallSilent(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.silentUntil = time.Now().Add(d)
+}
+
+// awaitSilence waits while the VM is silent, until the head ends the work or the caller disconnects.
+func (v *VM) awaitSilence(r *http.Request, admitted *work) {
+	v.mu.Lock()
+	left := time.Until(v.silentUntil)
+	v.mu.Unlock()
+	if left <= 0 {
+		return
+	}
+	select {
+	case <-r.Context().Done():
+	case <-admitted.ended():
+	case <-time.After(left):
+	}
+}
+
 // memberCheckInterval is how often a stalled stream checks whether its head may continue.
 const memberCheckInterval = 20 * time.Millisecond
 
