--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -72,6 +72,8 @@
 	SchedulingStall Kind = "machine-late"
 	RouteAdded      Kind = "route-added"
 	KeyRevoked      Kind = "key-revoked"
+	// ConfigurationChanges changes time-outs, splits a service and adds many routes, in versions that follow each other.
+	ConfigurationChanges Kind = "configuration-changes"
 )
 
 // Fault is one entry of a schedule.
@@ -137,6 +139,7 @@
 	{ReadersCutFromStore, 3, 2 * time.Second, 7 * time.Second},
 	{RouteAdded, 3, 0, 0},
 	{KeyRevoked, 1, 0, 0},
+	{ConfigurationChanges, 2, 2 * time.Second, 5 * time.Second},
 	{UpstreamReportsLimit, 3, 5 * time.Second, 9 * time.Second},
 	{UpstreamRequestsBackoff, 2, time.Second, 4 * time.Second},
 	{UpstreamReportsLeaving, 2, 4 * time.Second, 7 * time.Second},
@@ -188,6 +191,7 @@
 	{NodePause, 3, 150 * time.Millisecond, 700 * time.Millisecond},
 	{RouteAdded, 5, 0, 0},
 	{KeyRevoked, 1, 0, 0},
+	{ConfigurationChanges, 3, 2 * time.Second, 5 * time.Second},
 	{CallerSurge, 1, time.Second, 3 * time.Second},
 }
 
