Soak: all nodes lose power right after a version was acknowledged

Kind power-loss: a new version is written, and all nodes get SIGKILL once the store has acknowledged it, also those that stop or stand still.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -81,6 +81,8 @@
 		for _, each := range tb.nodes {
 			tb.running.Go(func() { tb.restartNode(f, each, syscall.SIGKILL) })
 		}
+	case PowerLoss:
+		tb.losePower(f)
 	case CallerSurge, CallersDisconnect:
 		tb.applyFor(f, callersOnly, func() { tb.callers.adjustLoad(f.Kind, 1) }, func() { tb.callers.adjustLoad(f.Kind, -1) })
 	case RequestCrashesUpstreams:
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -103,6 +103,9 @@
 	calls        []call
 	observations []groupengine.Observation
 	disturbances []disturbance
+	// powerLosses holds the periods from the acknowledgement of a version, after which all nodes lost power, to the start
+	// of the last node.
+	powerLosses []disturbance
 	// undisturbing holds what disturbs nobody: the reloads of nodes and the silences of sound heads.
 	undisturbing []disturbance
 	departures   []vmEvent
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -138,6 +138,9 @@
 		return false, err
 	}
 	fmt.Printf("seed %d: %d faults, %d requests, %d answered completely, %d arrivals at upstreams, %d judged beside planned work, %d scheduling stalls of the machine; %d violations\n", c.seed, len(faults), r.requests, r.complete, r.arrivals, r.judged, r.stalls, len(r.violations))
+	for _, text := range r.powerLosses {
+		fmt.Printf("  %s\n", text)
+	}
 	if len(r.violations) == 0 {
 		return true, nil
 	}
@@ -209,6 +212,8 @@
 	requests, complete, arrivals int
 	// stalls is the number of scheduling stalls of the soak process.
 	stalls int
+	// powerLosses describes the losses of power of all nodes.
+	powerLosses []string
 	// judged is the number of requests that ran beside planned work alone and had to get their whole answer.
 	judged int
 }
@@ -239,6 +244,7 @@
 	}
 	r := result{requests: len(tb.history.calls)}
 	r.violations, r.judged = checkHistory(tb.history, c.slack)
+	r.powerLosses = describePowerLosses(tb.history)
 	for _, call := range tb.history.calls {
 		if call.complete && call.status == 200 {
 			r.complete++
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -19,7 +19,8 @@
 // their target. Partitioned freezes the connections of a link, OneWay holds up the responses on it,
 // Silent makes the open connections unresponsive for good and Reset closes them once. Kinds with
 // FromNodes or NodeLinks apply to the link by which other nodes reach a node. NodeKill sends SIGKILL
-// and NodeStop SIGTERM; both start the node again after the fault's duration. The kinds that cut a node
+// and NodeStop SIGTERM; both start the node again after the fault's duration. PowerLoss sends SIGKILL to all nodes right
+// after the store has acknowledged a new version. The kinds that cut a node
 // off from all upstreams leave its links to callers, the store and other nodes alone: the connections to
 // upstreams hang, are reset and refused, or live on while new ones are refused.
 const (
@@ -44,6 +45,7 @@
 	NodePause                   Kind = "node-pause"
 	NodeReload                  Kind = "node-reload"
 	AllNodesKill                Kind = "all-nodes-kill"
+	PowerLoss                   Kind = "power-loss"
 	UpstreamCrashes             Kind = "upstream-dies"
 	UpstreamDrains              Kind = "upstream-drains"
 	UpstreamLeaves              Kind = "upstream-leaves"
@@ -117,6 +119,7 @@
 	{NodePause, 2, 300 * time.Millisecond, 4 * time.Second},
 	{NodeReload, 1, 0, 0},
 	{AllNodesKill, 1, 300 * time.Millisecond, time.Second},
+	{PowerLoss, 1, 300 * time.Millisecond, time.Second},
 	{UpstreamCrashes, 4, time.Second, 4 * time.Second},
 	{UpstreamDrains, 3, 3 * time.Second, 5 * time.Second},
 	{UpstreamLeaves, 4, 4 * time.Second, 6 * time.Second},
@@ -195,7 +198,8 @@
 	{CallerSurge, 1, time.Second, 3 * time.Second},
 }
 
-// drawPlannedSchedule draws only planned operations and short pauses, in overlapping series.
+// drawPlannedSchedule draws only planned operations and short pauses, in overlapping series. All nodes lose power at the
+// end, while requests run that planned work has not disturbed.
 func drawPlannedSchedule(random *rand.Rand, length time.Duration) []Fault {
 	const meanGap = 500 * time.Millisecond
 	var out []Fault
@@ -208,6 +212,7 @@
 			out = append(out, repeated)
 		}
 	}
+	out = append(out, Fault{length + recoveryTime, PowerLoss, 0, time.Second})
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
