Gateway: one warning names each request that ends without a whole answer

Callers saw streams end with a closed connection, and no line of any node named them: 5010 (the caller left) is an info line that the rate limit drops, a response that broke off after a part was passed on had no final line, a handler that still ran when a stop closed its connection had none, and 1011 (panic) and 5017 (read and not handled) do not name the request.

A registry holds the requests in flight, own callers' and forwarded ones, with their route, last send, status, events and bytes passed on. At the end of a request without a whole answer, and at the end of a stop for each one that is still in the registry, the warning 5034 names it with its reason (caller-left, upstream-broke, head-lost, deadline, node-stopped, node-limit, panic). It replaces 5010 and the 5003 of aborted streams, and holds their fields. 5017 now has the ID too. requests.lost.REASON counts them.

The causes of broken streams and failed writes were hidden behind the text of the error that they were combined with; they are marked now, and logged. A write to the caller that failed within a long plain response was logged as a failure of the upstream (5008).

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -72,7 +72,10 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.stopTimer()
-	dropped := c.phase == readingHeader && c.headerComplete() && !c.responseStarted.Load()
+	var dropped []byte
+	if c.phase == readingHeader && c.headerComplete() && !c.responseStarted.Load() {
+		dropped = bytes.Clone(c.header)
+	}
 	c.mu.Unlock()
 	c.listener.remove(c, dropped)
 	return c.Conn.Close()
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -151,7 +151,7 @@
 			reports := 0
 			serverEnd, callerEnd := net.Pipe()
 			defer func() { _ = callerEnd.Close() }()
-			conn := NewListener(nil, Options{Unanswered: func(net.Addr) { reports++ }}).add(serverEnd)
+			conn := NewListener(nil, Options{Unanswered: func(net.Addr, []byte) { reports++ }}).add(serverEnd)
 			go func() { _, _ = io.WriteString(callerEnd, c.request) }()
 			if _, err := conn.Read(make([]byte, len(c.request))); err != nil {
 				t.Fatal(err)
--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -23,8 +23,8 @@
 	// Limits returns the limits in force; nil for none.
 	Limits func() Limits
 	// Unanswered, if set, is called when a connection closes with a request that was read and
-	// not handled.
-	Unanswered func(caller net.Addr)
+	// not handled. header is the request's header as it was received, valid until the call returns.
+	Unanswered func(caller net.Addr, header []byte)
 	// AcceptLimit decides which new connections are closed unread; nil for none.
 	AcceptLimit *AcceptLimit
 }
@@ -145,16 +145,16 @@
 	return inner.SetDeadline(time.Now().Add(drainAcceptTime))
 }
 
-// remove stops tracking a connection that closes. dropped is true when it closes with a request
-// that was read and not handled.
-func (l *Listener) remove(c *Conn, dropped bool) {
+// remove stops tracking a connection that closes. dropped is the header of a request that was read on it and not
+// handled; nil for none.
+func (l *Listener) remove(c *Conn, dropped []byte) {
 	l.mu.Lock()
 	_, tracked := l.conns[c]
 	delete(l.conns, c)
 	l.wakeDrain()
 	l.mu.Unlock()
-	if tracked && dropped && l.options.Unanswered != nil {
-		l.options.Unanswered(c.RemoteAddr())
+	if tracked && dropped != nil && l.options.Unanswered != nil {
+		l.options.Unanswered(c.RemoteAddr(), dropped)
 	}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -197,7 +197,7 @@
 
 // recordUnanswered counts and logs a connection that ended with a request that
 // was read but not handled.
-func (s *Server) recordUnanswered(caller net.Addr) {
+func (s *Server) recordUnanswered(caller net.Addr, _ []byte) {
 	s.metrics.Count("requests.unanswered", 1)
 	s.log.Emit(event.RequestUnanswered).Stringer("caller", caller).Bool("stopping", s.stopping.Load()).Send()
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -187,8 +187,9 @@
 		"See verdict and code; the next line of the request shows what followed."}
 	RequestServed = Event{5009, zerolog.InfoLevel, "request served",
 		"None."}
+	// CallerDisconnected is not written any more; its number stays taken.
 	CallerDisconnected = Event{5010, zerolog.InfoLevel, "the caller disconnected before the response was complete",
-		"None."}
+		"None. Not written any more: 5034 with reason caller-left replaces it."}
 	RetryRefused = Event{5011, zerolog.WarnLevel, "a request is not retried: this node's share of the retry budget is used up",
 		"See what fails: 5008 of the same service. The line holds the values that the budget was computed from."}
 	UpstreamTerminated = Event{5012, zerolog.WarnLevel, "an upstream VM terminated while it ran a request",
@@ -231,6 +232,8 @@
 		"If it repeats, give the node more of a processor, or the failure domain more nodes."}
 	ConnectionsAccepted = Event{5033, zerolog.InfoLevel, "this node accepts all connections again",
 		"None."}
+	RequestLost = Event{5034, zerolog.WarnLevel, "a request that was read ended without a whole answer",
+		"See reason; marbleroadctl explain with its ID shows what happened around it. caller-left is the caller's own doing, unless noticed is slow-reader."}
 	TrialsMoved = Event{5031, zerolog.InfoLevel, "requests were moved to the upstream where all requests with a suspected trait are tried",
 		"None. The trait is quarantined (5013) if further upstream VMs terminate, and free once a response begins."}
 )
@@ -260,6 +263,6 @@
 	RequestDone, RequestRefused, RequestFailed, InvalidInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerDisconnected, RetryRefused, UpstreamTerminated, RequestQuarantined,
 	SuspectsReceived, QuarantineUnavailable, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamBackoff, UpstreamLeaving, UpstreamWarming, CallerSlow,
-	ReserveUnknown, UpstreamsUnreachable, UpstreamsReachable, RequestForwarded, ForwardFailed, TrialsMoved, ConnectionsRefused, ConnectionsAccepted,
+	ReserveUnknown, UpstreamsUnreachable, UpstreamsReachable, RequestForwarded, ForwardFailed, TrialsMoved, ConnectionsRefused, ConnectionsAccepted, RequestLost,
 	InvalidKey, InvalidOperatorToken,
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -90,6 +90,7 @@
 		return
 	}
 	j.s.closeIfStopping(j.w)
+	j.c.inFlight.statusSent(resp.StatusCode)
 	j.out.start(resp)
 }
 
@@ -104,7 +105,7 @@
 	body, complete, err := readBuffered(resp.Body, j.s.buffers, maxBufferedResponse)
 	defer body.release()
 	if err != nil && !errors.Is(err, errBuffersFull) {
-		return errors.CombineErrors(errTruncated, err)
+		return errors.Mark(errors.Wrap(err, errTruncated.Error()), errTruncated)
 	}
 	if complete && j.endedEarly(resp, s) {
 		return errTruncated
@@ -125,6 +126,7 @@
 	if resp.Request != nil && resp.Request.Method == http.MethodHead {
 		j.w.Header()["Content-Length"] = resp.Header["Content-Length"]
 	}
+	j.c.inFlight.statusSent(resp.StatusCode)
 	j.w.WriteHeader(resp.StatusCode)
 	return j.s.writeToCaller(j.w, j.c.ID, func() error { return j.writeFull(body, complete, resp, s) })
 }
@@ -132,14 +134,19 @@
 // writeFull writes the buffered part of a response to the caller, and the rest as it arrives unless the response
 // is complete.
 func (j *job) writeFull(body *bufferedBody, complete bool, resp *http.Response, s *send) error {
-	if _, err := j.w.Write(body.data); err != nil {
-		return errors.CombineErrors(errCallerDisconnected, err)
+	out := &callerWriter{w: j.w, inFlight: j.c.inFlight}
+	if _, err := out.Write(body.data); err != nil {
+		return errors.Mark(err, errCallerDisconnected)
 	}
 	if complete {
 		return nil
 	}
-	if _, err := io.Copy(j.w, resp.Body); err != nil {
-		return errors.CombineErrors(errPartialResponse, err)
+	_, err := io.Copy(out, resp.Body)
+	switch {
+	case out.err != nil:
+		return errors.Mark(out.err, errCallerDisconnected)
+	case err != nil:
+		return errors.Mark(err, errPartialResponse)
 	}
 	if j.endedEarly(resp, s) {
 		return errPartialResponse
@@ -147,6 +154,22 @@
 	return nil
 }
 
+// callerWriter writes the body of a response to a caller.
+type callerWriter struct {
+	w        http.ResponseWriter
+	inFlight *inFlightRequest
+	// err is the error of a write to the caller, as opposed to one of reading what is written.
+	err error
+}
+
+// Write implements io.Writer.
+func (c *callerWriter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	c.inFlight.passed(clock.Now(), 0, n)
+	c.err = err
+	return n, err
+}
+
 // shouldRepeat reports whether to repeat the request after an error response instead of passing the response
 // on. The time left until the deadline must exceed the objective, so that the next attempt can complete.
 func (j *job) shouldRepeat() bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -89,8 +89,11 @@
 	sends      int
 	mayHaveRun int
 	terminated int
-	// lastFailure is the most recent failure.
+	// lastFailure is the most recent failure. lastSend is the send that failed last and lastCause what canceled it;
+	// both are nil for a call at another node, lastCause also for a send that failed by itself.
 	lastFailure *verdict.Error
+	lastSend    *send
+	lastCause   error
 	forwarding  forwarding
 	// reserved is the slot for the next attempt, if one was reserved before the last send was canceled.
 	reserved *reservation
@@ -233,6 +236,7 @@
 		j.s.metrics.Count("attempts.resumed", 1)
 	}
 	j.limitAttempt(now, s)
+	j.c.inFlight.sent(s.vm.ID, s.vm.Group, s.vm.Generation)
 	j.logSent(now, s, evaluation)
 	ctx, span := j.s.parts.Tracer.Start(ctx, "send", trace.SpanKindClient, attribute.String("vm", s.vm.ID), attribute.String("group", s.target.group))
 	defer span.End()
--- a/internal/gateway/attemptlog.go
+++ b/internal/gateway/attemptlog.go
@@ -8,7 +8,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/retry"
 	"github.com/marbleroad/marbleroad/internal/verdict"
@@ -83,13 +82,3 @@
 		Str("code", failure.Code).Stringer("verdict", failure.Verdict).Str("detail", failure.Detail).
 		Strs("parts", loggedParts(j.c.PromptParts)).Bool("begun", s.started).AnErr("ended_by", cause).AnErr("cause", failure.Cause).Send()
 }
-
-// logCallerDisconnected logs a response that can't be passed on because the caller's connection is broken.
-func (j *job) logCallerDisconnected(s *send, err error) {
-	line := j.s.log.Emit(event.CallerDisconnected).Str("request", j.c.ID).Str("route", j.c.Route.Name).Str("vm", s.vm.ID).
-		Dur("took_ms", clock.Since(j.c.Arrived)).Err(err)
-	if j.out != nil {
-		line = line.Int("events", j.out.events)
-	}
-	line.Send()
-}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -72,6 +72,9 @@
 	// forwarded is what the node that forwarded the call knows of it; nil for a call of this node's own caller.
 	forwarded *forward.Envelope
 
+	// inFlight is the call's entry in the registry of the requests in flight.
+	inFlight *inFlightRequest
+
 	// cachedFingerprint is the fingerprint after its first use; zero before.
 	cachedFingerprint quarantine.Fingerprint
 	// cachedTraits are the traits that the request shares with others, and their fingerprints; nil before the first
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -29,3 +29,9 @@
 
 // CutOff reports whether the node takes itself for cut off from all upstreams.
 func CutOff(s *Server) bool { return s.reach.CutOff() }
+
+// InFlight returns the number of requests that were read and are not finished.
+func InFlight(s *Server) int { return len(s.inFlight.all()) }
+
+// ReportUnanswered reports a connection that was closed with a request that was read but not handled.
+func ReportUnanswered(s *Server, caller net.Addr, header []byte) { s.reportUnanswered(caller, header) }
--- a/internal/gateway/failures.go
+++ b/internal/gateway/failures.go
@@ -86,6 +86,7 @@
 		j.mayHaveRun++
 	}
 	cause := context.Cause(ctx)
+	j.lastSend, j.lastCause = s, cause
 	j.forwarding.reachedUpstream = j.forwarding.reachedUpstream || failure.Code != relay.CodeUnreachable
 	j.forwarding.paid = j.s.targets.takeForwardPaid(s)
 	j.reserved = j.s.targets.takeReservation(s)
@@ -110,14 +111,16 @@
 // received a part of a response that can't continue elsewhere.
 func (j *job) handleBroken(ctx context.Context, s *send, err error) *verdict.Error {
 	if errors.Is(err, errCallerDisconnected) {
-		j.logCallerDisconnected(s, err)
+		j.c.inFlight.lose(j.s.callerLost(err))
 		panic(http.ErrAbortHandler)
 	}
 	failedAt := clock.Now()
+	j.lastSend, j.lastCause = s, context.Cause(ctx)
 	failure := &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Code: relay.CodeBroken,
 		Detail: "the upstream's answer broke off", Cause: err}
 	if errors.Is(err, errPartialResponse) {
 		j.logFailedAttempt(s, failure, context.Cause(ctx))
+		j.losePartial(failure)
 		panic(http.ErrAbortHandler)
 	}
 	var status statusError
--- a/internal/gateway/forwarding.go
+++ b/internal/gateway/forwarding.go
@@ -150,6 +150,8 @@
 	now := clock.Now()
 	j.forwarding.tried[node.ID] = true
 	result := forward.Taken
+	j.lastSend, j.lastCause = nil, nil
+	j.c.inFlight.forwardedTo(node.ID)
 	defer func() { j.s.forwarder.done(clock.Now(), node.ID, result) }()
 	j.s.metrics.Count("requests.forwarded", 1)
 	j.s.log.Emit(event.RequestForwarded).Str("request", j.c.ID).Str("route", j.c.Route.Name).Str("to", node.ID).Int("runs", j.mayHaveRun-j.terminated).
@@ -246,13 +248,14 @@
 // which closes the caller's connection, if the caller has disconnected or has received a part of a plain response.
 func (j *job) handleBrokenForward(node forward.Candidate, err error) *verdict.Error {
 	if errors.Is(err, errCallerDisconnected) {
-		j.logCallerDisconnected(forwardedSend(node), err)
+		j.c.inFlight.lose(j.s.callerLost(err))
 		panic(http.ErrAbortHandler)
 	}
 	failure := &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Code: relay.CodeBroken,
 		Detail: "the answer of the node that served the request broke off", Cause: err}
 	j.logFailedForward(node, failure)
 	if errors.Is(err, errPartialResponse) {
+		j.losePartial(failure)
 		panic(http.ErrAbortHandler)
 	}
 	return failure
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -36,6 +36,8 @@
 // process routes and runs a call that was read, unless it has failed already, and sends the error response if any step
 // fails.
 func (s *Server) process(w http.ResponseWriter, r *http.Request, c *Call, failure *verdict.Error) {
+	c.inFlight = s.inFlight.begin(c)
+	defer s.endInFlight(c)
 	var j *job
 	if failure == nil {
 		failure = s.route(r.Context(), c)
@@ -208,6 +210,7 @@
 		}
 		w = &forwardedWriter{ResponseWriter: w, request: c.forwarded.Request}
 	}
+	c.inFlight.routed(c)
 	ctx, span := s.parts.Tracer.Start(s.parts.Tracer.Extract(r.Context(), r.Header), "request", trace.SpanKindServer,
 		attribute.String("request", c.ID), attribute.String("route", c.Route.Name))
 	defer span.End()
@@ -220,7 +223,7 @@
 		j.mayHaveRun = c.forwarded.Runs
 	}
 	if c.Route.Kind == catalog.Stream {
-		j.out = &streamOut{w: w, flush: http.NewResponseController(w), lastEventID: c.LastEvent}
+		j.out = &streamOut{w: w, flush: http.NewResponseController(w), lastEventID: c.LastEvent, inFlight: c.inFlight}
 	}
 	return j, j.run(ctx)
 }
@@ -250,7 +253,7 @@
 
 // finish logs the outcome and sends an error response if the call failed before the caller received one. j is
 // nil if the call failed before it was run. finish panics with http.ErrAbortHandler, which closes the
-// connection, if the caller has left or has received a part of a stream.
+// connection, if the caller has left or has received a part of a stream; endInFlight logs that.
 func (s *Server) finish(w http.ResponseWriter, r *http.Request, c *Call, j *job, failure *verdict.Error) {
 	elapsed := clock.Since(c.Arrived)
 	name := ""
@@ -264,7 +267,13 @@
 	s.metrics.Count("failed."+failure.Code, 1)
 	s.metrics.Observe("request.failed", elapsed)
 	if callerLeft(r, failure) {
-		s.log.Emit(event.CallerDisconnected).Str("request", c.ID).Str("route", name).Dur("took_ms", elapsed).Send()
+		c.inFlight.lose(s.callerLost(nil))
+		panic(http.ErrAbortHandler)
+	}
+	if failure.Code == codeAborted {
+		// The caller has received a part of the stream, so only closing the connection can signal the
+		// failure.
+		j.loseStarted(failure)
 		panic(http.ErrAbortHandler)
 	}
 	kind := event.RequestRefused
@@ -283,11 +292,6 @@
 	}
 	c.forwardedField(line).Send()
 	s.closeIfStopping(w)
-	if failure.Code == codeAborted {
-		// The caller has received a part of the stream, so only closing the connection can signal the
-		// failure.
-		panic(http.ErrAbortHandler)
-	}
 	if c.forwarded != nil {
 		forward.WriteError(w, c.forwarded.Request, failure)
 		return
--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -97,7 +97,7 @@
 func (s *streamSource) write(send func() error) error {
 	if s.ahead {
 		if err := s.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
-			return errors.CombineErrors(errCallerDisconnected, err)
+			return errors.Mark(err, errCallerDisconnected)
 		}
 		return send()
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -48,6 +48,8 @@
 	// closeLimit is how long a shutdown waits for the requests that it has canceled, before it closes their
 	// connections.
 	closeLimit = 300 * time.Millisecond
+	// closeLinger is how long it keeps connections without a request open meanwhile.
+	closeLinger = 50 * time.Millisecond
 )
 
 // Config holds the settings of the gateway.
@@ -165,6 +167,9 @@
 	// homesCheckedFor is the version of the catalog whose homes were checked last.
 	homesCheckedFor atomic.Uint64
 
+	// inFlight holds the requests that were read and are not finished.
+	inFlight inFlightRequests
+
 	// stopping is true from the start of a shutdown.
 	stopping atomic.Bool
 	// stopDeadline is when a shutdown cancels the requests still in progress. It is nil until BalancerDelay
@@ -293,12 +298,6 @@
 	return callers.Limits{Idle: l.IdleTimeout, Header: l.HeaderTimeout}
 }
 
-// reportUnanswered logs a connection that was closed with a request that was read but not handled.
-func (s *Server) reportUnanswered(caller net.Addr) {
-	s.metrics.Count("requests.unanswered", 1)
-	s.log.Emit(event.RequestUnanswered).Stringer("caller", caller).Bool("stopping", s.stopping.Load()).Send()
-}
-
 // errorLogWriter converts the error log of net/http to events.
 type errorLogWriter struct{ log *event.Logger }
 
@@ -336,7 +335,9 @@
 	s.cancelWork()
 	closing, cancelClosing := context.WithTimeout(context.Background(), closeLimit)
 	defer cancelClosing()
-	err = errors.CombineErrors(s.callers.Stop(closing), s.readyServer.Close())
+	err = errors.CombineErrors(s.callers.Drain(closing, closeLinger), s.forwardedCalls.drain(closing))
+	s.reportStopped()
+	err = errors.CombineErrors(err, errors.CombineErrors(s.callers.Close(), s.readyServer.Close()))
 	s.background.Wait()
 	return err
 }
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -78,6 +78,10 @@
 	// otherNodes are the nodes that calls may be forwarded to. probe probes the VMs; nil for none.
 	otherNodes []forward.Candidate
 	probe      reach.ProbeFunc
+	// log receives the lines of the log; nil for none.
+	log *logBuffer
+	// caller is the protocol with callers, nil for the platform's.
+	caller gateway.CallerDialect
 }
 
 func newTestSite(t testing.TB, o options) *testSite {
@@ -96,6 +100,11 @@
 		s.plain = append(s.plain, s.addVM(t, fmt.Sprintf("plain-%d", i), "api", 0))
 	}
 	log, err := event.New(io.Discard, "error", "n", "test")
+	if o.log != nil {
+		log, err = event.New(o.log, "info", "n", "test")
+		// A limit of one line a second shows which lines it drops.
+		log.SetRate(1)
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -107,6 +116,10 @@
 		directory.FollowEvacuations(vmList)
 	}
 	s.listen = freeAddress(t)
+	var dialect gateway.CallerDialect = platform.Caller{}
+	if o.caller != nil {
+		dialect = o.caller
+	}
 	// A ratio of two pays for one repeat of each request, even right after the start.
 	repeats := retry.Limit{Ratio: 2, Extra: 100, Window: 10 * time.Second}
 	if o.noRepeats {
@@ -118,7 +131,7 @@
 		Repeats: repeats, Processor: o.processor,
 	}, gateway.Parts{
 		Log: log, Metrics: metrics.NewRegistry(), Tracer: tracing.Off(), Catalog: catalogs, Directory: directory, NewestVersion: o.newestVersion,
-		Caller: platform.Caller{}, Upstream: platform.Upstream{}, Nodes: func() int { return 1 }, StateTTL: func() time.Duration { return time.Second },
+		Caller: dialect, Upstream: platform.Upstream{}, Nodes: func() int { return 1 }, StateTTL: func() time.Duration { return time.Second },
 		OtherNodes: func(time.Time) []forward.Candidate { return o.otherNodes }, Probe: o.probe,
 		Suspect: func(string, uint64) {}, Dissolving: func() []string { return nil }, StepDown: func() {}, TriggerExchange: func() {},
 	})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/marbleroad/marbleroad/internal/clock"
 )
 
 var (
@@ -82,7 +84,7 @@
 	if errors.Is(err, io.EOF) && len(e.buf) == 0 {
 		return io.EOF
 	}
-	return errors.CombineErrors(errTruncated, err)
+	return errors.Mark(errors.Wrap(err, errTruncated.Error()), errTruncated)
 }
 
 // streamOut writes a stream to a caller. It is used by the goroutine of the request only. Invariant: the
@@ -95,6 +97,8 @@
 	lastEventID string
 	// events is the number of events with an ID that were passed on.
 	events int
+	// inFlight counts what was passed on.
+	inFlight *inFlightRequest
 }
 
 // start sends the first upstream's status and header.
@@ -115,15 +119,18 @@
 		}
 	}
 	if _, err := o.w.Write(raw); err != nil {
-		return errors.CombineErrors(errCallerDisconnected, err)
+		return errors.Mark(err, errCallerDisconnected)
 	}
 	if err := o.flush.Flush(); err != nil {
-		return errors.CombineErrors(errCallerDisconnected, err)
+		return errors.Mark(err, errCallerDisconnected)
 	}
+	numbered := 0
 	if len(id) > 0 {
 		o.lastEventID = string(id)
 		o.events++
+		numbered = 1
 	}
+	o.inFlight.passed(clock.Now(), numbered, len(raw))
 	return nil
 }
 
