The stand-in for model engines answers health checks

As the users' VMs do: one that drains or leaves without a notice is not healthy, one whose entry lapsed is. The soak's services name the path, so that a member that leaves without a notice closes its group there too.

--- a/test/soak/configurations.go
+++ b/test/soak/configurations.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/marbleroad/marbleroad/test/standin/groupengine"
 )
 
 // The services: one of models, a plain one, and another plain one that some versions send a part of its requests to.
@@ -114,7 +116,7 @@
 		"version": version,
 		"routes":  routes,
 		"services": []any{
-			map[string]any{"name": modelService, "engine": map[string]any{"slots": engineSlots, "step_ms": 6, "per_seq_ms": 0.2, "read_per_s": 46000, "loads_at_once": 6,
+			map[string]any{"name": modelService, "health-path": groupengine.HealthPath, "engine": map[string]any{"slots": engineSlots, "step_ms": 6, "per_seq_ms": 0.2, "read_per_s": 46000, "loads_at_once": 6,
 				"usual": map[string]any{"prompt": 1000, "answer": 100}, "form-ms": 10,
 				"models": []any{map[string]any{"name": "m", "size": groupSize, "share": 1, "pace": 1, "load-s": loadTime.Seconds(), "warm-s": loadTime.Seconds()}}},
 				"cold-start-s": warmupTime.Seconds(), "cold-per-s": warmupRate},
--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -367,6 +367,8 @@
 		v.report(w)
 	case "/-/order":
 		v.order(w, r)
+	case HealthPath:
+		v.health(w)
 	default:
 		v.request(w, r)
 	}
@@ -379,6 +381,19 @@
 	}
 }
 
+// HealthPath is the path of the health check.
+const HealthPath = "/health"
+
+// health answers a health check: a VM that drains, or leaves without a notice, is not healthy. One whose entry lapsed is.
+func (v *VM) health(w http.ResponseWriter) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	w.Header().Set("Instance-Id", v.config.ID)
+	if v.draining || v.entryDeleted {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 func (v *VM) report(w http.ResponseWriter) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/test/standin/groupengine/groupengine_test.go
+++ b/test/standin/groupengine/groupengine_test.go
@@ -233,3 +233,23 @@
 	}
 	t.Fatalf("timeout while waiting for %s", what)
 }
+
+// TestHealthShowsADeparture checks that a VM without an entry answers health checks as one that leaves.
+func TestHealthShowsADeparture(t *testing.T) {
+	v := groupengine.New(groupengine.Config{ID: "vm-1"}, objectstore.New())
+	status := func() int {
+		w := httptest.NewRecorder()
+		v.ServeHTTP(w, httptest.NewRequest(http.MethodGet, groupengine.HealthPath, nil))
+		if id := w.Header().Get("Instance-Id"); id != "vm-1" {
+			t.Errorf("the check is answered by %q", id)
+		}
+		return w.Code
+	}
+	if got := status(); got != http.StatusOK {
+		t.Errorf("a VM that serves answers %d", got)
+	}
+	v.DeleteEntry()
+	if got := status(); got != http.StatusServiceUnavailable {
+		t.Errorf("a VM that leaves answers %d", got)
+	}
+}
