Soak: a seed says how many cuts it excused, and why

Each seed now counts the requests that were run, ended without a whole answer and are excused, by reason: a crash, time used up, a disturbance, an upstream that broke off. What is excused has not changed.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -49,11 +49,12 @@
 	workEnded []groupengine.Observation
 	// judged is the number of requests beside planned work that checkInterruptions judged.
 	judged int
+	// excused counts by reason the requests without a whole answer that checkInterruptions excuses.
+	excused map[string]int
 }
 
-// checkHistory runs all checks on the history of a run. It returns the violations and the number of requests that ran
-// beside planned work alone and had to get their whole answer.
-func checkHistory(h *history, slack time.Duration) ([]violation, int) {
+// checkHistory runs all checks on the history of a run and returns the checker with what it found.
+func checkHistory(h *history, slack time.Duration) *checker {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	ck := &checker{history: h, slack: slack, calls: make(map[string]call)}
@@ -63,7 +64,7 @@
 	for _, checkFunc := range []func(){ck.checkResponses, ck.checkNotRun, ck.checkAttempts, ck.checkRequested, ck.checkGroups, ck.checkLeavingUpstreams, ck.checkChanges, ck.checkChangesAtCutReaders, ck.checkRevokedKeys, ck.checkRepeatBudget, ck.checkCanceledWork, ck.checkRefusalTimes, ck.checkDeadlines, ck.checkInterruptions, ck.checkStalledNodes, ck.checkCrashingRequests, ck.checkConditions, ck.checkEvacuations, ck.checkWarmups, ck.checkCutOffNodes, ck.checkCrashingParts, ck.checkCrowdedNodes} {
 		checkFunc()
 	}
-	return ck.violations, ck.judged
+	return ck
 }
 
 func (ck *checker) report(check, request, format string, args ...any) {
--- a/test/soak/interruptions.go
+++ b/test/soak/interruptions.go
@@ -22,13 +22,20 @@
 // only planned work.
 func (ck *checker) checkInterruptions() {
 	runs := ck.runsByRequest()
+	ck.excused = make(map[string]int)
 	for _, o := range ck.history.observations {
 		if o.Kind == groupengine.WorkEnded {
 			ck.workEnded = append(ck.workEnded, o)
 		}
 	}
 	for _, c := range ck.history.calls {
-		if len(runs[c.id]) == 0 || !ck.owedAnswer(c) || ck.brokeOff(c, runs[c.id]) {
+		if len(runs[c.id]) == 0 || !c.disconnectedAt.IsZero() {
+			continue
+		}
+		if excuse := ck.excuse(c, runs[c.id]); excuse != "" {
+			if !c.complete {
+				ck.excused[excuse]++
+			}
 			continue
 		}
 		beside := ck.plannedBeside(c)
@@ -47,12 +54,21 @@
 	}
 }
 
-// owedAnswer reports whether a caller that waits has to get a whole answer if its request is run: it did not leave, the
-// request's time is not used up, and no disturbance other than planned work was active from reconnectTime before the
-// request to its end.
-func (ck *checker) owedAnswer(c call) bool {
-	timeUp := !c.complete && c.finished.Sub(c.sent) >= callerTimeout
-	return c.disconnectedAt.IsZero() && !timeUp && !c.crashesUpstreams && !ck.crashedDuring(c) && ck.allUndisturbed(c.sent, c.finished, isPlanned)
+// excuse says why a caller that waits need not get a whole answer to a request that was run; it is empty if it must: the
+// request crashes upstreams, its time is used up, a disturbance other than planned work was active from reconnectTime
+// before the request to its end, or an upstream broke off.
+func (ck *checker) excuse(c call, runs []groupengine.Observation) string {
+	switch {
+	case c.crashesUpstreams || ck.crashedDuring(c):
+		return "crash"
+	case !c.complete && c.finished.Sub(c.sent) >= callerTimeout:
+		return "time used up"
+	case !ck.allUndisturbed(c.sent, c.finished, isPlanned):
+		return "disturbance"
+	case ck.brokeOff(c, runs):
+		return "upstream broke off"
+	}
+	return ""
 }
 
 // runsByRequest returns the observations that requests started to run, by request ID.
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %d faults, %d requests, %d answered completely, %d arrivals at upstreams, %d judged beside planned work, %d scheduling stalls of the machine; %d violations\n", c.seed, len(faults), r.requests, r.complete, r.arrivals, r.judged, r.stalls, len(r.violations))
+	fmt.Printf("seed %d: %d faults, %d requests, %d answered completely, %d arrivals at upstreams, %d judged beside planned work, cut and excused: %v, %d scheduling stalls of the machine; %d violations\n", c.seed, len(faults), r.requests, r.complete, r.arrivals, r.judged, r.excused, r.stalls, len(r.violations))
 	for _, text := range r.powerLosses {
 		fmt.Printf("  %s\n", text)
 	}
@@ -216,6 +216,8 @@
 	powerLosses []string
 	// judged is the number of requests that ran beside planned work alone and had to get their whole answer.
 	judged int
+	// excused counts by reason the requests without a whole answer that are excused, though they were run.
+	excused map[string]int
 }
 
 // runOnce starts a testbed, injects the faults while callers send requests, and checks what was
@@ -243,7 +245,8 @@
 		}
 	}
 	r := result{requests: len(tb.history.calls)}
-	r.violations, r.judged = checkHistory(tb.history, c.slack)
+	ck := checkHistory(tb.history, c.slack)
+	r.violations, r.judged, r.excused = ck.violations, ck.judged, ck.excused
 	r.powerLosses = describePowerLosses(tb.history)
 	for _, call := range tb.history.calls {
 		if call.complete && call.status == 200 {
