--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -259,6 +259,8 @@
 		applyToVM(u.link.proxy.BlackholeConnections, func() {})
 	case UpstreamStalls:
 		applyToVM(func() { u.vm.StallAfter.Store(3) }, func() { u.vm.StallAfter.Store(0) })
+	case UpstreamsWrittenLate:
+		tb.writeLate(f)
 	case UpstreamSilent:
 		from := time.Now()
 		pickServing(slices.DeleteFunc(candidates, func(u *upstream) bool { return u.plain }), f.Target).vm.FallSilent(f.For)
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -38,6 +38,8 @@
 	keep     string
 	// planned restricts the drawn faults to planned operations and short pauses of nodes.
 	planned bool
+	// stale restricts them to those that leave processes with knowledge that no longer holds.
+	stale bool
 }
 
 func main() {
@@ -70,6 +72,7 @@
 	f.StringVar(&o.schedule, "schedule", "", "file with the faults to inject instead of drawn ones")
 	f.StringVar(&o.historyFile, "history", "", "file for the cuts of nodes from upstreams and all requests of the last seed, as lines of text")
 	f.BoolVar(&o.planned, "planned", false, "draw only planned operations, in overlapping series, and short pauses of nodes")
+	f.BoolVar(&o.stale, "stale", false, "draw only pauses of nodes of 3 to 9 s and the ends of upstreams, while the store writes upstreams' entries late")
 	f.BoolVar(&o.shrink, "shrink", false, "after a failure, search for a shorter schedule that still fails")
 	f.StringVar(&o.keep, "keep", "out/soak", "directory for the schedules and logs of failed seeds")
 	return c
@@ -113,6 +116,9 @@
 	if o.schedule == "" && o.planned {
 		return drawPlannedSchedule(rand.New(rand.NewPCG(c.seed, 0)), c.length), nil
 	}
+	if o.schedule == "" && o.stale {
+		return drawStaleSchedule(rand.New(rand.NewPCG(c.seed, 0)), c.length), nil
+	}
 	if o.schedule == "" {
 		return drawSchedule(rand.New(rand.NewPCG(c.seed, 0)), c.length), nil
 	}
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -54,6 +54,7 @@
 	UpstreamConnectionsSilent   Kind = "upstream-connections-silent"
 	UpstreamStalls              Kind = "upstream-stalls"
 	UpstreamSilent              Kind = "upstream-silent"
+	UpstreamsWrittenLate        Kind = "upstreams-written-late"
 	UpstreamRefuses             Kind = "upstream-refuses"
 	AllUpstreamsRefuse          Kind = "all-upstreams-refuse"
 	UpstreamTruncatesStreams    Kind = "upstream-cuts-streams"
@@ -198,13 +199,37 @@
 	{CallerSurge, 1, time.Second, 3 * time.Second},
 }
 
+// staleFaultSpecs leave processes with knowledge that no longer holds: pauses of nodes that are longer than the formation
+// of a group, beside what makes directors form groups and take them apart.
+var staleFaultSpecs = []faultSpec{
+	{NodePause, 6, 3 * time.Second, 9 * time.Second},
+	{UpstreamCrashes, 3, time.Second, 4 * time.Second},
+	{UpstreamDrains, 3, 3 * time.Second, 5 * time.Second},
+	{UpstreamLeaves, 2, 4 * time.Second, 6 * time.Second},
+	{NodeStop, 1, 300 * time.Millisecond, time.Second},
+	{RouteAdded, 1, 0, 0},
+	{CallerSurge, 1, time.Second, 3 * time.Second},
+}
+
+// drawStaleSchedule draws faults that leave processes with knowledge that no longer holds, in overlapping series, while
+// the store writes entries of upstreams late.
+func drawStaleSchedule(random *rand.Rand, length time.Duration) []Fault {
+	late := Fault{0, UpstreamsWrittenLate, 0, length + recoveryTime}
+	return append([]Fault{late}, drawSeries(random, length, staleFaultSpecs)...)
+}
+
 // drawPlannedSchedule draws only planned operations and short pauses, in overlapping series. All nodes lose power at the
 // end, while requests run that planned work has not disturbed.
 func drawPlannedSchedule(random *rand.Rand, length time.Duration) []Fault {
+	return append(drawSeries(random, length, plannedFaultSpecs), Fault{length + recoveryTime, PowerLoss, 0, time.Second})
+}
+
+// drawSeries draws faults of the specs, in overlapping series.
+func drawSeries(random *rand.Rand, length time.Duration, specs []faultSpec) []Fault {
 	const meanGap = 500 * time.Millisecond
 	var out []Fault
 	for at := time.Duration(0); at < length; at += randomDuration(random, meanGap/3, 2*meanGap-meanGap/3) {
-		f := drawFaultOf(random, at, plannedFaultSpecs)
+		f := drawFaultOf(random, at, specs)
 		out = append(out, f)
 		for repeated := f; random.IntN(2) == 0; {
 			repeated.At += randomDuration(random, 100*time.Millisecond, 600*time.Millisecond)
@@ -212,7 +237,6 @@
 			out = append(out, repeated)
 		}
 	}
-	out = append(out, Fault{length + recoveryTime, PowerLoss, 0, time.Second})
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
@@ -332,7 +356,7 @@
 		return f, err
 	}
 	f.Kind = Kind(kind)
-	if f.Kind != DomainEvacuated && f.Kind != StoreRestored && !slices.ContainsFunc(faultSpecs, func(s faultSpec) bool { return s.kind == f.Kind }) {
+	if f.Kind != DomainEvacuated && f.Kind != StoreRestored && f.Kind != UpstreamsWrittenLate && !slices.ContainsFunc(faultSpecs, func(s faultSpec) bool { return s.kind == f.Kind }) {
 		return f, errors.Newf("unknown kind %q", kind)
 	}
 	return f, nil
--- a/test/soak/schedule_test.go
+++ b/test/soak/schedule_test.go
@@ -11,18 +11,20 @@
 // TestScheduleIsReadAsWritten guards against a stored schedule that repeats other faults than the
 // run that stored it.
 func TestScheduleIsReadAsWritten(t *testing.T) {
-	drawn := drawSchedule(rand.New(rand.NewPCG(7, 0)), 12*time.Second)
-	var text strings.Builder
-	text.WriteString("# kept\n\n")
-	for _, f := range drawn {
-		text.WriteString(f.String() + "\n")
-	}
-	read, err := readSchedule(strings.NewReader(text.String()))
-	if err != nil || !slices.Equal(drawn, read) {
-		t.Errorf("read back %v (error %v), want %v", read, err, drawn)
-	}
-	if !slices.Equal(drawn, drawSchedule(rand.New(rand.NewPCG(7, 0)), 12*time.Second)) {
-		t.Error("equal seeds drew different schedules")
+	for name, draw := range map[string]func(*rand.Rand, time.Duration) []Fault{"drawn": drawSchedule, "planned": drawPlannedSchedule, "stale": drawStaleSchedule} {
+		drawn := draw(rand.New(rand.NewPCG(7, 0)), 12*time.Second)
+		var text strings.Builder
+		text.WriteString("# kept\n\n")
+		for _, f := range drawn {
+			text.WriteString(f.String() + "\n")
+		}
+		read, err := readSchedule(strings.NewReader(text.String()))
+		if err != nil || !slices.Equal(drawn, read) {
+			t.Errorf("%s: read back %v (error %v), want %v", name, read, err, drawn)
+		}
+		if !slices.Equal(drawn, draw(rand.New(rand.NewPCG(7, 0)), 12*time.Second)) {
+			t.Errorf("%s: equal seeds drew different schedules", name)
+		}
 	}
 }
 
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -98,6 +98,8 @@
 	evacuated map[string]int
 	// cuts counts the active faults that cut nodes off from all upstreams.
 	cuts map[nodeCut]int
+	// late makes the store write upstreams' entries late.
+	late lateWrites
 	// storeOutages counts the active faults that make the store refuse all requests.
 	storeOutages int
 	stopped      chan struct{}
@@ -189,6 +191,7 @@
 	}
 	tb.running.Go(tb.checkHeads)
 	tb.running.Go(tb.watchSchedulingStalls)
+	tb.late.start(c.seed)
 	tb.callers = newCallers(tb)
 	return tb, tb.waitReady()
 }
@@ -222,7 +225,7 @@
 	}
 	u := &upstream{id: fmt.Sprintf("vm-%d", number), number: number, service: service, plain: service != modelService, link: &faultLink{proxy: proxy, active: make(map[faultproxy.Mode]int)}}
 	u.vm = groupengine.New(groupengine.Config{ID: u.id, Service: service, Address: proxy.Address(), FailureDomain: tb.failureDomain(number), FabricDomain: "fabric-" + tb.failureDomain(number),
-		LoadTime: loadDuration(number), Events: events, EventInterval: eventInterval, PrefillTime: prefillTime, ServiceTime: plainServiceTime, Observe: tb.observe, FindVM: tb.findVM, StallBound: stallBound}, tb.store)
+		LoadTime: loadDuration(number), Events: events, EventInterval: eventInterval, PrefillTime: prefillTime, ServiceTime: plainServiceTime, Observe: tb.observe, FindVM: tb.findVM, StallBound: stallBound, WriteDelay: tb.late.delay}, tb.store)
 	server, err := tb.serve(tb.addr(roleVM, number, vmPort), u.vm)
 	if err != nil {
 		return err
--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -68,6 +69,9 @@
 	// while a member is lost and breaks after StallBound.
 	FindVM     func(id string) *VM
 	StallBound time.Duration
+	// WriteDelay returns how long the store takes to write an entry that the VM sends now; nil for no time. Later
+	// entries may be written first. It is called with the VM locked.
+	WriteDelay func() time.Duration
 }
 
 // Kind is the kind of an Observation.
@@ -352,9 +356,32 @@
 	if v.model != "" {
 		e.Models = append(e.Models, model{v.model})
 	}
+	if v.config.WriteDelay != nil {
+		if d := v.config.WriteDelay(); d > 0 {
+			v.writeLate(e, d)
+			return
+		}
+	}
 	v.store.Put("servers", v.config.ID, e)
 }
 
+// writeLate writes an entry after the delay, unless the VM's entry was deleted for good meanwhile.
+func (v *VM) writeLate(e entry, d time.Duration) {
+	if v.group != nil {
+		// The entry holds the state of now.
+		g := *v.group
+		e.Group = &g
+	}
+	e.Staged = slices.Clone(e.Staged)
+	time.AfterFunc(d, func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		if !v.entryDeleted {
+			v.store.Put("servers", v.config.ID, e)
+		}
+	})
+}
+
 // ServeHTTP implements http.Handler.
 func (v *VM) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != v.config.ID {
