Daemon: a panic writes the queued log lines and names the requests

A panic outside of a request's handler ended the process with the lines that were still queued, and without a line about the panic or the requests that it ended. A fatal error of the Go runtime (memory, concurrent map writes) and a panic in a goroutine of a library can't be caught; for these as for a kill there is the list of 5035.

--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/platform"
 	"github.com/marbleroad/marbleroad/internal/wait"
@@ -61,6 +62,7 @@
 // other nodes, even while the platform refuses writes. Hundreds of nodes read the records of all, so
 // they accept cached ones as long as these include their own.
 func (c *Cluster) registerLoop() {
+	defer crash.Guard()
 	defer c.done.Done()
 	backoff := registerBackoff()
 	read, cached, registered := readRecords(c.store.ListCached), true, false
--- a/internal/cluster/share.go
+++ b/internal/cluster/share.go
@@ -8,6 +8,7 @@
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/demand"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/wait"
@@ -15,6 +16,7 @@
 
 // partnersLoop periodically updates the set of nodes that this node exchanges with.
 func (c *Cluster) partnersLoop() {
+	defer crash.Guard()
 	defer c.done.Done()
 	for wait.Sleep(c.ctx, partnersInterval) {
 		c.updatePartners()
@@ -93,6 +95,7 @@
 
 // runExchanger exchanges with a node after each interval, or at once when triggered, until ctx ends.
 func (c *Cluster) runExchanger(ctx context.Context, p *peer, s *exchanger) {
+	defer crash.Guard()
 	defer c.done.Done()
 	defer s.cancel()
 	for ctx.Err() == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/marbleroad/marbleroad/internal/admin"
 	"github.com/marbleroad/marbleroad/internal/control"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	engineapi "github.com/marbleroad/marbleroad/internal/engine/httpapi"
 	"github.com/marbleroad/marbleroad/internal/entry"
 	"github.com/marbleroad/marbleroad/internal/event"
@@ -95,13 +96,12 @@
 // run starts the daemon and returns when it has stopped.
 func run(program settings.Program, settingsPath string, s *settings.Settings) error {
 	stops, reloads := catchSignals()
-	out := event.NewAsync(os.Stdout)
-	defer out.Close()
-	log, err := event.New(out, s.Log.Level, s.Node.ID, string(program))
+	out, log, err := startLog(program, s)
 	if err != nil {
 		return err
 	}
-	log.SetRate(s.Log.Rate)
+	defer out.Close()
+	defer crash.Guard()
 	tracer, err := tracing.New(context.Background(), s.Trace.Target, string(program), s.Node.ID, s.Trace.Sample)
 	if err != nil {
 		return err
@@ -132,6 +132,23 @@
 	return b.runUntilSignal(k, stops)
 }
 
+// startLog returns a logger to standard output and its writer, which the caller must close. A panic that ends the process
+// is logged, and the queued lines are written before that.
+func startLog(program settings.Program, s *settings.Settings) (*event.Async, *event.Logger, error) {
+	out := event.NewAsync(os.Stdout)
+	log, err := event.New(out, s.Log.Level, s.Node.ID, string(program))
+	if err != nil {
+		out.Close()
+		return nil, nil, err
+	}
+	log.SetRate(s.Log.Rate)
+	crash.OnPanic(func(crash.Panic) { out.Close() })
+	crash.OnPanic(func(p crash.Panic) {
+		log.Emit(event.Panicked).Str("text", p.Text).Str("stack", p.Stack).Send()
+	})
+	return out, log, nil
+}
+
 // maxPendingSignals bounds the stop signals that are queued until the services have started, since none
 // is handled earlier. Further ones are dropped; in a series of signals they carry no new information.
 const maxPendingSignals = 4
@@ -150,6 +167,7 @@
 
 // reportLogLoss counts the log lines that were skipped or dropped, and logs the dropped ones.
 func (b base) reportLogLoss(ctx context.Context, out *event.Async) {
+	defer crash.Guard()
 	reported := int64(0)
 	for wait.Sleep(ctx, logLossInterval) {
 		dropped := out.Dropped()
@@ -300,6 +318,7 @@
 // reloadOnSignal reads the settings file again at each signal. Only settings that
 // can change without interrupting a request take effect: the log level and rate.
 func (b base) reloadOnSignal(signals <-chan os.Signal) {
+	defer crash.Guard()
 	for range signals {
 		s, err := settings.Load(b.settingsPath, b.program)
 		if err == nil {
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -9,6 +9,7 @@
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/director"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/feed"
@@ -121,6 +122,7 @@
 		Probe:           platform.NewEngine(newProbeTransport(s.Cluster.Listen, &b.peers.Traffic.Upstreams)).Probe,
 		Quarantine:      suspects,
 	})
+	crash.OnPanic(server.ReportPanic)
 	engineClient := platform.NewEngine(newTransport(s.Cluster.Listen, reportIdleConns, &b.peers.Traffic.Upstreams))
 	engineClient.OnCondition(server.ObserveVM)
 	groupDirector = director.New(director.Config{
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -27,6 +27,7 @@
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/demand"
 	"github.com/marbleroad/marbleroad/internal/engine"
 	"github.com/marbleroad/marbleroad/internal/event"
@@ -195,6 +196,7 @@
 
 // tickLoop triggers a reconciliation every tickInterval until the director stops.
 func (d *Director) tickLoop() {
+	defer crash.Guard()
 	defer d.running.Done()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -232,6 +234,7 @@
 func (d *Director) report(vm *fleet.VM, reason reportReason) {
 	d.running.Add(1)
 	go func() {
+		defer crash.Guard()
 		defer d.running.Done()
 		timeout := reportTimeout
 		if reason == forSuspicion {
@@ -250,6 +253,7 @@
 func (d *Director) order(vm *fleet.VM, o engine.GroupOrder, decidedAt time.Time) {
 	d.running.Add(1)
 	go func() {
+		defer crash.Guard()
 		defer d.running.Done()
 		clock.Sync()
 		if clock.Since(decidedAt) > maxOrderAge {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -30,6 +30,8 @@
 		"None. SIGINT ends the wait for requests in flight; SIGTERM changes nothing."}
 	SchedulingStall = Event{1013, zerolog.InfoLevel, "this process did not run for a while (scheduling stall); that time does not count as silence of peers and upstreams",
 		"If it repeats, check what else runs on the VM."}
+	Panicked = Event{1016, zerolog.ErrorLevel, "a panic ends this process",
+		"Report it with the text and the stack of the line. 5034 names the requests that it had."}
 	StartIncomplete = Event{1014, zerolog.InfoLevel, "this daemon has started and still lacks what it needs to serve",
 		"If it lasts, check the missing part: 3001 for the platform, 4026 and 4030 for other nodes."}
 	StartComplete = Event{1015, zerolog.InfoLevel, "this daemon has all that it needs to serve; the fields are the times after its start at which each part became available",
@@ -253,7 +255,7 @@
 var Catalogue = []Event{
 	Started, Stopping, Stopped, StopLimit, ServiceFailed, TraceExportFailed,
 	Reloaded, LogDropped, ConnectionFailed, Suspended, HandlerPanicked, StopRepeated, SchedulingStall,
-	StartIncomplete, StartComplete,
+	StartIncomplete, StartComplete, Panicked,
 	RowAdopted, ChangeAccepted, ChangeConflict, ChangeInvalid, RowUnreadable, DrainPending,
 	CatalogAdopted, HomesInvalid,
 	PlatformDown, PlatformUp, WriteResolved, WatchHistoryExpired, RegisterFailed, NodesUnreadable, EntryUnreadable,
--- a/internal/feed/firstread.go
+++ b/internal/feed/firstread.go
@@ -14,6 +14,7 @@
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/platform"
@@ -121,6 +122,7 @@
 			connected = new(atomic.Bool)
 			traced := withConnected(ctx, connected)
 			go func() {
+				defer crash.Guard()
 				got, err := r.readFrom(traced, source, sources.wait)
 				select {
 				case responses <- peerResponse[T]{source.ID, got, err}:
--- a/internal/gateway/checks.go
+++ b/internal/gateway/checks.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/event"
 )
 
 // watchStalls runs checkSends every stallInterval until the end of a shutdown. It also logs when the VM of
 // this process was suspended.
 func (s *Server) watchStalls() {
+	defer crash.Guard()
 	defer s.background.Done()
 	ticker := time.NewTicker(stallInterval)
 	defer ticker.Stop()
--- a/internal/gateway/lostend.go
+++ b/internal/gateway/lostend.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
@@ -168,6 +169,14 @@
 	}
 }
 
+// ReportPanic reports the requests in flight when a panic ends the process.
+func (s *Server) ReportPanic(crash.Panic) {
+	for _, f := range s.inFlight.all() {
+		f.lose(lostEnd{reason: lostByPanic, detail: "the process ends"})
+		s.reportLost(f)
+	}
+}
+
 // reportLost logs and counts a request that ended without a whole answer, once.
 func (s *Server) reportLost(f *inFlightRequest) {
 	if f.reported.Swap(true) {
--- a/internal/gateway/lostend_test.go
+++ b/internal/gateway/lostend_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/forward"
 	"github.com/marbleroad/marbleroad/internal/gateway"
 	"github.com/marbleroad/marbleroad/internal/verdict"
@@ -258,3 +259,14 @@
 		t.Errorf("line %v", line)
 	}
 }
+
+// TestRequestsOfAPanickingProcessAreNamed: a panic outside of a request's handler ends the process and all its requests.
+func TestRequestsOfAPanickingProcessAreNamed(t *testing.T) {
+	log := &logBuffer{}
+	s := newTestSite(t, options{pause: 500 * time.Millisecond, log: log})
+	conn, _ := startStream(t, s, waitLimit)
+	s.server.ReportPanic(crash.Panic{})
+	_ = conn.Close()
+	waitFor(t, "the request to end", func() bool { return gateway.InFlight(s.server) == 0 })
+	wantLost(t, log, map[string]any{"request": "r1", "reason": "panic", "detail": "the process ends", "events": 1})
+}
--- a/internal/gateway/processor.go
+++ b/internal/gateway/processor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/event"
 )
 
@@ -15,6 +16,7 @@
 // watchProcessor observes the utilization of the processor for the limit of new connections, until the end of a
 // shutdown. It does nothing if the settings do not say how much of a processor this process may use.
 func (s *Server) watchProcessor() {
+	defer crash.Guard()
 	defer s.background.Done()
 	if s.config.Processor <= 0 {
 		return
--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/event"
 )
 
@@ -115,6 +116,7 @@
 // readAhead reads the remaining events into the queue. If the queue exceeds its bounds, or the caller does not
 // accept anything for callerWriteTimeout, the write to the caller fails and the caller loses its answer.
 func (s *streamSource) readAhead() {
+	defer crash.Guard()
 	s.onSlow()
 	_ = s.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	// The event that is being passed on is still in the reader's buffer.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -19,6 +19,7 @@
 	"github.com/marbleroad/marbleroad/internal/callers"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/forward"
@@ -286,6 +287,7 @@
 }
 
 func (s *Server) serve(serve func() error) {
+	defer crash.Guard()
 	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		s.log.Emit(event.ServiceFailed).Str("service", ServerName).Err(err).Send()
 	}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/quarantine"
@@ -243,6 +244,7 @@
 func (s *Server) recheckTermination(sent *send, delay time.Duration) {
 	s.pending.add(clock.Now(), sent, false)
 	time.AfterFunc(delay, func() {
+		defer crash.Guard()
 		switch {
 		case s.workCtx.Err() != nil:
 		case s.ports.Closed(s.workCtx, sent.vm.Address):
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 )
 
@@ -161,7 +162,10 @@
 	vms := sample(now, m.candidates(preferred), m.config.FailureDomain, first+further, m.random)
 	vms = append(vms, sample(now, m.candidates(others), m.config.FailureDomain, first+further-len(vms), m.random)...)
 	m.done = make(chan struct{})
-	go m.check(now, vms, first)
+	go func() {
+		defer crash.Guard()
+		m.check(now, vms, first)
+	}()
 }
 
 // candidates returns the VMs with the times of their recent failures. The caller holds mu.
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -6,6 +6,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/marbleroad/marbleroad/internal/crash"
 )
 
 // Loop runs one function in its own goroutine until it is stopped.
@@ -18,7 +20,10 @@
 func (l *Loop) Start(f func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
-	l.done.Go(func() { f(ctx) })
+	l.done.Go(func() {
+		defer crash.Guard()
+		f(ctx)
+	})
 }
 
 // Stop cancels the function's context and waits for the function to return. It must not be called
