Daemon: the end of the log's reader does not end the process

The Go runtime ends a process by SIGPIPE when it writes to standard output after the reader has ended. A daemon whose log reader (a collector, a pipe to a file) ended or was restarted thus died at its next line, at once and without a stop, with all its requests. All daemons of a VM or a site whose logs go to one reader die together.

SIGPIPE is ignored now: the write fails, and its line is counted as dropped.

Before: TestLogReaderThatEndsDoesNotEndTheProcess "signal: broken pipe".

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,11 +154,13 @@
 const maxPendingSignals = 4
 
 // catchSignals queues stop and reload signals. It must be called before anything else, as a reload
-// signal without a handler terminates the process.
+// signal without a handler terminates the process, and so does a line that is written after the reader of standard output
+// has ended.
 func catchSignals() (stops, reloads chan os.Signal) {
 	stops, reloads = make(chan os.Signal, maxPendingSignals), make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reloads, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	return stops, reloads
 }
 
--- a/internal/daemon/end_test.go
+++ b/internal/daemon/end_test.go
@@ -22,7 +22,7 @@
 // endOfProcess logs lines like a daemon, and ends the process with the queue still full.
 func endOfProcess(how string) {
 	catchSignals()
-	_, log, err := startLog(settings.NodeProgram, &settings.Settings{Log: settings.Log{Level: "info"}})
+	out, log, err := startLog(settings.NodeProgram, &settings.Settings{Log: settings.Log{Level: "info"}})
 	if err != nil {
 		panic(err)
 	}
@@ -36,6 +36,10 @@
 			panic("broken invariant")
 		}()
 		select {}
+	case "no reader":
+		out.Close()
+		_, _ = fmt.Fprintf(os.Stderr, "dropped %d lines\n", out.Dropped())
+		os.Exit(0)
 	}
 }
 
@@ -73,3 +77,21 @@
 		t.Errorf("the panic is not on standard error: %s", errOut.String())
 	}
 }
+
+// TestLogReaderThatEndsDoesNotEndTheProcess: the first line after the reader of standard output had ended killed the
+// process by SIGPIPE, with all its requests.
+func TestLogReaderThatEndsDoesNotEndTheProcess(t *testing.T) {
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var errOut bytes.Buffer
+	c := process("no reader")
+	c.Stdout, c.Stderr = w, &errOut
+	_ = r.Close()
+	err = c.Run()
+	_ = w.Close()
+	if want := fmt.Sprintf("dropped %d lines", loggedLines); err != nil || !strings.Contains(errOut.String(), want) {
+		t.Errorf("%v: %s", err, errOut.String())
+	}
+}
