--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -300,6 +300,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), b.stopLimit())
 	defer cancel()
 	go func() {
+		defer crash.Guard()
 		for s := range signals {
 			b.log.Emit(event.StopRepeated).Stringer("signal", s).Send()
 			if s == syscall.SIGINT {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -139,7 +139,8 @@
 		return errors.Mark(err, errCallerDisconnected)
 	}
 	if complete {
-		return nil
+		// net/http would flush after the handler has returned, and drop the error.
+		return markDisconnected(http.NewResponseController(j.w).Flush())
 	}
 	_, err := io.Copy(out, resp.Body)
 	switch {
@@ -154,6 +155,14 @@
 	return nil
 }
 
+// markDisconnected marks an error of a write to the caller; nil stays nil.
+func markDisconnected(err error) error {
+	if err == nil || errors.Is(err, http.ErrNotSupported) {
+		return nil
+	}
+	return errors.Mark(err, errCallerDisconnected)
+}
+
 // callerWriter writes the body of a response to a caller.
 type callerWriter struct {
 	w        http.ResponseWriter
--- a/internal/gateway/forwarding_test.go
+++ b/internal/gateway/forwarding_test.go
@@ -61,9 +61,9 @@
 }
 
 // cutOffSite returns a site whose gateway reaches no upstream and has found that out.
-func cutOffSite(t *testing.T, nodes ...*otherNode) *testSite {
+func cutOffSite(t *testing.T, o options, nodes ...*otherNode) *testSite {
 	t.Helper()
-	o := options{probe: unreachable}
+	o.probe = unreachable
 	for _, n := range nodes {
 		o.otherNodes = append(o.otherNodes, n.candidate)
 	}
@@ -82,7 +82,7 @@
 // TestCallIsForwardedOnceCutOff guards against a node that refuses the calls that another node could serve.
 func TestCallIsForwardedOnceCutOff(t *testing.T) {
 	other := newOtherNode(t, "other", answer)
-	s := cutOffSite(t, other)
+	s := cutOffSite(t, options{}, other)
 	for i, target := range []string{"/read/a%2Fb?x=%20", "/once/x"} {
 		resp := s.send(t, http.MethodGet, target, nil)
 		if got := body(t, resp); resp.StatusCode != http.StatusOK || got != "GET "+target+" " || int(other.received.Load()) != i+1 {
@@ -117,7 +117,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			nodes := []*otherNode{newOtherNode(t, "a", c.handle), newOtherNode(t, "b", c.handle)}
-			s := cutOffSite(t, nodes...)
+			s := cutOffSite(t, options{}, nodes...)
 			if c.received == 2 {
 				// The first call was rejected by both, which are not chosen again for a while.
 				time.Sleep(1100 * time.Millisecond)
@@ -146,7 +146,7 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	})
-	s := cutOffSite(t, other)
+	s := cutOffSite(t, options{}, other)
 	for _, target := range []string{"/stream/x", "/read/x"} {
 		resp := s.send(t, http.MethodPost, target, map[string]string{"Model": "m"})
 		if data, err := io.ReadAll(resp.Body); err == nil && resp.StatusCode == http.StatusOK {
@@ -160,7 +160,7 @@
 func TestUpstreamsThatAreAwayForwardNothing(t *testing.T) {
 	other := newOtherNode(t, "other", answer)
 	other.candidate.CutOff = true
-	s := cutOffSite(t, other)
+	s := cutOffSite(t, options{}, other)
 	resp := s.send(t, http.MethodPost, "/read/x", nil)
 	if _ = body(t, resp); resp.StatusCode != http.StatusServiceUnavailable || other.received.Load() != 0 {
 		t.Errorf("status %d, %d calls forwarded", resp.StatusCode, other.received.Load())
--- a/internal/gateway/lostend.go
+++ b/internal/gateway/lostend.go
@@ -108,6 +108,8 @@
 		return lostByStop
 	case errors.Is(f.failure, context.DeadlineExceeded) || errors.Is(f.cause, context.DeadlineExceeded):
 		return lostDeadline
+	case errors.Is(f.failure, errCallerTooSlow):
+		return lostCallerLeft
 	case errors.Is(f.failure, bufio.ErrBufferFull) || errors.Is(f.cause, errQuarantined) || errors.Is(f.cause, errTrial):
 		return lostByLimit
 	case errors.Is(f.cause, errStalled) || errors.Is(f.cause, errRestarted) || (f.head != "" && f.head != headOpen):
@@ -116,8 +118,8 @@
 	return lostUpstreamBroke
 }
 
-// callerLost returns the end of a request whose caller left, by the error of a write to it; nil if another way was
-// noticed. After a stop has canceled the requests, it is this node that closes connections.
+// callerLost returns the end of a request whose caller left, by the error of a write to it; nil if that was noticed in
+// another way. After a stop has canceled the requests, it is this node that closes connections.
 func (s *Server) callerLost(err error) lostEnd {
 	switch {
 	case s.workCtx.Err() != nil:
@@ -134,6 +136,9 @@
 func (j *job) loseStarted(failure *verdict.Error) {
 	end := lostEnd{failure: failure, cause: j.lastCause, head: j.s.targets.headState(j.lastSend)}
 	end.reason = lostFacts{stopped: j.s.workCtx.Err() != nil, failure: failure, cause: j.lastCause, head: end.head}.reason()
+	if end.reason == lostCallerLeft {
+		end.noticed = noticedSlowReader
+	}
 	j.c.inFlight.lose(end)
 }
 
--- a/internal/gateway/lostend_test.go
+++ b/internal/gateway/lostend_test.go
@@ -270,3 +270,27 @@
 	waitFor(t, "the request to end", func() bool { return gateway.InFlight(s.server) == 0 })
 	wantLost(t, log, map[string]any{"request": "r1", "reason": "panic", "detail": "the process ends", "events": 1})
 }
+
+// TestSlowReaderThatIsCutOffIsNamed: a caller that this node cut off because it did not read looked like one that left.
+func TestSlowReaderThatIsCutOffIsNamed(t *testing.T) {
+	log := &logBuffer{}
+	other := newOtherNode(t, "other", func(w http.ResponseWriter, r *http.Request, e forward.Envelope) {
+		if !strings.HasPrefix(r.RequestURI, "/stream/") {
+			answer(w, r, e)
+			return
+		}
+		forward.MarkResponse(w.Header(), e.Request)
+		for i := 1; ; i++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 100_000)); err != nil {
+				return
+			}
+		}
+	})
+	s := cutOffSite(t, options{log: log}, other)
+	conn := dialCaller(t, s)
+	conn.write(fmt.Sprintf(streamRequest, "r1", waitLimit.Milliseconds()))
+	line := wantLost(t, log, map[string]any{"request": "r1", "reason": "caller-left", "noticed": "slow-reader", "forwarded_to": "other", "status": 200})
+	if events, _ := line["events"].(float64); events == 0 {
+		t.Errorf("no events in %v", line)
+	}
+}
--- a/internal/gateway/lostreason_test.go
+++ b/internal/gateway/lostreason_test.go
@@ -4,7 +4,11 @@
 	"bufio"
 	"context"
 	"fmt"
+	"net"
+	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,17 +25,18 @@
 		facts lostFacts
 		want  lostReason
 	}{
-		"it broke":             {lostFacts{failure: broke, head: headOpen}, lostUpstreamBroke},
-		"it fell silent alone": {lostFacts{failure: broke, cause: errLostResponse, head: headOpen}, lostUpstreamBroke},
-		"the head fell silent": {lostFacts{failure: broke, cause: errStalled, head: headOpen}, lostHead},
-		"the VM restarted":     {lostFacts{failure: broke, cause: errRestarted, head: headOpen}, lostHead},
-		"the group dissolves":  {lostFacts{failure: broke, head: headDissolving}, lostHead},
-		"the head left":        {lostFacts{failure: broke, head: headClosed}, lostHead},
-		"the VM announced it":  {lostFacts{failure: broke, head: headLeaving}, lostHead},
-		"the time is up":       {lostFacts{failure: errors.Wrap(context.DeadlineExceeded, "x"), head: headClosed}, lostDeadline},
-		"it was quarantined":   {lostFacts{failure: broke, cause: errQuarantined, head: headOpen}, lostByLimit},
-		"an event is too long": {lostFacts{failure: errors.Wrap(bufio.ErrBufferFull, "read event")}, lostByLimit},
-		"this node stops":      {lostFacts{stopped: true, failure: context.DeadlineExceeded, cause: errStalled}, lostByStop},
+		"it broke":              {lostFacts{failure: broke, head: headOpen}, lostUpstreamBroke},
+		"it fell silent alone":  {lostFacts{failure: broke, cause: errLostResponse, head: headOpen}, lostUpstreamBroke},
+		"the head fell silent":  {lostFacts{failure: broke, cause: errStalled, head: headOpen}, lostHead},
+		"the VM restarted":      {lostFacts{failure: broke, cause: errRestarted, head: headOpen}, lostHead},
+		"the group dissolves":   {lostFacts{failure: broke, head: headDissolving}, lostHead},
+		"the head left":         {lostFacts{failure: broke, head: headClosed}, lostHead},
+		"the VM announced it":   {lostFacts{failure: broke, head: headLeaving}, lostHead},
+		"the time is up":        {lostFacts{failure: errors.Wrap(context.DeadlineExceeded, "x"), head: headClosed}, lostDeadline},
+		"it was quarantined":    {lostFacts{failure: broke, cause: errQuarantined, head: headOpen}, lostByLimit},
+		"it is read too slowly": {lostFacts{failure: errCallerTooSlow, head: headOpen}, lostCallerLeft},
+		"an event is too long":  {lostFacts{failure: errors.Wrap(bufio.ErrBufferFull, "read event")}, lostByLimit},
+		"this node stops":       {lostFacts{stopped: true, failure: context.DeadlineExceeded, cause: errStalled}, lostByStop},
 	} {
 		if got := c.facts.reason(); got != c.want {
 			t.Errorf("%s: %s, want %s", name, got, c.want)
@@ -39,6 +44,48 @@
 	}
 }
 
+// TestNoticedOfALostCaller: a caller that left, one that this node cut off because it read too slowly, and one whose
+// connection this node closed at the end of its stop looked the same.
+func TestNoticedOfALostCaller(t *testing.T) {
+	s := &Server{}
+	s.workCtx, s.cancelWork = context.WithCancel(context.Background())
+	timedOut := errors.Mark(&net.OpError{Op: "write", Err: os.ErrDeadlineExceeded}, errCallerDisconnected)
+	reset := errors.Mark(&net.OpError{Op: "write", Err: syscall.ECONNRESET}, errCallerDisconnected)
+	check := func(err error, reason lostReason, noticed string) {
+		t.Helper()
+		if got := s.callerLost(err); got.reason != reason || got.noticed != noticed {
+			t.Errorf("%v: %s, noticed by %q; want %s, %q", err, got.reason, got.noticed, reason, noticed)
+		}
+	}
+	check(timedOut, lostCallerLeft, noticedSlowReader)
+	check(reset, lostCallerLeft, noticedFailedWrite)
+	check(nil, lostCallerLeft, noticedClosed)
+	s.cancelWork()
+	check(reset, lostByStop, "")
+	check(nil, lostByStop, "")
+}
+
+// brokenCaller is a caller whose connection is broken, which a short response shows only when it is flushed.
+type brokenCaller struct{ http.ResponseWriter }
+
+// Write implements http.ResponseWriter.
+func (brokenCaller) Write(p []byte) (int, error) { return len(p), nil }
+
+// FlushError is called by http.ResponseController.
+func (brokenCaller) FlushError() error { return syscall.ECONNRESET }
+
+// TestShortResponseToABrokenConnectionIsNotServed: a short response was buffered, so that its loss was noticed only after
+// the request had been logged as served.
+func TestShortResponseToABrokenConnectionIsNotServed(t *testing.T) {
+	var q inFlightRequests
+	j := &job{w: brokenCaller{}, c: &Call{}}
+	j.c.inFlight = q.begin(j.c)
+	err := j.writeFull(&bufferedBody{data: []byte("answer")}, true, nil, nil)
+	if !errors.Is(err, errCallerDisconnected) || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the write returned %v", err)
+	}
+}
+
 // TestHeadOfALostRequest: what a node knows of the head of a lost stream must follow the group's state.
 func TestHeadOfALostRequest(t *testing.T) {
 	now := time.Now()
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -92,7 +92,7 @@
 		w.Header().Set("Transfer-Encoding", "identity")
 		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
 	})
-	s := cutOffSite(t, other)
+	s := cutOffSite(t, options{}, other)
 	for _, target := range []string{"/stream/x", "/read/x"} {
 		resp := s.send(t, http.MethodPost, target, map[string]string{"Model": "m"})
 		if data, err := io.ReadAll(resp.Body); err == nil && resp.StatusCode == http.StatusOK && strings.Contains(string(data), "x") {
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -208,6 +208,7 @@
 	var running sync.WaitGroup
 	for i, vm := range vms {
 		running.Go(func() {
+			defer crash.Guard()
 			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 			defer cancel()
 			err := m.config.Probe(ctx, vm)
