Entry: one warning names each call that ends without a whole answer

marbleroad-entry logged a call whose caller left within its stream as answered (5001, at debug level), one whose response could not be written the same, and one whose handler panicked, or that a stop cut off, not at all. Each has a 5034 now. A long response that broke off has it instead of a 5006. A stop waited without a limit for a call whose caller does not read; it gives up after 2 s, names such calls and closes their connections.

Before (the calls left out): TestLostCallIsNamed "the caller left its stream: 0 lines", the same for the panic and the stop.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -90,6 +90,9 @@
 	// sent.
 	events    int
 	judgement quarantine.Judgement
+	// readAt is when the request had been read. lost is why it ended without a whole answer; zero if it did not.
+	readAt time.Time
+	lost   lostCall
 	// endedWithError is true when the stream ended with an error event.
 	endedWithError bool
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -196,7 +196,8 @@
 		h.Set(ReplayedHeader, "true")
 		h.Set(verdict.Header, verdict.Ran.String())
 		w.WriteHeader(rec.Status)
-		_, _ = w.Write(rec.Answer)
+		_, err := w.Write(rec.Answer)
+		c.loseCaller(err)
 		return nil
 	}
 	v := verdict.MayHaveRun
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -77,7 +77,8 @@
 	h.Set(relay.RequestIDHeader, c.id)
 	h.Set(verdict.Header, verdict.Ran.String())
 	w.WriteHeader(resp.StatusCode)
-	_, _ = w.Write(body)
+	_, err = w.Write(body)
+	c.loseCaller(err)
 	return bufferedResponse{status: resp.StatusCode, contentType: resp.Header.Get("Content-Type"), body: body, complete: true}, nil
 }
 
@@ -86,23 +87,6 @@
 	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Code: relay.CodeBroken, Detail: detail}
 }
 
-// relayUnbuffered passes on a large response of known length as it arrives. If
-// the response is interrupted, it aborts the caller's connection, so that the
-// caller detects the truncation.
-func (s *Server) relayUnbuffered(w http.ResponseWriter, c *call, resp *http.Response) *verdict.Error {
-	h := w.Header()
-	copyHeaders(h, resp.Header, responseHeaders)
-	h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
-	h.Set(relay.RequestIDHeader, c.id)
-	h.Set(verdict.Header, verdict.Ran.String())
-	w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(w, resp.Body); err != nil {
-		s.log.Emit(event.StreamBroken).Str("request", c.id).Err(err).Send()
-		panic(http.ErrAbortHandler)
-	}
-	return nil
-}
-
 // relayStream relays a run's events and resumes the same run when the
 // connection to the engine breaks. It never joins the events of two runs into
 // one stream. Once the first byte was sent, a failure ends the stream with an
@@ -148,6 +132,7 @@
 		}
 		if errors.Is(err, relay.ErrCallerDisconnected) {
 			c.decisions.add("caller left after event %d", stream.Last())
+			c.loseCaller(err)
 			return nil
 		}
 		s.log.Emit(event.StreamBroken).Str("request", c.id).Uint64("after", stream.Last()).Err(err).Send()
@@ -352,7 +337,8 @@
 		}
 		copyHeaders(w.Header(), resp.Header, responseHeaders)
 		w.WriteHeader(resp.StatusCode)
-		_, _ = w.Write(body)
+		_, err = w.Write(body)
+		c.loseCaller(err)
 		return nil
 	}
 	copyHeaders(w.Header(), resp.Header, responseHeaders)
@@ -383,6 +369,7 @@
 			events := pending[:complete]
 			ended = ended || bytes.HasSuffix(events, doneEvent) || bytes.Contains(events, errorStart)
 			if _, err := w.Write(events); err != nil {
+				c.loseCaller(err)
 				return
 			}
 			_ = controller.Flush()
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -51,6 +51,9 @@
 		defer span.End()
 		c, failure := s.handleCall(ctx, w, r, next, openAI)
 		s.metrics.Observe("request", clock.Since(startedAt))
+		if failure == nil && c.lost.reason != "" {
+			return
+		}
 		if failure == nil {
 			s.log.Emit(event.RequestDone).Str("request", c.id).Dur("took_ms", clock.Since(startedAt)).Send()
 			return
@@ -85,6 +88,9 @@
 		return c, failure
 	}
 	c.openAI = openAI
+	c.readAt = clock.Now()
+	s.calls.begin(c)
+	defer s.endCall(c)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(s.abortCtx, cancel)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -103,6 +103,8 @@
 	stopping atomic.Bool
 	refusing atomic.Bool
 	inFlight sync.WaitGroup
+	// calls holds the calls that were read and are not finished.
+	calls inFlightCalls
 	// inFlightMu keeps inFlight.Add from being called after inFlight.Wait.
 	inFlightMu sync.RWMutex
 	// abortCtx ends all calls when it is cancelled. Stop cancels it after it has
@@ -238,7 +240,14 @@
 	case <-ctx.Done():
 	}
 	s.abortCalls()
-	<-finished
+	// A call may still wait for a caller that does not read.
+	abortLimit := time.NewTimer(closeTimeout)
+	defer abortLimit.Stop()
+	select {
+	case <-finished:
+	case <-abortLimit.C:
+	}
+	s.reportStopped()
 	flushCtx, cancelFlush := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelFlush()
 	// Stores the outcomes of requests with a key, so that their retries get the
