--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -58,7 +58,7 @@
 mutant "changes never revert" internal/catalog/keeper.go 's/c\.current\.Store\(next\)/c.current.Store(next)\n\ttime.AfterFunc(1500*time.Millisecond, func() { c.current.Store(old) })/'
 mutant "revoked keys end" internal/gateway/handle.go 's/team, ok := current\.Team\(c\.Key\)\n\tif !ok/team, ok := current.Team("key-7")\n\tif !ok/'
 mutant "budget for repeats" internal/retry/budget.go 's/if decision\.Earned\+decision\.Fixed < 1-roundingTolerance/if false/'
-mutant "work for callers that left" 'internal/gateway/handle.go internal/gateway/stream.go' 's/s\.parts\.Tracer\.Extract\(r\.Context\(\), r\.Header\)/context.WithoutCancel(s.parts.Tracer.Extract(r.Context(), r.Header))/; s/return errors\.CombineErrors\(errCallerDisconnected, err\)/_ = err/g'
+mutant "work for callers that left" 'internal/gateway/handle.go internal/gateway/stream.go' 's/s\.parts\.Tracer\.Extract\(r\.Context\(\), r\.Header\)/context.WithoutCancel(s.parts.Tracer.Extract(r.Context(), r.Header))/; s/return errors\.Mark\(err, errCallerDisconnected\)/_ = err/g'
 mutant "refusals come at once" internal/gateway/attempt.go 's/return j\.rejectionError\(reason, evaluation\)/time.Sleep(1500 * time.Millisecond)\n\t\treturn j.rejectionError(reason, evaluation)/'
 mutant "answers by the deadline" internal/gateway/handle.go 's/context\.WithTimeout\(ctx, clock\.Until\(c\.Deadline\)\)/context.WithTimeout(ctx, clock.Until(c.Deadline)+20*time.Second)/'
 mutant "a stop cuts nothing" internal/gateway/server.go 's/s\.callers\.Drain\(limit, s\.config\.Linger\)/s.callers.Close()/'
