Tests: late entries at 8 and 80 nodes, and counted entries after a restore

TestLateEntryIsUsedAtNoNode plays late entries in virtual time: a VM that drains, one that left and one in use, with the whole list read again while the store holds the late entries. Ordered by the revision alone it fails with "8 of 8 nodes send requests to vm-07, want 0" and the like. The restored store is also played with entries that have counts (8 nodes); the plays without them stay as they were.

--- a/internal/feed/late_test.go
+++ b/internal/feed/late_test.go
@@ -1,7 +1,11 @@
 package feed
 
 import (
+	"fmt"
 	"testing"
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/fleet"
 )
 
 // countedEntry returns the store's entry of a plain upstream VM that is the count-th one of its incarnation.
@@ -44,3 +48,45 @@
 	store.Put("servers", "a", countedEntry("ready", 8))
 	waitFor(t, "the follower to learn that the VM is back", func() bool { return follower.Snapshot().VMs["a"] != nil })
 }
+
+// TestLateEntryIsUsedAtNoNode guards against entries that the store writes after newer ones: VMs that drain or have left
+// got requests again, also when all nodes then read the whole list, and one in use was taken out.
+func TestLateEntryIsUsedAtNoNode(t *testing.T) {
+	const left, late, relisted, until = 500 * time.Millisecond, 1300 * time.Millisecond, 2 * time.Second, 4 * time.Second
+	for _, n := range []int{8, 80} {
+		t.Run(fmt.Sprintf("%d nodes", n), func(t *testing.T) {
+			s := storeOfVMs(true)
+			drained := plainVM(3)
+			drained.Draining = true
+			s.put(drained)
+			s.put(plainVM(3))
+			runVirtual(t, n, s, func(t *testing.T, f *virtualFleet) {
+				start := time.Now()
+				at(start, left, func() { s.leave(7, true); s.leave(8, false) })
+				at(start, late, func() {
+					s.putLate(plainVM(7), 1)
+					s.putLate(plainVM(8), 1)
+					s.putLate(drained, 2)
+				})
+				at(start, relisted, func() { s.update(func() { s.compacted = len(s.changes) }) })
+				for step := late; step < until; step += 100 * time.Millisecond {
+					at(start, step, func() {
+						f.checkUse(t, step, "vm-07", 0)
+						f.checkUse(t, step, "vm-08", 0)
+						f.checkUse(t, step, "vm-03", n)
+					})
+				}
+				at(start, until, func() { s.put(plainVM(8)) })
+				at(start, until+time.Second, func() { f.checkUse(t, until, "vm-08", n) })
+			})
+		})
+	}
+}
+
+// putLate writes an entry that its VM wrote as its count-th one.
+func (s *virtualStore) putLate(vm fleet.VM, count uint64) {
+	s.update(func() {
+		vm.Count, vm.Revision = count, s.revisionOf(len(s.changes)+1)
+		s.changes = append(s.changes, fleet.Change{VM: vm})
+	})
+}
--- a/internal/feed/virtual_test.go
+++ b/internal/feed/virtual_test.go
@@ -58,10 +58,13 @@
 	changed      chan struct{}
 	// access holds the nodes that are not served.
 	access map[string]access
+	// counted makes entries carry their writers' counts, which are in written.
+	counted bool
+	written map[string]uint64
 }
 
 func newVirtualStore() *virtualStore {
-	return &virtualStore{era: 1, changed: make(chan struct{}), access: make(map[string]access)}
+	return &virtualStore{era: 1, changed: make(chan struct{}), access: make(map[string]access), written: make(map[string]uint64)}
 }
 
 func (s *virtualStore) setAccess(node string, a access) { s.update(func() { s.access[node] = a }) }
@@ -83,6 +86,10 @@
 
 func (s *virtualStore) put(vm fleet.VM) {
 	s.update(func() {
+		if s.counted {
+			s.written[vm.ID]++
+			vm.Count = s.written[vm.ID]
+		}
 		vm.Revision = s.revisionOf(len(s.changes) + 1)
 		s.changes = append(s.changes, fleet.Change{VM: vm})
 	})
@@ -411,8 +418,12 @@
 }
 
 // storeOfPlainVMs returns a store with twenty plain VMs, vm-00 to vm-19.
-func storeOfPlainVMs() *virtualStore {
+func storeOfPlainVMs() *virtualStore { return storeOfVMs(false) }
+
+// storeOfVMs returns a store like storeOfPlainVMs. If counted is true, each entry has its writer's count.
+func storeOfVMs(counted bool) *virtualStore {
 	s := newVirtualStore()
+	s.counted = counted
 	for i := range 20 {
 		s.put(plainVM(i))
 	}
@@ -484,12 +495,13 @@
 	const lostFrom, downFrom = 500 * time.Millisecond, 2500 * time.Millisecond
 	for _, n := range []int{8, 80, 300} {
 		for _, outage := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
-			for _, notice := range []bool{true, false} {
-				if n == 300 && outage != 1500*time.Millisecond {
+			for _, variant := range []struct{ notice, counted bool }{{true, false}, {false, false}, {true, true}, {false, true}} {
+				notice := variant.notice
+				if (n == 300 && outage != 1500*time.Millisecond) || (n > 8 && variant.counted) {
 					continue
 				}
-				t.Run(fmt.Sprintf("%d nodes, away for %s, notice %t", n, outage, notice), func(t *testing.T) {
-					s := storeOfPlainVMs()
+				t.Run(fmt.Sprintf("%d nodes, away for %s, notice %t, counted %t", n, outage, notice, variant.counted), func(t *testing.T) {
+					s := storeOfVMs(variant.counted)
 					restored := downFrom + outage
 					left := restored + 600*time.Millisecond
 					runVirtual(t, n, s, func(t *testing.T, f *virtualFleet) {
@@ -526,9 +538,9 @@
 }
 
 // checkUse reports the VM unless that many nodes send requests to it.
-func (f *virtualFleet) checkUse(t *testing.T, sinceRestore time.Duration, id string, want int) {
+func (f *virtualFleet) checkUse(t *testing.T, since time.Duration, id string, want int) {
 	t.Helper()
 	if got := f.serving(id); got != want {
-		t.Errorf("%s after the restore, %d of %d nodes send requests to %s, want %d", sinceRestore, got, len(f.nodes), id, want)
+		t.Errorf("after %s, %d of %d nodes send requests to %s, want %d", since, got, len(f.nodes), id, want)
 	}
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -101,6 +101,8 @@
   's/return w\.Revision != 0 \&\& w\.Revision < known\.Revision/return false/' ./internal/fleet TestOlderEntryChangesNothing
 mutant "entries are ordered by the store's revision alone" internal/fleet/word.go \
   's/return w\.Count != 0 \&\& other\.Count != 0/return false/' ./internal/fleet 'TestLateEntryReplacesNoNewerOne|TestNewestWordStays'
+mutant "nodes take entries by the store's revision alone" internal/fleet/word.go \
+  's/return w\.Count != 0 \&\& other\.Count != 0/return false/' ./internal/feed 'TestLateEntryReachesNoFollower|TestLateEntryIsUsedAtNoNode'
 mutant "a late entry of a former incarnation counts" internal/fleet/word.go \
   's/return w\.Born < known\.Born/return false/' ./internal/fleet TestLateEntryOfAFormerIncarnation
 mutant "the last entry undoes a removal when it is written late" internal/fleet/words.go \
