--- a/internal/director/closing_test.go
+++ b/internal/director/closing_test.go
@@ -208,3 +208,32 @@
 		w.check(t)
 	}
 }
+
+// TestLeaveRestsOnANewReport: a head was made to leave by what it had reported before the decision, or before it accepted to close.
+func TestLeaveRestsOnANewReport(t *testing.T) {
+	for name, closeAccepted := range map[string]time.Duration{"decided": 0, "closed": 2 * time.Second} {
+		w := newWorld(t, 1, 1)
+		n := w.addNode(t, "n1")
+		n.s.snapshot, n.s.catalog = w.snapshot, w.catalog
+		head := w.snapshot.VMs[vmID(0, 0)]
+		v := n.s.vm(head.ID)
+		v.acceptedKnown, v.countedAt = true, w.now
+		v.counted = fleet.Membership{Group: "g", Generation: 3, State: fleet.Ready}
+		gs := &groupState{head: head.ID, headVM: head, generation: 3}
+		n.s.startDissolving(w.now, "g", gs, "for the test", true)
+		if closeAccepted > 0 {
+			v.countedAt = w.now.Add(time.Second)
+			gs.closeAcceptedAt = w.now.Add(closeAccepted)
+		}
+		later := w.now.Add(3 * time.Second)
+		n.s.dissolve(later, "g", gs, head)
+		if n.orders != 0 || n.reports != 1 {
+			t.Errorf("%s: %d orders, %d reports", name, n.orders, n.reports)
+		}
+		v.acceptedKnown, v.callPending, v.countedAt = true, false, later
+		n.s.dissolve(later, "g", gs, head)
+		if n.orders != 1 {
+			t.Errorf("%s: no order after the report", name)
+		}
+	}
+}
--- a/internal/director/fence_test.go
+++ b/internal/director/fence_test.go
@@ -136,3 +136,46 @@
 		t.Error("an order was not sent right after its decision")
 	}
 }
+
+// TestDirectorThatStoodStillWaitsForOthers: a director that stood still sent orders at once, though another one had taken over
+// its failure domain.
+func TestDirectorThatStoodStillWaitsForOthers(t *testing.T) {
+	w := newWorld(t, 2, 8)
+	first, second := w.addNode(t, "n1"), w.addNode(t, "n2")
+	if !w.run(3*time.Second, func() bool { return len(first.s.formations) > 0 }) {
+		t.Fatal("no group is formed")
+	}
+	first.freeze()
+	w.run(3*time.Second, func() bool { return false })
+	orders := first.orders
+	first.thaw(300 * time.Millisecond)
+	w.run(stabilizationTime-100*time.Millisecond, func() bool { return false })
+	if first.orders != orders || len(first.d.Directing()) > 0 || len(first.s.formations) > 0 {
+		t.Errorf("%d orders before others were heard of, %d formations, it manages %v", first.orders-orders, len(first.s.formations), first.d.Directing())
+	}
+	w.run(3*time.Second, func() bool { return false })
+	if len(first.d.Directing())+len(second.d.Directing()) != 1 {
+		t.Errorf("the nodes manage %v and %v", first.d.Directing(), second.d.Directing())
+	}
+}
+
+// TestJoinedVMIsNotFree: a VM that had accepted a join counted as free by its entry from before.
+func TestJoinedVMIsNotFree(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	n := w.addNode(t, "n1")
+	n.s.snapshot = w.snapshot
+	n.s.updateFromSnapshot(w.now)
+	n.s.groups["g"] = &groupState{}
+	vm := w.snapshot.VMs[vmID(0, 0)]
+	v := n.s.vm(vm.ID)
+	v.acceptedKnown = true
+	n.s.handleOrderResult(w.now, orderResult{vm: vm, started: true, decidedAt: w.now, order: engine.GroupOrder{Operation: engine.Join, Group: "g", Generation: 3}})
+	v.entrySeenAt = w.now.Add(time.Second)
+	if n.s.unattached(vm) {
+		t.Error("the VM is free")
+	}
+	n.s.groups["g"].released = true
+	if !n.s.unattached(vm) {
+		t.Error("the VM is not free although its group is released")
+	}
+}
