A standstill ends what is known of how long a head has been closing

Callers would see: the streams of a closing head cut by a director that stood still. It counted the head as closing since before the standstill, though another director had opened it again and closed it anew.

--- a/internal/director/fence.go
+++ b/internal/director/fence.go
@@ -158,7 +158,7 @@
 func (gs *groupState) found(now time.Time) *groupState {
 	return &groupState{
 		firstSeen: now, members: gs.members, head: gs.head, headVM: gs.headVM, domain: gs.domain, service: gs.service,
-		generation: gs.generation, openSince: gs.openSince, closingSince: gs.closingSince,
+		generation: gs.generation, openSince: gs.openSince,
 		formedHere: gs.formedHere, payback: gs.payback, released: gs.released, releasedAt: now,
 	}
 }
--- a/internal/director/fence_test.go
+++ b/internal/director/fence_test.go
@@ -179,3 +179,23 @@
 		t.Error("the VM is not free although its group is released")
 	}
 }
+
+// TestClosingTimeStartsAnewAfterAStandstill: a director that stood still counted a head as closing since before the standstill,
+// though it had been opened and closed again meanwhile, and cut its streams.
+func TestClosingTimeStartsAnewAfterAStandstill(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	n := w.addNode(t, "n1")
+	w.formAndStage(n)
+	head := w.openHeads()[0]
+	head.State, head.busyUntil = fleet.Closing, w.now.Add(time.Minute)
+	head.accepted++
+	w.run(3*time.Second, func() bool { return false })
+	n.freeze()
+	w.run(8*time.Second, func() bool { return false })
+	head.busyUntil = w.now.Add(workDuration)
+	n.thaw(300 * time.Millisecond)
+	w.run(2*workDuration, func() bool { return false })
+	for _, interrupted := range w.interruptedWork {
+		t.Error(interrupted)
+	}
+}
