A head whose join was not answered keeps its members until it can no longer join

A head's join gets no answer; the head then reports that it is in no group, and the members go to another one. The join may still be carried out, up to 12 s after it was sent, and another director that finds the group ready may open it: its members are elsewhere (TWO).

Change: until 12 s after such a join the release is confirmed only once the head has accepted a further order, after which the late join no longer fits.

Evidence: TestHeadThatMayStillJoinKeepsItsMembers fails with the condition taken out: "the members are used although the head may still join".

--- a/internal/director/answers.go
+++ b/internal/director/answers.go
@@ -88,6 +88,7 @@
 	switch {
 	case m.decidedAt.Before(v.doubtedAt):
 		v.acceptedKnown = false
+		s.recordUnanswered(m)
 	case errors.Is(m.err, errNotSent):
 		v.acceptedKnown = false
 	case m.err == nil:
@@ -110,6 +111,7 @@
 		// The order may have been carried out, so the count of accepted orders is queried
 		// before the next order.
 		v.acceptedKnown = false
+		s.recordUnanswered(m)
 		s.recordFailure(now, m.vm, v, m.err)
 		if m.order.Operation == engine.Stage {
 			v.staging = ""
--- a/internal/director/fence.go
+++ b/internal/director/fence.go
@@ -112,6 +112,9 @@
 			gs.released = false
 			return false
 		}
+		if now.Before(gs.lateJoin.until) && v.accepted <= gs.lateJoin.accepted {
+			return false
+		}
 		gs.confirmed = true
 		return true
 	case !v.callPending && !now.Before(v.notBefore):
@@ -122,6 +125,16 @@
 	return false
 }
 
+// recordUnanswered records that an order got no response and may be carried out later. Once the VM has accepted another one
+// it no longer can. A head that joins late could be opened by another director.
+func (s *state) recordUnanswered(m orderResult) {
+	gs := s.groups[m.order.Group]
+	if gs == nil || m.order.Operation != engine.Join || gs.head != m.vm.ID {
+		return
+	}
+	gs.lateJoin.accepted, gs.lateJoin.until = m.order.AcceptedOrders, m.decidedAt.Add(maxOrderAge+maxOrderDelay)
+}
+
 // maxStandstill is how long the director may not have run before it trusts nothing of what it knew. Other nodes take
 // its duties over once they have not heard of it for longer.
 func (s *state) maxStandstill() time.Duration {
@@ -159,6 +172,6 @@
 	return &groupState{
 		firstSeen: now, members: gs.members, head: gs.head, headVM: gs.headVM, domain: gs.domain, service: gs.service,
 		generation: gs.generation, openSince: gs.openSince,
-		formedHere: gs.formedHere, payback: gs.payback, released: gs.released, releasedAt: now,
+		lateJoin: gs.lateJoin, formedHere: gs.formedHere, payback: gs.payback, released: gs.released, releasedAt: now,
 	}
 }
--- a/internal/director/fence_test.go
+++ b/internal/director/fence_test.go
@@ -199,3 +199,30 @@
 		t.Error(interrupted)
 	}
 }
+
+// TestHeadThatMayStillJoinKeepsItsMembers: a head's join was not answered. The head reported that it is in no group, the members
+// were sent to another one, and then the head joined and could be opened.
+func TestHeadThatMayStillJoinKeepsItsMembers(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	n := w.addNode(t, "n1")
+	n.s.snapshot = w.snapshot
+	vm := w.snapshot.VMs[vmID(0, 0)]
+	gs := &groupState{head: vm.ID, headVM: vm}
+	n.s.groups["g"] = gs
+	n.s.handleOrderResult(w.now, orderResult{vm: vm, decidedAt: w.now, err: engine.ErrNoResponse, order: engine.GroupOrder{Operation: engine.Join, Group: "g", AcceptedOrders: 3}})
+	n.s.release(w.now, "g", gs, "for the test")
+	report := func(now time.Time, accepted uint64) bool {
+		n.s.handleReport(now, reportResult{vm: vm, requestedAt: now, report: engine.Report{AcceptedOrders: accepted, Born: vm.Born}})
+		return n.s.releaseConfirmed(now, gs, "g")
+	}
+	if report(w.now.Add(time.Second), 3) {
+		t.Error("the members are used although the head may still join")
+	}
+	if !report(w.now.Add(2*time.Second), 4) {
+		t.Error("the members are not used although the join no longer fits")
+	}
+	gs.confirmed = false
+	if !report(w.now.Add(maxOrderDelay+time.Second), 3) {
+		t.Error("the members are not used after the longest delay of an order")
+	}
+}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -195,6 +195,12 @@
 	released   bool
 	releasedAt time.Time
 	confirmed  bool
+	// lateJoin is the head's join, if it was not answered: it may be carried out until then if the head still has accepted
+	// that many orders.
+	lateJoin struct {
+		accepted uint64
+		until    time.Time
+	}
 	// dissolving is true once the group is being dissolved; graceful lets its work finish first.
 	dissolving      bool
 	graceful        bool
