A close that another director undid doesn't count as the time to close

Callers would see: the streams of a head that two directors close cut at once. Its first closing had ended, another director had opened it again and closed it anew; the first one counted the time to close from its own order.

Change: the count of orders at the close is kept; once the head reports more, the time to close starts anew.

TestCloseThatAnotherDirectorUndidCutsNothing failed before: "the work of vm-0-0 in gn1-1 was terminated by order 5".

--- a/internal/director/answers.go
+++ b/internal/director/answers.go
@@ -134,7 +134,7 @@
 		s.memberLeft(now, m)
 	case engine.CloseHead, engine.CloseHeadNow:
 		if gs := s.groups[m.order.Group]; gs != nil {
-			gs.closeAcceptedAt = now
+			gs.closeAcceptedAt, gs.closedCount = now, s.vm(m.vm.ID).accepted
 		}
 	}
 }
--- a/internal/director/closing_test.go
+++ b/internal/director/closing_test.go
@@ -237,3 +237,22 @@
 		}
 	}
 }
+
+// TestCloseThatAnotherDirectorUndidCutsNothing: a head that had closed was opened again and closed by another director. The first
+// one counted the time to close from its own order, and cut the streams.
+func TestCloseThatAnotherDirectorUndidCutsNothing(t *testing.T) {
+	w := newWorld(t, 2, 8)
+	w.addNode(t, "n1")
+	head := startClosingHead(t, w)
+	w.run(workDuration-time.Second, func() bool { return false })
+	head.busyUntil = w.now.Add(workDuration)
+	head.accepted += 2
+	w.run(3*workDuration, func() bool { return false })
+	for _, interrupted := range w.interruptedWork {
+		t.Error(interrupted)
+	}
+	if len(head.Group) > 0 && head.State == fleet.Closing {
+		t.Error("the head never left")
+	}
+	w.check(t)
+}
--- a/internal/director/dissolve.go
+++ b/internal/director/dissolve.go
@@ -92,6 +92,12 @@
 		s.keep(now, name, gs)
 		return
 	}
+	if v.accepted > gs.closedCount && !gs.closeAcceptedAt.IsZero() {
+		// Another director has ordered the head since it closed, and may have opened it again.
+		gs.closeAcceptedAt = time.Time{}
+		gs.dissolvingSince = v.countedAt
+		finishing = gs.graceful
+	}
 	o := engine.GroupOrder{Operation: engine.Leave, Group: name, Generation: gs.generation}
 	switch headServes := serving(v.counted.State); {
 	case headServes && gs.closeAcceptedAt.IsZero() && gs.graceful:
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -207,6 +207,8 @@
 	dissolvingSince time.Time
 	// closeAcceptedAt is when the head accepted to close; zero before.
 	closeAcceptedAt time.Time
+	// closedCount is how many orders the head had accepted with that close.
+	closedCount uint64
 	// unopened is true if the decision to dissolve the group rests on its head not serving.
 	unopened bool
 	// joinUnconfirmed is true if the head may have joined without reporting it. Then only a
