--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -7,7 +7,9 @@
 //
 // Safety does not depend on there being only one director:
 //   - Every order names how many orders its VM has accepted, so only one of two competing
-//     directors succeeds.
+//     directors succeeds. It is sent only if the membership that belongs to that number allows it.
+//   - An order that ends the work of a head rests on a report that the head was asked for after the decision.
+//   - A director that stood still starts like a new one.
 //   - A VM is sent to another group only after the head of its previous group has itself
 //     acknowledged that it left, is known to be broken, or has been unreachable for longer
 //     than a head can serve without its members.
@@ -110,13 +112,15 @@
 	// busy is true while this node forms or dissolves groups.
 	busy     atomic.Bool
 	stopping atomic.Bool
+	// pulse detects standstills of this process.
+	pulse pulse
 	// suspicionTimeout bounds the report call to a suspected VM, in nanoseconds.
 	suspicionTimeout atomic.Int64
 }
 
 // New returns a director that is not yet started.
 func New(c Config, p Parts) *Director {
-	d := &Director{config: c, parts: p}
+	d := &Director{config: c, parts: p, pulse: pulse{max: maxStandstill(c)}}
 	d.directing.Store(&[]string{})
 	d.dissolving.Store(&[]string{})
 	d.preparing.Store(&[]string{})
@@ -205,18 +209,23 @@
 		case <-d.ctx.Done():
 			return
 		case <-ticker.C:
+			d.checkPulse()
 			d.send(tick{})
 		}
 	}
 }
 
+// checkPulse records that the process runs, and returns the end of its last standstill.
+func (d *Director) checkPulse() time.Time {
+	clock.Sync()
+	return d.pulse.beat(clock.Now())
+}
+
 // Timeouts of calls to VMs. Responses take a few milliseconds; the timeout of orders leaves
 // time for one packet retransmission.
 const (
 	reportTimeout = 400 * time.Millisecond
 	orderTimeout  = 700 * time.Millisecond
-	// maxOrderAge is how long after its decision an order may be sent.
-	maxOrderAge = 300 * time.Millisecond
 )
 
 // vmCaller starts calls to VMs. Their results return as messages to the actor.
@@ -228,7 +237,7 @@
 }
 
 // errNotSent means that an order was not sent because this process stood still after deciding on it.
-var errNotSent = errors.New("order was not sent: it was decided on too long ago")
+var errNotSent = errors.New("order was not sent: the process stood still after the decision")
 
 // report requests a VM's report and sends the result to the actor.
 func (d *Director) report(vm *fleet.VM, reason reportReason) {
@@ -255,8 +264,7 @@
 	go func() {
 		defer crash.Guard()
 		defer d.running.Done()
-		clock.Sync()
-		if clock.Since(decidedAt) > maxOrderAge {
+		if d.checkPulse().After(decidedAt) {
 			d.send(orderResult{vm: vm, order: o, err: errNotSent, decidedAt: decidedAt})
 			return
 		}
--- a/internal/director/fence.go
+++ b/internal/director/fence.go
@@ -132,25 +132,24 @@
 	if gs == nil || m.order.Operation != engine.Join || gs.head != m.vm.ID {
 		return
 	}
-	gs.lateJoin.accepted, gs.lateJoin.until = m.order.AcceptedOrders, m.decidedAt.Add(maxOrderAge+maxOrderDelay)
+	gs.lateJoin.accepted, gs.lateJoin.until = m.order.AcceptedOrders, m.decidedAt.Add(orderTimeout+maxOrderDelay)
 }
 
-// maxStandstill is how long the director may not have run before it trusts nothing of what it knew. Other nodes take
-// its duties over once they have not heard of it for longer.
-func (s *state) maxStandstill() time.Duration {
-	return min(stabilizationTime, s.d.config.Heartbeat, s.d.config.StallBound)
+// maxStandstill is how long the process may not have run before the director trusts nothing of what it knew. Other nodes
+// take its duties over once they have not heard of it for longer.
+func maxStandstill(c Config) time.Duration {
+	return min(stabilizationTime, c.Heartbeat, c.StallBound)
 }
 
-// checkStandstill compares the time with that of the previous reconciliation. After a standstill the director continues
-// as a new one would: another director may have taken over, and opened groups that this one was forming.
+// checkStandstill makes the director continue as a new one would after the process stood still: another director may have taken
+// over, and opened groups that this one was forming.
 func (s *state) checkStandstill(now time.Time) {
-	previous := s.reconciledAt
-	s.reconciledAt = now
-	if previous.IsZero() || now.Sub(previous) <= s.maxStandstill() {
+	resumed := s.d.pulse.beat(now)
+	if !resumed.After(s.resumedAt) {
 		return
 	}
-	s.resumedAt = now
-	s.d.parts.Log.Emit(event.DirectorResumed).Int64("after_ms", now.Sub(previous).Milliseconds()).Int("formations", len(s.formations)).Send()
+	s.resumedAt = resumed
+	s.d.parts.Log.Emit(event.DirectorResumed).Int("formations", len(s.formations)).Send()
 	for _, v := range s.vms {
 		v.doubt(now)
 	}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -225,11 +225,10 @@
 	d       *Director
 	vmCalls vmCaller
 	started time.Time
-	// reconciledAt is the time of the last reconciliation, and resumedAt the end of the last standstill; zero before.
-	reconciledAt time.Time
-	resumedAt    time.Time
-	nonce        string
-	namesIssued  int
+	// resumedAt is the end of the last standstill; zero before.
+	resumedAt   time.Time
+	nonce       string
+	namesIssued int
 
 	snapshot *fleet.Snapshot
 	catalog  *catalog.Catalog
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -128,7 +128,7 @@
 		"None."}
 	HeadStalled = Event{4024, zerolog.WarnLevel, "all streams of a head stalled; those that can resume elsewhere do, the others wait",
 		"See 4004 and 4018 for the lost member."}
-	DirectorResumed = Event{4040, zerolog.WarnLevel, "the director did not run for a while; it manages groups again once it has heard of other nodes and upstream VMs anew",
+	DirectorResumed = Event{4040, zerolog.WarnLevel, "this process stood still; its director manages groups again once it has heard of other nodes and upstream VMs anew",
 		"If it repeats, see 1010 and 1013 for whether this VM was suspended or the process lacks processor time."}
 	ReleaseRevoked = Event{4041, zerolog.WarnLevel, "a group counted as released by an outdated entry; its head reports that it is still in it",
 		"None. If it repeats, the platform's list of upstream VMs is late; see 3001."}
