A brief silence of a VM takes no group apart

Callers would see: all streams of a head end at one moment, at all nodes, after a VM of its group fell silent for about a second and went on, which is no disruption. When streams stall, the director queries the members with timeouts of 0.2 s; two that failed made the member lost, and the group was closed with its work.

Change: calls that time out count as a loss for a serving group only once they have done so for 1.5 s, in which the VM is queried every 0.3 s. A refused connection, a reset or another VM's answer counts at once, as before. A VM that is gone without refusing connections is missed about 1.1 s later than before.

The simulated VMs time out now when they are unresponsive.

--- a/internal/director/answers.go
+++ b/internal/director/answers.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,6 +59,7 @@
 // recordFailure counts a failed call. After maxFailures in a row the VM counts as lost for
 // lostDuration; when another VM answered under its address, it does at once.
 func (s *state) recordFailure(now time.Time, vm *fleet.VM, v *vmState, err error) {
+	v.recordSilence(now, err)
 	v.failures++
 	v.notBefore = now.Add(orderRetryDelay)
 	if v.failures < maxFailures && !errors.Is(err, engine.ErrOtherVM) {
@@ -69,6 +71,17 @@
 	v.lostUntil = now.Add(lostDuration)
 }
 
+// recordSilence updates silentSince by a failed call, before the call is counted.
+func (v *vmState) recordSilence(now time.Time, err error) {
+	var failure net.Error
+	switch timedOut := errors.As(err, &failure) && failure.Timeout(); {
+	case !timedOut:
+		v.silentSince = time.Time{}
+	case v.failures == 0:
+		v.silentSince = now
+	}
+}
+
 // previousIncarnation reports whether a call was meant for an incarnation of the VM that has
 // since been replaced.
 func previousIncarnation(v *vmState, vm *fleet.VM) bool {
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -312,8 +312,12 @@
 			if s.departing(now, member) {
 				leaving = member.ID
 			}
-		case entry == nil || now.Before(s.vm(entry.ID).lostUntil):
+		case entry == nil:
 			missing = member.ID
+		case now.Before(s.vm(entry.ID).lostUntil):
+			if !s.brieflySilent(now, entry) {
+				missing = member.ID
+			}
 		case s.membership(entry).Group != name:
 			if s.confirmsLeaving(now, entry, name) {
 				missing = member.ID
@@ -353,6 +357,20 @@
 	return false
 }
 
+// brieflySilent reports whether a VM that counts as lost may only be silent for a short time. It is queried until it responds or
+// maxBriefSilence has passed.
+func (s *state) brieflySilent(now time.Time, vm *fleet.VM) bool {
+	v := s.vm(vm.ID)
+	if v.silentSince.IsZero() || now.Sub(v.silentSince) > maxBriefSilence {
+		return false
+	}
+	if !v.callPending && !now.Before(v.notBefore) {
+		v.callPending = true
+		s.vmCalls.report(vm, forOrder)
+	}
+	return true
+}
+
 // allReady reports whether all recorded members of the group are ready.
 func (s *state) allReady(gs *groupState) bool {
 	for _, vm := range gs.members {
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -80,6 +80,9 @@
 	orderRetryDelay = 300 * time.Millisecond
 	// stagingRetryDelay is how long a host that refused a copy gets no further order to stage.
 	stagingRetryDelay = 4 * time.Second
+	// maxBriefSilence is how long calls to a VM of a serving group must have timed out before the group is dissolved for it. A VM
+	// may be silent for a second or so and go on.
+	maxBriefSilence = 1500 * time.Millisecond
 	// maxFailures is how many failed calls in a row make a VM count as lost.
 	maxFailures = 2
 	// lostDuration is how long a lost VM gets no orders.
@@ -130,6 +133,8 @@
 	notBefore time.Time
 	failures  int
 	lostUntil time.Time
+	// silentSince is when the first of these calls timed out; zero if one of them failed otherwise.
+	silentSince time.Time
 	// lastModel is the model of the VM's last group.
 	lastModel string
 	// staging is the model that the VM's host is copying; it is cleared after stagingUntil.
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -1,13 +1,15 @@
 package director
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"reflect"
 	"sort"
-
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/demand"
@@ -243,9 +245,7 @@
 	requestedAt := n.w.now
 	n.w.pending = append(n.w.pending, func() {
 		m := reportResult{vm: vm, requestedAt: requestedAt, reason: reason}
-		if e == nil || e.dead || e.unresponsive || n.cutOff {
-			m.err = engine.ErrNoResponse
-		} else {
+		if m.err = n.callError(e); m.err == nil {
 			m.report = e.report(n.w.now)
 		}
 		n.deliver(s, func() { s.handleReport(n.w.now, m) })
@@ -253,21 +253,28 @@
 }
 
 func (n *node) checkHealth(vm *fleet.VM, _ string) {
-	e := n.w.vms[vm.ID]
+	e, s := n.w.vms[vm.ID], n.s
 	requestedAt := n.w.now
 	n.w.pending = append(n.w.pending, func() {
 		m := healthResult{vm: vm, requestedAt: requestedAt}
-		if e == nil || e.dead || e.unresponsive || n.cutOff {
-			m.err = engine.ErrNoResponse
-		} else {
+		if m.err = n.callError(e); m.err == nil {
 			m.healthy = !e.leaving
 		}
-		if !n.down {
-			n.s.handleHealth(m)
-		}
+		n.deliver(s, func() { s.handleHealth(m) })
 	})
 }
 
+// callError returns the error of a call to the VM: a timeout if it is unresponsive, nil if it responds.
+func (n *node) callError(e *engineVM) error {
+	switch {
+	case e == nil || e.dead || n.cutOff:
+		return engine.ErrNoResponse
+	case e.unresponsive:
+		return errors.Mark(context.DeadlineExceeded, engine.ErrNoResponse)
+	}
+	return nil
+}
+
 func (n *node) order(vm *fleet.VM, o engine.GroupOrder, decidedAt time.Time) {
 	n.orders++
 	w, s := n.w, n.s
@@ -279,8 +286,8 @@
 	w.pending = append(w.pending, func() {
 		m := orderResult{vm: vm, order: o, decidedAt: decidedAt}
 		switch {
-		case e == nil || e.dead || e.unresponsive || n.cutOff:
-			m.err = engine.ErrNoResponse
+		case n.callError(e) != nil:
+			m.err = n.callError(e)
 		case outcome == executedLate:
 			due := w.now.Add(w.orderDelay)
 			w.runAt(due, func() { _, _ = w.execute(e, o) })
