A configuration counts as proven only once other nodes were asked for theirs

Cause: a read of the store proved the version it returned. A store that has just been restored returns an older one, a process that starts knows no better, and nothing asked the other nodes, which do. The same at a running node that was cut off while the version was published and reaches the store only after its restore.

Change: before its first result and after each era that it notices, a node asks the nodes that it can reach for their versions (internal/feed/survey.go) and takes the newest one (internal/feed/proof.go). Alone, a node goes on as before. At a start the question is asked while the configuration is read. A result proves nothing while a live node has reported a newer version; it may be put in force, but the age of the last proof goes on (catalog.WatchResult.Unproven). Versions that are fetched from other nodes pass the same check. Routes, services, limits and keys are one document, so all of them gain; the list of upstreams and evacuations do not (docs/TROUBLES.md).

The virtual site can start nodes again, and its configuration has eras.

--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -39,6 +39,9 @@
 	VerifiedAt time.Time
 	// Source is the node that the result was read from; empty for the platform.
 	Source string
+	// Unproven is true if the result does not verify that the catalog in force is the newest: another node has a newer one, or
+	// none was asked since the platform's store may have lost the newest.
+	Unproven bool
 }
 
 const (
@@ -252,7 +255,8 @@
 func (c *Cache) Revision() uint64 { return c.state().Revision }
 
 // Await waits up to wait until the version in force is above the given one and all changes up to a later revision
-// than newerThan were seen, and returns the state at the end of the wait.
+// than newerThan were seen, and returns the state at the end of the wait. For callers that have neither, the version must
+// have been verified.
 func (c *Cache) Await(ctx context.Context, version, newerThan uint64, wait time.Duration) State {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -260,7 +264,9 @@
 		c.mu.Lock()
 		updated := c.updated
 		c.mu.Unlock()
-		if current := c.state(); current.Version > version && (newerThan == 0 || current.Revision > newerThan) {
+		current := c.state()
+		verified := version > 0 && newerThan == 0 || current.Revision > newerThan
+		if current.Version > version && verified {
 			return current
 		}
 		select {
@@ -285,13 +291,13 @@
 	c.Adopt(w)
 }
 
-// Adopt puts the result's catalog in force if it is newer, records the verification if it is more recent, and wakes the
-// callers of Await. It is safe for concurrent use.
+// Adopt puts the result's catalog in force if it is newer, records the verification unless the result is unproven or less
+// recent, and wakes the callers of Await. It is safe for concurrent use.
 func (c *Cache) Adopt(w WatchResult) {
 	c.adopting.Lock()
 	defer c.adopting.Unlock()
 	c.adopt(w)
-	if old := c.verification.Load(); old == nil || w.VerifiedAt.After(old.at) {
+	if old := c.verification.Load(); !w.Unproven && (old == nil || w.VerifiedAt.After(old.at)) {
 		c.verification.Store(&verification{at: w.VerifiedAt, revision: w.Revision, source: w.Source})
 	}
 	c.mu.Lock()
--- a/internal/catalog/keeper_test.go
+++ b/internal/catalog/keeper_test.go
@@ -69,6 +69,33 @@
 	})
 }
 
+// TestUnprovenResultVerifiesNothing guards against keys that are accepted by the word of a store while another node has a
+// newer configuration: such a result may be put in force, but its proof does not count.
+func TestUnprovenResultVerifiesNothing(t *testing.T) {
+	log, err := event.New(io.Discard, "error", "n", "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := NewCache(nil, log, time.Second)
+	now := time.Unix(100, 0)
+	adopt := func(version uint64, at time.Time, unproven bool) {
+		next, err := New(Content{Version: version})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Adopt(WatchResult{Catalog: next, Revision: version, VerifiedAt: at, Unproven: unproven})
+	}
+	adopt(1, now, true)
+	if c.Version() != 1 || c.VerifiedAge(now) != neverVerified {
+		t.Errorf("version %d, verified %s ago", c.Version(), c.VerifiedAge(now))
+	}
+	adopt(1, now, false)
+	adopt(2, now.Add(time.Second), true)
+	if c.Version() != 2 || c.VerifiedAge(now) != 0 {
+		t.Errorf("version %d, verified %s ago", c.Version(), c.VerifiedAge(now))
+	}
+}
+
 // unresponsiveStore is a store that responds to no watch until recoverAt: earlier ones time out.
 type unresponsiveStore struct{ recoverAt time.Time }
 
--- a/internal/cluster/records.go
+++ b/internal/cluster/records.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sort"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -233,3 +234,15 @@
 	c.known[r.ID] = &peer{Peer: Peer{Record: r}, backoff: wait.Backoff{Min: minExclusion, Max: maxExclusion}}
 	return true
 }
+
+// OtherRecords returns the records of the other known nodes, ordered by ID, live or not.
+func (c *Cluster) OtherRecords() []Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]Record, 0, len(c.known))
+	for _, p := range c.known {
+		out = append(out, p.Record)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -196,6 +196,9 @@
 // Size implements feed.Nodes.
 func (n deferredNodes) Size() int { return (*n.cluster).Size() }
 
+// Others implements feed.Nodes.
+func (n deferredNodes) Others() []cluster.Record { return (*n.cluster).OtherRecords() }
+
 // DomainNodes implements feed.Nodes. It returns false until the nodes' records have
 // been read.
 func (n deferredNodes) DomainNodes() ([]cluster.Record, bool) { return (*n.cluster).DomainNodes() }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -166,6 +166,8 @@
 		"Check the platform, and this node's path to it. Serving continues."}
 	EntryLate = Event{4043, zerolog.InfoLevel, "the store holds an entry of an upstream VM that is older than one that the VM wrote before; the newer one, or its removal, stays in force",
 		"None. If it repeats for one VM, another program writes under its ID, or its clock was set back when it started."}
+	VersionsCompared = Event{4044, zerolog.InfoLevel, "after a start or a restore of the platform's store, other nodes were asked for their versions of the configuration; keys are checked by the newest",
+		"None. If none answered although nodes are up, check this node's path to them."}
 )
 
 // Events of requests.
@@ -264,7 +266,7 @@
 	UpstreamAdded, UpstreamDraining, UpstreamRemoved, MembershipChanged, OrderSent,
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
 	DirectorRoleAcquired, DirectorRoleReleased, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceQueried, ListRead, UnverifiedStateAdopted,
-	EvacuationStarted, EvacuationEnded, LeaderOutdated, EntryOutdated, PackingChanged, VersionFetched, RelayFollowed, DirectorResumed, ReleaseRevoked, GroupKept, EntryLate,
+	EvacuationStarted, EvacuationEnded, LeaderOutdated, EntryOutdated, PackingChanged, VersionFetched, RelayFollowed, DirectorResumed, ReleaseRevoked, GroupKept, EntryLate, VersionsCompared,
 	RequestDone, RequestRefused, RequestFailed, InvalidInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerDisconnected, RetryRefused, UpstreamTerminated, RequestQuarantined,
 	SuspectsReceived, QuarantineUnavailable, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamBackoff, UpstreamLeaving, UpstreamWarming, CallerSlow,
--- a/internal/feed/catalog.go
+++ b/internal/feed/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -36,6 +37,9 @@
 	decode func([]byte) (*catalog.Catalog, error)
 	// verifiedAt is when the configuration was last known to be the newest. Only Changed uses it.
 	verifiedAt time.Time
+	comparison comparison
+	// comparing serializes comparisons.
+	comparing sync.Mutex
 }
 
 // NewCatalog returns a source that reads from the leader, and falls back to the platform's source.
@@ -53,6 +57,7 @@
 		object:   "configuration",
 		selector: c.selector,
 		renewal:  newerThan != 0,
+		begin:    func(ctx context.Context) { c.beginSurvey(ctx, newerThan == 0) },
 		fromPeer: func(ctx context.Context, source cluster.Record, wait time.Duration) (catalog.WatchResult, error) {
 			return c.currentFrom(ctx, source, newerThan, wait)
 		},
@@ -61,6 +66,9 @@
 	if err == nil && clock.Since(w.VerifiedAt) > maxUnrefreshedAge {
 		w, err = c.refresh(ctx, w)
 	}
+	if err == nil {
+		w = c.prove(ctx, w)
+	}
 	if err == nil && w.Catalog == nil {
 		err = errors.Wrap(platform.ErrNotFound, "no configuration yet")
 	}
@@ -139,6 +147,7 @@
 		return w, err
 	}
 	c.verifiedAt = w.VerifiedAt
+	w = c.prove(ctx, w)
 	if w.Source != "" && w.Catalog == nil {
 		pause.Sleep(ctx, minFollowInterval-clock.Since(asked))
 	}
--- a/internal/feed/catchup.go
+++ b/internal/feed/catchup.go
@@ -9,7 +9,6 @@
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
 	"github.com/marbleroad/marbleroad/internal/event"
-	"github.com/marbleroad/marbleroad/internal/transport"
 	"github.com/marbleroad/marbleroad/internal/wait"
 )
 
@@ -110,22 +109,9 @@
 
 // fetchFrom asks one node for its version and puts it in force if it is newer.
 func (u *CatchUp) fetchFrom(ctx context.Context, node cluster.Record) error {
-	ctx, progress := transport.WithProgress(ctx, catchUpTimeout, catchUpTimeout, maxTransfer)
-	defer progress.Stop()
-	known := u.cache.Version()
-	got, _, err := u.source.ask(ctx, node, known, 0)
-	clock.Sync()
-	if err != nil {
-		u.source.selector.markFailed(clock.Now(), node, err)
-		return err
+	w, err := u.source.fetch(ctx, node, u.cache.Version(), u.cache.Revision())
+	if err == nil && w.Catalog != nil {
+		u.cache.Adopt(u.source.prove(ctx, w))
 	}
-	if got.GetVersion() <= known {
-		return nil
-	}
-	w, err := u.source.received(got, u.cache.Revision())
-	if err != nil {
-		return err
-	}
-	u.cache.Adopt(w)
-	return nil
+	return err
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -72,6 +72,8 @@
 type Nodes interface {
 	Live(now time.Time) []cluster.Peer
 	Size() int
+	// Others returns the records of the other known nodes, live or not.
+	Others() []cluster.Record
 	// DomainNodes returns the nodes of this failure domain, the preferred ones first and this one included,
 	// and whether the records of all nodes were read.
 	DomainNodes() ([]cluster.Record, bool)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -129,7 +129,8 @@
 // largeCluster is a cluster of many nodes in which the leader is live.
 type largeCluster struct{ leader cluster.Record }
 
-func (c largeCluster) Size() int { return maxIndependentNodes + 1 }
+func (c largeCluster) Size() int                { return maxIndependentNodes + 1 }
+func (c largeCluster) Others() []cluster.Record { return []cluster.Record{c.leader} }
 
 // DomainNodes returns no nodes, so that each node reads the full list.
 func (c largeCluster) DomainNodes() ([]cluster.Record, bool) { return nil, true }
@@ -328,7 +329,8 @@
 // liveNodes lists live nodes of the failure domain x by ID; one with a star manages its groups.
 type liveNodes []string
 
-func (d liveNodes) Size() int { return maxIndependentNodes + len(d) }
+func (d liveNodes) Size() int                { return maxIndependentNodes + len(d) }
+func (d liveNodes) Others() []cluster.Record { return nil }
 
 // DomainNodes returns no nodes; these tests select leaders among the live nodes.
 func (d liveNodes) DomainNodes() ([]cluster.Record, bool) { return nil, true }
@@ -475,7 +477,8 @@
 type processorShares map[string]float64
 
 // Size returns a number of nodes at which they follow leaders.
-func (processorShares) Size() int { return maxIndependentNodes + 1 }
+func (processorShares) Size() int                { return maxIndependentNodes + 1 }
+func (processorShares) Others() []cluster.Record { return nil }
 
 // DomainNodes returns no nodes; the test selects leaders among the live nodes.
 func (processorShares) DomainNodes() ([]cluster.Record, bool) { return nil, true }
--- a/internal/feed/firstread.go
+++ b/internal/feed/firstread.go
@@ -60,6 +60,8 @@
 	selector *Leader
 	// renewal is true if this node has an older version, whose history is gone.
 	renewal bool
+	// begin is called once the sources are known; nil for nothing.
+	begin func(context.Context)
 	// fromPeer reads the object from another node, which may wait that long until it has it.
 	// fromPlatform reads it from the platform.
 	fromPeer     func(context.Context, cluster.Record, time.Duration) (T, error)
@@ -70,6 +72,9 @@
 // readers.
 func (r firstRead[T]) read(ctx context.Context) (T, error) {
 	r.selector.awaitRecords(ctx)
+	if r.begin != nil {
+		r.begin(ctx)
+	}
 	if rank, ranked := r.selector.rank(); ranked && rank >= firstReaders {
 		got, err := r.readFromPeers(ctx, r.picker(rank))
 		if !errors.Is(err, errReadLocally) {
--- a/internal/feed/firstread_test.go
+++ b/internal/feed/firstread_test.go
@@ -108,6 +108,7 @@
 
 func (n startingNodes) Size() int                     { return len(n.records) }
 func (n startingNodes) Live(time.Time) []cluster.Peer { return nil }
+func (n startingNodes) Others() []cluster.Record      { return n.records }
 
 func (n startingNodes) DomainNodes() ([]cluster.Record, bool) { return n.records, true }
 
--- a/internal/feed/picker_test.go
+++ b/internal/feed/picker_test.go
@@ -32,6 +32,7 @@
 
 func (r domainNodes) Size() int                             { return len(r) }
 func (r domainNodes) Live(time.Time) []cluster.Peer         { return nil }
+func (r domainNodes) Others() []cluster.Record              { return r }
 func (r domainNodes) DomainNodes() ([]cluster.Record, bool) { return r, true }
 
 // selector returns the leader selector of the domain's node i.
--- a/internal/feed/virtual_catalog_test.go
+++ b/internal/feed/virtual_catalog_test.go
@@ -29,6 +29,11 @@
 
 func (s *virtualConfigurations) publish() { s.update(func() { s.version++ }) }
 
+// restore takes the store back to an earlier version.
+func (s *virtualConfigurations) restore(version uint64) {
+	s.update(func() { s.era, s.version = s.era+1, version })
+}
+
 // call waits for the store's response to a call; ready reports, under the store's lock, whether it may be sent.
 func (c configurationOf) call(ctx context.Context, wait time.Duration, ready func() bool) (catalog.WatchResult, error) {
 	out := catalog.WatchResult{VerifiedAt: clock.Now()}
@@ -38,14 +43,15 @@
 	defer timeout.Stop()
 	for waited := wait == 0; ; {
 		c.store.mu.Lock()
-		state, changed, version, answers := c.store.access[c.node], c.store.changed, c.store.version, ready()
+		state, changed, answers := c.store.access[c.node], c.store.changed, ready()
+		version, revision := c.store.version, platform.JoinRevision(c.store.era, c.store.version)
 		c.store.mu.Unlock()
 		switch {
 		case state == refused:
 			return out, platform.ErrUnavailable
 		case state == served && (answers || waited):
 			var err error
-			out.Revision = version
+			out.Revision = revision
 			out.Catalog, err = decodeVersion(strconv.AppendUint(nil, version, 10))
 			return out, err
 		}
@@ -69,12 +75,13 @@
 // Changed implements catalog.Source.
 func (c configurationOf) Changed(ctx context.Context, revision uint64, wait time.Duration) (catalog.WatchResult, error) {
 	c.store.mu.Lock()
-	expired := c.store.access[c.node] == served && revision < c.store.history
+	era, number := platform.SplitRevision(revision)
+	expired := c.store.access[c.node] == served && (number < c.store.history || era != c.store.era)
 	c.store.mu.Unlock()
 	if expired {
 		return catalog.WatchResult{}, platform.ErrCompacted
 	}
-	return c.call(ctx, wait, func() bool { return c.store.version > revision })
+	return c.call(ctx, wait, func() bool { return c.store.version > number })
 }
 
 // versionBound is the time within which a new version must be in force at each node that reaches the others. Operators
--- a/internal/feed/virtual_test.go
+++ b/internal/feed/virtual_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"sync"
 	"testing"
@@ -13,7 +12,6 @@
 	"time"
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
-	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
@@ -200,9 +198,13 @@
 type virtualFleet struct {
 	store *virtualStore
 	nodes []*virtualNode
+	// mu guards what changes while nodes run.
+	mu sync.RWMutex
 	// handlers serve the nodes' followers by address.
 	handlers map[string]http.Handler
-	dead     map[string]bool
+	// dead nodes refuse calls, hung ones answer none; isolated nodes neither call others nor hear from them.
+	dead, hung, isolated map[string]bool
+	configurations       *virtualConfigurations
 }
 
 type virtualNode struct {
@@ -213,6 +215,7 @@
 	catchUp   *CatchUp
 	server    *Server
 
+	// mu guards heard, and server and catchUp when the node starts again.
 	mu sync.Mutex
 	// heard holds the last received states of other nodes.
 	heard map[string]cluster.Peer
@@ -221,6 +224,17 @@
 // Size implements Nodes.
 func (n *virtualNode) Size() int { return len(n.site.nodes) }
 
+// Others implements Nodes.
+func (n *virtualNode) Others() []cluster.Record {
+	var out []cluster.Record
+	for _, other := range n.site.nodes {
+		if other != n {
+			out = append(out, other.record)
+		}
+	}
+	return out
+}
+
 // DomainNodes implements Nodes.
 func (n *virtualNode) DomainNodes() ([]cluster.Record, bool) {
 	var out []cluster.Record
@@ -238,7 +252,7 @@
 	defer n.mu.Unlock()
 	var out []cluster.Peer
 	for _, other := range n.site.nodes {
-		if other == n || n.site.dead[other.record.Address] {
+		if other == n || n.site.isDead(other.record.Address) {
 			continue
 		}
 		heard, ok := n.heard[other.record.ID]
@@ -270,7 +284,7 @@
 				otherIsHub := len(f.nodes) <= maxIndependentNodes || k < virtualDomains*hubsOfDomain
 				sameDomain := node.record.FailureDomain == other.record.FailureDomain
 				switch {
-				case other == node:
+				case other == node, f.apart(node.record.ID, other.record.ID):
 				case !otherIsHub && !isHub && sameDomain && readers < 2:
 					if reported := f.nodes[i%virtualDomains].heardOf(other.record.ID); versionRead(reported.State.GetPlatform()) != nil {
 						readers++
@@ -278,7 +292,7 @@
 					}
 				case !otherIsHub && !(isHub && sameDomain):
 				case isHub || sameDomain:
-					node.hear(cluster.Peer{Record: other.record, LastSeen: now, State: &marbleroadv1.NodeState{Node: other.record.ID, Platform: other.server.Knowledge(now)}})
+					node.hear(cluster.Peer{Record: other.record, LastSeen: now, State: &marbleroadv1.NodeState{Node: other.record.ID, Platform: other.knowledge(now)}})
 				default:
 					node.hear(f.nodes[i%virtualDomains].heardOf(other.record.ID))
 				}
@@ -299,23 +313,16 @@
 	}
 	n.mu.Lock()
 	n.heard[p.ID] = p
+	catchUp := n.catchUp
 	n.mu.Unlock()
-	n.catchUp.HandleState(p.State, p.LastSeen)
+	catchUp.HandleState(p.State, p.LastSeen)
 }
 
-// RoundTrip implements http.RoundTripper: it calls the other node's handler.
-func (f *virtualFleet) RoundTrip(r *http.Request) (*http.Response, error) {
-	defer func() { _ = r.Body.Close() }()
-	time.Sleep(time.Millisecond)
-	if f.dead[r.URL.Host] {
-		return nil, fmt.Errorf("%s is not there", r.URL.Host)
-	}
-	w := httptest.NewRecorder()
-	f.handlers[r.URL.Host].ServeHTTP(w, r)
-	if err := r.Context().Err(); err != nil {
-		return nil, err
-	}
-	return w.Result(), nil
+func (n *virtualNode) knowledge(now time.Time) *marbleroadv1.PlatformKnowledge {
+	n.mu.Lock()
+	server := n.server
+	n.mu.Unlock()
+	return server.Knowledge(now)
 }
 
 // virtualDomains is the number of failure domains of a virtual site.
@@ -333,42 +340,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		// A channel from outside the bubble would keep its time from passing.
 		store.update(func() {})
-		f := &virtualFleet{store: store, handlers: make(map[string]http.Handler), dead: make(map[string]bool)}
-		client := &http.Client{Transport: f}
-		log := testLog(t)
+		f := &virtualFleet{store: store, configurations: configurations, handlers: make(map[string]http.Handler),
+			dead: make(map[string]bool), hung: make(map[string]bool), isolated: make(map[string]bool)}
 		for i := range n {
 			address := fmt.Sprintf("n%03d", i)
 			f.nodes = append(f.nodes, &virtualNode{site: f, heard: make(map[string]cluster.Peer), record: cluster.Record{ID: address, Address: address, FailureDomain: fmt.Sprintf("d%d", i%virtualDomains)}})
 		}
 		for _, node := range f.nodes {
-			selector := NewLeader(node.record, node, func() bool { return false }, log, client, func(a string) string { return "http://" + a })
-			list := NewFleet(listOf{store, node.record.ID}, selector)
-			node.directory = fleet.NewDirectory(list, log, fleet.WatchWait, func() time.Duration { return IdleWatchPause })
-			mux := http.NewServeMux()
-			node.cache = catalog.NewCache(nil, log, 0)
-			node.server = &Server{Directory: node.directory, FleetRelayed: list.Relayed}
-			if configurations != nil {
-				source := NewCatalog(configurationOf{configurations, node.record.ID}, selector, func() uint64 { return node.cache.Version() }, decodeVersion)
-				node.cache = catalog.NewCache(source, log, time.Second)
-				node.catchUp = NewCatchUp(source, node.cache, log)
-				node.server.CatalogRelayed = source.Relayed
-			}
-			node.server.Cache = node.cache
-			mux.Handle(marbleroadv1connect.NewClusterServiceHandler(handler{node.server}))
-			f.handlers[node.record.Address] = mux
+			node.build(t)
 		}
 		for _, node := range f.nodes {
-			if err := node.directory.Start(context.Background()); err != nil {
-				t.Fatal(err)
-			}
-			if configurations == nil {
-				continue
-			}
-			for _, start := range []func(context.Context) error{node.cache.Start, node.catchUp.Start} {
-				if err := start(context.Background()); err != nil {
-					t.Fatal(err)
-				}
-			}
+			node.start(t)
 		}
 		if configurations != nil {
 			ctx, cancel := context.WithCancel(context.Background())
@@ -377,11 +359,7 @@
 		}
 		defer func() {
 			for _, node := range f.nodes {
-				_ = node.directory.Stop(context.Background())
-				if configurations != nil {
-					_ = node.cache.Stop(context.Background())
-					_ = node.catchUp.Stop(context.Background())
-				}
+				node.stop()
 			}
 		}()
 		time.Sleep(10 * time.Second)
