An entry that starts waits for the table of its own control process

Cause: an entry leaves a control process after two failed reads, 0.25 s apart, and counts as ready with the first table that any control process gives it.

Change: for the first 5 s, only the first control process's table makes an entry ready, and the entry turns back to that process every 0.5 s instead of 10 s. What others send is adopted as before, since rows have versions. After 5 s any table counts, so an entry whose control process is gone for good still serves.

Evidence: TestEntryStartedBeforeItsControlTakesNoStaleTable starts the control process after the entry has turned to the other one.

Not mended, in docs/TROUBLES.md: a control process takes its peers' table once one call of its own to the platform failed.

--- a/internal/entry/source.go
+++ b/internal/entry/source.go
@@ -36,6 +36,11 @@
 	// preferredRetryInterval is how long the entry reads from another control
 	// process before it tries the first one again.
 	preferredRetryInterval = 10 * time.Second
+	// preferredWait is how long an entry that starts waits for the table of the first control process, which starts with
+	// it. Another one may be cut off from the platform and have an older table. preferredStartInterval takes the place of
+	// preferredRetryInterval meanwhile.
+	preferredWait          = 5 * time.Second
+	preferredStartInterval = 500 * time.Millisecond
 )
 
 // SourceConfig holds the settings of a Source.
@@ -81,6 +86,7 @@
 	done   sync.WaitGroup
 
 	// The fields below belong to the reading goroutine.
+	startedAt    time.Time
 	controlIndex int
 	failures     int
 	// responded is true once the current control process was read since the entry chose it.
@@ -155,6 +161,7 @@
 // loop refreshes the snapshot at each interval until ctx ends.
 func (s *Source) loop(ctx context.Context) {
 	defer s.done.Done()
+	s.startedAt = clock.Now()
 	ticker := time.NewTicker(s.config.Interval)
 	defer ticker.Stop()
 	for {
@@ -193,9 +200,13 @@
 }
 
 // returnToPreferred switches back to the first control process after
-// preferredRetryInterval.
+// preferredRetryInterval, or sooner before the table was read.
 func (s *Source) returnToPreferred() {
-	if s.controlIndex != 0 && clock.Since(s.switchedAt) > preferredRetryInterval {
+	interval := preferredRetryInterval
+	if !s.loaded.Load() {
+		interval = preferredStartInterval
+	}
+	if s.controlIndex != 0 && clock.Since(s.switchedAt) > interval {
 		s.controlIndex = 0
 		s.failures, s.responded = 0, false
 	}
@@ -278,7 +289,12 @@
 		share.Teams[teamShare.GetTeam()] = teamShare.GetRate()
 	}
 	s.share.Store(share)
-	if m.GetTableLoaded() {
+	if m.GetTableLoaded() && s.trusts(address) {
 		s.loaded.Store(true)
 	}
 }
+
+// trusts reports whether an entry that starts takes the table of the control process for the newest that it can get.
+func (s *Source) trusts(address string) bool {
+	return address == s.config.Controls[0] || clock.Since(s.startedAt) > preferredWait
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -680,6 +680,8 @@
   's/ \|\| c\.knownVersion\(w\) < c\.selector\.newestVersion\(clock\.Now\(\)\)//' ./internal/feed TestConfigurationKnownToBeOldIsNotProven
 mutant "proof: a survey waits for nodes that hang" internal/feed/survey.go \
   's/return elapsed >= surveyTimeout/return false/' ./internal/feed TestNodeThatReachesNoOtherServes
+mutant "proof: an entry trusts any control process at its start" internal/entry/source.go \
+  's/m\.GetTableLoaded\(\) \&\& s\.trusts\(address\)/m.GetTableLoaded()/' ./test/integration TestEntryStartedBeforeItsControlTakesNoStaleTable
 
 echo "$survivors survived or not applied"
 [ "$survivors" = 0 ]
--- a/test/integration/table_test.go
+++ b/test/integration/table_test.go
@@ -4,6 +4,8 @@
 	"encoding/csv"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -443,3 +445,36 @@
 		t.Errorf("a repeated change raised the version from %d to %d", before, after)
 	}
 }
+
+// TestEntryStartedBeforeItsControlTakesNoStaleTable starts an entry before the control process of its node, while another
+// one that missed the newest change responds. The entry must not be ready with the older table.
+func TestEntryStartedBeforeItsControlTakesNoStaleTable(t *testing.T) {
+	t.Parallel()
+	s := newGroupDeployment(t, 4)
+	fresh, stale := s.nodes[0], s.nodes[1]
+	s.partitionPair(fresh, stale, faultproxy.Refuse)
+	s.partitionFromPlatform(stale, faultproxy.Refuse)
+	if out, code := s.setWeight(fresh, "agrimet", 70); code != 0 {
+		t.Fatal(out)
+	}
+	fresh.control.kill()
+	fresh.entry.kill()
+	s.partitionPair(fresh, stale, faultproxy.Pass)
+	log := filepath.Join(s.dir, fresh.id+"-entry.log")
+	before, err := os.ReadFile(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.startEntry(fresh)
+	s.eventually("the entry reads from the other control process", func() bool {
+		data, err := os.ReadFile(log)
+		return err == nil && strings.Contains(string(data[len(before):]), `"event":4008`)
+	})
+	s.startControl(fresh)
+	s.eventually("the entry is ready", func() bool { return s.ready(fresh) })
+	if got, _ := s.weight(fresh, "agrimet"); got != 70 {
+		t.Errorf("the entry was ready while its control process had weight %d", got)
+	}
+	s.awaitWeight("agrimet", 70)
+	s.history.check()
+}
