A head is opened only once its members are ready in this group

A found group's head could be opened while a member was ready in its former group (PARTIAL): whether all are ready looked at the members' states, not at their groups. Since members are asked before they count as lost, nothing else stopped it while the question was under way; a formation after a standstill lists members that have not joined.

TestMemberThatIsReadyElsewhereOpensNoHead fails without the change: "the head is opened".

--- a/internal/director/fence_test.go
+++ b/internal/director/fence_test.go
@@ -245,3 +245,22 @@
 		t.Error("a standstill of 3 s was not detected")
 	}
 }
+
+// TestMemberThatIsReadyElsewhereOpensNoHead: a director that stood still after the first join of a formation opened the head, since
+// another member was ready in its former group.
+func TestMemberThatIsReadyElsewhereOpensNoHead(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	n := w.addNode(t, "n1")
+	n.s.snapshot, n.s.catalog = w.snapshot, w.catalog
+	n.s.updateFromSnapshot(w.now)
+	head, member := w.snapshot.VMs[vmID(0, 0)], w.snapshot.VMs[vmID(0, 1)]
+	head.Membership = fleet.Membership{Group: "g", Generation: 9, State: fleet.Ready, Model: "small"}
+	member.Membership = fleet.Membership{Group: "former", Generation: 3, Rank: 1, State: fleet.Ready, Model: "small"}
+	gs := &groupState{firstSeen: w.now, head: head.ID, headVM: head, service: "llm", generation: 9, members: map[int]*fleet.VM{0: head, 1: member}}
+	n.s.groups["g"] = gs
+	n.s.vm(head.ID).acceptedKnown, n.s.vm(head.ID).counted = true, head.Membership
+	n.s.maintainGroup(w.now, "g", &fleet.Group{Name: "g", Generation: 9, Model: "small", Service: "llm", Members: []*fleet.VM{head}}, gs, head)
+	if n.orders != 0 {
+		t.Error("the head is opened")
+	}
+}
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -273,7 +273,7 @@
 		return
 	case !gs.incompleteSince.IsZero():
 		s.startDissolvingUnopened(now, name, gs, "a member left before the head was opened")
-	case missing == "" && leaving == "" && s.allReady(gs):
+	case missing == "" && leaving == "" && s.allReady(name, gs):
 		s.openHead(now, head, name, g.Generation)
 	case now.Sub(gs.firstSeen) > orphanTimeout && (missing != "" || leaving != ""):
 		s.startDissolvingUnopened(now, name, gs, "group was left incomplete")
@@ -371,10 +371,10 @@
 	return true
 }
 
-// allReady reports whether all recorded members of the group are ready.
-func (s *state) allReady(gs *groupState) bool {
+// allReady reports whether all recorded members of the group are ready in it.
+func (s *state) allReady(name string, gs *groupState) bool {
 	for _, vm := range gs.members {
-		if s.membership(vm).State != fleet.Ready {
+		if m := s.membership(vm); m.Group != name || m.Generation != gs.generation || m.State != fleet.Ready {
 			return false
 		}
 	}
