A report from before an order that the VM has confirmed is not used

A VM reports its state of some hundred milliseconds ago. Asked right after it took an order, it reports the count and the membership from before: the next order was refused and delayed by 0.3 s, and a VM that had just joined counted as free.

Evidence: TestReportFromBeforeAnOrderIsNotUsed fails without: "the report is used: the VM is in """. The simulated VMs can report late now; the model check draws 0 to 0.3 s.

--- a/internal/director/answers.go
+++ b/internal/director/answers.go
@@ -31,7 +31,7 @@
 	}
 	v.failures = 0
 	v.lostUntil = time.Time{}
-	v.recordReport(r)
+	v.recordReport(now, r)
 	for _, gs := range s.groups {
 		if gs.head == r.vm.ID {
 			gs.headRespondedAt = r.requestedAt
--- a/internal/director/closing_test.go
+++ b/internal/director/closing_test.go
@@ -166,7 +166,7 @@
 	head := startClosingHead(t, w)
 	group := head.Group
 	head.busyUntil = w.now.Add(time.Second)
-	closing := head.report(w.now)
+	closing := head.report(w.now, -1)
 	n.s.vm(head.ID).notBefore = w.now.Add(2 * time.Second)
 	if !w.run(2*time.Second, func() bool { return head.State == fleet.Ready }) {
 		t.Fatalf("the head is %v", head.State)
--- a/internal/director/dissolve.go
+++ b/internal/director/dissolve.go
@@ -105,7 +105,7 @@
 	case headServes && gs.closeAcceptedAt.IsZero():
 		o.Operation = engine.CloseHeadNow
 	case finishing && (headServes || v.working):
-		v.askAgain(now)
+		v.askAgain(now, outdatedReportDelay)
 		return
 	}
 	s.sendOrder(now, head, o)
--- a/internal/director/fence.go
+++ b/internal/director/fence.go
@@ -13,8 +13,21 @@
 // the membership that counts for an order is the one that belongs to the number: from the same report, or from this
 // director's own orders after that report. Entries can be older than the number, and may only cause questions.
 
-// recordReport stores what the VM itself reported when queried.
-func (v *vmState) recordReport(r reportResult) {
+const (
+	// maxReportLag bounds how old the state that a VM reports is when the report is requested.
+	maxReportLag = 500 * time.Millisecond
+	// outdatedReportDelay is the delay before a VM is queried again that reported a state from before its last order, or work
+	// that it had when it was asked.
+	outdatedReportDelay = 150 * time.Millisecond
+)
+
+// recordReport stores what the VM itself reported when queried. Reports lag behind: one from before the last order that the VM has
+// confirmed is not used, and the VM is queried again.
+func (v *vmState) recordReport(now time.Time, r reportResult) {
+	if r.report.AcceptedOrders < v.confirmed && r.requestedAt.Sub(v.confirmedAt) < maxReportLag {
+		v.askAgain(now, outdatedReportDelay)
+		return
+	}
 	v.accepted, v.acceptedKnown = r.report.AcceptedOrders, true
 	v.counted, v.countedAt = r.report.Membership, r.requestedAt
 	v.working = r.report.Running+r.report.Waiting > 0
@@ -27,6 +40,7 @@
 	// A leave is carried out immediately and reported as done, not as started. The VM counts it as accepted too.
 	if m.started || m.order.Operation == engine.Leave {
 		v.accepted++
+		v.confirmed, v.confirmedAt = m.order.AcceptedOrders+1, m.decidedAt
 	}
 	switch m.order.Operation {
 	case engine.Join:
@@ -64,9 +78,9 @@
 
 // askAgain discards the count of accepted orders and delays the VM's next call, so that the VM is queried before its next
 // order.
-func (v *vmState) askAgain(now time.Time) {
+func (v *vmState) askAgain(now time.Time, delay time.Duration) {
 	v.acceptedKnown = false
-	v.notBefore = now.Add(orderRetryDelay)
+	v.notBefore = now.Add(delay)
 }
 
 // attachedByCount reports whether the VM is in a group that has not been released, by the membership that belongs to its
@@ -84,14 +98,14 @@
 	case v.counted.Group == o.Group && v.counted.Generation == o.Generation:
 		return true
 	case o.Operation != engine.Join:
-		v.askAgain(now)
+		v.askAgain(now, orderRetryDelay)
 		return false
 	case v.counted.Group == "":
 		return true
 	case s.released(v.counted.Group):
 		return s.releaseConfirmed(now, s.groups[v.counted.Group], v.counted.Group)
 	}
-	v.askAgain(now)
+	v.askAgain(now, orderRetryDelay)
 	return false
 }
 
--- a/internal/director/fence_test.go
+++ b/internal/director/fence_test.go
@@ -264,3 +264,31 @@
 		t.Error("the head is opened")
 	}
 }
+
+// TestReportFromBeforeAnOrderIsNotUsed: a VM's report lags behind. One from before its join, requested after it, showed the VM in no
+// group, and the next order was refused.
+func TestReportFromBeforeAnOrderIsNotUsed(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	n := w.addNode(t, "n1")
+	n.s.snapshot = w.snapshot
+	vm := w.snapshot.VMs[vmID(0, 0)]
+	n.s.groups["g"] = &groupState{}
+	v := n.s.vm(vm.ID)
+	v.acceptedKnown, v.accepted = true, 4
+	n.s.handleOrderResult(w.now, orderResult{vm: vm, started: true, decidedAt: w.now, order: engine.GroupOrder{Operation: engine.Join, Group: "g", Generation: 3, AcceptedOrders: 4}})
+	report := func(after time.Duration, accepted uint64) {
+		n.s.handleReport(w.now.Add(after), reportResult{vm: vm, requestedAt: w.now.Add(after), report: engine.Report{AcceptedOrders: accepted}})
+	}
+	report(100*time.Millisecond, 4)
+	if v.acceptedKnown || n.s.membership(vm).Group != "g" {
+		t.Errorf("the report is used: the VM is in %q", n.s.membership(vm).Group)
+	}
+	report(200*time.Millisecond, 5)
+	if !v.acceptedKnown {
+		t.Error("a newer report is not used")
+	}
+	report(maxReportLag+time.Second, 0)
+	if !v.acceptedKnown || v.accepted != 0 {
+		t.Error("a VM that lost its count is never used again")
+	}
+}
--- a/internal/director/model_test.go
+++ b/internal/director/model_test.go
@@ -18,6 +18,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, 2, 8)
 		w.entryLife = 3 * time.Second
+		w.reportLag = time.Duration(rapid.IntRange(0, 6).Draw(t, "report lag")) * 50 * time.Millisecond
 		w.orderDelay = time.Duration(rapid.IntRange(1, 11).Draw(t, "order delay")) * time.Second
 		for _, e := range w.vms {
 			e.Staged = []string{"big", "small"}
--- a/internal/director/place.go
+++ b/internal/director/place.go
@@ -273,7 +273,7 @@
 func (s *state) free(now time.Time, vm *fleet.VM) bool {
 	v := s.vm(vm.ID)
 	if s.attachedByCount(v) && s.unattachedByEntry(vm) && now.Sub(v.countedAt) > confirmInterval && !v.callPending {
-		v.askAgain(now)
+		v.askAgain(now, orderRetryDelay)
 		v.callPending = true
 		s.vmCalls.report(vm, forOrder)
 	}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -120,6 +120,10 @@
 	// accepted is how many orders the VM has accepted; valid if acceptedKnown.
 	accepted      uint64
 	acceptedKnown bool
+	// confirmed is the number of accepted orders after the last order that the VM has confirmed, and confirmedAt when it was
+	// decided on.
+	confirmed   uint64
+	confirmedAt time.Time
 	// counted is the membership that belongs to accepted, and working is true if the VM reported work with it. countedAt
 	// is when the report of accepted was requested.
 	counted   fleet.Membership
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -62,9 +62,6 @@
 	return v.reportRequestedAt.After(v.entryMembershipSeenAt.Add(maxReportLag))
 }
 
-// maxReportLag bounds how old the values in a report are when it is requested.
-const maxReportLag = 500 * time.Millisecond
-
 // verifyEntry requests a report of a VM whose entry contradicts its last report, until a report is
 // settled.
 func (s *state) verifyEntry(now time.Time, v *vmState, vm *fleet.VM) {
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -43,6 +43,8 @@
 	pending         []func()
 	// messageDelay is the age of the records that nodes have of each other.
 	messageDelay time.Duration
+	// reportLag is how old the state is that VMs report.
+	reportLag time.Duration
 	// orderDelay is how much later orders with the outcome executedLate are executed.
 	orderDelay time.Duration
 	// chooseOutcome decides the outcome of an order; if it is nil, all orders are executed.
@@ -78,6 +80,8 @@
 	brokenAt     time.Time
 	stagedAt     time.Time
 	stagingModel string
+	// past are the VM's reports of the last steps, oldest first.
+	past []pastReport
 	// lateEntry is listed in place of the VM's own state for a while after lateFrom.
 	lateEntry fleet.VM
 	lateFrom  time.Time
@@ -246,7 +250,7 @@
 	n.w.pending = append(n.w.pending, func() {
 		m := reportResult{vm: vm, requestedAt: requestedAt, reason: reason}
 		if m.err = n.callError(e); m.err == nil {
-			m.report = e.report(n.w.now)
+			m.report = e.report(n.w.now, n.w.reportLag)
 		}
 		n.deliver(s, func() { s.handleReport(n.w.now, m) })
 	})
@@ -264,6 +268,33 @@
 	})
 }
 
+// pastReport is what a VM would have reported at a time.
+type pastReport struct {
+	at     time.Time
+	report engine.Report
+}
+
+// report returns what the VM reports: its state of lag ago, of its present incarnation.
+func (e *engineVM) report(now time.Time, lag time.Duration) engine.Report {
+	r := engine.Report{AcceptedOrders: e.accepted, Born: e.Born, Membership: e.Membership}
+	if now.Before(e.busyUntil) {
+		r.Running = 1
+	}
+	for _, p := range e.past {
+		if p.report.Born == e.Born && now.Sub(p.at) <= lag {
+			return p.report
+		}
+	}
+	return r
+}
+
+// remember records what the VM would report now.
+func (e *engineVM) remember(now time.Time) {
+	const steps = 10
+	e.past = append(e.past, pastReport{now, e.report(now, -1)})
+	e.past = e.past[max(len(e.past)-steps, 0):]
+}
+
 // callError returns the error of a call to the VM: a timeout if it is unresponsive, nil if it responds.
 func (n *node) callError(e *engineVM) error {
 	switch {
@@ -433,6 +464,7 @@
 	w.now = w.now.Add(d)
 	for _, id := range sorted(w.vms) {
 		w.advance(w.vms[id])
+		w.vms[id].remember(w.now)
 	}
 	w.publishSnapshot()
 	for _, n := range w.nodes {
@@ -450,15 +482,6 @@
 	}
 }
 
-// report returns the VM's state.
-func (e *engineVM) report(now time.Time) engine.Report {
-	report := engine.Report{AcceptedOrders: e.accepted, Born: e.Born, Membership: e.Membership}
-	if now.Before(e.busyUntil) {
-		report.Running = 1
-	}
-	return report
-}
-
 func (w *world) advance(e *engineVM) {
 	if e.dead {
 		return
