Soak: no order ends work beside planned work alone

Streams that an order of ours ends go on at another head, as long as attempts, credits and free slots last, so that callers mostly saw whole answers and the soak judged nothing. The new check looks at the upstreams: an order that ends requests which a VM runs is a violation while nothing but planned work goes on and no VM ended shortly before.

--- a/test/soak/interruptions.go
+++ b/test/soak/interruptions.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// checkOrdersEndNoWork checks that no order ends requests that a VM runs while there is no disturbance, or only planned
+// work. The requests may go on elsewhere, but only as far as attempts, budget and free slots allow.
+func (ck *checker) checkOrdersEndNoWork() {
+	for _, o := range ck.workEnded {
+		if !ck.allUndisturbed(o.At, o.At, isPlanned) || ck.vmEndedBefore(o.At) {
+			continue
+		}
+		ck.report("orders end no work", "", "%q ended %d requests at %s in %s", o.Order, o.Ended, o.VM, o.Group)
+	}
+}
+
+// vmEndedBefore reports whether a VM ended so shortly before the time that its group may still be dissolved for that.
+func (ck *checker) vmEndedBefore(at time.Time) bool {
+	recent := func(e vmEvent) bool { return e.at.Before(at) && e.at.Add(stallBound+reconnectTime).After(at) }
+	return slices.ContainsFunc(ck.history.terminations, recent) || slices.ContainsFunc(ck.history.crashes, recent)
+}
+
 // excuse says why a caller that waits need not get a whole answer to a request that was run; it is empty if it must: the
 // request crashes upstreams, its time is used up, a disturbance other than planned work was active from reconnectTime
 // before the request to its end, or an upstream broke off.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -66,6 +66,27 @@
 	}
 }
 
+// TestUnannouncedDeparturesEndNoWork guards against heads that are ordered to end their streams because their entry, or
+// that of a member, was removed without a notice.
+func TestUnannouncedDeparturesEndNoWork(t *testing.T) {
+	const servesOn = 9 * time.Second
+	faults := []Fault{{time.Second, ConfigurationChanges, 0, 6 * time.Second}}
+	for i, target := range []int{0, 3, 7, 11, 2, 5} {
+		faults = append(faults, Fault{1200*time.Millisecond + time.Duration(i)*750*time.Millisecond, UpstreamLeaves, target, servesOn})
+	}
+	c := config{binary: buildNode(t), seed: 7, nodes: 4, engines: 24, plain: 3, callers: 40, slack: ciSlack}
+	r, err := runOnce(c, faults, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.judged == 0 {
+		t.Error("no request was judged beside planned work")
+	}
+	for _, v := range r.violations {
+		t.Error(v)
+	}
+}
+
 // buildNode builds the program under test.
 func buildNode(t *testing.T) string {
 	t.Helper()
