--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -157,8 +157,8 @@
   's/if now\.Before\(p\.backoffUntil\) && /if false \&\& /' ./internal/feed TestFollowersBackOffFromUnreachableStore
 mutant "a hub does not record nodes that exchange with all others" internal/cluster/share.go \
   's/\t\t\tp\.State, p\.LastSeen = state, now\n//; s/maxKnownNodes: c\.maxKnownNodes, //' ./internal/cluster TestNodesThatCountDifferently
-mutant "a group whose head has not reported yet is dissolved" internal/director/dissolve.go \
-  's/case gs\.headVM == nil && now\.Sub\(gs\.firstSeen\) <= orphanTimeout:.*?\t\treturn\n//s' ./internal/director TestGroupWhoseHeadHasNotReported
+mutant "a group whose head has not reported yet is dissolved" internal/director/headless.go \
+  's/case gs\.headVM == nil && now\.Sub\(gs\.firstSeen\) <= orphanTimeout:.*?\t\treturn\n//s; s/ && s\.searchHead\(now, name, gs\)/ \&\& false/' ./internal/director TestGroupWhoseHeadHasNotReported
 mutant "a complete group still counts as incomplete" internal/director/watch.go \
   's/if !gs\.incompleteSince\.IsZero\(\) && s\.completeAgain/if false \&\& s.completeAgain/' ./internal/director TestGroupWhoseHeadHasNotReported
 mutant "losses before a head was opened count against it" internal/director/dissolve.go \
@@ -197,8 +197,8 @@
   's/if gs := s\.groups\[vm\.Group\]; gs == nil \|\| gs\.reference == nil/if true/' ./internal/director TestDirectorWithoutResponsesMarksNoVMLost
 mutant "simultaneous silence of all heads counts as stalls" internal/gateway/stalls.go \
   's/return heads > 1/return false/' ./internal/gateway TestAllHeadsSilentAtOnce
-mutant "a closing head has a fixed timeout" internal/director/dissolve.go \
-  's/return max\(minCloseTime, svc\.LongestTimeout\+closeMargin\)/return minCloseTime/' ./internal/director TestClosingHeadFinishesItsWork
+mutant "a closing head has a fixed timeout" internal/director/closetime.go \
+  's/return max\(minCloseTime, s\.timeouts\[service\]\.longest\+closeMargin\)/return minCloseTime/' ./internal/director TestClosingHeadFinishesItsWork
 mutant "the timeout of a closing head starts when the group was first seen" internal/director/groups.go \
   's/now\.Sub\(gs\.closingSince\)/now.Sub(gs.firstSeen)/' ./internal/director TestSuccessorLetsAClosingHeadFinish
 mutant "a second stop signal terminates the process at once" internal/daemon/daemon.go \
@@ -253,7 +253,7 @@
   's/f\.joinSent\[id\] = true\n//' ./internal/director TestUnansweredJoinIsUnconfirmed
 mutant "a head opens before all are ready" internal/director/groups.go \
   's/allReady = allReady && \(m\.State == fleet\.Ready \|\| m\.State == fleet\.Open\)//' ./internal/director TestRandomFaults
-mutant "a leave does not count as accepted" internal/director/answers.go \
+mutant "a leave does not count as accepted" internal/director/fence.go \
   's/m\.started \|\| m\.order\.Operation == engine\.Leave/m.started/' ./internal/director TestLeaveCounts
 mutant "credits for repeats do not expire" internal/retry/budget.go \
   's/b\.earned\[b\.current%buckets\] = 0//' ./internal/retry TestCreditsExpireAfterOneWindow
@@ -628,6 +628,38 @@
 mutant "fair shares: a hub does not add up teams" internal/cluster/teams.go \
   's/sums\[i\]\.Asked \+= w\.GetAsked\(\)/_ = i/' ./internal/cluster TestHubAddsUpTeams
 
+# Orders that rest on outdated knowledge.
+mutant "outdated knowledge: a standstill goes unnoticed" internal/director/fence.go \
+  's/if !resumed\.After\(s\.resumedAt\)/if true/' ./internal/director TestDirectorThatStoodStillWaitsForOthers
+mutant "outdated knowledge: a long reconciliation is a standstill" internal/director/pulse.go \
+  's/\t\tp\.last = now\n//' ./internal/director TestLongReconciliationIsNoStandstill
+mutant "outdated knowledge: an order is sent after a standstill" internal/director/director.go \
+  's/if d\.checkPulse\(\)\.After\(decidedAt\)/if false/' ./internal/director TestOrderIsNotSentAfterAStandstill
+mutant "outdated knowledge: a join goes by the entry" internal/director/fence.go \
+  's/case v\.counted\.Group == "":\n\t\treturn true/case true:\n\t\treturn true/' ./internal/director TestGroupReleasedByAnOutdatedEntryKeepsItsMembers
+mutant "outdated knowledge: a release needs no confirmation" internal/director/fence.go \
+  's/if gs\.confirmed \|\| /if true || gs.confirmed || /' ./internal/director TestGroupReleasedByAnOutdatedEntryKeepsItsMembers
+mutant "outdated knowledge: a late join is not waited for" internal/director/fence.go \
+  's/if now\.Before\(gs\.lateJoin\.until\)/if false \&\& now.Before(gs.lateJoin.until)/' ./internal/director TestHeadThatMayStillJoinKeepsItsMembers
+mutant "outdated knowledge: a report from before an order counts" internal/director/fence.go \
+  's/if r\.report\.AcceptedOrders < v\.confirmed/if false \&\& r.report.AcceptedOrders < v.confirmed/' ./internal/director TestReportFromBeforeAnOrderIsNotUsed
+mutant "outdated knowledge: a leave rests on an earlier report" internal/director/dissolve.go \
+  's/if !v\.countedAt\.After\(gs\.dissolvingSince\) \|\| !v\.countedAt\.After\(gs\.closeAcceptedAt\)/if false/' ./internal/director TestLeaveRestsOnANewReport
+mutant "outdated knowledge: a head with work is made to leave" internal/director/dissolve.go \
+  's/ \&\& \(headServes \|\| v\.working\)/ \&\& headServes/' ./internal/director TestReadyHeadWithWorkIsNotMadeToLeave
+mutant "outdated knowledge: a group that serves is given up" internal/director/dissolve.go \
+  's/if gs\.unopened \&\& serving/if false \&\& serving/' ./internal/director TestAbandonedGroupThatServesIsKept
+mutant "outdated knowledge: a member has left by its entry" internal/director/groups.go \
+  's/if s\.confirmsLeaving\(now, entry, name\)/if true/' ./internal/director TestOutdatedEntryOfAMemberEndsNoWork
+mutant "outdated knowledge: a brief silence is a loss" internal/director/groups.go \
+  's/if !s\.brieflySilent\(now, entry\)/if true/' ./internal/director TestBriefSilenceEndsNoWork
+mutant "outdated knowledge: a member that is ready elsewhere counts" internal/director/groups.go \
+  's/m\.Group != name \|\| m\.Generation != gs\.generation \|\| //' ./internal/director TestMemberThatIsReadyElsewhereOpensNoHead
+mutant "outdated knowledge: the head is not searched for" internal/director/headless.go \
+  's/ \&\& s\.searchHead\(now, name, gs\)/ \&\& false/' ./internal/director TestHeadWithAnOutdatedEntryKeepsItsMembers
+mutant "outdated knowledge: a shorter timeout counts at once" internal/director/closetime.go \
+  's/case timeout >= b\.longest:/case true:/' ./internal/director TestShorterTimeoutCutsNoEarlierRequest
+
 mutant "cut off: a sample that fails shows nothing" internal/reach/detector.go \
   's/d\.cutOff = timedOut == 0 \|\| /d.cutOff = false \&\& /' ./internal/reach TestFailingSampleMeansCutOff
 mutant "cut off: one upstream that responds ends the state" internal/reach/detector.go \
--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -51,7 +51,7 @@
 mutant "attempts" internal/gateway/attempt.go 's/case j\.mayHaveRun-j\.terminated >= j\.c\.Route\.Attempts \|\| j\.sends-j\.terminated >= j\.c\.Route\.Attempts\+extraRefusedSends \|\| j\.terminated > maxTerminations:/case false:/; s/if !j\.repeatUse\.Allowed/if false/'
 mutant "asked for" internal/gateway/handle.go 's/if ambiguous := checkFraming\(w, r\); failure == nil/if ambiguous := checkFraming(w, r); false/'
 mutant "no half-formed group" internal/director/groups.go 's/allReady = allReady && \(m\.State == fleet\.Ready \|\| m\.State == fleet\.Open\)//'
-mutant "one group at a time" internal/director/dissolve.go 's/gs\.dissolving, gs\.graceful, gs\.dissolvingSince = true, graceful, now/gs.dissolving, gs.graceful, gs.dissolvingSince, gs.released = true, graceful, now, true/'
+mutant "one group at a time" internal/director/dissolve.go 's/gs\.dissolving, gs\.graceful, gs\.dissolvingSince, gs\.unopened = true, graceful, now, false/gs.dissolving, gs.graceful, gs.dissolvingSince, gs.released, gs.confirmed = true, graceful, now, true, true/'
 mutant "leaving upstreams" internal/gateway/board.go 's/ \|\| vm\.Draining//'
 mutant "changes hold in time" internal/catalog/keeper.go 's/next\.version <= old\.version\)/next.version <= old.version+1)/'
 mutant "changes hold at nodes without the store" 'internal/feed/catchup.go internal/feed/catalog.go' 's/state\.GetPlatform\(\)\.GetVersion\(\) <= u\.cache\.Version\(\)/true/; s/errors\.Is\(err, platform\.ErrUnavailable\) \&\& ctx\.Err\(\) == nil/false/' '--nodes 6 --engines 12'
