--- a/scripts/soak-mutants.sh
+++ b/scripts/soak-mutants.sh
@@ -63,6 +63,7 @@
 mutant "answers by the deadline" internal/gateway/handle.go 's/context\.WithTimeout\(ctx, clock\.Until\(c\.Deadline\)\)/context.WithTimeout(ctx, clock.Until(c.Deadline)+20*time.Second)/'
 mutant "a stop cuts nothing" internal/gateway/server.go 's/s\.callers\.Drain\(limit, s\.config\.Linger\)/s.callers.Close()/'
 mutant "a stop cuts nothing" internal/daemon/daemon.go 's/if s == syscall\.SIGINT/if true/'
+mutant "nothing passed on is cut" internal/director/dissolve.go 's/\tlate := [^\n]*\n//; s/if serving && gs\.graceful && gs\.closeAccepted && !late \{/if false {/' "--planned --engines 12"
 mutant "a held-up node blames nobody" internal/gateway/heldup.go 's/if firstCheck \|\| elapsed <= maxCheckDelay/if firstCheck || elapsed >= 0/' "--planned --engines 12 --callers 40"
 mutant "crashing requests end" internal/gateway/suspects.go 's/case request\.Quarantined > 0:/case false:/; s/sent\.cancel\(errQuarantined\)/_ = sent/'
 mutant "crashing parts end" internal/gateway/suspects.go 's/case j\.c\.judgement\.Standing == quarantine\.Quarantined:/case false:/; s/sent\.cancel\(errQuarantined\)/_ = sent/'
