--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -73,6 +73,7 @@
 	{"platform.era", "gauge", "The era of the platform's store after its last restore from an older copy; absent before the first."},
 	{"platform.calls.VERB.KIND", "counter", "Calls to the platform's store: get, list, watch or write, and the kind of object."},
 	{"director.reports", "counter", "Reports requested from VMs."},
+	{"director.health_checks", "counter", "Health checks of VMs without an entry, to find out whether they leave."},
 	{"director.orders.ORDER", "counter", "Orders sent to VMs, by kind of order."},
 	{"director.packing.changes", "counter", "Changes of the packing of a fabric domain: groups dissolved for groups of another model."},
 	{"director.packing.dissolved", "counter", "Groups dissolved by changes of packings."},
