A brief silence of a VM without an entry takes no group apart either

What callers would see: the streams of a head cut at all nodes after a VM of its group was silent for 1.2 s, which is no disruption, if its entry had been removed, or if a late entry had released the group.

Cause: three ways still took two failed calls for a loss: a member that is not listed, a head that is not listed, and the head of a released group whose word is awaited.

Change: all three wait like the others (brieflySilent): a VM whose calls time out counts as lost after 1.5 s of it; one that refuses connections at once.

TestBriefSilenceOfAnUnlistedMemberEndsNoWork ('the work of vm-0-0 in gn1-1 was terminated by order 4'), TestBriefSilenceOfAnUnlistedHeadEndsNoWork ('a member has left gn1-1 while its head vm-0-0 had work for 5.8s more') and TestSilentHeadOfAReleasedGroupKeepsItsMembers ('vm-0-1 was taken from gn1-1, whose head vm-0-0 is open') failed each time without it and pass. TestOutdatedEntryOfAMemberAtASuccessorEndsNoWork guards confirmsLeaving, which the test named for that no longer reaches.

--- a/internal/director/fence.go
+++ b/internal/director/fence.go
@@ -119,7 +119,7 @@
 	v := s.vm(gs.head)
 	switch {
 	case v.failures >= maxFailures:
-		return true
+		return !s.brieflySilent(now, gs.headVM)
 	case v.acceptedKnown && !v.countedAt.Before(gs.releasedAt):
 		if v.counted.Group == name && v.counted.State != fleet.Broken {
 			s.d.parts.Log.Emit(event.ReleaseRevoked).Str("group", name).Str("head", gs.head).Stringer("state", v.counted.State).Send()
--- a/internal/director/groups.go
+++ b/internal/director/groups.go
@@ -334,9 +334,12 @@
 // confirmInterval, and counts as a member until calls to it fail.
 func (s *state) confirmsMembership(now time.Time, member *fleet.VM, name string) bool {
 	v := s.vm(member.ID)
-	if s.membership(member).Group != name || v.failures >= maxFailures {
+	if s.membership(member).Group != name {
 		return false
 	}
+	if v.failures >= maxFailures {
+		return s.brieflySilent(now, member)
+	}
 	if !v.reportRequestedAt.After(v.entrySeenAt) || now.Sub(v.reportRequestedAt) > confirmInterval {
 		s.queryMember(now, member)
 	}
--- a/internal/director/headless.go
+++ b/internal/director/headless.go
@@ -33,7 +33,9 @@
 		s.startDissolving(now, name, gs, "head is no longer listed", true)
 	}
 	if s.vm(gs.head).failures >= maxFailures {
-		s.removeMember(now, name, gs)
+		if !s.brieflySilent(now, gs.headVM) {
+			s.removeMember(now, name, gs)
+		}
 		return
 	}
 	if !gs.headRespondedAt.After(gs.headMissingSince) {
