A failed call of long ago shortens no silence

What callers would see: all streams of a head cut at all nodes after a member was silent for 0.3 s, if an order to that member, some time before, had got no response.

Cause: failed calls in a row are counted until one succeeds. Where none follows, one failure stays for good; at the next silence the first call that times out counts as the second in a row, and the time of the silence is that of the old failure, so that the VM is not 'briefly silent'.

Evidence: found by the review with the model check. The test TestOldUnansweredOrderShortensNoSilence failed each time ('rank 1: the work of vm-0-0 in gn1-1 was terminated by order 4') and passes.

--- a/internal/director/answers.go
+++ b/internal/director/answers.go
@@ -59,6 +59,10 @@
 // recordFailure counts a failed call. After maxFailures in a row the VM counts as lost for
 // lostDuration; when another VM answered under its address, it does at once.
 func (s *state) recordFailure(now time.Time, vm *fleet.VM, v *vmState, err error) {
+	if now.Sub(v.failedAt) > failureMemory {
+		v.failures, v.silentSince = 0, time.Time{}
+	}
+	v.failedAt = now
 	v.recordSilence(now, err)
 	v.failures++
 	v.notBefore = now.Add(orderRetryDelay)
@@ -77,7 +81,7 @@
 	switch timedOut := errors.As(err, &failure) && failure.Timeout(); {
 	case !timedOut:
 		v.silentSince = time.Time{}
-	case v.failures == 0:
+	case v.failures == 0 || v.silentSince.IsZero():
 		v.silentSince = now
 	}
 }
--- a/internal/director/brief_silence_test.go
+++ b/internal/director/brief_silence_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/marbleroad/marbleroad/internal/engine"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 )
 
@@ -115,3 +116,40 @@
 	}
 	w.check(t)
 }
+
+// TestOldUnansweredOrderShortensNoSilence: a join of long ago had got no response. At the next brief silence of its VM the calls that
+// timed out counted as a loss at once, and the head's streams were cut.
+func TestOldUnansweredOrderShortensNoSilence(t *testing.T) {
+	for rank := range 2 {
+		w := newWorld(t, 2, 8)
+		for _, e := range w.vms {
+			e.Staged = []string{"big", "small"}
+		}
+		w.chooseOutcome = func(e *engineVM, o engine.GroupOrder) orderOutcome {
+			if o.Operation == engine.Join && e.ID == o.Members[rank] {
+				return executedUnanswered
+			}
+			return executed
+		}
+		n := w.addNode(t, "n1")
+		n.traffic = true
+		w.run(20*time.Second, func() bool { return false })
+		head := w.openHeads()[0]
+		group := head.Group
+		head.busyUntil = w.now.Add(workDuration)
+		for _, e := range w.vms {
+			if e.Group == group && e.Rank == rank {
+				e.unresponsive = true
+				n.s.handleSuspicion(w.now, suspected{group: group, generation: head.Generation})
+				w.run(300*time.Millisecond, func() bool { return false })
+				e.unresponsive = false
+				break
+			}
+		}
+		w.run(2*workDuration, func() bool { return false })
+		for _, interrupted := range w.interruptedWork {
+			t.Errorf("rank %d: %s", rank, interrupted)
+		}
+		w.check(t)
+	}
+}
--- a/internal/director/model_test.go
+++ b/internal/director/model_test.go
@@ -56,7 +56,7 @@
 func (w *world) disturb(t *rapid.T) {
 	n := w.nodes[rapid.IntRange(0, 1).Draw(t, "node")]
 	e := w.vms[vmID(rapid.IntRange(0, 1).Draw(t, "fabric"), rapid.IntRange(0, 7).Draw(t, "vm"))]
-	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
 	case 0:
 		n.toggleFreeze(t)
 	case 1:
@@ -70,6 +70,11 @@
 		e.delayEntry(w.now, t)
 	case 4:
 		e.Draining = true
+	case 5:
+		e.silentUntil = w.now.Add(time.Duration(rapid.IntRange(1, 12).Draw(t, "silence")) * 100 * time.Millisecond)
+		if e.Group != "" {
+			n.s.handleSuspicion(w.now, suspected{group: e.Group, generation: e.Generation})
+		}
 	}
 }
 
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -80,6 +80,8 @@
 	orderRetryDelay = 300 * time.Millisecond
 	// stagingRetryDelay is how long a host that refused a copy gets no further order to stage.
 	stagingRetryDelay = 4 * time.Second
+	// failureMemory is how long a failed call counts together with the next one. It is longer than a lost VM is left alone.
+	failureMemory = 2 * lostDuration
 	// maxBriefSilence is how long calls to a VM of a serving group must have timed out before the group is dissolved for it. A VM
 	// may be silent for a second or so and go on.
 	maxBriefSilence = 1500 * time.Millisecond
@@ -135,7 +137,9 @@
 	callPending bool
 	// notBefore is the earliest time of the next order.
 	notBefore time.Time
+	// failures counts the failed calls in a row, of which the last one failed at failedAt.
 	failures  int
+	failedAt  time.Time
 	lostUntil time.Time
 	// silentSince is when the first of these calls timed out; zero if one of them failed otherwise.
 	silentSince time.Time
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -70,6 +70,8 @@
 	dead      bool
 	// partitioned VMs have no entry but keep running; unresponsive ones do not respond to directors.
 	partitioned bool
+	// silentUntil is the end of a brief silence, in which calls to the VM time out.
+	silentUntil time.Time
 	// leaving VMs respond to health checks that they are unhealthy.
 	leaving bool
 	// renewedAt is when the VM last renewed its entry.
@@ -300,7 +302,7 @@
 	switch {
 	case e == nil || e.dead || n.cutOff:
 		return engine.ErrNoResponse
-	case e.unresponsive:
+	case e.unresponsive || n.w.now.Before(e.silentUntil):
 		return errors.Mark(context.DeadlineExceeded, engine.ErrNoResponse)
 	}
 	return nil
