Soak: departures without a notice among planned work; the last run decides who broke off; guards of goroutines

Both are stricter now. The goroutines of health checks and of the survey of versions log a panic before it ends the process.

--- a/internal/director/departures.go
+++ b/internal/director/departures.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 )
 
@@ -46,6 +47,7 @@
 	requestedAt := clock.Now()
 	d.running.Add(1)
 	go func() {
+		defer crash.Guard()
 		defer d.running.Done()
 		ctx, cancel := context.WithTimeout(d.ctx, reportTimeout)
 		defer cancel()
--- a/internal/feed/proof.go
+++ b/internal/feed/proof.go
@@ -8,6 +8,7 @@
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/platform"
 	"github.com/marbleroad/marbleroad/internal/transport"
@@ -95,6 +96,7 @@
 		return
 	}
 	go func() {
+		defer crash.Guard()
 		defer close(s.done)
 		s.found = c.askVersions(ctx)
 	}()
--- a/internal/feed/survey.go
+++ b/internal/feed/survey.go
@@ -10,6 +10,7 @@
 
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/cluster"
+	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/event"
 )
 
@@ -133,7 +134,10 @@
 	start := clock.Now()
 	for elapsed := time.Duration(0); ctx.Err() == nil && !s.done(elapsed); elapsed = clock.Since(start) {
 		for node, ok := s.next(elapsed); ok; node, ok = s.next(elapsed) {
-			go func() { responses <- c.versionAt(ctx, node) }()
+			go func() {
+				defer crash.Guard()
+				responses <- c.versionAt(ctx, node)
+			}()
 		}
 		if got, ok := receive(ctx, responses, s.pause(elapsed)); ok {
 			s.record(got.version, got.err != nil)
--- a/test/soak/interruptions.go
+++ b/test/soak/interruptions.go
@@ -99,20 +99,19 @@
 	return out
 }
 
-// brokeOff reports whether an upstream broke off one of the request's runs: a VM of its group ended before the run did,
-// and before any order ended the run. The head of a group that misses a member serves on for stallBound.
+// brokeOff reports whether an upstream broke off the last of the request's runs: a VM of its group ended before the run
+// did, and before any order ended the run. The head of a group that misses a member serves on for stallBound.
 func (ck *checker) brokeOff(c call, runs []groupengine.Observation) bool {
-	return slices.ContainsFunc(runs, func(run groupengine.Observation) bool {
-		end := c.finished
-		for _, o := range ck.ordersAt(run, c) {
-			if o.At.Before(end) {
-				end = o.At
-			}
+	last := runs[len(runs)-1]
+	end := c.finished
+	for _, o := range ck.ordersAt(last, c) {
+		if o.At.Before(end) {
+			end = o.At
 		}
-		return slices.ContainsFunc(ck.history.terminations, func(t vmEvent) bool {
-			inGroup := t.vm == run.VM || slices.Contains(run.Members, t.vm)
-			return inGroup && t.at.After(run.At.Add(-stallBound-ck.slack)) && t.at.Before(end)
-		})
+	}
+	return slices.ContainsFunc(ck.history.terminations, func(t vmEvent) bool {
+		inGroup := t.vm == last.VM || slices.Contains(last.Members, t.vm)
+		return inGroup && t.at.After(last.At.Add(-stallBound-ck.slack)) && t.at.Before(end)
 	})
 }
 
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -184,13 +184,14 @@
 	return out
 }
 
-// plannedFaultSpecs are stops, reloads, drains of upstreams, configuration changes and what disturbs nobody: silences of
+// plannedFaultSpecs are stops, reloads, upstreams that drain or leave without a notice, configuration changes and what disturbs nobody: silences of
 // sound heads, and pauses that are too short for the other nodes to consider the node lost.
 var plannedFaultSpecs = []faultSpec{
 	{NodeStop, 6, 300 * time.Millisecond, time.Second},
 	{NodeReload, 3, 0, 0},
 	{UpstreamDrains, 3, 3 * time.Second, 5 * time.Second},
 	{PlainUpstreamDrains, 1, 3 * time.Second, 5 * time.Second},
+	{UpstreamLeaves, 2, 4 * time.Second, 6 * time.Second},
 	{UpstreamSilent, 3, time.Second, 1500 * time.Millisecond},
 	{NodePause, 3, 150 * time.Millisecond, 700 * time.Millisecond},
 	{RouteAdded, 5, 0, 0},
