The order of entries is called entry version

Word said little to a reader of other systems; the type, its table, their files, tests and mutants follow. Nothing on the wire, in settings or stored data changes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -74,9 +74,9 @@
 	// outdated holds the entries that a restored store lists in an older version than the one known here. The known
 	// version, or removal, stays in force until the entry is written again or the time to retain missing ones is over.
 	outdated map[string]*VM
-	// words holds the newest word of each VM, and late the entries that are older than that.
-	words *words
-	late  map[string]lateEntry
+	// versions holds the newest version of each VM, and late the entries that are older than that.
+	versions *entryVersions
+	late     map[string]lateEntry
 	// lastSeen is when each VM last renewed or changed its entry.
 	lastSeen map[string]time.Time
 	// invalid maps the IDs of invalid entries to the reasons.
@@ -106,7 +106,7 @@
 		invalid: make(map[string]string),
 
 		outdated: make(map[string]*VM),
-		words:    newWords(),
+		versions: newEntryVersions(),
 		late:     make(map[string]lateEntry),
 
 		recent:  newRecentChanges(),
@@ -316,7 +316,7 @@
 	delete(d.vms, id)
 	delete(d.missing, id)
 	delete(d.lastSeen, id)
-	d.words.remove(clock.Now(), id, d.revision)
+	d.versions.remove(clock.Now(), id, d.revision)
 	d.log.Emit(event.UpstreamRemoved).Str("vm", id).Str("group", vm.Group).EmbedObject(platform.LogRevision(d.revision)).Send()
 	return true
 }
--- a/internal/fleet/words.go
+++ b/internal/fleet/entryversions.go
@@ -9,17 +9,17 @@
 // maxRemovals bounds the number of VMs that are remembered after they left.
 const maxRemovals = 4096
 
-// words holds the newest word of each VM that is listed or left recently, by ID. It decides which entries are
+// entryVersions holds the newest version of each VM that is listed or left recently, by ID. It decides which entries are
 // older than what is known. Times are passed as arguments.
-type words struct {
-	known map[string]*knownWord
+type entryVersions struct {
+	known map[string]*knownVersion
 	// removed is the number of VMs in known that left.
 	removed int
 }
 
-// knownWord is the newest word of one VM.
-type knownWord struct {
-	Word
+// knownVersion is the newest version of one VM.
+type knownVersion struct {
+	EntryVersion
 	writer writer
 	// removedAt is when the VM left, removedRevision the revision of that; both are zero while it is listed.
 	removedAt       time.Time
@@ -32,72 +32,72 @@
 
 func (v *VM) writer() writer { return writer{v.Address, v.Service, v.FailureDomain} }
 
-func newWords() *words { return &words{known: make(map[string]*knownWord)} }
+func newEntryVersions() *entryVersions { return &entryVersions{known: make(map[string]*knownVersion)} }
 
-// isOlder reports whether an entry is older than what is known of its VM. Of a VM that left, the newest word
-// is no longer in force: the same word again is the entry of before, which was written late.
-func (w *words) isOlder(vm *VM) bool {
+// isOlder reports whether an entry is older than what is known of its VM. Of a VM that left, the newest version
+// is no longer in force: the same version again is the entry of before, which was written late.
+func (w *entryVersions) isOlder(vm *VM) bool {
 	k := w.known[vm.ID]
 	switch {
 	case k == nil:
 		return false
 	case !k.orders(vm):
-		return vm.Word().hasOlderRevision(k.Word)
-	case k.left() && vm.Word().sameIncarnation(k.Word) && vm.Count == k.Count:
+		return vm.EntryVersion().hasOlderRevision(k.EntryVersion)
+	case k.left() && vm.EntryVersion().sameIncarnation(k.EntryVersion) && vm.Count == k.Count:
 		return true
 	}
-	return vm.Word().OlderThan(k.Word)
+	return vm.EntryVersion().OlderThan(k.EntryVersion)
 }
 
 // comparesCount reports whether the counts of an entry and of what is known of its VM order the two.
-func (w *words) comparesCount(vm *VM) bool {
+func (w *entryVersions) comparesCount(vm *VM) bool {
 	k := w.known[vm.ID]
 	return k != nil && k.orders(vm)
 }
 
-// orders reports whether the counts of an entry and of the newest word can be compared.
-func (k *knownWord) orders(vm *VM) bool {
-	if !vm.Word().comparable(k.Word) {
+// orders reports whether the counts of an entry and of the newest version can be compared.
+func (k *knownVersion) orders(vm *VM) bool {
+	if !vm.EntryVersion().comparable(k.EntryVersion) {
 		return false
 	}
-	return vm.writer() == k.writer || k.writer == writer{} || !vm.Word().sameIncarnation(k.Word)
+	return vm.writer() == k.writer || k.writer == writer{} || !vm.EntryVersion().sameIncarnation(k.EntryVersion)
 }
 
-func (k *knownWord) left() bool { return !k.removedAt.IsZero() }
+func (k *knownVersion) left() bool { return !k.removedAt.IsZero() }
 
 // record records the entry that is in force.
-func (w *words) record(vm *VM) {
+func (w *entryVersions) record(vm *VM) {
 	k := w.known[vm.ID]
 	if k == nil {
-		k = &knownWord{}
+		k = &knownVersion{}
 		w.known[vm.ID] = k
 	}
 	if k.left() {
 		w.removed--
 	}
-	word := vm.Word()
+	version := vm.EntryVersion()
 	if vm.writer() == k.writer {
-		word = word.after(k.Word)
+		version = version.after(k.EntryVersion)
 	}
-	*k = knownWord{Word: word, writer: vm.writer()}
+	*k = knownVersion{EntryVersion: version, writer: vm.writer()}
 }
 
-// raise records a word that another node knows of a VM as its newest one. It is not in force: the entry of the VM
+// raise records a version that another node knows of a VM as its newest one. It is not in force: the entry of the VM
 // that left does not come with it.
-func (w *words) raise(now time.Time, id string, word Word, revision uint64) {
+func (w *entryVersions) raise(now time.Time, id string, version EntryVersion, revision uint64) {
 	k := w.known[id]
 	switch {
-	case word.Count == 0:
+	case version.Count == 0:
 	case k == nil:
-		w.known[id] = &knownWord{Word: word}
+		w.known[id] = &knownVersion{EntryVersion: version}
 		w.remove(now, id, revision)
-	case word.comparable(k.Word) && k.OlderThan(word):
-		k.Born, k.Count = word.Born, word.Count
+	case version.comparable(k.EntryVersion) && k.OlderThan(version):
+		k.Born, k.Count = version.Born, version.Count
 	}
 }
 
 // remove records that a VM left at a revision.
-func (w *words) remove(now time.Time, id string, revision uint64) {
+func (w *entryVersions) remove(now time.Time, id string, revision uint64) {
 	k := w.known[id]
 	if k == nil {
 		return
@@ -116,7 +116,7 @@
 }
 
 // forget forgets the VMs that left so long ago that no write of theirs is outstanding and no copy lists them.
-func (w *words) forget(now time.Time) {
+func (w *entryVersions) forget(now time.Time) {
 	for id, k := range w.known {
 		if k.left() && now.Sub(k.removedAt) > platform.MaxCopyAge {
 			delete(w.known, id)
@@ -126,7 +126,7 @@
 }
 
 // revision returns the revision of the newest entry of a VM, or of its removal; 0 if the VM is not known.
-func (w *words) revision(id string) uint64 {
+func (w *entryVersions) revision(id string) uint64 {
 	k := w.known[id]
 	switch {
 	case k == nil:
@@ -137,10 +137,10 @@
 	return k.Revision
 }
 
-// newest returns the newest word of a VM; the zero word if the VM is not known.
-func (w *words) newest(id string) Word {
+// newest returns the newest version of a VM; the zero version if the VM is not known.
+func (w *entryVersions) newest(id string) EntryVersion {
 	if k := w.known[id]; k != nil {
-		return k.Word
+		return k.EntryVersion
 	}
-	return Word{}
+	return EntryVersion{}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,7 +61,7 @@
 	// Born is the start time of the incarnation in Unix milliseconds by the VM's clock;
 	// 0 if it is not reported.
 	Born int64
-	// Count is how many entries the incarnation had written with this one; 0 if that is not known. Word says how
+	// Count is how many entries the incarnation had written with this one; 0 if that is not known. EntryVersion says how
 	// Born and Count order entries.
 	Count uint64
 	// Revision is the store's revision of the entry.
--- a/internal/fleet/invalid.go
+++ b/internal/fleet/invalid.go
@@ -13,7 +13,7 @@
 // was dropped.
 func (d *Directory) reject(c *Change) bool {
 	id, reason := c.VM.ID, c.Err.Error()
-	if c.VM.Word().hasOlderRevision(d.words.newest(id)) {
+	if c.VM.EntryVersion().hasOlderRevision(d.versions.newest(id)) {
 		return false
 	}
 	d.rejected.Add(1)
--- a/internal/fleet/late.go
+++ b/internal/fleet/late.go
@@ -18,22 +18,22 @@
 	since time.Time
 }
 
-// accepts reports whether an entry is put in force, and records its word. An older one is withheld: it may have been
+// accepts reports whether an entry is put in force, and records its version. An older one is withheld: it may have been
 // written late, or by a writer that counts anew.
 func (d *Directory) accepts(now time.Time, vm *VM) bool {
-	if !d.words.isOlder(vm) {
+	if !d.versions.isOlder(vm) {
 		delete(d.late, vm.ID)
-		d.words.record(vm)
+		d.versions.record(vm)
 		return true
 	}
-	if known := d.words.newest(vm.ID); vm.Revision == 0 || vm.Revision > known.Revision {
+	if known := d.versions.newest(vm.ID); vm.Revision == 0 || vm.Revision > known.Revision {
 		d.withhold(now, vm, known)
 	}
 	return false
 }
 
 // withhold keeps an older entry aside. It logs the first one since the last newer entry.
-func (d *Directory) withhold(now time.Time, vm *VM, known Word) {
+func (d *Directory) withhold(now time.Time, vm *VM, known EntryVersion) {
 	late, withheld := d.late[vm.ID]
 	if !withheld {
 		late.since = now
@@ -53,7 +53,7 @@
 			continue
 		}
 		delete(d.late, id)
-		d.words.record(late.vm)
+		d.versions.record(late.vm)
 		if d.put(late.vm) {
 			d.recent.add(Change{VM: *late.vm})
 			changed = true
@@ -70,16 +70,16 @@
 	}
 }
 
-// removal returns the change with which other nodes learn that a VM's entry was removed, and what its newest word was.
+// removal returns the change with which other nodes learn that a VM's entry was removed, and what its newest version was.
 func (d *Directory) removal(id string) Change {
-	word := d.words.newest(id)
-	return Change{VM: VM{ID: id, Born: word.Born, Count: word.Count}, Removed: true}
+	version := d.versions.newest(id)
+	return Change{VM: VM{ID: id, Born: version.Born, Count: version.Count}, Removed: true}
 }
 
 // Merge returns a list with later changes applied, which are in the order of the store's revisions.
 func Merge(list, later []Change) []Change {
 	now := clock.Now()
-	known := newWords()
+	known := newEntryVersions()
 	current := make(map[string]Change, len(list))
 	for _, c := range list {
 		current[c.VM.ID] = c
--- a/internal/fleet/late_test.go
+++ b/internal/fleet/late_test.go
@@ -225,9 +225,9 @@
 	}
 }
 
-// TestRemovalCarriesTheNewestWord guards against a follower that knows only the last change of a VM: an entry of between
+// TestRemovalCarriesTheNewestVersion guards against a follower that knows only the last change of a VM: an entry of between
 // that and the removal would list the VM again once the follower reads the store itself.
-func TestRemovalCarriesTheNewestWord(t *testing.T) {
+func TestRemovalCarriesTheNewestVersion(t *testing.T) {
 	leader, follower := newTestDirectory(t), newTestDirectory(t)
 	leader.write(VM{ID: "a", Born: 100, Count: 3})
 	follower.apply(Change{VM: VM{ID: "a", Born: 100, Count: 3, Revision: 1}}, true)
@@ -262,9 +262,9 @@
 	}
 }
 
-// TestNewestWordStays checks that whatever order the entries of one writer arrive in, over restarts and with copies, the
+// TestNewestVersionStays checks that whatever order the entries of one writer arrive in, over restarts and with copies, the
 // newest one ends in the list, in one that follows it, and in a merged list.
-func TestNewestWordStays(t *testing.T) {
+func TestNewestVersionStays(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		withBorn := rapid.Bool().Draw(rt, "reports when it started")
 		var written []VM
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -17,7 +17,7 @@
 }
 
 // MarkLeaving records that an incarnation of a VM has announced that it leaves. The VM is marked as draining from
-// the next snapshot on, which is published after at most the wait of a watch. The word of a former incarnation
+// the next snapshot on, which is published after at most the wait of a watch. The version of a former incarnation
 // replaces none of a later one. MarkLeaving may be called from any goroutine.
 func (d *Directory) MarkLeaving(id string, born int64) {
 	l := &d.leaving
--- a/internal/fleet/missing.go
+++ b/internal/fleet/missing.go
@@ -14,7 +14,7 @@
 func (d *Directory) remove(removed *VM) bool {
 	id, now := removed.ID, clock.Now()
 	vm := d.vms[id]
-	d.words.raise(now, id, removed.Word(), d.revision)
+	d.versions.raise(now, id, removed.EntryVersion(), d.revision)
 	outdated := d.outdated[id]
 	delete(d.outdated, id)
 	delete(d.late, id)
--- a/internal/fleet/restored.go
+++ b/internal/fleet/restored.go
@@ -25,7 +25,7 @@
 	if list.RetainUntil.IsZero() {
 		d.outage.restored(now)
 	}
-	d.words.forget(now)
+	d.versions.forget(now)
 	for id, vm := range d.vms {
 		if vm.Draining {
 			d.MarkLeaving(id, vm.Born)
@@ -45,7 +45,7 @@
 // defersEntry reports whether an entry of a list is left aside as outdated. An entry that is draining never is, nor one
 // whose count tells whether it is older.
 func (d *Directory) defersEntry(now time.Time, vm *VM) bool {
-	if vm.Draining || !d.outage.retains(now) || d.words.comparesCount(vm) || !rewinds(vm, d.words.revision(vm.ID)) {
+	if vm.Draining || !d.outage.retains(now) || d.versions.comparesCount(vm) || !rewinds(vm, d.versions.revision(vm.ID)) {
 		return false
 	}
 	previous := d.outdated[vm.ID]
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -97,19 +97,19 @@
   's/case v\.born != 0 && v\.entry != nil.*\n\t\treturn false\n//' ./internal/director TestNewIncarnationIsReportedByVM
 mutant "requests at a previous incarnation are not canceled" internal/gateway/board.go \
   's/s\.cancel\(errRestarted\)/_ = s/' ./internal/gateway TestRequestsAtRestartedVMAreCanceled
-mutant "an older entry counts" internal/fleet/word.go \
+mutant "an older entry counts" internal/fleet/entryversion.go \
   's/return w\.Revision != 0 \&\& w\.Revision < known\.Revision/return false/' ./internal/fleet TestOlderEntryChangesNothing
-mutant "entries are ordered by the store's revision alone" internal/fleet/word.go \
-  's/return w\.Count != 0 \&\& other\.Count != 0/return false/' ./internal/fleet 'TestLateEntryReplacesNoNewerOne|TestNewestWordStays'
-mutant "nodes take entries by the store's revision alone" internal/fleet/word.go \
+mutant "entries are ordered by the store's revision alone" internal/fleet/entryversion.go \
+  's/return w\.Count != 0 \&\& other\.Count != 0/return false/' ./internal/fleet 'TestLateEntryReplacesNoNewerOne|TestNewestVersionStays'
+mutant "nodes take entries by the store's revision alone" internal/fleet/entryversion.go \
   's/return w\.Count != 0 \&\& other\.Count != 0/return false/' ./internal/feed 'TestLateEntryReachesNoFollower|TestLateEntryIsUsedAtNoNode'
-mutant "a late entry of a former incarnation counts" internal/fleet/word.go \
+mutant "a late entry of a former incarnation counts" internal/fleet/entryversion.go \
   's/return w\.Born < known\.Born/return false/' ./internal/fleet TestLateEntryOfAFormerIncarnation
-mutant "the last entry undoes a removal when it is written late" internal/fleet/words.go \
+mutant "the last entry undoes a removal when it is written late" internal/fleet/entryversions.go \
   's/case k\.left\(\) .*?\n\t\treturn true\n//' ./internal/fleet TestLateEntryUndoesNoRemoval
-mutant "a removal does not carry the newest word" internal/fleet/late.go \
-  's/Count: word\.Count\}, Removed/Count: 0*word.Count}, Removed/' ./internal/fleet TestRemovalCarriesTheNewestWord
-mutant "another writer's count blocks a VM" internal/fleet/words.go \
+mutant "a removal does not carry the newest version" internal/fleet/late.go \
+  's/Count: version\.Count\}, Removed/Count: 0*version.Count}, Removed/' ./internal/fleet TestRemovalCarriesTheNewestVersion
+mutant "another writer's count blocks a VM" internal/fleet/entryversions.go \
   's/return vm\.writer\(\) == k\.writer \|\| .*?\n/return true\n/' ./internal/fleet TestEntryOfAnotherWriterBlocksNoVM
 mutant "a writer that counts anew is never used" internal/fleet/late.go \
   's/if now\.Sub\(late\.since\) < maxWriteDelay/if true/' ./internal/fleet TestWriterThatCountsAnew
