--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -54,16 +54,7 @@
 			Fault{at + 600*time.Millisecond, NodeReload, i, 0}, Fault{at + time.Second, NodeStop, i + 1, 300 * time.Millisecond})
 	}
 	c := config{binary: buildNode(t), seed: 1, nodes: 3, engines: 12, plain: 3, callers: 20, slack: ciSlack}
-	r, err := runOnce(c, faults, t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	if r.judged == 0 {
-		t.Error("no request was judged beside planned work")
-	}
-	for _, v := range r.violations {
-		t.Error(v)
-	}
+	runPlanned(t, c, faults)
 }
 
 // TestUnannouncedDeparturesEndNoWork guards against heads that are ordered to end their streams because their entry, or
@@ -75,16 +66,7 @@
 		faults = append(faults, Fault{1200*time.Millisecond + time.Duration(i)*750*time.Millisecond, UpstreamLeaves, target, servesOn})
 	}
 	c := config{binary: buildNode(t), seed: 7, nodes: 4, engines: 24, plain: 3, callers: 40, slack: ciSlack}
-	r, err := runOnce(c, faults, t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	if r.judged == 0 {
-		t.Error("no request was judged beside planned work")
-	}
-	for _, v := range r.violations {
-		t.Error(v)
-	}
+	runPlanned(t, c, faults)
 }
 
 // TestUnlistedHeadKeepsItsStreams guards against streams of a sound head that end at all nodes at once when its entry is
@@ -96,10 +78,19 @@
 	}
 	// The groups are full, so that few streams can go on at another one.
 	c := config{binary: buildNode(t), seed: 33, nodes: 3, engines: 12, plain: 3, callers: 90, slack: ciSlack}
+	runPlanned(t, c, faults)
+}
+
+// runPlanned plays planned work and reports the violations. Some requests must have been judged beside it.
+func runPlanned(t *testing.T, c config, faults []Fault) {
+	t.Helper()
 	r, err := runOnce(c, faults, t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
+	if r.judged == 0 {
+		t.Error("no request was judged beside planned work")
+	}
 	for _, v := range r.violations {
 		t.Error(v)
 	}
