--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -73,7 +73,7 @@
   's/maxResumes = 3/maxResumes = 0/' ./test/integration TestBrokenStreamIsResumed
 mutant "a broken stream ends without an error event" internal/entry/forward.go \
   's/_, _ = w\.Write\(errorEvent\(c\.id, failure\)\)\n\t_ = controller\.Flush\(\)\n\ts\.recordFailure\(c, failure\)\n\treturn nil/s.recordFailure(c, failure)\n\treturn nil/' ./test/integration TestUpstreamDiesInTheMiddle
-mutant "a conflicting ledger write counts as stored" internal/ledger/ledger.go \
+mutant "a conflicting ledger write counts as stored" internal/ledger/committer.go \
   's/case err == nil:\n\t\tc\.bucket = next/case err == nil, errors.Is(err, platform.ErrConflict):\n\t\tc.bucket = next/' ./internal/ledger TestAtMostOnce
 mutant "a request is sent although its key was not stored" internal/entry/dispatch.go \
   's/if err != nil \{\n\t\tc\.decisions\.add\("ledger: %v", err\)/if false {\n\t\tc.decisions.add("ledger: %v", err)/' ./test/integration TestPlatformDownRefusesKeyedRequestsAsNotRun
@@ -265,7 +265,7 @@
   's/if c\.recordsAt\.Load\(\) == nil \{\n\t\treturn 0/if false {\n\t\treturn 0/' ./internal/cluster TestNodesAreNotCountedBeforeTheyAreKnown
 mutant "net/http replays requests" internal/relay/sender.go \
   's/\tpreventReplay\(req\)\n/\tif o.AtMostOnce {\n\t\treq.GetBody = nil\n\t}\n/' ./internal/relay TestEachSendArrivesAtMostOnce
-mutant "a stale connection is a failure" internal/relay/sender.go \
+mutant "a stale connection is a failure" internal/relay/writetracker.go \
   's/return w\.reused \&\& /return false \&\& /' ./internal/relay TestStaleConnectionIsReplaced
 mutant "missing entries are retained from the first response on" internal/fleet/outage.go \
   's/o\.retainUntil = o\.failedAt\.Add/o.retainUntil = time.Now().Add/; s/recoveryTime \+ probeInterval/2500 * time.Millisecond/' ./internal/fleet 'TestVMThatLeavesAfterAnOutage|TestExpiredEntryThatStaysMissing'
@@ -352,7 +352,7 @@
   's/return m\.typical - timeout/return 0/' ./internal/gateway TestRetriesAreRecognizedByTimeout
 mutant "a request of a disconnected caller is sent" internal/gateway/attempt.go \
   's/if callers\.ClosedByCaller\(j\.r\)/if false \&\& callers.ClosedByCaller(j.r)/' ./internal/gateway TestCallersThatLeftWhileNodeWasStalled
-mutant "an abandoned request is delivered later" internal/relay/sender.go \
+mutant "an abandoned request is delivered later" internal/relay/writetracker.go \
   's/c\.unanswered\.Store\(true\)//' ./internal/relay TestAbandonedRequestResetsConnection
 mutant "overload is reported as a missing upstream" internal/gateway/choose.go \
   's/case sel\.full:/case false:/' ./internal/gateway TestFullHeadsBesideASuspectedOneAreOverload
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -375,36 +375,3 @@
 		}
 	}
 }
-
-// checkStalledNodes checks that a node that was paused does not repeat requests while the upstreams
-// are healthy, which it would do if it took its own pause for stalls of theirs.
-func (ck *checker) checkStalledNodes() {
-	plannedOrPaused := func(d disturbance) bool {
-		return d.kind == NodeStop || d.node == callersOnly || d.kind == NodePause
-	}
-	for id, at := range ck.runTimes() {
-		c, known := ck.calls[id]
-		if !known || len(at) < 2 || c.crashesUpstreams || ck.crashedDuring(c) || ck.silentDuring(c) || !ck.allUndisturbed(c.sent, c.finished, plannedOrPaused) {
-			continue
-		}
-		ck.report("a held-up node blames nobody", id, "node %d caused it to run %d times", c.node, len(at))
-	}
-}
-
-// runTimes returns the times at which each request started to run, by request ID.
-func (ck *checker) runTimes() map[string][]time.Time {
-	out := make(map[string][]time.Time)
-	for _, o := range ck.history.observations {
-		if o.Kind == groupengine.RequestExecuted {
-			out[o.Request] = append(out[o.Request], o.At)
-		}
-	}
-	return out
-}
-
-// crashedDuring reports whether a request crashed a VM during the call or shortly before it.
-func (ck *checker) crashedDuring(c call) bool {
-	return slices.ContainsFunc(ck.history.crashes, func(crash vmEvent) bool {
-		return crash.at.Before(c.finished) && crash.at.Add(reconnectTime).After(c.sent)
-	})
-}
