Test of a port that closes late: its moment is a condition, not a time

What was seen: TestRetryWaitsForTheEndOfItsUpstream failed in 1 of 350 and 4 of 350 runs beside other tests, '4 heads terminated, at most 3 expected'.

Cause: the test's. It closed the port of the VM that ended by a timer of 5 ms, and the gateway looks again after 15 ms.

Change: the port closes when the gateway looks at it for the second time, before it connects, whenever that is.

--- a/internal/gateway/crashpart_test.go
+++ b/internal/gateway/crashpart_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/marbleroad/marbleroad/internal/gateway"
 	"github.com/marbleroad/marbleroad/test/standin/groupengine"
 )
 
@@ -138,6 +140,7 @@
 	c := &partCrasher{parts: []string{"bad0"}}
 	s := newTestSite(t, options{heads: 12, prefill: 10 * time.Millisecond, observe: c.observe})
 	c.site, c.crash = s, s.crashConnectionsFirst
+	gateway.CheckPortsWith(s.server, &net.Dialer{Timeout: waitLimit, Control: s.checkPort})
 	for i := range 4 {
 		if status, body := s.fetchWithParts(fmt.Sprintf("c%d", i), "bad0"); status == http.StatusOK {
 			t.Errorf("a request with the part was served: %s", body)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/marbleroad/marbleroad/internal/callers"
 	"github.com/marbleroad/marbleroad/internal/catalog"
+	"github.com/marbleroad/marbleroad/internal/portcheck"
 )
 
 // ServeCallers serves callers on the given listener until it is closed.
@@ -33,5 +34,8 @@
 // InFlight returns the number of requests that were read and are not finished.
 func InFlight(s *Server) int { return len(s.inFlight.all()) }
 
+// CheckPortsWith makes the server check the ports of upstreams with the dialer. It must be called before the first request.
+func CheckPortsWith(s *Server, d *net.Dialer) { s.ports = portcheck.New(d) }
+
 // ReportUnanswered reports a connection that was closed with a request that was read but not handled.
 func ReportUnanswered(s *Server, caller net.Addr, header []byte) { s.reportUnanswered(caller, header) }
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -41,6 +42,8 @@
 
 	mu      sync.Mutex
 	servers map[string]*httptest.Server
+	// closing holds the ports of VMs that crashConnectionsFirst terminated, by address.
+	closing map[string]*closingPort
 	// observe is called with the events at the VMs, if not nil.
 	observe func(groupengine.Observation)
 	// pause is the time between two events of a stream, prefill the time before the first one, work the service
@@ -87,6 +90,7 @@
 func newTestSite(t testing.TB, o options) *testSite {
 	t.Helper()
 	s := &testSite{store: objectstore.New(), addresses: make(map[string]string), servers: make(map[string]*httptest.Server),
+		closing: make(map[string]*closingPort),
 		observe: o.observe, pause: cmp.Or(o.pause, time.Millisecond), prefill: o.prefill, work: o.work}
 	storeServer := httptest.NewServer(s.store)
 	t.Cleanup(storeServer.Close)
@@ -176,15 +180,38 @@
 	server.CloseClientConnections()
 }
 
-// crashConnectionsFirst terminates a VM whose connections break some milliseconds before its port closes.
+// crashConnectionsFirst terminates a VM whose connections break before its port closes: the gateway's first check of the
+// port finds it open, the next one closed. The gateway must check ports with checkPort.
 func (s *testSite) crashConnectionsFirst(id string) {
 	s.mu.Lock()
 	server := s.servers[id]
+	s.closing[server.Listener.Addr().String()] = &closingPort{listener: server.Listener}
 	s.mu.Unlock()
-	time.AfterFunc(5*time.Millisecond, func() { _ = server.Listener.Close() })
 	server.CloseClientConnections()
 }
 
+// closingPort is the port of a VM whose connections broke.
+type closingPort struct {
+	listener net.Listener
+	// checked is true once the gateway has checked the port.
+	checked bool
+}
+
+// checkPort is called before the gateway connects to a port in order to check it.
+func (s *testSite) checkPort(_, address string, _ syscall.RawConn) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	port := s.closing[address]
+	if port == nil {
+		return nil
+	}
+	if port.checked {
+		_ = port.listener.Close()
+	}
+	port.checked = true
+	return nil
+}
+
 func waitFor(t testing.TB, what string, done func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
