The next order of a dissolution is a pure decision

dissolve only gathers what the order rests on; which order follows, or that the head may still finish, is nextOrder. What the director knows of a VM's membership, and which source counts for what, is said in one place.

--- a/internal/director/dissolve.go
+++ b/internal/director/dissolve.go
@@ -74,41 +74,51 @@
 // the head's requests, so it rests on a report that the head was asked for after the decision, and after it accepted to
 // close.
 func (s *state) dissolve(now time.Time, name string, gs *groupState, head *fleet.VM) {
-	finishing := gs.finishing(now, s.maxCloseTime(gs.service))
-	// A report may be some hundred milliseconds old, so that one of a head that closes doesn't outweigh its newer entry.
-	if finishing && !gs.closeAcceptedAt.IsZero() && serving(s.membership(head).State) && serving(head.State) {
-		return
-	}
-	if !s.readyForOrder(now, head) {
+	maxTime := s.maxCloseTime(gs.service)
+	if (gs.finishing(now, maxTime) && s.seemsClosing(gs, head)) || !s.readyForOrder(now, head) {
 		return
 	}
 	v := s.vm(head.ID)
-	if !v.countedAt.After(gs.dissolvingSince) || !v.countedAt.After(gs.closeAcceptedAt) {
+	switch {
+	case !v.countedAt.After(gs.dissolvingSince) || !v.countedAt.After(gs.closeAcceptedAt):
 		v.acceptedKnown = false
 		s.readyForOrder(now, head)
 		return
-	}
-	if gs.unopened && serving(v.counted.State) && v.counted.Group == name {
+	case gs.unopened && serving(v.counted.State) && v.counted.Group == name:
 		s.keep(now, name, gs)
 		return
-	}
-	if v.accepted > gs.closedCount && !gs.closeAcceptedAt.IsZero() {
+	case v.accepted > gs.closedCount && !gs.closeAcceptedAt.IsZero():
 		// Another director has ordered the head since it closed, and may have opened it again.
 		gs.closeAcceptedAt = time.Time{}
 		gs.dissolvingSince = v.countedAt
-		finishing = gs.graceful
 	}
-	o := engine.GroupOrder{Operation: engine.Leave, Group: name, Generation: gs.generation}
-	switch headServes := serving(v.counted.State); {
-	case headServes && gs.closeAcceptedAt.IsZero() && gs.graceful:
-		o.Operation = engine.CloseHead
-	case headServes && gs.closeAcceptedAt.IsZero():
-		o.Operation = engine.CloseHeadNow
-	case finishing && (headServes || v.working):
+	operation, due := gs.nextOrder(serving(v.counted.State), v.working, gs.finishing(now, maxTime))
+	if !due {
 		v.askAgain(now, outdatedReportDelay)
 		return
 	}
-	s.sendOrder(now, head, o)
+	s.sendOrder(now, head, engine.GroupOrder{Operation: operation, Group: name, Generation: gs.generation})
+}
+
+// seemsClosing reports whether a head that accepted to close still has requests by its entry and its last report. A report may be
+// some hundred milliseconds old, so that one of a head that closes doesn't outweigh its newer entry.
+func (s *state) seemsClosing(gs *groupState, head *fleet.VM) bool {
+	return !gs.closeAcceptedAt.IsZero() && serving(s.membership(head).State) && serving(head.State)
+}
+
+// nextOrder returns the next order to the head of a group that is being dissolved, by what the head reports: whether it
+// serves, and whether it has work. It returns false while the head may finish.
+func (gs *groupState) nextOrder(serves, working, finishing bool) (o engine.Operation, due bool) {
+	closed := !gs.closeAcceptedAt.IsZero()
+	switch {
+	case serves && !closed && gs.graceful:
+		return engine.CloseHead, true
+	case serves && !closed:
+		return engine.CloseHeadNow, true
+	case finishing && (serves || working):
+		return 0, false
+	}
+	return engine.Leave, true
 }
 
 // finishing reports whether the head of a group that is dissolved gracefully may still have requests: maxTime has not
--- a/internal/director/knowledge.go
+++ b/internal/director/knowledge.go
@@ -7,6 +7,10 @@
 )
 
 // vmState is the director's state of one VM beyond the fleet's snapshot.
+//
+// It knows the VM's membership from three sources: entry is the newest one that the list shows, reported what the VM itself
+// answered last, and counted the membership that belongs to the number of accepted orders, by a report or by this director's
+// own orders since. Plans go by membership(), the newer of the first two. An order must fit counted.
 type vmState struct {
 	// born identifies the incarnation that the other fields refer to, as fleet.VM.Born; 0 while
 	// it is unknown.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -644,11 +644,11 @@
 mutant "outdated knowledge: a report from before an order counts" internal/director/fence.go \
   's/if r\.report\.AcceptedOrders < v\.confirmed/if false \&\& r.report.AcceptedOrders < v.confirmed/' ./internal/director TestReportFromBeforeAnOrderIsNotUsed
 mutant "outdated knowledge: a leave rests on an earlier report" internal/director/dissolve.go \
-  's/if !v\.countedAt\.After\(gs\.dissolvingSince\) \|\| !v\.countedAt\.After\(gs\.closeAcceptedAt\)/if false/' ./internal/director TestLeaveRestsOnANewReport
+  's/case !v\.countedAt\.After\(gs\.dissolvingSince\) \|\| !v\.countedAt\.After\(gs\.closeAcceptedAt\)/case false/' ./internal/director TestLeaveRestsOnANewReport
 mutant "outdated knowledge: a head with work is made to leave" internal/director/dissolve.go \
-  's/ \&\& \(headServes \|\| v\.working\)/ \&\& headServes/' ./internal/director TestReadyHeadWithWorkIsNotMadeToLeave
+  's/finishing \&\& \(serves \|\| working\)/finishing \&\& serves/' ./internal/director TestReadyHeadWithWorkIsNotMadeToLeave
 mutant "outdated knowledge: a group that serves is given up" internal/director/dissolve.go \
-  's/if gs\.unopened \&\& serving/if false \&\& serving/' ./internal/director TestAbandonedGroupThatServesIsKept
+  's/case gs\.unopened \&\& serving/case false \&\& serving/' ./internal/director TestAbandonedGroupThatServesIsKept
 mutant "outdated knowledge: a member has left by its entry" internal/director/groups.go \
   's/if s\.confirmsLeaving\(now, entry, name\)/if true/' ./internal/director TestOutdatedEntryOfAMemberEndsNoWork
 mutant "outdated knowledge: a brief silence is a loss" internal/director/groups.go \
