The line of a lost request tells a head that closes or left the list from one that is gone

It goes by the list now: closing, unlisted, leaving (draining too), closed. TestHeadOfALostRequest has both new states; it failed on the code of before ('closed' for both).

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -177,6 +177,8 @@
 	domain  string
 	pools   map[string]*pool
 	targets map[string]*target
+	// fleet is the newest snapshot; nil before the first rebuild.
+	fleet *fleet.Snapshot
 	// retired holds targets that get no new requests and still have some in progress.
 	retired []*target
 
@@ -303,7 +305,7 @@
 	tt.sweepConditions(s)
 	tt.markWarming(clock.Now(), c, s)
 	tt.pauses.applyCatalog(c.Version())
-	tt.pools = pools
+	tt.pools, tt.fleet = pools, s
 	tt.retire(targets)
 }
 
--- a/internal/gateway/lostend.go
+++ b/internal/gateway/lostend.go
@@ -16,6 +16,7 @@
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/fleet"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
 
@@ -68,6 +69,10 @@
 	headOpen       headState = "open"
 	headDissolving headState = "dissolving"
 	headLeaving    headState = "leaving"
+	// headClosing means that the head only finishes its requests, headUnlisted that its VM has no entry, as one that leaves
+	// without a notice.
+	headClosing  headState = "closing"
+	headUnlisted headState = "unlisted"
 	// headClosed means that the VM no longer serves as the head of the group's generation.
 	headClosed headState = "closed"
 )
@@ -79,13 +84,19 @@
 	}
 	tt.mu.Lock()
 	defer tt.mu.Unlock()
-	current := tt.targets[s.key()]
+	listed := tt.fleet.VMs[s.vm.ID]
 	switch {
-	case current == nil || current.vm.Generation != s.vm.Generation:
+	case listed == nil:
+		return headUnlisted
+	case listed.Group != s.target.group || listed.Generation != s.vm.Generation:
+		return headClosed
+	case listed.State == fleet.Closing:
+		return headClosing
+	case listed.State != fleet.Open:
 		return headClosed
 	case tt.dissolving[s.target.group]:
 		return headDissolving
-	case tt.conditions.Leaving(incarnationOf(s.vm)):
+	case listed.Draining || tt.conditions.Leaving(incarnationOf(s.vm)):
 		return headLeaving
 	}
 	return headOpen
--- a/internal/gateway/lostreason_test.go
+++ b/internal/gateway/lostreason_test.go
@@ -102,8 +102,20 @@
 	if got := tt.headState(s); got != headDissolving {
 		t.Errorf("dissolving: %q", got)
 	}
+	clear(tt.dissolving)
+	list := func(vms map[string]*fleet.VM) { tt.rebuild(catalogOf(tt), fleet.NewSnapshot(vms, 2, now)) }
+	closing := *s.vm
+	closing.State = fleet.Closing
+	list(map[string]*fleet.VM{"a": &closing})
+	if got := tt.headState(s); got != headClosing {
+		t.Errorf("closing: %q", got)
+	}
+	list(nil)
+	if got := tt.headState(s); got != headUnlisted {
+		t.Errorf("without an entry: %q", got)
+	}
 	next := &fleet.VM{ID: "a", Service: "llm", FailureDomain: "x", Membership: fleet.Membership{Group: s.target.group, Generation: s.vm.Generation + 1, State: fleet.Open, Model: "m"}}
-	tt.rebuild(catalogOf(tt), fleet.NewSnapshot(map[string]*fleet.VM{"a": next}, 2, now))
+	list(map[string]*fleet.VM{"a": next})
 	if got := tt.headState(s); got != headClosed {
 		t.Errorf("after the next generation: %q", got)
 	}
