--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -5,13 +5,10 @@
 package groupengine
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,23 +29,6 @@
 	Name string `json:"name"`
 }
 
-// entry is a VM's object in the store.
-type entry struct {
-	Service string   `json:"service"`
-	Addr    string   `json:"addr"`
-	Zone    string   `json:"zone"`
-	Slots   int      `json:"slots"`
-	State   string   `json:"state"`
-	Domain  string   `json:"domain,omitempty"`
-	Staged  []string `json:"staged"`
-	Models  []model  `json:"models"`
-	Group   *Group   `json:"group,omitempty"`
-	Version string   `json:"version"`
-	Warmup  int64    `json:"warmup-left-ms"`
-	Seq     uint64   `json:"seq"`
-	Born    int64    `json:"born"`
-}
-
 // Config configures a VM.
 type Config struct {
 	ID, Service, Address, FailureDomain, FabricDomain string
@@ -296,25 +276,6 @@
 	return o
 }
 
-// DeleteEntry deletes the VM's entry for good, without a drain before. The VM continues to serve.
-func (v *VM) DeleteEntry() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.entryDeleted = true
-	v.store.Delete("servers", v.config.ID)
-}
-
-// RewriteEntry writes the VM's entry again, or removes it again, after the store was restored from an older copy.
-func (v *VM) RewriteEntry() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.entryDeleted {
-		v.store.Delete("servers", v.config.ID)
-		return
-	}
-	v.publish()
-}
-
 // State returns the VM's state in its group: joining, ready, open, closing or broken. It is empty if the VM is in no group.
 func (v *VM) State() string {
 	v.mu.Lock()
@@ -342,46 +303,6 @@
 	return append([]http.Header(nil), v.headers...), append([]string(nil), v.targets...)
 }
 
-// publish writes the VM's entry to the store. The caller must hold v.mu.
-func (v *VM) publish() {
-	if v.entryDeleted {
-		return
-	}
-	e := entry{Service: v.config.Service, Addr: v.config.Address, Zone: v.config.FailureDomain, Slots: 8, State: "ready",
-		Domain: v.config.FabricDomain, Staged: v.staged, Models: []model{}, Group: v.group, Version: "v1", Seq: v.entriesWritten, Born: v.born, Warmup: v.warmupLeft()}
-	v.entriesWritten++
-	if v.draining {
-		e.State = "draining"
-	}
-	if v.model != "" {
-		e.Models = append(e.Models, model{v.model})
-	}
-	if v.config.WriteDelay != nil {
-		if d := v.config.WriteDelay(); d > 0 {
-			v.writeLate(e, d)
-			return
-		}
-	}
-	v.store.Put("servers", v.config.ID, e)
-}
-
-// writeLate writes an entry after the delay, unless the VM's entry was deleted for good meanwhile.
-func (v *VM) writeLate(e entry, d time.Duration) {
-	if v.group != nil {
-		// The entry holds the state of now.
-		g := *v.group
-		e.Group = &g
-	}
-	e.Staged = slices.Clone(e.Staged)
-	time.AfterFunc(d, func() {
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		if !v.entryDeleted {
-			v.store.Put("servers", v.config.ID, e)
-		}
-	})
-}
-
 // ServeHTTP implements http.Handler.
 func (v *VM) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != v.config.ID {
@@ -435,89 +356,6 @@
 		"staged": v.staged, "models": models, "group": v.group})
 }
 
-func (v *VM) request(w http.ResponseWriter, r *http.Request) {
-	v.Received.Add(1)
-	id := r.Header.Get("Attempt-Id")
-	from, _, _ := strings.Cut(r.RemoteAddr, ":")
-	observeRequest := func(k Kind) {
-		o := v.groupObservation(k)
-		o.Request, o.Target, o.From, o.PromptParts = id, r.RequestURI, from, r.Header.Get("Prompt-Prefix")
-		v.observe(o)
-	}
-	observeRequest(RequestReceived)
-	defer observeRequest(RequestFinished)
-	v.mu.Lock()
-	v.headers = append(v.headers, r.Header.Clone())
-	v.targets = append(v.targets, r.RequestURI)
-	v.mu.Unlock()
-	echoedID := id
-	if v.WrongAttemptID.Load() {
-		echoedID = "someone-elses"
-	}
-	w.Header().Set("Attempt-Id", echoedID)
-	v.addConditionHeaders(w.Header())
-	admitted, accepted := v.admit()
-	defer v.finish(admitted)
-	if v.Refuse.Load() || !accepted {
-		refuse(w)
-		return
-	}
-	if !v.prefill(r.Context(), admitted) {
-		panic(http.ErrAbortHandler)
-	}
-	if admitted.hasEnded() {
-		refuse(w)
-		return
-	}
-	if !v.execute(func() { observeRequest(RequestExecuted) }) {
-		panic(http.ErrAbortHandler)
-	}
-	w.Header().Set("Response-Seal", "seal-of-"+v.config.ID)
-	if v.Unframed.Load() {
-		// net/http then sends no chunks and closes the connection.
-		w.Header().Set("Transfer-Encoding", "identity")
-	}
-	if v.config.Events == 0 {
-		time.Sleep(v.config.ServiceTime)
-		_, _ = fmt.Fprintf(w, "answer of %s to %s", v.config.Service, r.RequestURI)
-		return
-	}
-	v.stream(w, r, admitted)
-}
-
-// refuse rejects a request as not run.
-func refuse(w http.ResponseWriter) {
-	w.Header().Set("Not-Executed", "1")
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
-// prefill waits until the VM has read the prompt or ended the work. It returns false if the caller left meanwhile.
-func (v *VM) prefill(ctx context.Context, admitted *work) bool {
-	if v.config.PrefillTime == 0 {
-		return true
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-admitted.ended():
-		return true
-	case <-time.After(v.config.PrefillTime):
-		return true
-	}
-}
-
-// execute counts and observes the execution of a request, unless the VM was halted. observe may panic.
-func (v *VM) execute(observe func()) bool {
-	v.halting.RLock()
-	defer v.halting.RUnlock()
-	if v.halted {
-		return false
-	}
-	v.Executed.Add(1)
-	observe()
-	return true
-}
-
 // Halt makes the VM execute no further request, as a process that has died. It returns once none is about to be.
 func (v *VM) Halt() {
 	v.halting.Lock()
