The list of requests in flight has the young ones too

After a kill the lists named 10 of 32 requests that had no end line: they left out what had not been in flight for a second, which is most streams. All are listed now; with the sends since (5007) each request that a killed process had has a line, unless the rate of 5007 dropped one within the last second.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -239,7 +239,7 @@
 	RequestLost = Event{5034, zerolog.WarnLevel, "a request that was read ended without a whole answer",
 		"See reason; marbleroadctl explain with its ID shows what happened around it. caller-left is the caller's own doing, unless noticed is slow-reader."}
 	// RequestsInFlight is exempt from the limit of lines per second.
-	RequestsInFlight = Event{5035, zerolog.InfoLevel, "these requests were in flight a second ago and still are; if the process is killed, these are the ones it had",
+	RequestsInFlight = Event{5035, zerolog.InfoLevel, "these requests are in flight; if the process is killed within a second, these and the ones sent since (5007) are those that it had",
 		"None. At most one list a second, of the oldest 1024 requests, 64 a line; count is the number of all requests in flight."}
 	TrialsMoved = Event{5031, zerolog.InfoLevel, "requests were moved to the upstream where all requests with a suspected trait are tried",
 		"None. The trait is quarantined (5013) if further upstream VMs terminate, and free once a response begins."}
--- a/internal/gateway/inflightlog.go
+++ b/internal/gateway/inflightlog.go
@@ -16,13 +16,13 @@
 	maxListedID = 64
 )
 
-// listInFlight logs, once per inFlightInterval, the requests that were in flight at the previous time already. A process
-// that is killed logs nothing more, so this line is what names the requests that it had. Only watchStalls calls it.
+// listInFlight logs the requests in flight once per inFlightInterval. A process that is killed logs nothing more, so this
+// line names the requests that it had, but for those that were sent since (5007). Only watchStalls calls it.
 func (s *Server) listInFlight(now time.Time) {
 	if now.Sub(s.inFlightListedAt) < inFlightInterval {
 		return
 	}
-	ids, count := s.inFlight.startedBefore(s.inFlightListedAt)
+	ids, count := s.inFlight.oldest(maxListed)
 	s.inFlightListedAt = now
 	s.metrics.Set("requests.in_flight", int64(count))
 	if !s.config.LogInFlight {
@@ -35,12 +35,11 @@
 	}
 }
 
-// startedBefore returns the IDs of the first maxListed requests that were in flight at the given time already, and the
-// number of all requests in flight.
-func (q *inFlightRequests) startedBefore(at time.Time) (ids []string, count int) {
+// oldest returns the IDs of the requests in flight, oldest first and at most the given number, and the number of all.
+func (q *inFlightRequests) oldest(most int) (ids []string, count int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for f := q.first; f != nil && f.arrived.Before(at) && len(ids) < maxListed; f = f.next {
+	for f := q.first; f != nil && len(ids) < most; f = f.next {
 		ids = append(ids, f.id[:min(len(f.id), maxListedID)])
 	}
 	return ids, q.count
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -182,7 +182,7 @@
 
 	{"log", "rate", "0", "a whole number from 0 to 1000", "Maximum number of lines per second of each event in marbleroad-node, 0 for no limit. Warnings and errors are not limited. Skipped lines are counted.", nil,
 		func(s *Settings, t string) error { return parseCountOrZero(t, &s.Log.Rate) }},
-	{"log", "in_flight", "yes", "yes or no", "marbleroad-node lists the requests that have been in flight for more than a second, once a second (event 5035, level info, not limited by rate). After a kill, the last list names the requests that the process had.", nil,
+	{"log", "in_flight", "yes", "yes or no", "marbleroad-node lists the requests in flight once a second (event 5035, level info, not limited by rate). After a kill, the last list, and the sends since (5007), name the requests that the process had.", nil,
 		func(s *Settings, t string) error { return parseYesNo(t, &s.Log.InFlight) }},
 
 	{"trace", "target", "none", "none, file:PATH or an http URL with an IP number", "Where spans are exported: nowhere, to a file as JSON lines, or to an OTLP/HTTP receiver.", nil,
