--- a/internal/director/model_test.go
+++ b/internal/director/model_test.go
@@ -1,7 +1,6 @@
 package director
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -63,9 +62,7 @@
 		n.isolated = !n.isolated
 	case 2:
 		n.frozen, n.held = false, nil
-		n.s = newState(n.d, n, w.now)
-		n.s.nonce = fmt.Sprintf("%s-%d-", n.d.config.NodeID, w.now.UnixMilli())
-		n.d.directing.Store(&[]string{})
+		n.restart(0)
 	case 3:
 		e.delayEntry(w.now, t)
 	case 4:
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"reflect"
 	"sort"
 	"time"
@@ -116,6 +117,8 @@
 	// they were.
 	peersUnread bool
 	peersReadAt time.Time
+	// configuredAt is when the node gets its configuration.
+	configuredAt time.Time
 	// work is the demand that the director sees.
 	work demand.Models
 	// reports and orders count the node's calls to VMs.
@@ -181,7 +184,13 @@
 
 // The methods of node implement the interfaces that its director depends on.
 
-func (n *node) Catalog() *catalog.Catalog        { return n.w.catalog }
+func (n *node) Catalog() *catalog.Catalog {
+	if n.w.now.Before(n.configuredAt) {
+		return nil
+	}
+	return n.w.catalog
+}
+
 func (n *node) TriggerExchange()                 {}
 func (n *node) RecordsReadAt() (time.Time, bool) { return n.peersReadAt, !n.peersUnread }
 func (n *node) ModelWork(string) demand.Models   { return n.work }
@@ -193,6 +202,14 @@
 	return n.w.snapshot
 }
 
+// restart ends the node's director, and starts another that gets its configuration later than the list of VMs.
+func (n *node) restart(configurationDelay time.Duration) {
+	n.d.directing.Store(&[]string{})
+	n.s = newState(n.d, n, n.w.now)
+	n.s.nonce = fmt.Sprintf("%s-%d-", n.d.config.NodeID, n.w.now.UnixMilli())
+	n.peersReadAt, n.configuredAt = n.w.now, n.w.now.Add(configurationDelay)
+}
+
 // deliver runs f, by which the director s processes the result of a call, unless the node is down or has restarted since. A frozen
 // node processes it later.
 func (n *node) deliver(s *state, f func()) {
@@ -546,9 +563,15 @@
 		}
 		renewedAt[id] = e.renewedAt
 	}
-	w.snapshot = fleet.NewSnapshot(vms, w.revision, w.now)
-	w.snapshot.LastSeen = renewedAt
-	w.snapshot.Evacuated = w.evacuated
+	next := fleet.NewSnapshot(vms, w.revision, w.now)
+	if w.snapshot != nil && maps.Equal(w.snapshot.VMs, vms) {
+		// Heartbeats alone lead to a snapshot of the same entries.
+		renewed := *w.snapshot
+		renewed.Revision, renewed.VerifiedAt = w.revision, w.now
+		next = &renewed
+	}
+	next.LastSeen, next.Evacuated = renewedAt, w.evacuated
+	w.snapshot = next
 }
 
 // servingGroups counts the complete groups whose head is open.
