A director reads the list of VMs that came before the configuration

Cause: reconcile stored the list as the last one seen and returned while the configuration was missing. With the configuration, an idle director compared the list with itself, took it for read, and managed its failure domain with no state of any group; groupCounts dereferenced it. The class: an input counts as processed when it was only stored.

--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -90,8 +90,11 @@
 	nonce       string
 	namesIssued int
 
+	// snapshot and catalog are nil until both the list of VMs and the configuration have been read.
 	snapshot *fleet.Snapshot
 	catalog  *catalog.Catalog
+	// processed is the last snapshot that updateFromSnapshot has processed: each of its groups has an entry in groups.
+	processed *fleet.Snapshot
 	// knownDomains caches the result of domains for knownDomainsSnapshot and knownDomainsCatalog.
 	knownDomains         map[string]bool
 	knownDomainsSnapshot *fleet.Snapshot
@@ -185,14 +188,14 @@
 
 // reconcile compares the actual state with the desired state and sends the next orders.
 func (s *state) reconcile(now time.Time) {
-	previous := s.snapshot
-	s.snapshot, s.catalog = s.d.parts.Fleet.Snapshot(), s.d.parts.Catalogs.Catalog()
-	if s.snapshot == nil || s.catalog == nil {
+	snapshot, configuration := s.d.parts.Fleet.Snapshot(), s.d.parts.Catalogs.Catalog()
+	if snapshot == nil || configuration == nil {
 		return
 	}
+	s.snapshot, s.catalog = snapshot, configuration
 	s.updateTimeouts(now, s.catalog)
 	idle := len(s.d.Directing()) == 0 && len(s.formations) == 0
-	if !idle || previous == nil || !s.snapshot.SameVMs(previous) {
+	if !idle || !s.hasProcessed(snapshot) {
 		s.pruneRemoved()
 		s.updateFromSnapshot(now)
 	}
@@ -217,6 +220,11 @@
 	s.d.busy.Store(s.busy())
 }
 
+// hasProcessed reports whether updateFromSnapshot has processed the snapshot's entries.
+func (s *state) hasProcessed(snapshot *fleet.Snapshot) bool {
+	return s.processed != nil && snapshot.SameVMs(s.processed)
+}
+
 // busy reports whether prompt updates of VMs are needed: a group is being formed or dissolved.
 // Groups that only wait until their head must have broken do not count.
 func (s *state) busy() bool {
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -155,6 +155,7 @@
 		gs := s.groups[name]
 		s.updateHead(now, name, gs)
 	}
+	s.processed = s.snapshot
 }
 
 // recordEntries stores the current entries of the group's members.
