--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 export CGO_ENABLED = 1
 TOOLS := $(CURDIR)/.tools
 STATICCHECK_VERSION := v0.8.2
+NILNESS_VERSION := v0.53.0
 
 .PHONY: all build demo test lint proof mutants soak soak-mutants bench capacity plots clean generate
 
@@ -22,6 +23,8 @@
 	go vet ./...
 	@test -x $(TOOLS)/staticcheck || GOBIN=$(TOOLS) go install honnef.co/go/tools/cmd/staticcheck@$(STATICCHECK_VERSION)
 	$(TOOLS)/staticcheck ./...
+	@test -x $(TOOLS)/nilness || GOBIN=$(TOOLS) go install golang.org/x/tools/go/analysis/passes/nilness/cmd/nilness@$(NILNESS_VERSION)
+	$(TOOLS)/nilness ./...
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
