An old report of a joining head delays no opening

What callers saw: a model with fewer groups for some seconds: a group whose members were all ready was given up when its time was over.

Cause: reports lag behind by up to 0.5 s. A head that is ready by its entry and is asked for its count of orders before the order to open it may report the state of some moments before, joining; the report was requested later than the entry was seen, so it counted as newer, and no entry came that would have replaced it.

Evidence: TestOldReportOfAJoiningHeadDelaysNoOpening fails without the change ("the head is ready") and passes. The world's reports are requested after the list that leads to them, as the real ones are.

Change: a report of the same group and generation as the entry may be from before the entry too, until it is settled.

--- a/internal/director/late_entry_test.go
+++ b/internal/director/late_entry_test.go
@@ -151,3 +151,27 @@
 		t.Errorf("generation %d after a VM itself reported %d", next, reported)
 	}
 }
+
+// TestOldReportOfAJoiningHeadDelaysNoOpening guards against a head that is ready by its entry and is asked before the order to
+// open it: its report, of some moments before, showed it joining, and the group was given up when its time was over.
+func TestOldReportOfAJoiningHeadDelaysNoOpening(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.reportLag = 300 * time.Millisecond
+	n := w.addNode(t, "n1")
+	if !w.run(8*time.Second, func() bool { return len(n.s.formations) > 0 }) {
+		t.Fatal("no group is formed")
+	}
+	f := n.s.formations[sorted(n.s.formations)[0]]
+	head := w.vms[f.members[0]]
+	if !w.run(5*time.Second, func() bool { return head.State == fleet.Joining }) {
+		t.Fatalf("the head is %v", head.State)
+	}
+	n.s.vm(head.ID).acceptedKnown = false
+	if !w.run(5*time.Second, func() bool { return head.State == fleet.Ready }) {
+		t.Fatalf("the head is %v", head.State)
+	}
+	if !w.run(time.Second, func() bool { return head.State == fleet.Open }) {
+		t.Errorf("the head is %v", head.State)
+	}
+	w.check(t)
+}
--- a/internal/director/watch.go
+++ b/internal/director/watch.go
@@ -50,10 +50,12 @@
 	return entry.Generation < v.reported.Generation
 }
 
-// isReportOutdated reports whether the VM's own report names an earlier group than its entry, and
-// may be from before the entry though it was requested later.
+// isReportOutdated reports whether the VM's own report names an earlier group than its entry, or the
+// same one, and may be from before the entry though it was requested later.
 func (v *vmState) isReportOutdated(entry fleet.Membership) bool {
-	return v.reported.Group != "" && v.reported.Generation < entry.Generation && !v.isReportSettled()
+	earlier := v.reported.Generation < entry.Generation
+	same := v.reported.Generation == entry.Generation && v.reported.Group == entry.Group
+	return v.reported.Group != "" && (earlier || same) && !v.isReportSettled()
 }
 
 // isReportSettled reports whether the last report shows a state of after the entry's membership was
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -265,7 +265,8 @@
 func (n *node) report(vm *fleet.VM, reason reportReason) {
 	n.reports++
 	e, s := n.w.vms[vm.ID], n.s
-	requestedAt := n.w.now
+	// A report is requested after the list was read that leads to it.
+	requestedAt := n.w.now.Add(time.Millisecond)
 	n.w.pending = append(n.w.pending, func() {
 		m := reportResult{vm: vm, requestedAt: requestedAt, reason: reason}
 		if m.err = n.callError(e); m.err == nil {
