A membership list read during a tick is assigned to probers

The newer list then counted as assigned.

Evidence: TestMembersReadDuringATickAreProbed failed before the change with 0 of 2 VMs probed.

--- a/internal/control/divide.go
+++ b/internal/control/divide.go
@@ -11,7 +11,7 @@
 // so only when the VMs or the live nodes have changed: at the planned size the hashing would
 // cost more than all the rest of a tick.
 func (s *state) assignProbes(snapshot *view.Snapshot, live []string) {
-	inputs := probeAssignmentInputs{live: strings.Join(live, " "), members: s.membersVersion()}
+	inputs := probeAssignmentInputs{live: strings.Join(live, " "), members: snapshot.MembersVersion}
 	if inputs == s.probeInputs {
 		return
 	}
@@ -30,12 +30,6 @@
 	}
 }
 
-// membersVersion returns the version of the membership list.
-func (s *state) membersVersion() uint64 {
-	it, _ := s.k.items.Get(view.MembersKey(s.k.config.FailureDomain))
-	return it.Version
-}
-
 // exchangePeers lists all other nodes of this failure domain, and one node of each other
 // failure domain for which this process is the delegate.
 func (s *state) exchangePeers(live []string) []node.Record {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -65,6 +65,8 @@
 	Rates map[string]float64
 	// Members lists the upstream VMs of this failure domain by name.
 	Members map[string]platform.Member
+	// MembersVersion is the version of the list that Members comes from; 0 before one was read.
+	MembersVersion uint64
 	// Leaving holds the VMs that must get no new work.
 	Leaving map[string]bool
 	Plans   []*groups.Plan
@@ -235,6 +237,7 @@
 		list.Version = it.Version
 		b.members = list
 	}
+	s.MembersVersion = b.members.Version
 	for _, m := range b.members.Members {
 		s.Members[m.VM] = m
 		if m.State != platform.Live {
