An entry keeps its shares of limits while its control process starts

What callers saw: after a restart of its control process an entry that went on serving admitted up to the whole cluster-wide limit of each team, by itself, until the process had read its inputs, which it begins up to 1.5 s after its start.

Cause: the entry stored the shares of every view that it read. A control process that has read nothing yet answers with no shares and no number of entries, which the entry took for a limit that it shares with nobody.

Why it works: shares are taken only from a view of a process that has read the table, which the view states. Until then the shares of before stay in use, as while the process does not answer.

--- a/internal/entry/source.go
+++ b/internal/entry/source.go
@@ -151,8 +151,8 @@
 // view has finished, even if that read failed.
 func (s *Source) Snapshot() *view.Snapshot { return s.snapshot.Load() }
 
-// Share returns this entry's share of the limits; nil before the first
-// successful read.
+// Share returns this entry's share of the limits; nil before the first read from a
+// control process that has read the table.
 func (s *Source) Share() *Share { return s.share.Load() }
 
 // Loaded reports whether the table has been read at least once.
@@ -274,12 +274,16 @@
 	return nil
 }
 
-// adoptView merges a view that was read from the control process at address.
+// adoptView merges a view that was read from the control process at address. A process that has not read the table can't tell
+// how many entries share a limit, so the share of before stays in use.
 func (s *Source) adoptView(address string, m *marbleroadv1.GetViewResponse) {
 	for _, it := range m.GetChanged() {
 		s.items.Adopt(wire.Item(it))
 	}
 	s.cursors[address] = wire.Cursor(m.GetItems())
+	if !m.GetTableLoaded() {
+		return
+	}
 	share := &Share{
 		Teams:       make(map[string]float64, len(m.GetShares())),
 		LiveEntries: max(int(m.GetLiveEntries()), 1),
@@ -289,7 +293,7 @@
 		share.Teams[teamShare.GetTeam()] = teamShare.GetRate()
 	}
 	s.share.Store(share)
-	if m.GetTableLoaded() && s.trusts(address) {
+	if s.trusts(address) {
 		s.loaded.Store(true)
 	}
 }
