A control process divides limits once it has read the nodes' records

What callers saw: an entry that read the view of a control process which had read the table, but not the records of the nodes, admitted up to the whole cluster-wide limit, and so did each other entry of a common start: for the half second until the next tick as a rule, and for as long as the list of the records failed.

Cause: a control process reported the table as read, on which an entry begins to serve, once the table alone was stored. The number of entries that share a limit comes from the records, and from the last tick, which may be from before both.

Evidence: TestInputsOfAControlStartInAnyOrder draws the order of arrival of the table, the records, the members, the plan and the peers. Before the change it failed in its second case: "an entry shares its limits with 0 entries of 3: only map[table:true] had arrived". Found by reading; not seen in a run of processes.

Why it works: an entry is told that the table was read once a tick has run that had both, and such a tick runs at once when both are there. Peers and operators are answered by what is stored, as before, once both are.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -81,9 +81,9 @@
 	system     *actor.ActorSystem
 	state      *actor.PID
 	tickResult atomic.Pointer[tickResult]
-	// loaded is true once the table was read, from the platform or, while that is unreachable,
-	// from a peer.
-	loaded atomic.Bool
+	// tableRead and nodesRead are true once the table and the records of the nodes were read, from the
+	// platform or, while that is unreachable, from a peer.
+	tableRead, nodesRead atomic.Bool
 	// platformDown is true from a failed call to the platform until the next one that succeeds.
 	platformDown atomic.Bool
 
@@ -118,12 +118,25 @@
 // Ready reports whether operators and entries can rely on this process, and the reason if they
 // can't.
 func (k *Control) Ready() (bool, string) {
-	if !k.loaded.Load() {
+	switch {
+	case !k.tableRead.Load():
 		return false, "the table has not been read yet"
+	case !k.nodesRead.Load():
+		return false, "the records of the nodes have not been read yet"
 	}
 	return true, ""
 }
 
+// loaded reports whether the table and the records of the nodes were read. Limits are divided by both.
+func (k *Control) loaded() bool { return k.tableRead.Load() && k.nodesRead.Load() }
+
+// markRead sets tableRead or nodesRead, and has the state evaluated at once when both are set.
+func (k *Control) markRead(input *atomic.Bool) {
+	if !input.Swap(true) && k.loaded() {
+		k.sendToState(tick{now: clock.Now()})
+	}
+}
+
 // Start implements kernel.Service.
 func (k *Control) Start(context.Context) error {
 	k.system = actor.NewActorSystem(actor.WithLoggerFactory(discardLogger))
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -152,7 +152,8 @@
 	link.lastResponse = requestedAt
 	x.mu.Unlock()
 	if m.GetTableLoaded() && k.platformDown.Load() {
-		k.loaded.Store(true)
+		k.markRead(&k.tableRead)
+		k.markRead(&k.nodesRead)
 	}
 	k.sendToState(exchangeCompleted{
 		id:            m.GetNodeId(),
--- /dev/null
+++ b/internal/control/inputs_test.go
@@ -0,0 +1,207 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/asynkron/protoactor-go/actor"
+	"pgregory.net/rapid"
+
+	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
+	"github.com/marbleroad/marbleroad/internal/engine"
+	"github.com/marbleroad/marbleroad/internal/groups"
+	"github.com/marbleroad/marbleroad/internal/item"
+	"github.com/marbleroad/marbleroad/internal/node"
+	"github.com/marbleroad/marbleroad/internal/platform"
+	"github.com/marbleroad/marbleroad/internal/presence"
+	"github.com/marbleroad/marbleroad/internal/table"
+)
+
+// memoryStore is a platform that holds objects in memory.
+type memoryStore struct {
+	platform.Platform
+	mu      sync.Mutex
+	objects map[string]platform.Object
+	writes  []string
+}
+
+// store adds an item.
+func (m *memoryStore) store(it item.Item) {
+	m.objects[it.Key] = platform.Object{Key: it.Key, Version: it.Version, Value: it.Value}
+}
+
+// Get implements platform.ObjectStore.
+func (m *memoryStore) Get(_ context.Context, key string) (platform.Object, error) {
+	if o, ok := m.objects[key]; ok {
+		return o, nil
+	}
+	return platform.Object{}, platform.ErrNotFound
+}
+
+// List implements platform.ObjectStore.
+func (m *memoryStore) List(_ context.Context, prefix string) ([]platform.Object, uint64, error) {
+	var out []platform.Object
+	for key, o := range m.objects {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, o)
+		}
+	}
+	return out, 1, nil
+}
+
+// Put implements platform.ObjectStore.
+func (m *memoryStore) Put(_ context.Context, key string, value []byte, base uint64) (platform.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.writes = append(m.writes, key)
+	return platform.Object{Key: key, Version: base + 1, Value: value}, nil
+}
+
+// idleEngine accepts all orders.
+type idleEngine struct{ engine.Engine }
+
+// Assign implements engine.Engine.
+func (idleEngine) Assign(context.Context, string, engine.Order) error { return nil }
+
+// controlStart is the start of a control process in a failure domain of three, whose VMs form one group.
+type controlStart struct {
+	t     *rapid.T
+	store *memoryStore
+	k     *Control
+	s     *state
+	plan  item.Item
+	now   time.Time
+	// attempts are the outcomes of reading and writing plans.
+	attempts chan planAttempted
+	arrived  map[string]bool
+}
+
+// startNodes are the control processes of the failure domain, startVMs its upstream VMs.
+var (
+	startNodes = []string{"c1", "c2", "c3"}
+	startVMs   = []string{"vm-1", "vm-2"}
+)
+
+func newControlStart(t *rapid.T, system *actor.ActorSystem) *controlStart {
+	o := &controlStart{t: t, store: &memoryStore{objects: make(map[string]platform.Object)}, now: time.Now(), arrived: make(map[string]bool),
+		attempts: make(chan planAttempted, 1)}
+	o.k, o.s = newTestControl(t, o.store)
+	o.k.system, o.k.parts.Engine = system, idleEngine{}
+	o.k.state = o.k.system.Root.Spawn(actor.PropsFromFunc(func(c actor.Context) {
+		if m, ok := c.Message().(planAttempted); ok {
+			o.attempts <- m
+		}
+	}))
+	row := &table.Row{Sheet: table.Groups, Name: "r", Version: 1, Group: &table.Group{Service: "llm", FailureDomain: "a", Fabric: "f", Pool: "p",
+		VMs: 2, Replicas: 1, DowntimeWeight: 1, StrandedWeight: 1}}
+	o.store.store(o.item(row.Item()))
+	for _, id := range startNodes {
+		o.store.store(o.item(node.Record{ID: id, FailureDomain: "a", Control: id, Version: 1}.Item()))
+	}
+	plan := groups.NewPlan("a", "f")
+	plan.Version = 1
+	plan.Groups = []groups.Group{{ID: "g", Row: "r", Service: "llm", Generation: 1, Size: 2, Phase: groups.Active}}
+	for rank, vm := range startVMs {
+		plan.Assign[vm] = groups.Assignment{Group: "g", Rank: rank}
+	}
+	value, err := json.Marshal(plan)
+	o.plan = o.item(item.Item{Key: plan.Key(), Version: 1, Value: value}, err)
+	o.store.store(o.plan)
+	return o
+}
+
+func (o *controlStart) item(it item.Item, err error) item.Item {
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	return it
+}
+
+// arrive delivers one input.
+func (o *controlStart) arrive(input string) {
+	o.arrived[input] = true
+	var err error
+	switch input {
+	case "table":
+		err = o.k.followOnce(context.Background(), &watchedPrefix{prefix: item.TablePrefix})
+	case "nodes":
+		err = o.k.followOnce(context.Background(), &watchedPrefix{prefix: item.NodePrefix})
+	case "members":
+		o.k.adoptMembers(members(1, startVMs...))
+	case "plan":
+		o.k.adopt(o.plan)
+	case "peers":
+	}
+	if err != nil {
+		o.t.Fatal(err)
+	}
+}
+
+// tick lets time pass, probes the VMs that this process probes, and evaluates the state once.
+func (o *controlStart) tick() {
+	o.now = o.now.Add(tickInterval)
+	for rank, vm := range startVMs {
+		probed := func(m platform.Member) bool { return m.VM == vm }
+		if slices.ContainsFunc(o.s.probes, probed) || slices.ContainsFunc(o.s.backups, probed) {
+			o.k.registry.Record(presence.ProbeResult{VM: vm, Group: "g", Generation: 1, Rank: rank, Size: 2, Fence: 1, Ready: true, SentAt: o.now})
+		}
+	}
+	if o.arrived["peers"] {
+		for _, id := range startNodes[1:] {
+			o.s.exchangeCompleted(exchangeCompleted{id: id, failureDomain: "a", requestedAt: o.now})
+		}
+	}
+	o.s.tick(o.now)
+	for _, f := range o.s.planner {
+		if f.busy {
+			o.s.planAttempted(<-o.attempts)
+		}
+	}
+	o.check()
+}
+
+// check requires that entries are told that the table was read only with the number of all entries.
+func (o *controlStart) check() {
+	if view := o.view(); view.GetTableLoaded() && view.GetAllEntries() != uint32(len(startNodes)) {
+		o.t.Fatalf("an entry shares its limits with %d entries of %d: only %v had arrived", view.GetAllEntries(), len(startNodes), o.arrived)
+	}
+}
+
+// view returns what an entry reads.
+func (o *controlStart) view() *marbleroadv1.GetViewResponse {
+	response, err := viewHandler{o.k}.GetView(context.Background(), connect.NewRequest(&marbleroadv1.GetViewRequest{EntryId: "c1"}))
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	return response.Msg
+}
+
+// TestInputsOfAControlStartInAnyOrder starts a control process whose inputs arrive in any order, some of them many seconds late.
+// It guards against limits that are divided by a number of entries that was not read yet.
+func TestInputsOfAControlStartInAnyOrder(t *testing.T) {
+	system := actor.NewActorSystem(actor.WithLoggerFactory(discardLogger))
+	defer system.Shutdown()
+	rapid.Check(t, func(t *rapid.T) {
+		o := newControlStart(t, system)
+		defer func() { _ = system.Root.StopFuture(o.k.state).Wait() }()
+		for _, input := range rapid.Permutation([]string{"table", "nodes", "members", "plan", "peers"}).Draw(t, "order") {
+			for range rapid.SampledFrom([]int{0, 0, 1, 2, 20}).Draw(t, "ticks") {
+				o.tick()
+			}
+			o.arrive(input)
+			o.check()
+		}
+		for range 3 {
+			o.tick()
+		}
+		if view := o.view(); !view.GetTableLoaded() || len(o.s.probes)+len(o.s.backups) == 0 {
+			t.Fatalf("after all inputs: table loaded %v, %d probes", view.GetTableLoaded(), len(o.s.probes)+len(o.s.backups))
+		}
+	})
+}
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -104,8 +104,11 @@
 		k.adoptObjects(objects)
 		w.revision = max(revision, 1)
 		w.listed = true
-		if w.prefix == item.TablePrefix {
-			k.loaded.Store(true)
+		switch w.prefix {
+		case item.TablePrefix:
+			k.markRead(&k.tableRead)
+		case item.NodePrefix:
+			k.markRead(&k.nodesRead)
 		}
 		return nil
 	}
--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -31,7 +31,7 @@
 		Witnesses:   wire.WitnessTable(k.registry.Sorted(allVMs), now, m.GetWitnessEpoch()),
 		LiveEntries: uint32(d.liveEntries),
 		AllEntries:  uint32(d.allEntries),
-		TableLoaded: k.loaded.Load(),
+		TableLoaded: d.loaded,
 	}
 	for subject, byEntry := range d.shares {
 		if rate, ok := byEntry[m.GetEntryId()]; ok {
@@ -81,7 +81,7 @@
 		Digest:              k.items.Digest(),
 		Items:               wire.CursorMessage(next),
 		Changed:             wire.Items(changed),
-		TableLoaded:         k.loaded.Load(),
+		TableLoaded:         k.loaded(),
 		PlatformUnreachable: k.platformDown.Load(),
 	}
 	if !sameDomain {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -69,6 +69,8 @@
 	reader bool
 	// snapshot is what the tick built from the items and probe results.
 	snapshot *view.Snapshot
+	// loaded is true if the tick used the table and the records of the nodes.
+	loaded bool
 	// liveEntries counts the entries of the failure domain whose share is reserved.
 	liveEntries int
 	// allEntries counts the entry VMs of all failure domains.
@@ -198,6 +200,7 @@
 
 // tick evaluates the control state, publishes the result and plans.
 func (s *state) tick(now time.Time) {
+	loaded := s.k.loaded()
 	snapshot, decodeErrors := s.builder.Build(s.k.registry, now, s.k.config.PresenceWindow)
 	for _, f := range decodeErrors {
 		s.k.parts.Log.Emit(event.RowUnreadable).Str("key", f.Key).Err(f.Err).Send()
@@ -215,6 +218,7 @@
 		peers:    s.exchangePeers(live),
 		reader:   isPreferredOwner("read/"+s.k.config.FailureDomain, s.readers(live), 1, s.k.config.NodeID),
 		snapshot: snapshot,
+		loaded:   loaded,
 	}
 	s.assignProbes(snapshot, live)
 	d.probes, d.backups = s.probes, s.backups
