A VM that was not probed yet does not count as idle

What callers saw: the requests of a retiring group could be cut when another control process became the planner of its fabric domain: the group was released at once if that process had known the plan for longer than the propagation time and had no probe result of the VMs yet.

Cause: a group has drained if none of its present VMs reports requests. A VM without a probe result is absent, and an absent VM counted as one without requests.

Evidence: TestUnprobedVMHasNotDrained failed before the change ("the group was released"), and so did the drawn starts of internal/control with a retiring group. Found by these tests; not seen in a run of processes.

Why it works: an absent VM holds its group until it has been absent for the grace period, from which on the planner takes it for lost everywhere else too.

--- a/internal/groups/decide.go
+++ b/internal/groups/decide.go
@@ -222,7 +222,8 @@
 }
 
 // drained reports whether a group has been retiring for the propagation time and has
-// no running requests, or has reached the drain limit.
+// no running requests, or has reached the drain limit. A VM that has only been absent for a
+// short time may run some: it may not have been probed yet.
 func (d *decision) drained(g Group) bool {
 	retiringFor, known := d.in.RetiringFor[g.ID]
 	if !known || retiringFor < d.in.Estimates.PropagationTime {
@@ -231,8 +232,10 @@
 	if retiringFor >= d.in.Estimates.DrainLimit {
 		return true
 	}
-	for _, vm := range d.next.Members(g) {
-		if vm != "" && d.in.VMs[vm].Present && d.in.VMs[vm].InFlight > 0 {
+	for _, name := range d.next.Members(g) {
+		vm := d.in.VMs[name]
+		absent := !vm.Present && vm.MissingFor < d.in.Estimates.GracePeriod
+		if name != "" && (absent || vm.Present && vm.InFlight > 0) {
 			return false
 		}
 	}
--- a/internal/groups/decide_test.go
+++ b/internal/groups/decide_test.go
@@ -198,3 +198,28 @@
 		t.Errorf("stranded VMs weigh more: got %s, want dissolve", got)
 	}
 }
+
+// TestUnprobedVMHasNotDrained guards against a retiring group that was released, with its work, since a VM that a new planner had
+// not probed yet counted as idle.
+func TestUnprobedVMHasNotDrained(t *testing.T) {
+	f := newFleet(2)
+	f.specs = []ReplicaSpec{newSpec(2, 1)}
+	f.decide()
+	f.obeyAll()
+	group := f.plan.Groups[0].ID
+	f.plan.Groups[0].Phase, f.retiring[group] = Retiring, DefaultEstimates.PropagationTime
+	for name := range f.vms {
+		f.lose(name, time.Second)
+	}
+	f.decide()
+	if _, there := f.plan.Group(group); !there {
+		t.Error("the group was released")
+	}
+	for name := range f.vms {
+		f.lose(name, DefaultEstimates.GracePeriod)
+	}
+	f.decide()
+	if _, there := f.plan.Group(group); there {
+		t.Error("the group whose VMs are lost was not released")
+	}
+}
