A plan changes only by a table, records and members that were read

What callers saw: a control process that had received a fabric domain's plan from a peer, while its own reading of the table, of the nodes' records or of the membership list failed, could retire serving groups: without the table no group is wanted, without the records one process alone is a quorum, and without the members no VM is probed, so that all count as absent.

Cause: an input that was not read looked like an empty one.

Evidence: TestInputsOfAControlStartInAnyOrder draws the order of arrival and failed before the change ("a plan was changed when only map[plan:true] had arrived"); it also fails without each of the three conditions. Found by reading; not seen in a run of processes.

Why it works: the planner reads and writes plans once the tick had all three, and VMs count as absent from when they can be probed. Orders by the known plan go out as before.

--- a/internal/control/inputs_test.go
+++ b/internal/control/inputs_test.go
@@ -69,19 +69,27 @@
 // Assign implements engine.Engine.
 func (idleEngine) Assign(context.Context, string, engine.Order) error { return nil }
 
-// controlStart is the start of a control process in a failure domain of three, whose VMs form one group.
+// controlStart is the start of a control process in a failure domain of three, whose VMs form one group and
+// have work.
 type controlStart struct {
 	t     *rapid.T
 	store *memoryStore
 	k     *Control
 	s     *state
-	plan  item.Item
-	now   time.Time
+	// plan and members are inputs that arrive by themselves.
+	plan    item.Item
+	members platform.MemberList
+	now     time.Time
 	// attempts are the outcomes of reading and writing plans.
 	attempts chan planAttempted
 	arrived  map[string]bool
+	// assignedFor is for how many ticks each VM has been assigned to probers.
+	assignedFor map[string]int
 }
 
+// firstProbeTicks is how many ticks pass before the first probe of a VM, as probes are spread over their interval.
+const firstProbeTicks = 2
+
 // startNodes are the control processes of the failure domain, startVMs its upstream VMs.
 var (
 	startNodes = []string{"c1", "c2", "c3"}
@@ -89,7 +97,7 @@
 )
 
 func newControlStart(t *rapid.T, system *actor.ActorSystem) *controlStart {
-	o := &controlStart{t: t, store: &memoryStore{objects: make(map[string]platform.Object)}, now: time.Now(), arrived: make(map[string]bool),
+	o := &controlStart{t: t, store: &memoryStore{objects: make(map[string]platform.Object)}, now: time.Now(), arrived: make(map[string]bool), assignedFor: make(map[string]int),
 		attempts: make(chan planAttempted, 1)}
 	o.k, o.s = newTestControl(t, o.store)
 	o.k.system, o.k.parts.Engine = system, idleEngine{}
@@ -98,21 +106,26 @@
 			o.attempts <- m
 		}
 	}))
-	row := &table.Row{Sheet: table.Groups, Name: "r", Version: 1, Group: &table.Group{Service: "llm", FailureDomain: "a", Fabric: "f", Pool: "p",
+	fabric := "f"
+	for !isPreferredOwner("plan/"+fabric, startNodes, 1, "c1") {
+		fabric += "f"
+	}
+	row := &table.Row{Sheet: table.Groups, Name: "r", Version: 1, Group: &table.Group{Service: "llm", FailureDomain: "a", Fabric: fabric, Pool: "p",
 		VMs: 2, Replicas: 1, DowntimeWeight: 1, StrandedWeight: 1}}
 	o.store.store(o.item(row.Item()))
 	for _, id := range startNodes {
 		o.store.store(o.item(node.Record{ID: id, FailureDomain: "a", Control: id, Version: 1}.Item()))
 	}
-	plan := groups.NewPlan("a", "f")
+	plan := groups.NewPlan("a", fabric)
 	plan.Version = 1
-	plan.Groups = []groups.Group{{ID: "g", Row: "r", Service: "llm", Generation: 1, Size: 2, Phase: groups.Active}}
+	plan.Groups = []groups.Group{{ID: "g", Row: "r", Service: "llm", Generation: 1, Size: 2, Phase: rapid.SampledFrom([]groups.Phase{groups.Active, groups.Retiring}).Draw(t, "phase")}}
 	for rank, vm := range startVMs {
 		plan.Assign[vm] = groups.Assignment{Group: "g", Rank: rank}
 	}
 	value, err := json.Marshal(plan)
 	o.plan = o.item(item.Item{Key: plan.Key(), Version: 1, Value: value}, err)
 	o.store.store(o.plan)
+	o.members = members(1, fabric, startVMs...)
 	return o
 }
 
@@ -133,7 +146,7 @@
 	case "nodes":
 		err = o.k.followOnce(context.Background(), &watchedPrefix{prefix: item.NodePrefix})
 	case "members":
-		o.k.adoptMembers(members(1, startVMs...))
+		o.k.adoptMembers(o.members)
 	case "plan":
 		o.k.adopt(o.plan)
 	case "peers":
@@ -143,13 +156,17 @@
 	}
 }
 
-// tick lets time pass, probes the VMs that this process probes, and evaluates the state once.
+// tick lets time pass, records the probes that this process and its peers send, and evaluates the state once.
 func (o *controlStart) tick() {
 	o.now = o.now.Add(tickInterval)
 	for rank, vm := range startVMs {
 		probed := func(m platform.Member) bool { return m.VM == vm }
-		if slices.ContainsFunc(o.s.probes, probed) || slices.ContainsFunc(o.s.backups, probed) {
-			o.k.registry.Record(presence.ProbeResult{VM: vm, Group: "g", Generation: 1, Rank: rank, Size: 2, Fence: 1, Ready: true, SentAt: o.now})
+		byPeers := o.arrived["peers"] && o.s.probeInputs.members > 0
+		if byPeers || slices.ContainsFunc(o.s.probes, probed) || slices.ContainsFunc(o.s.backups, probed) {
+			o.assignedFor[vm]++
+		}
+		if o.assignedFor[vm] > firstProbeTicks {
+			o.k.registry.Record(presence.ProbeResult{VM: vm, Group: "g", Generation: 1, Rank: rank, Size: 2, Fence: 1, Ready: true, InFlight: 1, SentAt: o.now})
 		}
 	}
 	if o.arrived["peers"] {
@@ -166,8 +183,11 @@
 	o.check()
 }
 
-// check requires that entries are told that the table was read only with the number of all entries.
+// check requires that no plan changes, since all VMs are there and no group may end its work, and that entries are told that the table was read only with the number of all entries.
 func (o *controlStart) check() {
+	if len(o.store.writes) > 0 {
+		o.t.Fatalf("a plan was changed when only %v had arrived", o.arrived)
+	}
 	if view := o.view(); view.GetTableLoaded() && view.GetAllEntries() != uint32(len(startNodes)) {
 		o.t.Fatalf("an entry shares its limits with %d entries of %d: only %v had arrived", view.GetAllEntries(), len(startNodes), o.arrived)
 	}
@@ -183,7 +203,7 @@
 }
 
 // TestInputsOfAControlStartInAnyOrder starts a control process whose inputs arrive in any order, some of them many seconds late.
-// It guards against limits that are divided by a number of entries that was not read yet.
+// It guards against a plan that is changed, and limits that are divided, by what was not read yet.
 func TestInputsOfAControlStartInAnyOrder(t *testing.T) {
 	system := actor.NewActorSystem(actor.WithLoggerFactory(discardLogger))
 	defer system.Shutdown()
@@ -197,7 +217,7 @@
 			o.arrive(input)
 			o.check()
 		}
-		for range 3 {
+		for range firstProbeTicks + 2 {
 			o.tick()
 		}
 		if view := o.view(); !view.GetTableLoaded() || len(o.s.probes)+len(o.s.backups) == 0 {
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -113,7 +113,7 @@
 // planFabric starts a read or a commit of the fabric domain's plan if one is due, and sends
 // orders otherwise.
 func (s *state) planFabric(now time.Time, snapshot *view.Snapshot, fabric string, f *fabricPlanner) {
-	if f.busy || now.Before(f.notBefore) || s.k.platformDown.Load() {
+	if f.busy || now.Before(f.notBefore) || s.k.platformDown.Load() || !s.mayChangePlans(snapshot) {
 		s.sendOrders(now, snapshot, fabric)
 		return
 	}
@@ -134,6 +134,13 @@
 	s.k.startWorker(context.Background(), func(ctx context.Context) { s.k.commitPlan(ctx, next, baseVersion, moves) })
 }
 
+// mayChangePlans reports whether the snapshot holds all that a plan is decided by. Without the table no
+// group is wanted, without the nodes' records this process alone is a quorum, and without the members
+// no VM is probed.
+func (s *state) mayChangePlans(snapshot *view.Snapshot) bool {
+	return s.k.tickResult.Load().loaded && snapshot.MembersVersion > 0
+}
+
 // planInput collects what groups.Decide needs for one fabric domain.
 func (s *state) planInput(now time.Time, snapshot *view.Snapshot, fabric string) groups.Input {
 	plan := planFor(snapshot, s.k.config.FailureDomain, fabric)
--- a/internal/control/starts_test.go
+++ b/internal/control/starts_test.go
@@ -31,11 +31,11 @@
 	return k, newState(k)
 }
 
-// members returns a membership list of the VMs, all in one fabric domain.
-func members(version uint64, vms ...string) platform.MemberList {
+// members returns a membership list of the VMs, all in the fabric domain.
+func members(version uint64, fabric string, vms ...string) platform.MemberList {
 	list := platform.MemberList{Version: version}
 	for _, vm := range vms {
-		list.Members = append(list.Members, platform.Member{VM: vm, Address: vm, FailureDomain: "a", Fabric: "f", Pool: "p", State: platform.Live})
+		list.Members = append(list.Members, platform.Member{VM: vm, Address: vm, FailureDomain: "a", Fabric: fabric, Pool: "p", State: platform.Live})
 	}
 	return list
 }
@@ -46,7 +46,7 @@
 	k, s := newTestControl(t, nil)
 	now := time.Now()
 	before, _ := s.builder.Build(k.registry, now, time.Second)
-	k.adoptMembers(members(1, "vm-1", "vm-2"))
+	k.adoptMembers(members(1, "f", "vm-1", "vm-2"))
 	s.assignProbes(before, []string{"c1"})
 	after, _ := s.builder.Build(k.registry, now, time.Second)
 	s.assignProbes(after, []string{"c1"})
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -315,8 +315,12 @@
 }
 
 // trackMissing records since when each VM of the fleet has been absent. The time is kept in
-// memory only, not in the store, so a new planner starts from zero.
+// memory only, not in the store, so a new planner starts from zero. Before the membership list was
+// read, no VM is probed and none is absent.
 func (s *state) trackMissing(now time.Time, snapshot *view.Snapshot) {
+	if snapshot.MembersVersion == 0 {
+		return
+	}
 	known := make(map[string]bool, len(snapshot.Members))
 	for vm := range snapshot.Members {
 		known[vm] = true
