A node can be called before its exchange loops have started

What operators saw: at a common start a node could answer its first call from a node that it did not know with a panic of the handler, which net/http recovers: the caller lost one exchange, and took the node for failed for a second.

Cause: the node listened before it created the context that the loops, and the choice of nodes to call, use. A call in between dereferenced nil.

Evidence: TestCallBeforeTheLoopsStart, which processes a call before the loops start, failed before the change with a nil pointer dereference in updatePartners.

Why it works: the context exists with the cluster. A call before the start makes the node exchange with its caller at once.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -181,7 +181,11 @@
 }
 
 func newCluster(c Config, log *event.Logger, store platform.ObjectStore, link Link, state StateSource) *Cluster {
+	// Other nodes may call this one as soon as it listens, before its loops have started.
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Cluster{
+		ctx:          ctx,
+		cancel:       cancel,
 		config:       c,
 		log:          log,
 		store:        store,
@@ -241,7 +245,6 @@
 
 // startLoops starts the background loops.
 func (c *Cluster) startLoops() {
-	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.done.Add(2)
 	go c.registerLoop()
 	go c.partnersLoop()
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -113,6 +113,19 @@
 	}
 }
 
+// TestCallBeforeTheLoopsStart guards against the call of another node that starts at the same time, which arrived once this node
+// listened and before it had started its loops: the handler panicked.
+func TestCallBeforeTheLoopsStart(t *testing.T) {
+	f := newNodes(t, 2)
+	defer f.stop()
+	n, other := f.node("n000"), f.node("n001")
+	n.respond(&marbleroadv1.ShareStateRequest{State: other.state()})
+	waitUntil(t, "this node to call the other one", func() bool {
+		_, called := other.received.Load("n000")
+		return called
+	})
+}
+
 // startNode starts node a on a store.
 func startNode(t *testing.T, store platform.ObjectStore) *Cluster {
 	t.Helper()
