A list of VMs that comes during a rebuild stays in force

What callers saw: after a configuration and a list of VMs had come at nearly the same time, a node could go on by the list of before until an entry changed again, which at a quiet site takes minutes: it sent requests to VMs that had left and none to new ones, or went on by the services of the configuration of before.

Cause: Rebuild read the configuration and the list, and applied them later. The two change on different goroutines, so the call that had read the older pair could be the last to apply its own.

Found by reading; not seen in a run of processes.

Why it works: rebuilds run one after the other, and each change is stored before its rebuild, so that the last one applies the newest of both.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -167,6 +167,8 @@
 	pending        pendingTerminations
 	targets        *targetTable
 	buffers        *bufferPool
+	// rebuilding serializes Rebuild.
+	rebuilding sync.Mutex
 	// homesCheckedFor is the version of the catalog whose homes were checked last.
 	homesCheckedFor atomic.Uint64
 
@@ -348,22 +350,6 @@
 	return err
 }
 
-// Rebuild applies the current catalog and fleet to the targets. It must be called after each change of either,
-// and does nothing until both have been read.
-func (s *Server) Rebuild() {
-	c, f := s.catalog.Catalog(), s.parts.Directory.Snapshot()
-	if c == nil || f == nil {
-		return
-	}
-	s.reportInvalidHomes(c)
-	s.applyReserves(c)
-	s.targets.rebuild(c, f)
-	s.metrics.Set("catalog.version", int64(c.Version()))
-	for model, open := range s.targets.openGroups() {
-		s.metrics.Set("groups.open."+model, int64(open))
-	}
-}
-
 // ReceiveState processes the state of another node, or a hub's aggregate of many, received at the given time:
 // its loads, demand, conditions of VMs and suspected groups, which it passes on to this node's director.
 func (s *Server) ReceiveState(state *marbleroadv1.NodeState, receivedAt time.Time) {
