--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -30,11 +30,13 @@
 
 // testSite is a gateway with a stand-in store, heads (two by default) and two plain VMs.
 type testSite struct {
-	store  *objectstore.Store
-	heads  []*groupengine.VM
-	plain  []*groupengine.VM
-	url    string
-	server *gateway.Server
+	store     *objectstore.Store
+	heads     []*groupengine.VM
+	plain     []*groupengine.VM
+	url       string
+	server    *gateway.Server
+	catalogs  *catalog.Cache
+	directory *fleet.Directory
 	// listen is the address of the gateway's server for callers.
 	listen string
 	// addresses are the URLs of the VMs.
@@ -66,6 +68,10 @@
 	newestVersion func() uint64
 	// noConfiguration leaves the store without a configuration.
 	noConfiguration bool
+	// configuration and list wrap the sources of the platform's configuration and list of VMs; nil for the platform's own.
+	// The test then waits itself until the gateway is ready.
+	configuration func(catalog.Source) catalog.Source
+	list          func(fleet.Source) fleet.Source
 	// work is the service time of a plain VM.
 	work time.Duration
 	// noRepeats sets a budget that allows no repeats.
@@ -113,12 +119,21 @@
 		t.Fatal(err)
 	}
 	store := platform.NewStore(storeServer.URL, http.DefaultTransport, 2*time.Second)
-	catalogs := catalog.NewCache(platform.NewConfiguration(store), log, 100*time.Millisecond)
+	var configurations catalog.Source = platform.NewConfiguration(store)
+	if o.configuration != nil {
+		configurations = o.configuration(configurations)
+	}
+	catalogs := catalog.NewCache(configurations, log, 100*time.Millisecond)
 	vmList := platform.NewDirectory(store, o.evacuations)
-	directory := fleet.NewDirectory(vmList, log, 100*time.Millisecond, func() time.Duration { return 0 })
+	var list fleet.Source = vmList
+	if o.list != nil {
+		list = o.list(vmList)
+	}
+	directory := fleet.NewDirectory(list, log, 100*time.Millisecond, func() time.Duration { return 0 })
 	if o.evacuations {
 		directory.FollowEvacuations(vmList)
 	}
+	s.catalogs, s.directory = catalogs, directory
 	s.listen = freeAddress(t)
 	var dialect gateway.CallerDialect = platform.Caller{}
 	if o.caller != nil {
@@ -154,7 +169,7 @@
 		_ = directory.Stop(context.Background())
 		_ = catalogs.Stop(context.Background())
 	})
-	if !o.noConfiguration {
+	if !o.noConfiguration && o.configuration == nil && o.list == nil {
 		waitFor(t, "the gateway to be ready", func() bool { ok, _ := s.server.Ready(); return ok })
 	}
 	return s
