Test of a director's start with its inputs in any order

In the simulated world, one to three nodes start up to three times in a row; the list, the configuration, the records, the other nodes' states and the traffic seen each come up to 6 s late, the list and the configuration older than before at first, and the list again without a change, with standstills in between. Nothing may panic, no serving group may be lost or robbed of a VM, the director must know the groups listed, and its failure domain must be managed within the stabilization time and two ticks once all is there.

--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -117,8 +117,8 @@
 	// they were.
 	peersUnread bool
 	peersReadAt time.Time
-	// configuredAt is when the node gets its configuration.
-	configuredAt time.Time
+	// inputs are when the node gets its inputs after its last start.
+	inputs startInputs
 	// work is the demand that the director sees.
 	work demand.Models
 	// reports and orders count the node's calls to VMs.
@@ -184,30 +184,19 @@
 
 // The methods of node implement the interfaces that its director depends on.
 
-func (n *node) Catalog() *catalog.Catalog {
-	if n.w.now.Before(n.configuredAt) {
-		return nil
-	}
-	return n.w.catalog
-}
+func (n *node) Catalog() *catalog.Catalog { return n.inputs.catalogAt(n.w) }
 
-func (n *node) TriggerExchange()                 {}
-func (n *node) RecordsReadAt() (time.Time, bool) { return n.peersReadAt, !n.peersUnread }
-func (n *node) ModelWork(string) demand.Models   { return n.work }
-func (n *node) TrafficSeen() bool                { return n.traffic }
+func (n *node) TriggerExchange() {}
+func (n *node) RecordsReadAt() (time.Time, bool) {
+	return n.peersReadAt, !n.peersUnread && !n.w.now.Before(n.peersReadAt)
+}
+func (n *node) ModelWork(string) demand.Models { return n.work }
+func (n *node) TrafficSeen() bool              { return n.traffic }
 func (n *node) Snapshot() *fleet.Snapshot {
 	if n.outdated != nil && n.w.now.Before(n.reachesOthersAt) {
 		return n.outdated
 	}
-	return n.w.snapshot
-}
-
-// restart ends the node's director, and starts another that gets its configuration later than the list of VMs.
-func (n *node) restart(configurationDelay time.Duration) {
-	n.d.directing.Store(&[]string{})
-	n.s = newState(n.d, n, n.w.now)
-	n.s.nonce = fmt.Sprintf("%s-%d-", n.d.config.NodeID, n.w.now.UnixMilli())
-	n.peersReadAt, n.configuredAt = n.w.now, n.w.now.Add(configurationDelay)
+	return n.inputs.listAt(n.w)
 }
 
 // deliver runs f, by which the director s processes the result of a call, unless the node is down or has restarted since. A frozen
