--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -68,8 +68,8 @@
 // nil.
 func (s *Server) handleCall(ctx context.Context, w http.ResponseWriter, r *http.Request, next callHandler, openAI bool) (*call, *verdict.Error) {
 	unreadCall := &call{id: newRequestID(), decisions: &decisionLog{startedAt: clock.Now()}}
-	snapshot := s.source.Snapshot()
-	if snapshot == nil || !s.source.Loaded() {
+	snapshot := s.source.Table()
+	if snapshot == nil {
 		return unreadCall, &verdict.Error{
 			Verdict:    verdict.NotRun,
 			Status:     http.StatusServiceUnavailable,
--- a/internal/entry/source.go
+++ b/internal/entry/source.go
@@ -86,7 +86,9 @@
 	done   sync.WaitGroup
 
 	// The fields below belong to the reading goroutine.
-	startedAt    time.Time
+	startedAt time.Time
+	// tableRead is true once the items hold the table. The next snapshot is built from it.
+	tableRead    bool
 	controlIndex int
 	failures     int
 	// responded is true once the current control process was read since the entry chose it.
@@ -155,9 +157,17 @@
 // control process that has read the table.
 func (s *Source) Share() *Share { return s.share.Load() }
 
-// Loaded reports whether the table has been read at least once.
+// Loaded reports whether the table has been read at least once, and the snapshot holds it.
 func (s *Source) Loaded() bool { return s.loaded.Load() }
 
+// Table returns the current snapshot; nil before one holds the table.
+func (s *Source) Table() *view.Snapshot {
+	if !s.Loaded() {
+		return nil
+	}
+	return s.Snapshot()
+}
+
 // loop refreshes the snapshot at each interval until ctx ends.
 func (s *Source) loop(ctx context.Context) {
 	defer s.done.Done()
@@ -186,7 +196,11 @@
 	if err == nil {
 		s.failures, s.responded = 0, true
 	}
-	now := clock.Now()
+	s.publish(clock.Now())
+}
+
+// publish builds the snapshot and passes it to the listener.
+func (s *Source) publish(now time.Time) {
 	snapshot, decodeErrors := s.builder.Build(s.probeResults, now, s.config.Window)
 	for _, decodeErr := range decodeErrors {
 		s.log.Emit(event.ViewUnreadable).Str("key", decodeErr.Key).Err(decodeErr.Err).Send()
@@ -197,6 +211,9 @@
 		share = &Share{LiveEntries: 1, AllEntries: 1}
 	}
 	s.listener.update(snapshot, share)
+	if s.tableRead {
+		s.loaded.Store(true)
+	}
 }
 
 // returnToPreferred switches back to the first control process after
@@ -293,9 +310,7 @@
 		share.Teams[teamShare.GetTeam()] = teamShare.GetRate()
 	}
 	s.share.Store(share)
-	if s.trusts(address) {
-		s.loaded.Store(true)
-	}
+	s.tableRead = s.tableRead || s.trusts(address)
 }
 
 // trusts reports whether an entry that starts takes the table of the control process for the newest that it can get.
