Entries that a control process has not heard of yet count at its start

What callers saw: after a restart of its control process an entry admitted as many requests as all upstreams of the failure domain have slots, as if it were alone there, until the peers had reported the demand of the other entries, a second or so.

Cause: the entries that share the upstreams were counted from the reports that had arrived, so reports that were missing looked like entries that are gone. Shares of limits reserve the part of such entries already.

Evidence: TestUnheardEntriesCountAtAStart failed before the change: "1 entries share the upstreams before any peer has answered, of 3". Found by reading; not seen in a run of processes.

Why it works: for the time of the demand lease after its start a process counts each registered node of its failure domain that has not answered yet as an entry.

--- a/internal/control/inputs_test.go
+++ b/internal/control/inputs_test.go
@@ -202,6 +202,37 @@
 	return response.Msg
 }
 
+// TestUnheardEntriesCountAtAStart guards against an entry that took the slots of all upstreams for itself after its control process
+// had restarted, until the peers had reported the other entries.
+func TestUnheardEntriesCountAtAStart(t *testing.T) {
+	store := &memoryStore{objects: make(map[string]platform.Object)}
+	k, s := newTestControl(t, store)
+	for _, id := range startNodes {
+		it, err := node.Record{ID: id, FailureDomain: "a", Control: id, Version: 1}.Item()
+		if err != nil {
+			t.Fatal(err)
+		}
+		k.adopt(it)
+	}
+	live := func(after time.Duration) int {
+		now := s.startedAt.Add(after)
+		s.entries["c1"] = entryState{failureDomain: "a", reportedAt: now, direct: true}
+		s.tick(now)
+		return k.tickResult.Load().liveEntries
+	}
+	if n := live(time.Second); n != len(startNodes) {
+		t.Errorf("%d entries share the upstreams before any peer has answered, of %d", n, len(startNodes))
+	}
+	s.exchangeCompleted(exchangeCompleted{id: "c2", failureDomain: "a", requestedAt: s.startedAt.Add(time.Second),
+		entries: []*marbleroadv1.EntryDemand{{EntryId: "c2", FailureDomain: "a"}}})
+	if n := live(time.Second); n != len(startNodes) {
+		t.Errorf("%d entries share the upstreams once one of two peers has answered, of %d", n, len(startNodes))
+	}
+	if n := live(2 * minDemandLease); n != 1 {
+		t.Errorf("%d entries share the upstreams once the others' leases have expired", n)
+	}
+}
+
 // TestInputsOfAControlStartInAnyOrder starts a control process whose inputs arrive in any order, some of them many seconds late.
 // It guards against a plan that is changed, and limits that are divided, by what was not read yet.
 func TestInputsOfAControlStartInAnyOrder(t *testing.T) {
--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -42,7 +42,7 @@
 // each side its fixed share.
 func (s *state) computeShares(now time.Time, snapshot *view.Snapshot, live []string, d *tickResult) {
 	entries := s.liveEntries(now)
-	d.liveEntries = max(len(entries), 1)
+	d.liveEntries = max(len(entries)+s.unheardEntries(now), 1)
 	d.reportedDemand = s.localEntryDemands(now, entries)
 	demand := s.domainDemand(entries)
 	d.summedDemand = &marbleroadv1.EntryDemand{FailureDomain: s.k.config.FailureDomain}
@@ -131,6 +131,21 @@
 	return out
 }
 
+// unheardEntries counts the entries whose demand this process can't know yet, since it has just started and their control
+// processes have not answered.
+func (s *state) unheardEntries(now time.Time) int {
+	if now.Sub(s.startedAt) > s.leases.demand {
+		return 0
+	}
+	n := 0
+	for _, rec := range s.localPeers {
+		if _, reported := s.entries[rec.ID]; !reported && s.peers[rec.ID] == nil {
+			n++
+		}
+	}
+	return n
+}
+
 // localEntryDemands lists the demand of the entries that query this process.
 func (s *state) localEntryDemands(now time.Time, live []string) []*marbleroadv1.EntryDemand {
 	var out []*marbleroadv1.EntryDemand
