No plan replaces one that could not be decoded

What callers saw: a stored plan that a control process can't decode, which another program or version may have written, was replaced by a new one as soon as two spare VMs were free. The VMs of the groups in the stored plan would then have been released.

Cause: the plan counted as read once its object was stored among the items, and the planner took the version of the object and the groups of an empty plan.

Evidence: TestUnreadablePlanIsNotReplaced failed before the change ("a plan was changed").

Why it works: a plan that can't be decoded is a failed read, which is repeated; orders by the last valid plan go out as before.

--- a/internal/control/inputs_test.go
+++ b/internal/control/inputs_test.go
@@ -202,6 +202,29 @@
 	return response.Msg
 }
 
+// TestUnreadablePlanIsNotReplaced guards against a new plan, of spare VMs, over a stored one that could not be decoded: the VMs of
+// its groups would be released.
+func TestUnreadablePlanIsNotReplaced(t *testing.T) {
+	system := actor.NewActorSystem(actor.WithLoggerFactory(discardLogger))
+	defer system.Shutdown()
+	rapid.Check(t, func(t *rapid.T) {
+		o := newControlStart(t, system)
+		defer func() { _ = system.Root.StopFuture(o.k.state).Wait() }()
+		o.store.store(item.Item{Key: o.plan.Key, Version: 2, Value: []byte(`{"version":2,"groups":"unknown"}`)})
+		spares := []string{"vm-3", "vm-4"}
+		o.members = members(1, o.members.Members[0].Fabric, append(spares, startVMs...)...)
+		for _, input := range []string{"table", "nodes", "members", "peers"} {
+			o.arrive(input)
+		}
+		for range 10 {
+			for _, vm := range spares {
+				o.k.registry.Record(presence.ProbeResult{VM: vm, Ready: true, SentAt: o.now.Add(tickInterval)})
+			}
+			o.tick()
+		}
+	})
+}
+
 // TestUnheardEntriesCountAtAStart guards against an entry that took the slots of all upstreams for itself after its control process
 // had restarted, until the peers had reported the other entries.
 func TestUnheardEntriesCountAtAStart(t *testing.T) {
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -134,9 +134,8 @@
 	s.k.startWorker(context.Background(), func(ctx context.Context) { s.k.commitPlan(ctx, next, baseVersion, moves) })
 }
 
-// mayChangePlans reports whether the snapshot holds all that a plan is decided by. Without the table no
-// group is wanted, without the nodes' records this process alone is a quorum, and without the members
-// no VM is probed.
+// mayChangePlans reports whether the snapshot holds all that a plan is decided by. Without the table no group is
+// wanted, without the nodes' records this process alone is a quorum, and without the members no VM is probed.
 func (s *state) mayChangePlans(snapshot *view.Snapshot) bool {
 	return s.k.tickResult.Load().loaded && snapshot.MembersVersion > 0
 }
@@ -214,7 +213,7 @@
 	return out
 }
 
-// readPlan reads the plan from the store, so that the next update builds on it.
+// readPlan reads the plan from the store, so that the next update builds on it if it can be decoded.
 func (k *Control) readPlan(ctx context.Context, fabric string) {
 	object, err := k.parts.Platform.Get(ctx, groups.PlanKey(k.config.FailureDomain, fabric))
 	k.recordPlatformCall(err)
@@ -222,6 +221,7 @@
 		err = nil
 	}
 	if err == nil && object.Version > 0 {
+		_, err = groups.Decode(object.Value)
 		k.adoptObjects([]platform.Object{object})
 	}
 	k.sendToState(planAttempted{fabric: fabric, baseVersion: object.Version, err: err})
