--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -713,7 +713,21 @@
 mutant "proof: a survey waits for nodes that hang" internal/feed/survey.go \
   's/return elapsed >= surveyTimeout/return false/' ./internal/feed TestNodeThatReachesNoOtherServes
 mutant "proof: an entry trusts any control process at its start" internal/entry/source.go \
-  's/m\.GetTableLoaded\(\) \&\& s\.trusts\(address\)/m.GetTableLoaded()/' ./test/integration TestEntryStartedBeforeItsControlTakesNoStaleTable
+  's/s\.tableRead \|\| s\.trusts\(address\)/true/' ./test/integration TestEntryStartedBeforeItsControlTakesNoStaleTable
+mutant "starts: a list counts as processed without the configuration" internal/director/state.go \
+  's/(\tif snapshot == nil \|\| configuration == nil \{)/\ts.processed = snapshot\n$1/' ./internal/director TestInputsOfAStartInAnyOrder
+mutant "starts: rebuilds run at the same time" internal/gateway/rebuild.go \
+  's/\ts\.rebuilding\.Lock\(\)\n\tdefer s\.rebuilding\.Unlock\(\)\n//' ./internal/gateway TestListDuringARebuildStaysInForce
+mutant "starts: plans change by what was not read" internal/control/planner.go \
+  's/ \|\| !s\.mayChangePlans\(snapshot\)//' ./internal/control TestInputsOfAControlStartInAnyOrder
+mutant "starts: VMs are absent before they can be probed" internal/control/state.go \
+  's/if snapshot\.MembersVersion == 0 \{/if false {/' ./internal/control TestInputsOfAControlStartInAnyOrder
+mutant "starts: the table counts as read before a tick used it" internal/control/serve.go \
+  's/TableLoaded: d\.loaded/TableLoaded: k.loaded()/' ./internal/control TestInputsOfAControlStartInAnyOrder
+mutant "starts: an entry takes the shares of a process that starts" internal/entry/source.go \
+  's/if !m\.GetTableLoaded\(\) \{/if false {/' ./internal/entry 'TestSharesOfAControlStartAreNotTaken|TestViewsOfAStartInAnyOrder'
+mutant "starts: a table counts as read before its snapshot" internal/entry/source.go \
+  's/(s\.tableRead = s\.tableRead \|\| s\.trusts\(address\))/$1\n\ts.loaded.Store(s.tableRead)/' ./internal/entry TestTableCountsAsReadWithItsSnapshot
 
 echo "$survivors survived or not applied"
 [ "$survivors" = 0 ]
