A panic can be contained, and reported within a bound

Contain returns the panic of a function whose state is dropped as a whole, with its text and stack; Attempt runs what reports a panic on a goroutine of its own, for a second at most, as the functions of OnPanic were run already. A value whose own text panics no longer breaks the report (fmt recovers most of these, describe the rest).

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -1,5 +1,6 @@
-// Package crash runs functions before a panic ends the process, such as one that writes the queued log lines. The Go
-// runtime has no hook for that, so each goroutine that should run them defers Guard.
+// Package crash handles panics. By default a panic ends the process, after the functions of OnPanic, such as one that writes
+// the queued log lines. The Go runtime has no hook for that, so each goroutine that should run them defers Guard. A part of
+// the process that can be replaced as a whole runs within Contain instead.
 package crash
 
 import (
@@ -12,7 +13,7 @@
 // callLimit bounds the time of each function, which may wait for a lock that the panicking goroutine holds.
 const callLimit = time.Second
 
-// Panic is a panic that is about to end the process.
+// Panic is a panic that is about to end the process, or that was contained.
 type Panic struct {
 	Text string
 	// Stack is the stack of the goroutine that panicked.
@@ -38,7 +39,7 @@
 	if p == nil {
 		return
 	}
-	run(Panic{Text: fmt.Sprint(p), Stack: string(debug.Stack())})
+	run(Panic{Text: describe(p), Stack: string(debug.Stack())})
 	panic(p)
 }
 
@@ -49,32 +50,57 @@
 	if p == nil {
 		return
 	}
-	run(Panic{Text: fmt.Sprint(p), Stack: string(debug.Stack())})
+	run(Panic{Text: describe(p), Stack: string(debug.Stack())})
 	go panic(p)
 	select {}
 }
 
-// run calls the functions, and waits if another goroutine's panic has them called already.
-func run(p Panic) {
-	mu.Lock()
-	defer mu.Unlock()
-	for len(handlers) > 0 {
-		last := handlers[len(handlers)-1]
-		handlers = handlers[:len(handlers)-1]
-		call(last, p)
-	}
+// Contain calls f and returns its panic, or nil if f returned. It is only for code whose state is dropped as a whole after a
+// panic, since f may have left it half changed. Locks that f did not unlock in a deferred call stay locked. Fatal errors of
+// the runtime, such as concurrent writes to a map, and panics of goroutines that f starts still end the process.
+func Contain(f func()) (contained *Panic) {
+	defer func() {
+		if p := recover(); p != nil {
+			contained = &Panic{Text: describe(p), Stack: string(debug.Stack())}
+		}
+	}()
+	f()
+	return nil
+}
+
+// describe returns the text of a panic's value, whose own methods may panic too.
+func describe(p any) (text string) {
+	defer func() {
+		if recover() != nil {
+			text = fmt.Sprintf("%T", p)
+		}
+	}()
+	return fmt.Sprint(p)
 }
 
-// call calls a function. Neither its own panic nor a wait of it keeps the others from being called.
-func call(f func(Panic), p Panic) {
+// Attempt calls f on a goroutine of its own, and returns after a second even if f still waits, such as for a lock that a
+// panicking goroutine holds. A panic of f is dropped. It is for what reports a panic.
+func Attempt(f func()) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		defer func() { _ = recover() }()
-		f(p)
+		f()
 	}()
 	select {
 	case <-done:
 	case <-time.After(callLimit):
 	}
 }
+
+// run calls the functions, and waits if another goroutine's panic has them called already.
+func run(p Panic) {
+	mu.Lock()
+	defer mu.Unlock()
+	for len(handlers) > 0 {
+		last := handlers[len(handlers)-1]
+		handlers = handlers[:len(handlers)-1]
+		// Neither a panic nor a wait of one function keeps the others from being called.
+		Attempt(func() { last(p) })
+	}
+}
