A panic of the director ends neither its node nor its callers' requests

Cause: the panic was not confined to what it had made unusable, the director's state; a panic in reading a VM's answer, on a call's goroutine, neither.

Change: the actor is a supervisor. It contains the panic (the actor library never sees it), ends the state's life, gives all failure domains back, logs 4045 and starts a new state after 1 s, doubling up to a minute. That one starts without knowledge and stabilizes like the director of a new process. Calls belong to a life: results of another one are dropped, its orders are not sent. A panic in a call is a failed call of that VM (4047).

Evidence: on the code before, in a scratch copy, TestPanicOfTheDirectorLeavesTheProcess and TestCallersAreServedWhileTheDirectorPanics end with the process ("fault of the test", crash.EndProcess), and TestPanicOfACallCostsOnlyThatCall with "unreadable answer [recovered, repanicked]". They pass here, also with -race. The tests of the simulated world contain only panics that the test itself causes, so that any other one still fails them.

--- a/internal/ctl/explainlog.go
+++ b/internal/ctl/explainlog.go
@@ -61,16 +61,18 @@
 }
 
 // relatesTo reports whether the line concerns one of the subjects (names of groups and
-// VMs), or a start, a stop, the configuration, the evacuations, or the connection to the platform or to all upstreams of
+// VMs), or a start, a stop, a panic of the director, the configuration, the evacuations, or the connection to the platform or to all upstreams of
 // one of the nodes that handled the request.
 func (l logLine) relatesTo(nodes, subjects map[string]bool) bool {
 	switch l.event {
 	case event.PlatformDown.ID, event.PlatformUp.ID, event.Started.ID, event.Stopping.ID, event.Stopped.ID, event.StopLimit.ID, event.CatalogAdopted.ID,
-		event.EvacuationStarted.ID, event.EvacuationEnded.ID, event.UpstreamsUnreachable.ID, event.UpstreamsReachable.ID:
+		event.EvacuationStarted.ID, event.EvacuationEnded.ID, event.UpstreamsUnreachable.ID, event.UpstreamsReachable.ID,
+		event.DirectorPanicked.ID, event.DirectorRestarted.ID:
 		return nodes[l.node]
 	case event.VMLost.ID, event.GroupDissolving.ID, event.GroupReleased.ID, event.HeadStalled.ID, event.HeadLost.ID,
 		event.UpstreamRemoved.ID, event.UpstreamMissing.ID, event.UpstreamDraining.ID, event.GroupSuspected.ID, event.UpstreamEjected.ID,
-		event.UpstreamLimited.ID, event.UpstreamUnlimited.ID, event.UpstreamBackoff.ID, event.UpstreamLeaving.ID, event.UpstreamWarming.ID:
+		event.UpstreamLimited.ID, event.UpstreamUnlimited.ID, event.UpstreamBackoff.ID, event.UpstreamLeaving.ID, event.UpstreamWarming.ID,
+		event.VMCallPanicked.ID:
 		return subjects[fmt.Sprint(l.fields["group"])] || subjects[fmt.Sprint(l.fields["vm"])]
 	}
 	return false
--- a/internal/director/departures.go
+++ b/internal/director/departures.go
@@ -1,11 +1,8 @@
 package director
 
 import (
-	"context"
 	"time"
 
-	"github.com/marbleroad/marbleroad/internal/clock"
-	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 )
 
@@ -41,18 +38,3 @@
 	v.departure.pending = false
 	v.departure.leaving = m.err == nil && !m.healthy
 }
-
-// checkHealth requests a VM's health check and sends the result to the actor.
-func (d *Director) checkHealth(vm *fleet.VM, path string) {
-	requestedAt := clock.Now()
-	d.running.Add(1)
-	go func() {
-		defer crash.Guard()
-		defer d.running.Done()
-		ctx, cancel := context.WithTimeout(d.ctx, reportTimeout)
-		defer cancel()
-		healthy, err := d.parts.Engine.CheckHealth(ctx, vm, path)
-		d.parts.Metrics.Count("director.health_checks", 1)
-		d.send(healthResult{vm: vm, healthy: healthy, err: err, requestedAt: requestedAt})
-	}()
-}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -2,9 +2,13 @@
 // the orders, opens a head only once every member is ready, and releases the VMs of groups
 // that can no longer serve.
 //
-// Concurrency: one actor (state) owns the director's whole state. Calls to VMs run on
+// Concurrency: one actor (supervisor) owns the director's whole state. Calls to VMs run on
 // goroutines of their own and send their results to the actor as typed messages.
 //
+// Panics: a panic while a message is processed ends the state, not the process. All failure domains
+// are given back, and some time later a new state starts without knowledge, like the one of a
+// process that has just started. Results of calls of the old state don't reach the new one.
+//
 // Safety does not depend on there being only one director:
 //   - Every order names how many orders its VM has accepted, so only one of two competing
 //     directors succeeds. It is sent only if the membership that belongs to that number allows it.
@@ -95,8 +99,8 @@
 	parts  Parts
 
 	system *actor.ActorSystem
-	// state is the actor's process ID; nil until Start.
-	state   atomic.Pointer[actor.PID]
+	// actor is the supervisor's process ID; nil until Start.
+	actor   atomic.Pointer[actor.PID]
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -112,6 +116,8 @@
 	// busy is true while this node forms or dissolves groups.
 	busy     atomic.Bool
 	stopping atomic.Bool
+	// down is true from a panic of the director until a new state has processed its first reconciliation.
+	down atomic.Bool
 	// pulse detects standstills of this process.
 	pulse pulse
 	// suspicionTimeout bounds the report call to a suspected VM, in nanoseconds.
@@ -144,6 +150,9 @@
 // are needed promptly.
 func (d *Director) Busy() bool { return d.busy.Load() }
 
+// Down reports whether the director has ended by a panic and no new one runs yet.
+func (d *Director) Down() bool { return d.down.Load() }
+
 // Name implements kernel.Service.
 func (d *Director) Name() string { return ServiceName }
 
@@ -156,12 +165,14 @@
 	d.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 		return slog.New(slog.DiscardHandler)
 	}))
-	started := clock.Now()
-	pid, err := d.system.Root.SpawnNamed(actor.PropsFromProducer(func() actor.Actor { return newState(d, d, started) }), "director")
+	supervise := func() actor.Actor {
+		return newSupervisor(d, func(l *life, now time.Time) *state { return newState(d, l, now) })
+	}
+	pid, err := d.system.Root.SpawnNamed(actor.PropsFromProducer(supervise), "director")
 	if err != nil {
 		return errors.Wrap(err, "spawn director")
 	}
-	d.state.Store(pid)
+	d.actor.Store(pid)
 	d.running.Add(1)
 	go d.tickLoop()
 	return nil
@@ -179,7 +190,7 @@
 	d.stopping.Store(true)
 	d.cancel()
 	d.running.Wait()
-	err := d.system.Root.StopFuture(d.state.Load()).Wait()
+	err := d.system.Root.StopFuture(d.actor.Load()).Wait()
 	d.system.Shutdown()
 	return errors.Wrap(err, "stop director")
 }
@@ -193,8 +204,8 @@
 }
 
 func (d *Director) send(message any) {
-	if state := d.state.Load(); state != nil {
-		d.system.Root.Send(state, message)
+	if pid := d.actor.Load(); pid != nil {
+		d.system.Root.Send(pid, message)
 	}
 }
 
@@ -220,61 +231,3 @@
 	clock.Sync()
 	return d.pulse.beat(clock.Now())
 }
-
-// Timeouts of calls to VMs. Responses take a few milliseconds; the timeout of orders leaves
-// time for one packet retransmission.
-const (
-	reportTimeout = 400 * time.Millisecond
-	orderTimeout  = 700 * time.Millisecond
-)
-
-// vmCaller starts calls to VMs. Their results return as messages to the actor.
-type vmCaller interface {
-	report(vm *fleet.VM, reason reportReason)
-	// order sends an order that was decided on at decidedAt.
-	order(vm *fleet.VM, o engine.GroupOrder, decidedAt time.Time)
-	checkHealth(vm *fleet.VM, path string)
-}
-
-// errNotSent means that an order was not sent because this process stood still after deciding on it.
-var errNotSent = errors.New("order was not sent: the process stood still after the decision")
-
-// report requests a VM's report and sends the result to the actor.
-func (d *Director) report(vm *fleet.VM, reason reportReason) {
-	d.running.Add(1)
-	go func() {
-		defer crash.Guard()
-		defer d.running.Done()
-		timeout := reportTimeout
-		if reason == forSuspicion {
-			timeout = max(time.Duration(d.suspicionTimeout.Load()), minSuspicionTimeout)
-		}
-		ctx, cancel := context.WithTimeout(d.ctx, timeout)
-		defer cancel()
-		requestedAt := clock.Now()
-		r, err := d.parts.Engine.Report(ctx, vm)
-		d.parts.Metrics.Count("director.reports", 1)
-		d.send(reportResult{vm: vm, report: r, err: err, requestedAt: requestedAt, reason: reason})
-	}()
-}
-
-// order sends an order to a VM and sends the result to the actor.
-func (d *Director) order(vm *fleet.VM, o engine.GroupOrder, decidedAt time.Time) {
-	d.running.Add(1)
-	go func() {
-		defer crash.Guard()
-		defer d.running.Done()
-		if d.checkPulse().After(decidedAt) {
-			d.send(orderResult{vm: vm, order: o, err: errNotSent, decidedAt: decidedAt})
-			return
-		}
-		ctx, cancel := context.WithTimeout(d.ctx, orderTimeout)
-		defer cancel()
-		started, err := d.parts.Engine.Order(ctx, vm, o)
-		d.parts.Metrics.Count("director.orders."+o.Operation.String(), 1)
-		d.parts.Log.Emit(event.OrderSent).Str("vm", vm.ID).Stringer("order", o.Operation).Str("group", o.Group).
-			Uint64("generation", o.Generation).Str("model", o.Model).Uint64("accepted_before", o.AcceptedOrders).
-			Bool("begun", started).AnErr("refused", err).Send()
-		d.send(orderResult{vm: vm, order: o, started: started, err: err, decidedAt: decidedAt})
-	}()
-}
--- a/internal/director/pulse.go
+++ b/internal/director/pulse.go
@@ -29,3 +29,10 @@
 	}
 	return p.resumed
 }
+
+// lastResumed returns the end of the last standstill; the zero time if there was none.
+func (p *pulse) lastResumed() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.resumed
+}
--- a/internal/director/state.go
+++ b/internal/director/state.go
@@ -7,11 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
-
 	"github.com/marbleroad/marbleroad/internal/catalog"
-	"github.com/marbleroad/marbleroad/internal/clock"
-	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/fleet"
 )
 
@@ -80,12 +76,12 @@
 	deadline time.Time
 }
 
-// state is the actor. Only the actor accesses its fields.
+// state is what the director knows and plans. Only the actor accesses its fields.
 type state struct {
 	d       *Director
 	vmCalls vmCaller
 	started time.Time
-	// resumedAt is the end of the last standstill; zero before.
+	// resumedAt is the end of the last standstill that this director has taken account of; zero before.
 	resumedAt   time.Time
 	nonce       string
 	namesIssued int
@@ -142,6 +138,7 @@
 		d:                  d,
 		vmCalls:            c,
 		started:            started,
+		resumedAt:          d.pulse.lastResumed(),
 		nonce:              strconv.FormatUint(rand.Uint64()>>24, 36),
 		vms:                make(map[string]*vmState),
 		formations:         make(map[string]*formation),
@@ -154,24 +151,22 @@
 	}
 }
 
-// Receive implements actor.Actor.
-func (s *state) Receive(c actor.Context) {
-	defer crash.EndProcess()
-	switch m := c.Message().(type) {
+// receive processes a message.
+func (s *state) receive(now time.Time, message any) {
+	switch m := message.(type) {
 	case tick:
 		s.reconcilePending = false
-		clock.Sync()
-		s.reconcile(clock.Now())
+		s.reconcile(now)
 	case suspected:
-		s.handleSuspicion(clock.Now(), m)
+		s.handleSuspicion(now, m)
 	case reportResult:
-		s.handleReport(clock.Now(), m)
+		s.handleReport(now, m)
 		s.scheduleReconcile()
 	case healthResult:
 		s.handleHealth(m)
 		s.scheduleReconcile()
 	case orderResult:
-		s.handleOrderResult(clock.Now(), m)
+		s.handleOrderResult(now, m)
 		s.scheduleReconcile()
 	}
 }
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -97,12 +98,17 @@
 
 // node is a simulated node with a director.
 type node struct {
-	w       *world
-	domain  string
-	d       *Director
-	s       *state
-	down    bool
-	traffic bool
+	w      *world
+	domain string
+	d      *Director
+	sup    *supervisor
+	s      *state
+	down   bool
+	// faults counts the panics that the test caused in this node's director; nil if it causes none.
+	faults *int
+	// panicsInReconcile makes each reconciliation panic at its start, and panicsInDuty once the node manages groups.
+	panicsInReconcile, panicsInDuty bool
+	traffic                         bool
 	// frozen nodes stand still: results of their calls wait in held. A node that goes on has the old snapshot
 	// outdated, and hears of no other node, until reachesOthersAt.
 	frozen          bool
@@ -176,8 +182,7 @@
 		Log: log, Metrics: metrics.NewRegistry(), Catalogs: n, Fleet: n, Nodes: n, Demand: n,
 		CutOff: func() bool { return n.cutOff },
 	})
-	n.s = newState(n.d, n, w.now)
-	n.s.nonce = id
+	n.supervise(id)
 	w.nodes = append(w.nodes, n)
 	return n
 }
@@ -185,6 +190,7 @@
 // The methods of node implement the interfaces that its director depends on.
 
 func (n *node) Catalog() *catalog.Catalog {
+	n.panicIf(n.panicsInReconcile)
 	if n.w.now.Before(n.configuredAt) {
 		return nil
 	}
@@ -193,8 +199,12 @@
 
 func (n *node) TriggerExchange()                 {}
 func (n *node) RecordsReadAt() (time.Time, bool) { return n.peersReadAt, !n.peersUnread }
-func (n *node) ModelWork(string) demand.Models   { return n.work }
 func (n *node) TrafficSeen() bool                { return n.traffic }
+func (n *node) ModelWork(string) demand.Models {
+	n.panicIf(n.panicsInDuty)
+	return n.work
+}
+
 func (n *node) Snapshot() *fleet.Snapshot {
 	if n.outdated != nil && n.w.now.Before(n.reachesOthersAt) {
 		return n.outdated
@@ -205,20 +215,51 @@
 // restart ends the node's director, and starts another that gets its configuration later than the list of VMs.
 func (n *node) restart(configurationDelay time.Duration) {
 	n.d.directing.Store(&[]string{})
-	n.s = newState(n.d, n, n.w.now)
-	n.s.nonce = fmt.Sprintf("%s-%d-", n.d.config.NodeID, n.w.now.UnixMilli())
+	n.supervise(n.laterNonce())
 	n.peersReadAt, n.configuredAt = n.w.now, n.w.now.Add(configurationDelay)
 }
 
-// deliver runs f, by which the director s processes the result of a call, unless the node is down or has restarted since. A frozen
-// node processes it later.
-func (n *node) deliver(s *state, f func()) {
+func (n *node) laterNonce() string {
+	return fmt.Sprintf("%s-%d-", n.d.config.NodeID, n.w.now.UnixMilli())
+}
+
+// supervise starts the node's director. Its first state has the given nonce.
+func (n *node) supervise(nonce string) {
+	n.sup = newSupervisor(n.d, func(_ *life, now time.Time) *state {
+		s := newState(n.d, n, now)
+		s.nonce, nonce = cmp.Or(nonce, n.laterNonce()), ""
+		return s
+	})
+	n.receive(nil)
+}
+
+// receive passes a message to the director. A panic that the test did not cause is not contained.
+func (n *node) receive(message any) {
+	if n.faults == nil {
+		n.sup.pass(n.w.now, message)
+	} else {
+		n.sup.receive(n.w.now, message)
+	}
+	n.s = n.sup.state
+}
+
+// panicIf panics in the director if the condition holds.
+func (n *node) panicIf(condition bool) {
+	if !condition {
+		return
+	}
+	*n.faults++
+	panic("fault of the test")
+}
+
+// deliver passes the result of a call that a state of the given life requested, unless the node is down. A frozen node
+// processes it later.
+func (n *node) deliver(l *life, result any) {
 	switch {
-	case n.s != s:
 	case n.frozen:
-		n.held = append(n.held, f)
+		n.held = append(n.held, func() { n.receive(callResult{l, result}) })
 	case !n.down:
-		f()
+		n.receive(callResult{l, result})
 	}
 }
 
@@ -264,7 +305,7 @@
 
 func (n *node) report(vm *fleet.VM, reason reportReason) {
 	n.reports++
-	e, s := n.w.vms[vm.ID], n.s
+	e, l := n.w.vms[vm.ID], n.sup.life
 	// A report is requested after the list was read that leads to it.
 	requestedAt := n.w.now.Add(time.Millisecond)
 	n.w.pending = append(n.w.pending, func() {
@@ -272,19 +313,19 @@
 		if m.err = n.callError(e); m.err == nil {
 			m.report = e.report(n.w.now, n.w.reportLag)
 		}
-		n.deliver(s, func() { s.handleReport(n.w.now, m) })
+		n.deliver(l, m)
 	})
 }
 
 func (n *node) checkHealth(vm *fleet.VM, _ string) {
-	e, s := n.w.vms[vm.ID], n.s
+	e, l := n.w.vms[vm.ID], n.sup.life
 	requestedAt := n.w.now
 	n.w.pending = append(n.w.pending, func() {
 		m := healthResult{vm: vm, requestedAt: requestedAt}
 		if m.err = n.callError(e); m.err == nil {
 			m.healthy = !e.leaving
 		}
-		n.deliver(s, func() { s.handleHealth(m) })
+		n.deliver(l, m)
 	})
 }
 
@@ -328,8 +369,11 @@
 
 func (n *node) order(vm *fleet.VM, o engine.GroupOrder, decidedAt time.Time) {
 	n.orders++
-	w, s := n.w, n.s
+	w, l := n.w, n.sup.life
 	e := w.vms[vm.ID]
+	if age := w.now.Sub(n.sup.state.started); age < stabilizationTime {
+		w.violations = append(w.violations, fmt.Sprintf("%s sent an order %s after the start of its director", n.d.config.NodeID, age))
+	}
 	outcome := executed
 	if w.chooseOutcome != nil && e != nil {
 		outcome = w.chooseOutcome(e, o)
@@ -349,7 +393,7 @@
 				m.err = engine.ErrNoResponse
 			}
 		}
-		n.deliver(s, func() { s.handleOrderResult(w.now, m) })
+		n.deliver(l, m)
 	})
 }
 
@@ -489,7 +533,7 @@
 	w.publishSnapshot()
 	for _, n := range w.nodes {
 		if !n.down && !n.frozen {
-			n.s.reconcile(w.now)
+			n.receive(tick{})
 		}
 		if w.messageDelay > 0 {
 			n.sent = append(n.sent, n.peerRecord(w.now))
@@ -614,6 +658,11 @@
 	for _, f := range w.violations {
 		t.Errorf("%s", f)
 	}
+	for _, n := range w.nodes {
+		if n.faults != nil && n.sup.panics != *n.faults {
+			t.Errorf("%s had %d panics, the test caused %d", n.d.config.NodeID, n.sup.panics, *n.faults)
+		}
+	}
 }
 
 // restart restarts a VM under its ID. The new incarnation has no state of the previous one; copies on
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -168,6 +168,12 @@
 		"None. If it repeats for one VM, another program writes under its ID, or its clock was set back when it started."}
 	VersionsCompared = Event{4044, zerolog.InfoLevel, "after a start or a restore of the platform's store, other nodes were asked for their versions of the configuration; keys are checked by the newest",
 		"None. If none answered although nodes are up, check this node's path to them."}
+	DirectorPanicked = Event{4045, zerolog.ErrorLevel, "the director panicked: this node gives its failure domains to other nodes and goes on serving; a new director starts after a delay",
+		"Report it with the text and the stack of the line. See 4022 of other nodes for who took over, and docs/OPERATIONS.md if it repeats."}
+	DirectorRestarted = Event{4046, zerolog.InfoLevel, "a new director runs after a panic; it manages groups once it has heard of other nodes anew",
+		"None."}
+	VMCallPanicked = Event{4047, zerolog.ErrorLevel, "a call of the director to a VM panicked; it counts as failed, and the VM as failing",
+		"Report it with the text and the stack of the line. If it is always the same VM, restart or drain it."}
 )
 
 // Events of requests.
@@ -267,6 +273,7 @@
 	GroupPlanned, GroupOpened, GroupAbandoned, GroupDissolving, GroupReleased, GroupSuspected, HeadLost,
 	DirectorRoleAcquired, DirectorRoleReleased, HeadStalled, LeaderChanged, LeaderFailed, UpstreamMissing, HubChanged, UpstreamRestarted, SourceQueried, ListRead, UnverifiedStateAdopted,
 	EvacuationStarted, EvacuationEnded, LeaderOutdated, EntryOutdated, PackingChanged, VersionFetched, RelayFollowed, DirectorResumed, ReleaseRevoked, GroupKept, EntryLate, VersionsCompared,
+	DirectorPanicked, DirectorRestarted, VMCallPanicked,
 	RequestDone, RequestRefused, RequestFailed, InvalidInput, UpstreamEjected, StreamBroken,
 	RequestSent, AttemptFailed, RequestServed, CallerDisconnected, RetryRefused, UpstreamTerminated, RequestQuarantined,
 	SuspectsReceived, QuarantineUnavailable, QuarantineStored, RequestUnanswered, UpstreamLimited, UpstreamUnlimited, ConditionUnreadable, UpstreamBackoff, UpstreamLeaving, UpstreamWarming, CallerSlow,
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -35,6 +35,9 @@
 	plain  []*groupengine.VM
 	url    string
 	server *gateway.Server
+	// catalogs and directory are the sources of server.
+	catalogs  *catalog.Cache
+	directory *fleet.Directory
 	// listen is the address of the gateway's server for callers.
 	listen string
 	// addresses are the URLs of the VMs.
@@ -119,6 +122,7 @@
 	if o.evacuations {
 		directory.FollowEvacuations(vmList)
 	}
+	s.catalogs, s.directory = catalogs, directory
 	s.listen = freeAddress(t)
 	var dialect gateway.CallerDialect = platform.Caller{}
 	if o.caller != nil {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -633,8 +633,8 @@
   's/if !resumed\.After\(s\.resumedAt\)/if true/' ./internal/director TestDirectorThatStoodStillWaitsForOthers
 mutant "outdated knowledge: a long reconciliation is a standstill" internal/director/pulse.go \
   's/\t\tp\.last = now\n//' ./internal/director TestLongReconciliationIsNoStandstill
-mutant "outdated knowledge: an order is sent after a standstill" internal/director/director.go \
-  's/if d\.checkPulse\(\)\.After\(decidedAt\)/if false/' ./internal/director TestOrderIsNotSentAfterAStandstill
+mutant "outdated knowledge: an order is sent after a standstill" internal/director/calls.go \
+  's/if d\.checkPulse\(\)\.After\(decidedAt\) \|\| /if /' ./internal/director TestOrderIsNotSentAfterAStandstill
 mutant "outdated knowledge: a join goes by the entry" internal/director/fence.go \
   's/case v\.counted\.Group == "":\n\t\treturn true/case true:\n\t\treturn true/' ./internal/director TestGroupReleasedByAnOutdatedEntryKeepsItsMembers
 mutant "outdated knowledge: a release needs no confirmation" internal/director/fence.go \
@@ -660,6 +660,26 @@
 mutant "outdated knowledge: a shorter timeout counts at once" internal/director/closetime.go \
   's/case timeout >= b\.longest:/case true:/' ./internal/director TestShorterTimeoutCutsNoEarlierRequest
 
+# Panics of the director.
+mutant "panics: the process ends with the director" internal/director/supervisor.go \
+  's/p := crash\.Contain\(func\(\) \{ s\.pass\(now, message\) \}\)/s.pass(now, message)\n\tvar p *crash.Panic/' ./internal/director TestPanicOfTheDirectorLeavesTheProcess
+mutant "panics: results of the director before count" internal/director/supervisor.go \
+  's/if m\.life != s\.life/if false/' ./internal/director TestResultsOfAPanickedDirectorDoNotCount
+mutant "panics: orders of the director before are sent" internal/director/calls.go \
+  's/ \|\| l\.ended\(\)//' ./internal/director TestOrderOfAPanickedDirectorIsNotSent
+mutant "panics: the duties stay published" internal/director/supervisor.go \
+  's/\ts\.d\.resign\(\)\n/\ts.d.down.Store(true)\n/' ./internal/director 'TestPanickedDirectorPublishesNoDuties|TestDirectorThatPanicsHandsOver'
+mutant "panics: the new director counts as stabilized" internal/director/supervisor.go \
+  's/s\.newState\(s\.life, now\)/s.newState(s.life, now.Add(-stabilizationTime))/' ./internal/director 'TestResultsOfAPanickedDirectorDoNotCount|TestGroupsServeWhileAllDirectorsPanic'
+mutant "panics: the delay does not grow" internal/director/supervisor.go \
+  's/max\(2\*s\.delay, minRestartDelay\)/minRestartDelay/' ./internal/director 'TestRestartDelayGrows|TestGroupsServeWhileAllDirectorsPanic'
+mutant "panics: a faulty log ends the stand-down" internal/director/supervisor.go \
+  's/crash\.Attempt\(func\(\) \{\n\t\ts\.d\.parts\.Log\.Emit\(event\.DirectorPanicked/(func(f func()) { f() })(func() {\n\t\ts.d.parts.Log.Emit(event.DirectorPanicked/' ./internal/director TestStandDownWithAFaultyLog
+mutant "panics: a call ends the process" internal/director/calls.go \
+  's/p := crash\.Contain\(func\(\) \{ err = f\(\) \}\)/err = f()\n\tvar p *crash.Panic/' ./internal/director TestPanicOfACallCostsOnlyThatCall
+mutant "panics: callers' requests end with the director" internal/director/supervisor.go \
+  's/p := crash\.Contain\(func\(\) \{ s\.pass\(now, message\) \}\)/s.pass(now, message)\n\tvar p *crash.Panic/' ./internal/gateway TestCallersAreServedWhileTheDirectorPanics
+
 mutant "cut off: a sample that fails shows nothing" internal/reach/detector.go \
   's/d\.cutOff = timedOut == 0 \|\| /d.cutOff = false \&\& /' ./internal/reach TestFailingSampleMeansCutOff
 mutant "cut off: one upstream that responds ends the state" internal/reach/detector.go \
