Other nodes don't wait for a director that is down

Callers saw nothing yet; with a director that is down for up to a minute, lost groups of its failure domain would not have been formed anew while its node, live and preferred, gave the duty back and took it again by turns.

Change: NodeState.director_down, from a panic until a new director has processed its first reconciliation. Peers treat such a node like one that reaches no VM: no candidate. A failure domain with only such nodes falls to the preferred one of the others at once. Hubs pass the field on, and a change is sent at once. The node's view and `marbleroadctl node status` show it.

Evidence: TestDirectorThatPanicsHandsOver fails without the condition in duty.go ("the second node does not manage the failure domain after 2 s", both cases) and passes with it. TestGroupsServeWhileAllDirectorsPanic passes with and without.

--- a/internal/cluster/receive.go
+++ b/internal/cluster/receive.go
@@ -165,6 +165,7 @@
 		KnownNodes:    s.GetKnownNodes(),
 		Stopping:      s.GetStopping(),
 		CutOff:        s.GetCutOff(),
+		DirectorDown:  s.GetDirectorDown(),
 		TrafficSeen:   s.GetTrafficSeen(),
 		Directing:     s.GetDirecting(),
 		Loading:       s.GetLoading(),
--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -149,6 +149,7 @@
 			Processor:     m.state.GetProcessor(),
 			Stopping:      m.state.GetStopping(),
 			CutOff:        m.state.GetCutOff(),
+			DirectorDown:  m.state.GetDirectorDown(),
 			Directing:     m.state.GetDirecting(),
 			Loading:       m.state.GetLoading(),
 			Preparing:     m.state.GetPreparing(),
@@ -163,9 +164,9 @@
 
 // isUrgent reports whether two states of a node differ in something that the others must receive at
 // once: groups that became unresponsive or are being dissolved, roles, a stop, the first callers,
-// the start or end of a partition from all upstream VMs, or upstream VMs that start or stop reporting a limit, or that leave.
+// the start or end of a partition from all upstream VMs, a director that ends or runs again, or upstream VMs that start or stop reporting a limit, or that leave.
 func isUrgent(old, next *marbleroadv1.NodeState) bool {
-	if old.GetStopping() != next.GetStopping() || old.GetCutOff() != next.GetCutOff() || old.GetTrafficSeen() != next.GetTrafficSeen() || !slices.Equal(old.GetDirecting(), next.GetDirecting()) ||
+	if old.GetStopping() != next.GetStopping() || old.GetCutOff() != next.GetCutOff() || old.GetDirectorDown() != next.GetDirectorDown() || old.GetTrafficSeen() != next.GetTrafficSeen() || !slices.Equal(old.GetDirecting(), next.GetDirecting()) ||
 		!slices.Equal(old.GetDissolving(), next.GetDissolving()) || conditionsDiffer(old, next) {
 		return true
 	}
--- a/internal/cluster/sum_test.go
+++ b/internal/cluster/sum_test.go
@@ -94,3 +94,18 @@
 		t.Error("a hub passes on another one without what it read")
 	}
 }
+
+// TestHubsPassOnThatADirectorIsDown guards against nodes that wait for the director of a node which they know through hubs.
+func TestHubsPassOnThatADirectorIsDown(t *testing.T) {
+	now := time.Now()
+	up, down := &marbleroadv1.NodeState{Node: "a", FailureDomain: "x"}, &marbleroadv1.NodeState{Node: "a", FailureDomain: "x", DirectorDown: true}
+	if listed := leadingStates([]receivedState{{down, now}}, "x", "", now); len(listed) != 1 || !listed[0].GetDirectorDown() {
+		t.Errorf("a hub lists %v", listed)
+	}
+	if !relayedState(down, 0).GetDirectorDown() {
+		t.Error("a hub passes on another one without it")
+	}
+	if !isUrgent(up, down) || !isUrgent(down, up) || isUrgent(down, down) {
+		t.Error("the change is not sent at once, or the state without a change is")
+	}
+}
--- a/internal/ctl/node.go
+++ b/internal/ctl/node.go
@@ -82,7 +82,7 @@
 	case v.CutOff:
 		ready = "yes, cut off from upstreams"
 	}
-	g.add(v.Node, v.FailureDomain, ready, "this node", strings.Join(v.Directing, " "),
+	g.add(v.Node, v.FailureDomain, ready, "this node", directing(v.DirectorDown, v.Directing),
 		fmt.Sprintf("%d, proven %s ago", v.Configuration.Version, rounded(v.Configuration.VerifiedAge)),
 		fmt.Sprintf("%d, proven %s ago", v.ListRevision, rounded(v.ListAge)), strings.Join(v.Evacuated, " "))
 	for _, n := range v.Nodes {
@@ -93,11 +93,19 @@
 		case n.CutOff:
 			state = "cut off from upstreams"
 		}
-		g.add(n.ID, n.FailureDomain, state, rounded(n.Age)+" ago", strings.Join(n.Directing, " "), "", "", "")
+		g.add(n.ID, n.FailureDomain, state, rounded(n.Age)+" ago", directing(n.DirectorDown, n.Directing), "", "", "")
 	}
 	return g, v
 }
 
+// directing describes a node's director in the status.
+func directing(down bool, domains []string) string {
+	if down {
+		return "none: the director is down after a panic (4045)"
+	}
+	return strings.Join(domains, " ")
+}
+
 func nodeGroups(v inspect.View) (grid, any) {
 	g := grid{header: []string{"group", "generation", "service", "model", "listed", "state", "running", "shunned", "members"}}
 	for _, group := range v.Groups {
--- a/internal/ctl/node_test.go
+++ b/internal/ctl/node_test.go
@@ -119,3 +119,15 @@
 		t.Errorf("another server: exit code %d, %s", code, out.String())
 	}
 }
+
+// TestNodeStatusShowsDirectorsThatAreDown guards against an operator who sees only that a node manages nothing.
+func TestNodeStatusShowsDirectorsThatAreDown(t *testing.T) {
+	view := testView()
+	view.DirectorDown, view.Nodes[0].DirectorDown = true, true
+	g, _ := nodeStatus(view)
+	for _, row := range g.rows {
+		if !strings.Contains(strings.Join(row, "|"), "director is down") {
+			t.Errorf("row %v", row)
+		}
+	}
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -92,6 +92,7 @@
 			Dissolving:    groupDirector.Dissolving(),
 			Loading:       uint32(groupDirector.Loading()),
 			Preparing:     groupDirector.Preparing(),
+			DirectorDown:  groupDirector.Down(),
 			Platform:      feedServer.Knowledge(clock.Now()),
 		}
 		server.FillState(state)
@@ -161,6 +162,7 @@
 		Directory:     directory,
 		Cluster:       nodes,
 		Directing:     groupDirector.Directing,
+		DirectorDown:  groupDirector.Down,
 		Load:          server.Load,
 		Condition:     server.Condition,
 		Suspects:      suspects,
--- a/internal/director/duty.go
+++ b/internal/director/duty.go
@@ -55,8 +55,8 @@
 type peerDuties struct {
 	// claimed holds, for each failure domain, the node with the lowest ID that claims it.
 	claimed map[string]string
-	// byDomain holds the nodes that reach VMs, by their failure domain. abandoned holds the failure domains with nodes
-	// that reach none.
+	// byDomain holds the nodes that can manage groups, by their failure domain: they reach VMs, and their directors run.
+	// abandoned holds the failure domains with other nodes.
 	byDomain  map[string][]cluster.Record
 	abandoned map[string]bool
 }
@@ -67,7 +67,7 @@
 		if p.State.GetStopping() {
 			continue
 		}
-		if p.State.GetCutOff() {
+		if p.State.GetCutOff() || p.State.GetDirectorDown() {
 			out.abandoned[p.FailureDomain] = true
 		} else {
 			out.byDomain[p.FailureDomain] = append(out.byDomain[p.FailureDomain], p.Record)
@@ -101,12 +101,12 @@
 	return out
 }
 
-// shouldManage reports whether this node must manage a failure domain. nodes are the live nodes there that reach VMs.
+// shouldManage reports whether this node must manage a failure domain. nodes are the live nodes there that can manage groups.
 //
 // A node keeps a domain that it manages, unless a peer with a lower ID claims it too, or the
 // domain is not the node's own and has a live node again. A domain that nobody claims falls
-// to its own preferred live node. If it has had no live node for takeoverDelay, or all of its live
-// nodes report that they reach no VM, it falls to the preferred one of all live nodes.
+// to its own preferred one of these. If it has had none for takeoverDelay, or all of its live
+// nodes report that they reach no VM or that their directors are down, it falls to the preferred one of all live nodes.
 func (s *state) shouldManage(now time.Time, domain string, nodes []cluster.Record, peers peerDuties) bool {
 	claimedBy := peers.claimed[domain]
 	local := domain == s.d.config.FailureDomain
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -42,9 +42,11 @@
 	Evacuated []string `json:"evacuated,omitempty"`
 	// Directing lists the failure domains whose groups the node manages.
 	Directing []string `json:"directing"`
-	Nodes     []Node   `json:"nodes"`
-	Groups    []Group  `json:"groups"`
-	Upstreams []VM     `json:"upstreams"`
+	// DirectorDown reports whether the node's director is down after a panic, so that the node manages no groups.
+	DirectorDown bool    `json:"director_down,omitempty"`
+	Nodes        []Node  `json:"nodes"`
+	Groups       []Group `json:"groups"`
+	Upstreams    []VM    `json:"upstreams"`
 	// Suspects lists the requests during which upstream VMs terminated, those in quarantine first.
 	Suspects []Suspect `json:"suspects"`
 	// FairShares describes the shares of teams; nil if they are off.
@@ -95,8 +97,9 @@
 	Age       time.Duration `json:"age_ns"`
 	Directing []string      `json:"directing"`
 	Stopping  bool          `json:"stopping"`
-	// CutOff is as in View.
-	CutOff bool `json:"cut_off,omitempty"`
+	// CutOff and DirectorDown are as in View.
+	CutOff       bool `json:"cut_off,omitempty"`
+	DirectorDown bool `json:"director_down,omitempty"`
 }
 
 // Group is a group of VMs, as its VMs report it in the list; Size, Running and
@@ -146,6 +149,8 @@
 	Directory    *fleet.Directory
 	Cluster      *cluster.Cluster
 	Directing    func() []string
+	// DirectorDown reports whether the director is down after a panic.
+	DirectorDown func() bool
 	// Load returns the number of requests that all nodes have in flight at a group's head,
 	// as far as this node knows, and the reason why this node sends no requests there. The
 	// reason is empty if it sends them.
@@ -172,14 +177,14 @@
 func (s Sources) view(now time.Time) View {
 	v := View{Node: s.Node, FailureDomain: s.FailureDomain, Directing: s.Directing(), FairShares: s.FairShares(now)}
 	v.Ready, v.NotReady = s.Ready()
-	v.CutOff = s.CutOff()
+	v.CutOff, v.DirectorDown = s.CutOff(), s.DirectorDown()
 	for _, r := range s.Suspects.Suspects(now) {
 		v.Suspects = append(v.Suspects, Suspect{Fingerprint: r.Fingerprint.String(), Trait: r.Trait.String(), Terminations: len(r.Terminations), LastTermination: now.Sub(r.Terminations[len(r.Terminations)-1].At),
 			Quarantined: !r.QuarantinedAt.IsZero(), Remaining: r.ExpiresAt().Sub(now)})
 	}
 	for _, p := range s.Cluster.Live(now) {
 		v.Nodes = append(v.Nodes, Node{ID: p.ID, FailureDomain: p.FailureDomain, Age: now.Sub(p.LastSeen),
-			Directing: p.State.GetDirecting(), Stopping: p.State.GetStopping(), CutOff: p.State.GetCutOff()})
+			Directing: p.State.GetDirecting(), Stopping: p.State.GetStopping(), CutOff: p.State.GetCutOff(), DirectorDown: p.State.GetDirectorDown()})
 	}
 	current := s.CatalogCache.Catalog()
 	if current != nil {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -679,6 +679,10 @@
   's/p := crash\.Contain\(func\(\) \{ err = f\(\) \}\)/err = f()\n\tvar p *crash.Panic/' ./internal/director TestPanicOfACallCostsOnlyThatCall
 mutant "panics: callers' requests end with the director" internal/director/supervisor.go \
   's/p := crash\.Contain\(func\(\) \{ s\.pass\(now, message\) \}\)/s.pass(now, message)\n\tvar p *crash.Panic/' ./internal/gateway TestCallersAreServedWhileTheDirectorPanics
+mutant "panics: other nodes wait for a director that is down" internal/director/duty.go \
+  's/ \|\| p\.State\.GetDirectorDown\(\)//' ./internal/director TestDirectorThatPanicsHandsOver
+mutant "panics: hubs don't pass on that a director is down" internal/cluster/sum.go \
+  's/DirectorDown: +m\.state\.GetDirectorDown\(\),//' ./internal/cluster TestHubsPassOnThatADirectorIsDown
 
 mutant "cut off: a sample that fails shows nothing" internal/reach/detector.go \
   's/d\.cutOff = timedOut == 0 \|\| /d.cutOff = false \&\& /' ./internal/reach TestFailingSampleMeansCutOff
