Hubs list nodes that can manage groups besides those that can't

Callers saw nothing yet (found by reading). A hub lists the first three nodes of its failure domain. While these were cut off, stopping, or their directors were down, the members knew of no other candidate than themselves, so that all of them would have managed the groups until they heard of each other's claims.

Change: the first three that can manage groups, and the first three that can't.

Evidence: TestHubListsNodesThatCanManage failed before ("0 nodes that can manage groups are listed, and 3 others", all three cases) and passes.

--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -9,7 +9,8 @@
 
 const (
 	// maxLeadingNodes is the number of nodes of its failure domain that a hub lists, besides those that
-	// manage groups: roles fall to the first nodes of a failure domain.
+	// manage groups: roles fall to the first nodes of a failure domain. It lists as many that can't manage groups now,
+	// so that the other nodes know of that.
 	maxLeadingNodes = 3
 	// maxReaderNodes is the number of further nodes that a hub lists because they read the platform: nodes that the
 	// platform does not serve follow them.
@@ -124,17 +125,23 @@
 }
 
 // leadingStates returns short states of the members that manage groups, are among the first of
-// the failure domain, or read the platform.
+// the failure domain that can or can't manage groups now, or read the platform.
 func leadingStates(members []receivedState, domain, exclude string, now time.Time) []*marbleroadv1.NodeState {
 	members = slices.DeleteFunc(slices.Clone(members), func(m receivedState) bool { return m.state.GetNode() == exclude })
 	slices.SortFunc(members, func(a, b receivedState) int { return CompareForRole(recordOf(a.state), recordOf(b.state)) })
 	var out []*marbleroadv1.NodeState
-	local, readers := 0, 0
+	able, unable, readers := 0, 0, 0
 	for _, m := range members {
-		if m.state.GetFailureDomain() == domain {
-			local++
+		first := false
+		switch {
+		case m.state.GetFailureDomain() != domain:
+		case canManage(m.state):
+			able++
+			first = able <= maxLeadingNodes
+		default:
+			unable++
+			first = unable <= maxLeadingNodes
 		}
-		first := m.state.GetFailureDomain() == domain && local <= maxLeadingNodes
 		reader := m.state.GetPlatform().GetVersionReadMs() > 0 && readers < maxReaderNodes
 		if !first && !reader && len(m.state.GetDirecting()) == 0 {
 			continue
@@ -160,6 +167,11 @@
 	return out
 }
 
+// canManage reports whether the node can manage groups.
+func canManage(s *marbleroadv1.NodeState) bool {
+	return !s.GetStopping() && !s.GetCutOff() && !s.GetDirectorDown()
+}
+
 func ageMS(now, at time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 0)) }
 
 // isUrgent reports whether two states of a node differ in something that the others must receive at
--- a/internal/cluster/sum_test.go
+++ b/internal/cluster/sum_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -109,3 +110,34 @@
 		t.Error("the change is not sent at once, or the state without a change is")
 	}
 }
+
+// TestHubListsNodesThatCanManage guards against failure domains whose first nodes can't manage groups and in which no member knows
+// of another one that can, so that all of them do.
+func TestHubListsNodesThatCanManage(t *testing.T) {
+	now := time.Now()
+	for name, fault := range map[string]func(*marbleroadv1.NodeState){
+		"director down": func(s *marbleroadv1.NodeState) { s.DirectorDown = true },
+		"cut off":       func(s *marbleroadv1.NodeState) { s.CutOff = true },
+		"stopping":      func(s *marbleroadv1.NodeState) { s.Stopping = true },
+	} {
+		var members []receivedState
+		for i := range 20 {
+			state := &marbleroadv1.NodeState{Node: fmt.Sprintf("n%02d", i), FailureDomain: "x"}
+			if i < 10 {
+				fault(state)
+			}
+			members = append(members, receivedState{state, now})
+		}
+		able, unable := 0, 0
+		for _, s := range leadingStates(members, "x", "", now) {
+			if canManage(s) {
+				able++
+			} else {
+				unable++
+			}
+		}
+		if able != maxLeadingNodes || unable != maxLeadingNodes {
+			t.Errorf("%s: %d nodes that can manage groups are listed, and %d others", name, able, unable)
+		}
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -683,6 +683,8 @@
   's/ \|\| p\.State\.GetDirectorDown\(\)//' ./internal/director TestDirectorThatPanicsHandsOver
 mutant "panics: hubs don't pass on that a director is down" internal/cluster/sum.go \
   's/DirectorDown: +m\.state\.GetDirectorDown\(\),//' ./internal/cluster TestHubsPassOnThatADirectorIsDown
+mutant "panics: hubs list only nodes whose directors are down" internal/cluster/sum.go \
+  's/case canManage\(m\.state\):/case true:/' ./internal/cluster TestHubListsNodesThatCanManage
 
 mutant "cut off: a sample that fails shows nothing" internal/reach/detector.go \
   's/d\.cutOff = timedOut == 0 \|\| /d.cutOff = false \&\& /' ./internal/reach TestFailingSampleMeansCutOff
