--- a/internal/director/calls.go
+++ b/internal/director/calls.go
@@ -36,15 +36,15 @@
 	errCallPanicked = errors.New("the call panicked")
 )
 
-// start runs a call to a VM on a goroutine of its own and sends its result to the actor. Calls are canceled when the life ends.
-func (l *life) start(timeout time.Duration, call func(ctx context.Context) any) {
-	l.d.running.Add(1)
+// start runs a call to a VM on a goroutine of its own and sends its result to the actor. Calls are canceled when the incarnation ends.
+func (i *incarnation) start(timeout time.Duration, call func(ctx context.Context) any) {
+	i.d.running.Add(1)
 	go func() {
 		defer crash.Guard()
-		defer l.d.running.Done()
-		ctx, cancel := context.WithTimeout(l.ctx, timeout)
+		defer i.d.running.Done()
+		ctx, cancel := context.WithTimeout(i.ctx, timeout)
 		defer cancel()
-		l.d.send(callResult{life: l, result: call(ctx)})
+		i.d.send(callResult{incarnation: i, result: call(ctx)})
 	}()
 }
 
@@ -62,12 +62,12 @@
 }
 
 // report requests a VM's report.
-func (l *life) report(vm *fleet.VM, reason reportReason) {
-	d, timeout := l.d, reportTimeout
+func (i *incarnation) report(vm *fleet.VM, reason reportReason) {
+	d, timeout := i.d, reportTimeout
 	if reason == forSuspicion {
 		timeout = max(time.Duration(d.suspicionTimeout.Load()), minSuspicionTimeout)
 	}
-	l.start(timeout, func(ctx context.Context) any {
+	i.start(timeout, func(ctx context.Context) any {
 		m := reportResult{vm: vm, requestedAt: clock.Now(), reason: reason}
 		m.err = d.contain(vm, "report", func() (err error) {
 			m.report, err = d.parts.Engine.Report(ctx, vm)
@@ -79,9 +79,9 @@
 }
 
 // checkHealth requests a VM's health check.
-func (l *life) checkHealth(vm *fleet.VM, path string) {
-	d, requestedAt := l.d, clock.Now()
-	l.start(reportTimeout, func(ctx context.Context) any {
+func (i *incarnation) checkHealth(vm *fleet.VM, path string) {
+	d, requestedAt := i.d, clock.Now()
+	i.start(reportTimeout, func(ctx context.Context) any {
 		m := healthResult{vm: vm, requestedAt: requestedAt}
 		m.err = d.contain(vm, "health check", func() (err error) {
 			m.healthy, err = d.parts.Engine.CheckHealth(ctx, vm, path)
@@ -93,11 +93,11 @@
 }
 
 // order sends an order to a VM.
-func (l *life) order(vm *fleet.VM, o engine.GroupOrder, decidedAt time.Time) {
-	d := l.d
-	l.start(orderTimeout, func(ctx context.Context) any {
+func (i *incarnation) order(vm *fleet.VM, o engine.GroupOrder, decidedAt time.Time) {
+	d := i.d
+	i.start(orderTimeout, func(ctx context.Context) any {
 		m := orderResult{vm: vm, order: o, decidedAt: decidedAt}
-		if d.checkPulse().After(decidedAt) || l.ended() {
+		if d.checkPulse().After(decidedAt) || i.ended() {
 			m.err = errNotSent
 			return m
 		}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -166,7 +166,7 @@
 		return slog.New(slog.DiscardHandler)
 	}))
 	supervise := func() actor.Actor {
-		return newSupervisor(d, func(l *life, now time.Time) *state { return newState(d, l, now) })
+		return newSupervisor(d, func(i *incarnation, now time.Time) *state { return newState(d, i, now) })
 	}
 	pid, err := d.system.Root.SpawnNamed(actor.PropsFromProducer(supervise), "director")
 	if err != nil {
--- a/internal/director/fence_test.go
+++ b/internal/director/fence_test.go
@@ -127,12 +127,12 @@
 	vm := &fleet.VM{ID: "vm"}
 	decided := clock.Now().Add(-time.Minute)
 	d.pulse.beat(decided)
-	d.newLife().order(vm, engine.GroupOrder{Operation: engine.Leave}, decided)
+	d.newIncarnation().order(vm, engine.GroupOrder{Operation: engine.Leave}, decided)
 	d.running.Wait()
 	if vms.orders != 0 {
 		t.Error("an order was sent after a standstill of a minute")
 	}
-	d.newLife().order(vm, engine.GroupOrder{Operation: engine.Leave}, clock.Now())
+	d.newIncarnation().order(vm, engine.GroupOrder{Operation: engine.Leave}, clock.Now())
 	d.running.Wait()
 	if vms.orders != 1 {
 		t.Error("an order was not sent right after its decision")
--- a/internal/director/supervisor.go
+++ b/internal/director/supervisor.go
@@ -21,27 +21,27 @@
 	restartDelayMemory = 5 * time.Minute
 )
 
-// life is the time of a state, from its start to a panic or the stop of the director.
-type life struct {
+// incarnation is a run of the director, from the start of its state to a panic or the stop. Calls to VMs belong to it.
+type incarnation struct {
 	d *Director
-	// ctx is done once the life has ended; end ends it.
+	// ctx is done once the incarnation has ended; end ends it.
 	ctx context.Context
 	end context.CancelFunc
 }
 
-func (d *Director) newLife() *life {
-	l := &life{d: d}
-	l.ctx, l.end = context.WithCancel(d.ctx)
-	return l
+func (d *Director) newIncarnation() *incarnation {
+	i := &incarnation{d: d}
+	i.ctx, i.end = context.WithCancel(d.ctx)
+	return i
 }
 
-// ended reports whether the life has ended: what its state has decided must not act any more.
-func (l *life) ended() bool { return l.ctx.Err() != nil }
+// ended reports whether the incarnation has ended: what its state has decided must not act any more.
+func (i *incarnation) ended() bool { return i.ctx.Err() != nil }
 
-// callResult is the result of a call that a state of the given life requested.
+// callResult is the result of a call that a state of the given incarnation requested.
 type callResult struct {
-	life   *life
-	result any
+	incarnation *incarnation
+	result      any
 }
 
 // supervisor is the actor. It passes messages to the state, and replaces it some time after a panic. The state of the panicking
@@ -49,11 +49,11 @@
 // Only the actor accesses its fields.
 type supervisor struct {
 	d *Director
-	// newState creates the state of a life.
-	newState func(l *life, now time.Time) *state
-	// state is nil while the director is down, and life the life of state.
-	state *state
-	life  *life
+	// newState creates the state of an incarnation.
+	newState func(i *incarnation, now time.Time) *state
+	// state is nil while the director is down, and incarnation the run that it belongs to.
+	state       *state
+	incarnation *incarnation
 	// startAt is when the next state starts; only used while state is nil.
 	startAt time.Time
 	// panics counts the panics of this process, of which the last one was at panickedAt. delay is the last delay.
@@ -63,7 +63,7 @@
 }
 
 // newSupervisor returns a supervisor that starts a state with its first message.
-func newSupervisor(d *Director, newState func(l *life, now time.Time) *state) *supervisor {
+func newSupervisor(d *Director, newState func(i *incarnation, now time.Time) *state) *supervisor {
 	return &supervisor{d: d, newState: newState}
 }
 
@@ -96,11 +96,11 @@
 		if now.Before(s.startAt) {
 			return
 		}
-		s.life = s.d.newLife()
-		s.state = s.newState(s.life, now)
+		s.incarnation = s.d.newIncarnation()
+		s.state = s.newState(s.incarnation, now)
 	}
 	if m, ok := message.(callResult); ok {
-		if m.life != s.life {
+		if m.incarnation != s.incarnation {
 			return
 		}
 		message = m.result
@@ -108,13 +108,13 @@
 	s.state.receive(now, message)
 }
 
-// standDown ends the life of the state that panicked, gives all failure domains back, and sets the time of the restart. It
+// standDown ends the incarnation of the state that panicked, gives all failure domains back, and sets the time of the restart. It
 // calls no code of the state, and takes no lock that the state's code may hold, but for what Attempt bounds.
 func (s *supervisor) standDown(now time.Time, p *crash.Panic) {
-	if s.life != nil {
-		s.life.end()
+	if s.incarnation != nil {
+		s.incarnation.end()
 	}
-	s.state, s.life = nil, nil
+	s.state, s.incarnation = nil, nil
 	s.d.resign()
 	s.scheduleRestart(now)
 	panics, delay := s.panics, s.delay
--- a/internal/director/supervisor_test.go
+++ b/internal/director/supervisor_test.go
@@ -19,7 +19,7 @@
 	w := newWorld(t, 1, 2)
 	n := w.addNode(t, "n1")
 	n.faults = new(int)
-	vm, before := w.snapshot.VMs[vmID(0, 0)], n.sup.life
+	vm, before := w.snapshot.VMs[vmID(0, 0)], n.sup.incarnation
 	n.panicsInReconcile = true
 	n.receive(tick{})
 	if !before.ended() || n.s != nil || !n.d.Down() {
@@ -35,7 +35,7 @@
 	if n.s.vm(vm.ID).acceptedKnown {
 		t.Error("a report that the director before asked for counts")
 	}
-	n.receive(callResult{n.sup.life, reportResult{vm: vm, requestedAt: w.now, report: engine.Report{AcceptedOrders: 3}}})
+	n.receive(callResult{n.sup.incarnation, reportResult{vm: vm, requestedAt: w.now, report: engine.Report{AcceptedOrders: 3}}})
 	if !n.s.vm(vm.ID).acceptedKnown {
 		t.Error("a report that the director asked for does not count")
 	}
@@ -66,9 +66,9 @@
 	}
 	vms := &recordingEngine{}
 	d := New(Config{Heartbeat: time.Second, StallBound: time.Second}, Parts{Log: log, Metrics: metrics.NewRegistry(), Engine: vms})
-	l := d.newLife()
-	l.end()
-	l.order(&fleet.VM{ID: "vm"}, engine.GroupOrder{Operation: engine.Leave}, clock.Now())
+	i := d.newIncarnation()
+	i.end()
+	i.order(&fleet.VM{ID: "vm"}, engine.GroupOrder{Operation: engine.Leave}, clock.Now())
 	d.running.Wait()
 	if vms.orders != 0 {
 		t.Error("the order was sent")
@@ -98,7 +98,7 @@
 	w := newWorld(t, 1, 2)
 	n := w.addNode(t, "n1")
 	broken := true
-	s := newSupervisor(n.d, func(l *life, now time.Time) *state {
+	s := newSupervisor(n.d, func(i *incarnation, now time.Time) *state {
 		if broken {
 			panic("fault of the test")
 		}
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -233,7 +233,7 @@
 
 // supervise starts the node's director. Its first state has the given nonce.
 func (n *node) supervise(nonce string) {
-	n.sup = newSupervisor(n.d, func(_ *life, now time.Time) *state {
+	n.sup = newSupervisor(n.d, func(_ *incarnation, now time.Time) *state {
 		s := newState(n.d, n, now)
 		n.directorStartedAt = n.w.now
 		s.nonce, nonce = cmp.Or(nonce, n.laterNonce()), ""
@@ -264,14 +264,14 @@
 	panic("fault of the test")
 }
 
-// deliver passes the result of a call that a state of the given life requested, unless the node is down. A frozen node
+// deliver passes the result of a call that a state of the given incarnation requested, unless the node is down. A frozen node
 // processes it later.
-func (n *node) deliver(l *life, result any) {
+func (n *node) deliver(i *incarnation, result any) {
 	switch {
 	case n.frozen:
-		n.held = append(n.held, func() { n.receive(callResult{l, result}) })
+		n.held = append(n.held, func() { n.receive(callResult{i, result}) })
 	case !n.down:
-		n.receive(callResult{l, result})
+		n.receive(callResult{i, result})
 	}
 }
 
@@ -317,7 +317,7 @@
 
 func (n *node) report(vm *fleet.VM, reason reportReason) {
 	n.reports++
-	e, l := n.w.vms[vm.ID], n.sup.life
+	e, i := n.w.vms[vm.ID], n.sup.incarnation
 	// A report is requested after the list was read that leads to it.
 	requestedAt := n.w.now.Add(time.Millisecond)
 	n.w.pending = append(n.w.pending, func() {
@@ -325,19 +325,19 @@
 		if m.err = n.callError(e); m.err == nil {
 			m.report = e.report(n.w.now, n.w.reportLag)
 		}
-		n.deliver(l, m)
+		n.deliver(i, m)
 	})
 }
 
 func (n *node) checkHealth(vm *fleet.VM, _ string) {
-	e, l := n.w.vms[vm.ID], n.sup.life
+	e, i := n.w.vms[vm.ID], n.sup.incarnation
 	requestedAt := n.w.now
 	n.w.pending = append(n.w.pending, func() {
 		m := healthResult{vm: vm, requestedAt: requestedAt}
 		if m.err = n.callError(e); m.err == nil {
 			m.healthy = !e.leaving
 		}
-		n.deliver(l, m)
+		n.deliver(i, m)
 	})
 }
 
@@ -381,7 +381,7 @@
 
 func (n *node) order(vm *fleet.VM, o engine.GroupOrder, decidedAt time.Time) {
 	n.orders++
-	w, l := n.w, n.sup.life
+	w, i := n.w, n.sup.incarnation
 	e := w.vms[vm.ID]
 	if age := w.now.Sub(n.directorStartedAt); age < stabilizationTime {
 		w.violations = append(w.violations, fmt.Sprintf("%s sent an order %s after the start of its director", n.d.config.NodeID, age))
@@ -405,7 +405,7 @@
 				m.err = engine.ErrNoResponse
 			}
 		}
-		n.deliver(l, m)
+		n.deliver(i, m)
 	})
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -664,13 +664,13 @@
 mutant "panics: the process ends with the director" internal/director/supervisor.go \
   's/p := crash\.Contain\(func\(\) \{ s\.pass\(now, message\) \}\)/s.pass(now, message)\n\tvar p *crash.Panic/' ./internal/director TestPanicOfTheDirectorLeavesTheProcess
 mutant "panics: results of the director before count" internal/director/supervisor.go \
-  's/if m\.life != s\.life/if false/' ./internal/director TestResultsOfAPanickedDirectorDoNotCount
+  's/if m\.incarnation != s\.incarnation/if false/' ./internal/director TestResultsOfAPanickedDirectorDoNotCount
 mutant "panics: orders of the director before are sent" internal/director/calls.go \
-  's/ \|\| l\.ended\(\)//' ./internal/director TestOrderOfAPanickedDirectorIsNotSent
+  's/ \|\| i\.ended\(\)//' ./internal/director TestOrderOfAPanickedDirectorIsNotSent
 mutant "panics: the duties stay published" internal/director/supervisor.go \
   's/\ts\.d\.resign\(\)\n/\ts.d.down.Store(true)\n/' ./internal/director 'TestPanickedDirectorPublishesNoDuties|TestDirectorThatPanicsHandsOver'
 mutant "panics: the new director counts as stabilized" internal/director/supervisor.go \
-  's/s\.newState\(s\.life, now\)/s.newState(s.life, now.Add(-stabilizationTime))/' ./internal/director TestGroupsServeWhileAllDirectorsPanic
+  's/s\.newState\(s\.incarnation, now\)/s.newState(s.incarnation, now.Add(-stabilizationTime))/' ./internal/director TestGroupsServeWhileAllDirectorsPanic
 mutant "panics: the delay does not grow" internal/director/supervisor.go \
   's/max\(2\*s\.delay, minRestartDelay\)/minRestartDelay/' ./internal/director 'TestRestartDelayGrows|TestGroupsServeWhileAllDirectorsPanic'
 mutant "panics: a faulty log ends the stand-down" internal/director/supervisor.go \
