A failure domain whose groups make directors panic doesn't end all directors

A fault that the groups of one failure domain cause made the director of each node that took it over panic, in turn and at all nodes, since a failure domain whose directors are down falls to others at once. All failure domains were without a director most of the time.

Change: for 5 min after a panic a director manages its own failure domain only, and reports this (NodeState.director_panicked), so that nodes don't wait for it as the preferred one.

Evidence: TestFaultOfOneFailureDomainSparesTheOthers failed before ("n3 took the failure domain over 10 times", "the other failure domain is managed: false") and passes.

--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -150,18 +150,19 @@
 			readers++
 		}
 		out = append(out, &marbleroadv1.NodeState{
-			Node:          m.state.GetNode(),
-			FailureDomain: m.state.GetFailureDomain(),
-			Address:       m.state.GetAddress(),
-			Processor:     m.state.GetProcessor(),
-			Stopping:      m.state.GetStopping(),
-			CutOff:        m.state.GetCutOff(),
-			DirectorDown:  m.state.GetDirectorDown(),
-			Directing:     m.state.GetDirecting(),
-			Loading:       m.state.GetLoading(),
-			Preparing:     m.state.GetPreparing(),
-			Platform:      m.state.GetPlatform(),
-			AgeMs:         ageMS(now, m.asOf),
+			Node:             m.state.GetNode(),
+			FailureDomain:    m.state.GetFailureDomain(),
+			Address:          m.state.GetAddress(),
+			Processor:        m.state.GetProcessor(),
+			Stopping:         m.state.GetStopping(),
+			CutOff:           m.state.GetCutOff(),
+			DirectorDown:     m.state.GetDirectorDown(),
+			DirectorPanicked: m.state.GetDirectorPanicked(),
+			Directing:        m.state.GetDirecting(),
+			Loading:          m.state.GetLoading(),
+			Preparing:        m.state.GetPreparing(),
+			Platform:         m.state.GetPlatform(),
+			AgeMs:            ageMS(now, m.asOf),
 		})
 	}
 	return out
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -85,15 +85,16 @@
 	feedServer := &feed.Server{Directory: directory, Cache: catalogCache, FleetRelayed: fleetSource.Relayed, CatalogRelayed: catalogSource.Relayed}
 	localState := func() *marbleroadv1.NodeState {
 		state := &marbleroadv1.NodeState{
-			Node:          self.ID,
-			Address:       self.Address,
-			FailureDomain: self.FailureDomain,
-			Directing:     groupDirector.Directing(),
-			Dissolving:    groupDirector.Dissolving(),
-			Loading:       uint32(groupDirector.Loading()),
-			Preparing:     groupDirector.Preparing(),
-			DirectorDown:  groupDirector.Down(),
-			Platform:      feedServer.Knowledge(clock.Now()),
+			Node:             self.ID,
+			Address:          self.Address,
+			FailureDomain:    self.FailureDomain,
+			Directing:        groupDirector.Directing(),
+			Dissolving:       groupDirector.Dissolving(),
+			Loading:          uint32(groupDirector.Loading()),
+			Preparing:        groupDirector.Preparing(),
+			DirectorDown:     groupDirector.Down(),
+			DirectorPanicked: groupDirector.Panicked(),
+			Platform:         feedServer.Knowledge(clock.Now()),
 		}
 		server.FillState(state)
 		return state
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -118,6 +118,8 @@
 	stopping atomic.Bool
 	// down is true from a panic of the director until a new state has processed its first reconciliation.
 	down atomic.Bool
+	// panicked is true for panicMemory after a panic of the director.
+	panicked atomic.Bool
 	// pulse detects standstills of this process.
 	pulse pulse
 	// suspicionTimeout bounds the report call to a suspected VM, in nanoseconds.
@@ -153,6 +155,9 @@
 // Down reports whether the director has ended by a panic and no new one runs yet.
 func (d *Director) Down() bool { return d.down.Load() }
 
+// Panicked reports whether the director has panicked within panicMemory, so that it takes over no other failure domain.
+func (d *Director) Panicked() bool { return d.panicked.Load() }
+
 // Name implements kernel.Service.
 func (d *Director) Name() string { return ServiceName }
 
--- a/internal/director/duty.go
+++ b/internal/director/duty.go
@@ -59,10 +59,12 @@
 	// abandoned holds the failure domains with other nodes.
 	byDomain  map[string][]cluster.Record
 	abandoned map[string]bool
+	// takers holds those of byDomain that take over other failure domains: their directors have not panicked lately.
+	takers []cluster.Record
 }
 
 func (s *state) peerDuties(now time.Time) peerDuties {
-	out := peerDuties{make(map[string]string), make(map[string][]cluster.Record), make(map[string]bool)}
+	out := peerDuties{claimed: make(map[string]string), byDomain: make(map[string][]cluster.Record), abandoned: make(map[string]bool)}
 	for _, p := range s.d.parts.Nodes.Live(now) {
 		if p.State.GetStopping() {
 			continue
@@ -71,6 +73,9 @@
 			out.abandoned[p.FailureDomain] = true
 		} else {
 			out.byDomain[p.FailureDomain] = append(out.byDomain[p.FailureDomain], p.Record)
+			if !p.State.GetDirectorPanicked() {
+				out.takers = append(out.takers, p.Record)
+			}
 		}
 		for _, domain := range p.State.GetDirecting() {
 			if out.claimed[domain] == "" || p.ID < out.claimed[domain] {
@@ -106,7 +111,9 @@
 // A node keeps a domain that it manages, unless a peer with a lower ID claims it too, or the
 // domain is not the node's own and has a live node again. A domain that nobody claims falls
 // to its own preferred one of these. If it has had none for takeoverDelay, or all of its live
-// nodes report that they reach no VM or that their directors are down, it falls to the preferred one of all live nodes.
+// nodes report that they reach no VM or that their directors are down, it falls to the preferred one of all live nodes
+// whose directors have not panicked lately: what makes the directors of one failure domain panic would otherwise end those of
+// all others, one after the other.
 func (s *state) shouldManage(now time.Time, domain string, nodes []cluster.Record, peers peerDuties) bool {
 	claimedBy := peers.claimed[domain]
 	local := domain == s.d.config.FailureDomain
@@ -124,11 +131,11 @@
 		s.domainLiveAt[domain] = now
 		return false
 	}
-	all := []cluster.Record{s.localRecord()}
-	for _, records := range peers.byDomain {
-		all = append(all, records...)
+	if !local && s.d.panicked.Load() {
+		return false
 	}
-	return (peers.abandoned[domain] || now.Sub(since) > takeoverDelay) && s.isPreferred(all)
+	takers := append([]cluster.Record{s.localRecord()}, peers.takers...)
+	return (peers.abandoned[domain] || now.Sub(since) > takeoverDelay) && s.isPreferred(takers)
 }
 
 // isPreferred reports whether this node is the preferred one among nodes to manage groups.
--- a/internal/director/panic_test.go
+++ b/internal/director/panic_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -101,3 +102,48 @@
 		w.check(t)
 	}
 }
+
+// TestFaultOfOneFailureDomainSparesTheOthers guards against a fault that ends the directors of all nodes, since each of them takes
+// over the failure domain whose groups cause it.
+func TestFaultOfOneFailureDomainSparesTheOthers(t *testing.T) {
+	w := newWorld(t, 2, 8)
+	w.messageDelay = 100 * time.Millisecond
+	for i := range 8 {
+		w.vms[vmID(1, i)].FailureDomain = "b"
+	}
+	w.publishSnapshot()
+	for i, domain := range []string{"a", "a", "b", "b"} {
+		w.addNodeIn(t, fmt.Sprintf("n%d", i+1), domain)
+	}
+	w.run(10*time.Second, func() bool { return w.servingGroups() >= 5 })
+	served := w.servingGroups()
+	for _, n := range w.nodes {
+		n.faults, n.panicsInDomain = new(int), "a"
+	}
+	w.run(panicMemory-time.Second, func() bool { return false })
+	for _, n := range w.nodes {
+		if n.domain == "b" && n.sup.panics > 1 {
+			t.Errorf("%s took the failure domain over %d times", n.d.config.NodeID, n.sup.panics)
+		}
+	}
+	if managed := w.manager("b") != nil; !managed || w.servingGroups() < served {
+		t.Errorf("the other failure domain is managed: %t; %d groups of %d serve", managed, w.servingGroups(), served)
+	}
+	for _, n := range w.nodes {
+		n.panicsInDomain = ""
+	}
+	if !w.run(2*maxRestartDelay, func() bool { return w.manager("a") != nil }) {
+		t.Error("nobody manages the failure domain without the fault")
+	}
+	w.check(t)
+}
+
+// manager returns the node that manages the failure domain; nil if there is none.
+func (w *world) manager(domain string) *node {
+	for _, n := range w.nodes {
+		if n.s != nil && n.s.manages(domain) {
+			return n
+		}
+	}
+	return nil
+}
--- a/internal/director/supervisor.go
+++ b/internal/director/supervisor.go
@@ -16,9 +16,10 @@
 	// minRestartDelay and maxRestartDelay bound the time from a panic of the director to its restart. It doubles with each panic.
 	minRestartDelay = time.Second
 	maxRestartDelay = time.Minute
-	// restartDelayMemory is how long after a panic the next one doubles the delay. It is longer than maxRestartDelay, so that a
-	// director that panics as soon as it manages groups again is not restarted at ever shorter intervals.
-	restartDelayMemory = 5 * time.Minute
+	// panicMemory is how long after a panic the next one doubles the delay, and the director takes over no other failure domain.
+	// It is longer than maxRestartDelay, so that a director that panics as soon as it manages groups again is not restarted at
+	// ever shorter intervals.
+	panicMemory = 5 * time.Minute
 )
 
 // incarnation is a run of the director, from the start of its state to a panic or the stop. Calls to VMs belong to it.
@@ -85,9 +86,15 @@
 		s.standDown(now, p)
 		return
 	}
-	if _, periodic := message.(tick); periodic && s.state != nil && s.d.down.Load() {
+	if _, periodic := message.(tick); !periodic || s.state == nil {
+		return
+	}
+	if s.d.down.Load() {
 		s.reportRestart()
 	}
+	if s.d.panicked.Load() && now.Sub(s.panickedAt) > panicMemory {
+		s.d.panicked.Store(false)
+	}
 }
 
 // pass starts a state if that is due, and passes the message to it. It may panic.
@@ -131,7 +138,7 @@
 
 // scheduleRestart counts a panic and sets startAt.
 func (s *supervisor) scheduleRestart(now time.Time) {
-	if now.Sub(s.panickedAt) > restartDelayMemory {
+	if now.Sub(s.panickedAt) > panicMemory {
 		s.delay = 0
 	}
 	s.panics++
@@ -155,6 +162,7 @@
 // resign publishes that the director is down and has no duties. Its state must not run any more.
 func (d *Director) resign() {
 	d.down.Store(true)
+	d.panicked.Store(true)
 	for _, published := range []*atomic.Pointer[[]string]{&d.directing, &d.dissolving, &d.preparing} {
 		published.Store(&[]string{})
 	}
--- a/internal/director/supervisor_test.go
+++ b/internal/director/supervisor_test.go
@@ -86,7 +86,7 @@
 		}
 		now = s.startAt.Add(time.Second)
 	}
-	now = now.Add(restartDelayMemory)
+	now = now.Add(panicMemory)
 	s.scheduleRestart(now)
 	if got := s.startAt.Sub(now); got != minRestartDelay || s.panics != 9 {
 		t.Errorf("panic %d after a while without one: the delay is %s", s.panics, got)
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -112,7 +112,9 @@
 	faults *int
 	// panicsInReconcile makes each reconciliation panic at its start, and panicsInDuty once the node manages groups.
 	panicsInReconcile, panicsInDuty bool
-	traffic                         bool
+	// panicsInDomain is the failure domain whose management panics; empty for none.
+	panicsInDomain string
+	traffic        bool
 	// frozen nodes stand still: results of their calls wait in held. A node that goes on has the old snapshot
 	// outdated, and hears of no other node, until reachesOthersAt.
 	frozen          bool
@@ -205,7 +207,7 @@
 func (n *node) RecordsReadAt() (time.Time, bool) { return n.peersReadAt, !n.peersUnread }
 func (n *node) TrafficSeen() bool                { return n.traffic }
 func (n *node) ModelWork(string) demand.Models {
-	n.panicIf(n.panicsInDuty)
+	n.panicIf(n.panicsInDuty || n.panicsInDomain != "" && n.s.manages(n.panicsInDomain))
 	return n.work
 }
 
@@ -220,6 +222,7 @@
 func (n *node) restart(configurationDelay time.Duration) {
 	n.d.directing.Store(&[]string{})
 	n.d.down.Store(false)
+	n.d.panicked.Store(false)
 	if n.faults != nil {
 		*n.faults = 0
 	}
