Soak: a process that ends by itself breaks a promise

The soak did not report them: nobody looked at how a process ended, a node that had panicked stayed down until a fault started it, and the loss of power 1 to 1.5 s before excused what the panic cut.

Change: each process's exit status is compared with the signals that were sent to it. An end that none of them explains is a violation ("ended by itself") with node, start, time, status and the panic's lines; the node is started again after 0.5 s, as the platform does, so that a crash loop shows. Requests that such an end cuts are judged whatever was active beside it.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -61,7 +61,7 @@
 	for _, c := range h.calls {
 		ck.calls[c.id] = c
 	}
-	for _, checkFunc := range []func(){ck.checkResponses, ck.checkNotRun, ck.checkAttempts, ck.checkRequested, ck.checkGroups, ck.checkLeavingUpstreams, ck.checkChanges, ck.checkChangesAtCutReaders, ck.checkRevokedKeys, ck.checkRepeatBudget, ck.checkCanceledWork, ck.checkRefusalTimes, ck.checkDeadlines, ck.checkInterruptions, ck.checkOrdersEndNoWork, ck.checkStalledNodes, ck.checkCrashingRequests, ck.checkConditions, ck.checkEvacuations, ck.checkWarmups, ck.checkCutOffNodes, ck.checkCrashingParts, ck.checkCrowdedNodes} {
+	for _, checkFunc := range []func(){ck.checkOwnEnds, ck.checkResponses, ck.checkNotRun, ck.checkAttempts, ck.checkRequested, ck.checkGroups, ck.checkLeavingUpstreams, ck.checkChanges, ck.checkChangesAtCutReaders, ck.checkRevokedKeys, ck.checkRepeatBudget, ck.checkCanceledWork, ck.checkRefusalTimes, ck.checkDeadlines, ck.checkInterruptions, ck.checkOrdersEndNoWork, ck.checkStalledNodes, ck.checkCrashingRequests, ck.checkConditions, ck.checkEvacuations, ck.checkWarmups, ck.checkCutOffNodes, ck.checkCrashingParts, ck.checkCrowdedNodes} {
 		checkFunc()
 	}
 	return ck
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -118,6 +118,7 @@
 	// conditions holds what VMs reported about themselves.
 	conditions  []reportedCondition
 	evacuations []evacuation
+	ownEnds     []ownEnd
 	warmups     []vmWarmup
 	// cuts holds the periods in which nodes were cut off from all upstreams.
 	cuts []disturbance
--- a/test/soak/interruptions.go
+++ b/test/soak/interruptions.go
@@ -49,6 +49,9 @@
 		if ck.stoppedDuring(c) {
 			check = "a stop cuts nothing"
 		}
+		if ck.cutByOwnEnd(c) {
+			beside = append(beside, "the end of the node by itself")
+		}
 		ck.report(check, c.id, "interrupted by node %d after %d ms; status %d, response incomplete%s; beside: %s", c.node, c.finished.Sub(c.sent).Milliseconds(), c.status,
 			ck.ordersThatEnded(c, runs[c.id]), strings.Join(beside, ", "))
 	}
@@ -73,9 +76,11 @@
 
 // excuse says why a caller that waits need not get a whole answer to a request that was run; it is empty if it must: the
 // request crashes upstreams, its time is used up, a disturbance other than planned work was active from reconnectTime
-// before the request to its end, or an upstream broke off.
+// before the request to its end, or an upstream broke off. Nothing excuses a cut by the end of a node by itself.
 func (ck *checker) excuse(c call, runs []groupengine.Observation) string {
 	switch {
+	case ck.cutByOwnEnd(c):
+		return ""
 	case c.crashesUpstreams || ck.crashedDuring(c):
 		return "crash"
 	case !c.complete && c.finished.Sub(c.sent) >= callerTimeout:
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -232,7 +232,7 @@
 	tb, err := newTestbed(c, dir)
 	if err != nil {
 		tb.stop()
-		return result{}, errors.Wrapf(err, "seed %d", c.seed)
+		return result{}, errors.Wrapf(err, "seed %d%s", c.seed, tb.history.describeOwnEnds())
 	}
 	defer killNodesOnSignal(tb)()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -243,7 +243,7 @@
 	tb.callers.done.Wait()
 	tb.stop()
 	if tb.err != nil {
-		return result{}, errors.Wrapf(tb.err, "seed %d", c.seed)
+		return result{}, errors.Wrapf(tb.err, "seed %d%s", c.seed, tb.history.describeOwnEnds())
 	}
 	if c.historyFile != "" {
 		if err := tb.history.writeHistory(c.historyFile); err != nil {
--- a/test/soak/nodes.go
+++ b/test/soak/nodes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -27,6 +28,8 @@
 	cmd         *exec.Cmd
 	exited      chan struct{}
 	incarnation int
+	// sent holds the signals that were sent to the current process.
+	sent []syscall.Signal
 	// claimed is true while a fault stops or pauses the process.
 	claimed bool
 	// ready is the result of the last readiness check.
@@ -94,27 +97,41 @@
 	return tb.start(n)
 }
 
-// start starts a new incarnation of the node.
+// start starts a new incarnation of the node, unless the run is over. If it ends by itself, it is started again after
+// restartDelay.
 func (tb *testbed) start(n *node) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	select {
+	case <-tb.stopped:
+		return nil
+	default:
+	}
 	log, err := os.OpenFile(tb.logPath(n.number), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "open log")
 	}
+	logStart, err := log.Seek(0, io.SeekEnd)
+	if err != nil {
+		return errors.Wrap(err, "find end of log")
+	}
 	cmd := exec.Command(tb.binary, "run", n.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "start node")
 	}
 	exited := make(chan struct{})
-	n.cmd, n.exited = cmd, exited
+	n.cmd, n.exited, n.sent = cmd, exited, nil
 	n.incarnation++
-	go func() {
+	tb.running.Go(func() {
 		_ = cmd.Wait()
 		_ = log.Close()
+		byItself := tb.recordEnd(n, cmd.ProcessState, logStart)
 		close(exited)
-	}()
+		if byItself {
+			tb.restartAfterDelay(n)
+		}
+	})
 	return nil
 }
 
@@ -127,6 +144,7 @@
 func (n *node) signal(s syscall.Signal) <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.sent = append(n.sent, s)
 	_ = n.cmd.Process.Signal(s)
 	return n.exited
 }
@@ -164,13 +182,12 @@
 func (tb *testbed) killNodes() {
 	for _, n := range tb.nodes {
 		n.mu.Lock()
-		cmd, exited := n.cmd, n.exited
+		started := n.cmd != nil
 		n.mu.Unlock()
-		if cmd == nil {
+		if !started {
 			continue
 		}
-		_ = cmd.Process.Signal(syscall.SIGCONT)
-		_ = cmd.Process.Kill()
-		<-exited
+		n.signal(syscall.SIGCONT)
+		<-n.signal(syscall.SIGKILL)
 	}
 }
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -373,8 +373,6 @@
 	close(tb.stopped)
 	tb.killNodes()
 	tb.running.Wait()
-	// A fault may have restarted a node meanwhile.
-	tb.killNodes()
 	for _, n := range tb.nodes {
 		n.storeLink.proxy.Close()
 		n.peerLink.proxy.Close()
