--- a/test/soak/configurations.go
+++ b/test/soak/configurations.go
@@ -18,6 +18,9 @@
 	splitVMs = 1
 )
 
+// configurationCollection is the store's collection that holds the configuration.
+const configurationCollection = "config"
+
 // servicesOf returns the services that some version lets run the requests of a class.
 func servicesOf(c class) []string {
 	switch c {
@@ -85,7 +88,7 @@
 	tb.version++
 	version := tb.version
 	tb.mu.Unlock()
-	tb.store.Put("config", "main", tb.configuration(version))
+	tb.store.Put(configurationCollection, "main", tb.configuration(version))
 	tb.history.recordVersion(acceptedVersion{version: version, at: time.Now(), revokedKey: revoked})
 }
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -45,6 +45,8 @@
 		tb.applyToStoreLinks(f, faultproxy.Freeze)
 	case StoreSlow:
 		tb.applyFor(f, everyNode, func() { tb.delayStore(100 * time.Millisecond) }, func() { tb.delayStore(0) })
+	case ConfigurationReadLate:
+		tb.applyFor(f, everyNode, func() { tb.lateConfigurations.Add(1) }, func() { tb.lateConfigurations.Add(-1) })
 	case StoreForgets:
 		tb.store.DropHistory()
 	case StoreLosesResponses:
--- a/test/soak/late.go
+++ b/test/soak/late.go
@@ -2,8 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
+	"strings"
 	"sync"
 	"time"
+
+	"github.com/marbleroad/marbleroad/test/standin/objectstore"
 )
 
 const (
@@ -48,6 +52,18 @@
 	return randomDuration(l.random, minLateness, maxLateness)
 }
 
+// configurationDelay is how late the store answers reads of the configuration while it does so late. The list of upstreams
+// then comes before the configuration at each node that starts.
+const configurationDelay = 300 * time.Millisecond
+
+// serveStore answers calls to the store, those that read the configuration late while a fault asks for it.
+func (tb *testbed) serveStore(w http.ResponseWriter, r *http.Request) {
+	if tb.lateConfigurations.Load() > 0 && r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, objectstore.Path+configurationCollection) {
+		time.Sleep(configurationDelay)
+	}
+	tb.store.ServeHTTP(w, r)
+}
+
 // writeLate makes the store write entries late for the fault's duration, while each upstream writes its entry every
 // beatInterval. The store counts as disturbed until the last late entry has been replaced.
 func (tb *testbed) writeLate(f Fault) {
--- a/test/soak/restore.go
+++ b/test/soak/restore.go
@@ -33,7 +33,7 @@
 	tb.mu.Lock()
 	version := tb.version
 	tb.mu.Unlock()
-	tb.store.Put("config", "main", tb.configuration(version))
+	tb.store.Put(configurationCollection, "main", tb.configuration(version))
 	for i := range 2 {
 		tb.setEvacuated(tb.failureDomain(i), 0)
 	}
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -27,6 +27,7 @@
 	StoreDown                   Kind = "store-down"
 	StoreUnresponsive           Kind = "store-silent"
 	StoreSlow                   Kind = "store-slow"
+	ConfigurationReadLate       Kind = "configuration-read-late"
 	StoreForgets                Kind = "store-forgets"
 	StoreLosesResponses         Kind = "store-loses-answers"
 	StoreRestored               Kind = "store-restored"
@@ -149,6 +150,9 @@
 	{UpstreamReportsLeaving, 2, 4 * time.Second, 7 * time.Second},
 }
 
+// neverDrawn are the kinds that are not drawn among others.
+var neverDrawn = []Kind{DomainEvacuated, StoreRestored, UpstreamsWrittenLate, ConfigurationReadLate}
+
 // drawSchedule draws the faults of a period: single ones, and overlapping pairs of one kind. After
 // two in three store outages a VM leaves within 4 s, while updates from the store may still be late.
 func drawSchedule(random *rand.Rand, length time.Duration) []Fault {
@@ -357,7 +361,7 @@
 		return f, err
 	}
 	f.Kind = Kind(kind)
-	if f.Kind != DomainEvacuated && f.Kind != StoreRestored && f.Kind != UpstreamsWrittenLate && !slices.ContainsFunc(faultSpecs, func(s faultSpec) bool { return s.kind == f.Kind }) {
+	if !slices.Contains(neverDrawn, f.Kind) && !slices.ContainsFunc(faultSpecs, func(s faultSpec) bool { return s.kind == f.Kind }) {
 		return f, errors.Newf("unknown kind %q", kind)
 	}
 	return f, nil
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -81,6 +81,25 @@
 	runPlanned(t, c, faults)
 }
 
+// TestNodesOutliveCommonStarts guards against nodes that end by themselves soon after all nodes started together, when they
+// take a failure domain over whose groups already serve: the list of upstreams comes before the configuration, and does not
+// change. The second loss comes just after the first such moment.
+func TestNodesOutliveCommonStarts(t *testing.T) {
+	faults := []Fault{{3 * time.Second, ConfigurationReadLate, 0, 6 * time.Second}, {3100 * time.Millisecond, PowerLoss, 0, time.Second},
+		{5900 * time.Millisecond, PowerLoss, 0, time.Second}}
+	c := config{binary: buildNode(t), seed: 2, nodes: 6, engines: 12, plain: 3, callers: 20, slack: ciSlack}
+	r, err := runOnce(c, faults, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.powerLosses) != 2 {
+		t.Errorf("%d losses of power, want 2", len(r.powerLosses))
+	}
+	for _, v := range r.violations {
+		t.Error(v)
+	}
+}
+
 // runPlanned plays planned work and reports the violations. Some requests must have been judged beside it.
 func runPlanned(t *testing.T, c config, faults []Fault) {
 	t.Helper()
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -100,6 +101,8 @@
 	cuts map[nodeCut]int
 	// late makes the store write upstreams' entries late.
 	late lateWrites
+	// lateConfigurations counts the active faults that make the store answer reads of the configuration late.
+	lateConfigurations atomic.Int32
 	// storeOutages counts the active faults that make the store refuse all requests.
 	storeOutages int
 	stopped      chan struct{}
@@ -165,7 +168,7 @@
 func newTestbed(c config, dir string) (*testbed, error) {
 	tb := &testbed{config: c, subnet: 20 + os.Getpid()%200, dir: dir, history: &history{}, store: objectstore.New(),
 		upstreamsByID: make(map[string]*upstream), evacuated: make(map[string]int), cuts: make(map[nodeCut]int), stopped: make(chan struct{})}
-	if _, err := tb.serve(tb.addr(roleStore, 0, storePort), tb.store); err != nil {
+	if _, err := tb.serve(tb.addr(roleStore, 0, storePort), http.HandlerFunc(tb.serveStore)); err != nil {
 		return tb, err
 	}
 	for i := range 8 {
