Soak: upstreams that answer without end

Servers in trouble may send bytes that are no answer, in a head or a body, until the caller closes. The new kind makes one upstream or three do so for some seconds, with each kind of test/standin/endless, fast or slow, at requests and also at reports, orders and health checks.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -279,6 +279,8 @@
 		tb.reportCondition(f, pickServing(candidates, f.Target), backoffHeader(), true)
 	case UpstreamReportsLeaving:
 		tb.reportLeaving(f, pickServing(candidates, f.Target))
+	case UpstreamAnswersWithoutEnd:
+		tb.answerWithoutEnd(f, candidates)
 	case UpstreamMisdirectsResponses:
 		applyToVM(func() { u.vm.WrongAttemptID.Store(true) }, func() { u.vm.WrongAttemptID.Store(false) })
 	default:
--- a/test/soak/schedule.go
+++ b/test/soak/schedule.go
@@ -60,6 +60,7 @@
 	AllUpstreamsRefuse          Kind = "all-upstreams-refuse"
 	UpstreamTruncatesStreams    Kind = "upstream-cuts-streams"
 	UpstreamMisdirectsResponses Kind = "upstream-answers-others"
+	UpstreamAnswersWithoutEnd   Kind = "upstream-answers-without-end"
 	UpstreamReportsLimit        Kind = "upstream-names-a-limit"
 	UpstreamRequestsBackoff     Kind = "upstream-asks-for-rest"
 	UpstreamReportsLeaving      Kind = "upstream-says-it-leaves"
@@ -134,6 +135,7 @@
 	{AllUpstreamsRefuse, 1, time.Second, 4 * time.Second},
 	{UpstreamTruncatesStreams, 2, time.Second, 3 * time.Second},
 	{UpstreamMisdirectsResponses, 1, time.Second, 2 * time.Second},
+	{UpstreamAnswersWithoutEnd, 3, time.Second, 5 * time.Second},
 	{PlainUpstreamDrains, 1, 3 * time.Second, 5 * time.Second},
 	{PlainUpstreamPartitioned, 1, 300 * time.Millisecond, 7 * time.Second},
 	{CallerSurge, 1, time.Second, 3 * time.Second},
