Soak: versions of the configuration are written one after the other

Cause: the soak's own. After a restore of the store it wrote the newest version again; it had read version 11 when version 12 was written, and replaced it, since an older version of 2,013 routes takes longer to encode than a newer one of 14. Two changes at once could do the same.

Evidence: all nodes had version 12 (14 routes) at 09.05, were killed, and read version 11 with 2,013 routes from the store at 10.84.

--- a/test/soak/configurations.go
+++ b/test/soak/configurations.go
@@ -84,6 +84,8 @@
 // putConfiguration writes a new version of the configuration as an operator does. revoked is the
 // key that the version removes, or empty.
 func (tb *testbed) putConfiguration(revoked string) {
+	tb.configurationWrite.Lock()
+	defer tb.configurationWrite.Unlock()
 	tb.mu.Lock()
 	tb.version++
 	version := tb.version
--- a/test/soak/restore.go
+++ b/test/soak/restore.go
@@ -30,13 +30,20 @@
 		time.Sleep(pause)
 		u.vm.RewriteEntry()
 	}
+	tb.rewriteConfiguration()
+	for i := range 2 {
+		tb.setEvacuated(tb.failureDomain(i), 0)
+	}
+}
+
+// rewriteConfiguration writes the newest version of the configuration again.
+func (tb *testbed) rewriteConfiguration() {
+	tb.configurationWrite.Lock()
+	defer tb.configurationWrite.Unlock()
 	tb.mu.Lock()
 	version := tb.version
 	tb.mu.Unlock()
 	tb.store.Put(configurationCollection, "main", tb.configuration(version))
-	for i := range 2 {
-		tb.setEvacuated(tb.failureDomain(i), 0)
-	}
 }
 
 // setEvacuated changes the number of active evacuations of a failure domain and writes or removes its entry.
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -86,6 +86,9 @@
 	servers []*http.Server
 	nodes   []*node
 
+	// configurationWrite is held while a version of the configuration is written, so that the store gets them in order.
+	configurationWrite sync.Mutex
+
 	mu            sync.Mutex
 	upstreams     []*upstream
 	upstreamsByID map[string]*upstream
