Soak: a node that exceeds its memory is killed

The platform kills a process that has more memory than its VM, 284 MB. The soak's nodes had no limit, so that answers without end could fill their memory unseen: one node had 374 MB in 36 overlapping faults of the kind (four waves of nine, 5 s each; 12 engines, 40 callers), and nothing was reported.

Change: a node whose peak of resident memory exceeds the limit is killed, which counts as an end by itself.

--- a/test/soak/ends.go
+++ b/test/soak/ends.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
 	"slices"
 	"strings"
 	"syscall"
@@ -13,6 +14,8 @@
 const (
 	// restartDelay is the time after which the platform starts a process that has ended by itself.
 	restartDelay = 500 * time.Millisecond
+	// nodeMemory is the memory of a node's VM, in bytes. The platform kills a process that has more.
+	nodeMemory = 284 << 20
 	// goCrashCode is the exit code of a Go program after a panic or a fatal error of the runtime.
 	goCrashCode = 2
 	// maxLogTail is the number of bytes at the end of a process's log in which its last lines are looked for.
@@ -53,9 +56,13 @@
 	n.mu.Lock()
 	e := ownEnd{node: n.number, incarnation: n.incarnation, at: time.Now(), status: state.String()}
 	sent := n.sent
+	overMemory := n.overMemory > 0
+	if overMemory {
+		e.status += fmt.Sprintf(", it had %d MB of memory, %d are allowed", n.overMemory>>20, nodeMemory>>20)
+	}
 	n.mu.Unlock()
 	status, ok := state.Sys().(syscall.WaitStatus)
-	if ok && !isOwnEnd(status, sent) {
+	if ok && !overMemory && !isOwnEnd(status, sent) {
 		return false
 	}
 	e.lines = endLines(tb.readLogFrom(n.number, logStart))
@@ -63,6 +70,39 @@
 	return true
 }
 
+// enforceMemoryLimit kills the node's process, as the platform does, if it had more than nodeMemory. That is an end by itself:
+// the signal does not count as sent.
+func (n *node) enforceMemoryLimit() {
+	if n.hasEnded() {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if peak := peakMemory(n.cmd); peak > nodeMemory && n.overMemory == 0 {
+		n.overMemory = peak
+		_ = n.cmd.Process.Kill()
+	}
+}
+
+// peakMemory returns the most memory that a running process had resident so far, in bytes; 0 if it is unknown.
+func peakMemory(cmd *exec.Cmd) int64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	return parsePeakMemory(string(status))
+}
+
+// parsePeakMemory returns the line VmHWM of a process's status, in bytes; 0 if there is none, as after its end.
+func parsePeakMemory(status string) int64 {
+	_, after, found := strings.Cut(status, "VmHWM:")
+	var kilobytes int64
+	if _, err := fmt.Sscan(after, &kilobytes); !found || err != nil {
+		return 0
+	}
+	return kilobytes << 10
+}
+
 // readLogFrom reads a node's log from the offset on, but no more than its last maxLogTail bytes.
 func (tb *testbed) readLogFrom(number int, offset int64) string {
 	file, err := os.Open(tb.logPath(number))
--- a/test/soak/ends_test.go
+++ b/test/soak/ends_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"os"
+	"os/exec"
 	"slices"
 	"syscall"
 	"testing"
@@ -81,6 +83,22 @@
 	}
 }
 
+// TestMemoryOfAProcessIsRead guards against a limit that no process can exceed, since its memory is not found.
+func TestMemoryOfAProcessIsRead(t *testing.T) {
+	for status, want := range map[string]int64{
+		"Name:\tnode\nVmPeak:\t  900 kB\nVmHWM:\t  290817 kB\nVmRSS:\t  100 kB\n": 290817 << 10,
+		"Name:\tnode\nState:\tZ (zombie)\n":                                       0,
+	} {
+		if got := parsePeakMemory(status); got != want {
+			t.Errorf("%d bytes of %q, want %d", got, status, want)
+		}
+	}
+	self := &exec.Cmd{Process: &os.Process{Pid: os.Getpid()}}
+	if peak := peakMemory(self); peak < 1<<20 {
+		t.Errorf("this process had %d bytes", peak)
+	}
+}
+
 // executedAt returns the observation that a VM executed the call.
 func executedAt(c call, vm string, at time.Time) []groupengine.Observation {
 	return []groupengine.Observation{{Kind: groupengine.RequestExecuted, VM: vm, Request: c.id, Service: modelService, At: at}}
--- a/test/soak/nodes.go
+++ b/test/soak/nodes.go
@@ -28,8 +28,10 @@
 	cmd         *exec.Cmd
 	exited      chan struct{}
 	incarnation int
-	// sent holds the signals that were sent to the current process.
-	sent []syscall.Signal
+	// sent holds the signals that were sent to the current process, overMemory the peak of its memory, in bytes, if it was
+	// killed for that; else 0.
+	sent       []syscall.Signal
+	overMemory int64
 	// claimed is true while a fault stops or pauses the process.
 	claimed bool
 	// ready is the result of the last readiness check.
@@ -121,7 +123,7 @@
 		return errors.Wrap(err, "start node")
 	}
 	exited := make(chan struct{})
-	n.cmd, n.exited, n.sent = cmd, exited, nil
+	n.cmd, n.exited, n.sent, n.overMemory = cmd, exited, nil, 0
 	n.incarnation++
 	tb.running.Go(func() {
 		_ = cmd.Wait()
@@ -163,6 +165,7 @@
 		n.mu.Lock()
 		n.ready = ok
 		n.mu.Unlock()
+		n.enforceMemoryLimit()
 		select {
 		case <-tb.stopped:
 			return
--- a/test/soak/power.go
+++ b/test/soak/power.go
@@ -50,11 +50,14 @@
 	}
 }
 
-// hasEnded reports whether the node's process has exited.
+// hasEnded reports whether the node's process has exited, or was never started.
 func (n *node) hasEnded() bool {
 	n.mu.Lock()
-	exited := n.exited
+	exited, started := n.exited, n.cmd != nil
 	n.mu.Unlock()
+	if !started {
+		return true
+	}
 	select {
 	case <-exited:
 		return true
