--- a/internal/cluster/receive.go
+++ b/internal/cluster/receive.go
@@ -166,7 +166,7 @@
 		Stopping:         s.GetStopping(),
 		CutOff:           s.GetCutOff(),
 		DirectorDown:     s.GetDirectorDown(),
-		DirectorPanicked: s.GetDirectorPanicked(),
+		DirectorConfined: s.GetDirectorConfined(),
 		TrafficSeen:      s.GetTrafficSeen(),
 		Directing:        s.GetDirecting(),
 		Loading:          s.GetLoading(),
--- a/internal/cluster/sum.go
+++ b/internal/cluster/sum.go
@@ -155,7 +155,7 @@
 			Stopping:         m.state.GetStopping(),
 			CutOff:           m.state.GetCutOff(),
 			DirectorDown:     m.state.GetDirectorDown(),
-			DirectorPanicked: m.state.GetDirectorPanicked(),
+			DirectorConfined: m.state.GetDirectorConfined(),
 			Directing:        m.state.GetDirecting(),
 			Loading:          m.state.GetLoading(),
 			Preparing:        m.state.GetPreparing(),
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -93,7 +93,7 @@
 			Loading:          uint32(groupDirector.Loading()),
 			Preparing:        groupDirector.Preparing(),
 			DirectorDown:     groupDirector.Down(),
-			DirectorPanicked: groupDirector.Panicked(),
+			DirectorConfined: groupDirector.Confined(),
 			Platform:         feedServer.Knowledge(clock.Now()),
 		}
 		server.FillState(state)
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -118,8 +118,8 @@
 	stopping atomic.Bool
 	// down is true from a panic of the director until a new state has processed its first reconciliation.
 	down atomic.Bool
-	// panicked is true for panicMemory after a panic of the director.
-	panicked atomic.Bool
+	// confined is true for a while after a panic: the director takes over no failure domain but the node's own.
+	confined atomic.Bool
 	// pulse detects standstills of this process.
 	pulse pulse
 	// suspicionTimeout bounds the report call to a suspected VM, in nanoseconds.
@@ -155,8 +155,8 @@
 // Down reports whether the director has ended by a panic and no new one runs yet.
 func (d *Director) Down() bool { return d.down.Load() }
 
-// Panicked reports whether the director has panicked within panicMemory, so that it takes over no other failure domain.
-func (d *Director) Panicked() bool { return d.panicked.Load() }
+// Confined reports whether the director takes over no failure domain but the node's own, since it panicked a while ago.
+func (d *Director) Confined() bool { return d.confined.Load() }
 
 // Name implements kernel.Service.
 func (d *Director) Name() string { return ServiceName }
--- a/internal/director/duty.go
+++ b/internal/director/duty.go
@@ -59,7 +59,7 @@
 	// abandoned holds the failure domains with other nodes.
 	byDomain  map[string][]cluster.Record
 	abandoned map[string]bool
-	// takers holds those of byDomain that take over other failure domains: their directors have not panicked lately.
+	// takers holds those of byDomain that take over other failure domains: their directors are not confined.
 	takers []cluster.Record
 }
 
@@ -73,7 +73,7 @@
 			out.abandoned[p.FailureDomain] = true
 		} else {
 			out.byDomain[p.FailureDomain] = append(out.byDomain[p.FailureDomain], p.Record)
-			if !p.State.GetDirectorPanicked() {
+			if !p.State.GetDirectorConfined() {
 				out.takers = append(out.takers, p.Record)
 			}
 		}
@@ -112,7 +112,7 @@
 // domain is not the node's own and has a live node again. A domain that nobody claims falls
 // to its own preferred one of these. If it has had none for takeoverDelay, or all of its live
 // nodes report that they reach no VM or that their directors are down, it falls to the preferred one of all live nodes
-// whose directors have not panicked lately: what makes the directors of one failure domain panic would otherwise end those of
+// whose directors are not confined after a panic: what makes the directors of one failure domain panic would otherwise end those of
 // all others, one after the other.
 func (s *state) shouldManage(now time.Time, domain string, nodes []cluster.Record, peers peerDuties) bool {
 	claimedBy := peers.claimed[domain]
@@ -131,7 +131,7 @@
 		s.domainLiveAt[domain] = now
 		return false
 	}
-	if !local && s.d.panicked.Load() {
+	if !local && s.d.confined.Load() {
 		return false
 	}
 	takers := append([]cluster.Record{s.localRecord()}, peers.takers...)
--- a/internal/director/supervisor.go
+++ b/internal/director/supervisor.go
@@ -16,10 +16,12 @@
 	// minRestartDelay and maxRestartDelay bound the time from a panic of the director to its restart. It doubles with each panic.
 	minRestartDelay = time.Second
 	maxRestartDelay = time.Minute
-	// panicMemory is how long after a panic the next one doubles the delay, and the director takes over no other failure domain.
-	// It is longer than maxRestartDelay, so that a director that panics as soon as it manages groups again is not restarted at
-	// ever shorter intervals.
+	// panicMemory is how long after a panic the next one doubles the delay. It is longer than maxRestartDelay, so that a
+	// director that panics as soon as it manages groups again is not restarted at ever shorter intervals.
 	panicMemory = 5 * time.Minute
+	// confinementFactor is the time after a panic in which the director takes over no other failure domain, in restart delays.
+	// If taking over makes it panic, its own failure domain is without it for a tenth of the time.
+	confinementFactor = 10
 )
 
 // incarnation is a run of the director, from the start of its state to a panic or the stop. Calls to VMs belong to it.
@@ -92,8 +94,8 @@
 	if s.d.down.Load() {
 		s.reportRestart()
 	}
-	if s.d.panicked.Load() && now.Sub(s.panickedAt) > panicMemory {
-		s.d.panicked.Store(false)
+	if s.d.confined.Load() && now.Sub(s.panickedAt) > confinementFactor*s.delay {
+		s.d.confined.Store(false)
 	}
 }
 
@@ -162,7 +164,7 @@
 // resign publishes that the director is down and has no duties. Its state must not run any more.
 func (d *Director) resign() {
 	d.down.Store(true)
-	d.panicked.Store(true)
+	d.confined.Store(true)
 	for _, published := range []*atomic.Pointer[[]string]{&d.directing, &d.dissolving, &d.preparing} {
 		published.Store(&[]string{})
 	}
--- a/internal/gateway/condition.go
+++ b/internal/gateway/condition.go
@@ -205,20 +205,24 @@
 // request is the ID of the request whose response contained it, if any.
 func (s *Server) reportUnreadable(incarnation backpressure.Incarnation, request string, err error) {
 	s.metrics.Count("upstreams.conditions.unreadable", 1)
-	s.targets.mu.Lock()
-	first := s.targets.conditions.MarkUnreadable(incarnation)
-	s.targets.mu.Unlock()
+	first := s.targets.mark(func() bool { return s.targets.conditions.MarkUnreadable(incarnation) })
 	if first {
 		s.log.Emit(event.ConditionUnreadable).Str("vm", incarnation.VM).Int64("born", incarnation.Born).Str("request", request).Err(err).Send()
 	}
 }
 
+// mark records a condition under the lock. The director observes VMs too, and a panic there does not end the process, so that
+// the lock has to be released after one.
+func (tt *targetTable) mark(record func() bool) (first bool) {
+	tt.mu.Lock()
+	defer tt.mu.Unlock()
+	return record()
+}
+
 // recordLeaving records that a VM has announced that it will terminate soon. request is the ID of the
 // request whose response announced it, if any.
 func (s *Server) recordLeaving(incarnation backpressure.Incarnation, request string) {
-	s.targets.mu.Lock()
-	first := s.targets.conditions.MarkLeaving(clock.Now(), incarnation)
-	s.targets.mu.Unlock()
+	first := s.targets.mark(func() bool { return s.targets.conditions.MarkLeaving(clock.Now(), incarnation) })
 	if first {
 		s.takeOutOfService(incarnation, request)
 	}
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -81,9 +81,9 @@
 	if vm == nil || current == nil || current.Service(vm.Service) == nil {
 		return
 	}
-	s.targets.mu.Lock()
-	first := s.targets.conditions.MarkWarming(now, incarnationOf(vm), s.targets.warmup(current.Service(vm.Service), until), true)
-	s.targets.mu.Unlock()
+	first := s.targets.mark(func() bool {
+		return s.targets.conditions.MarkWarming(now, incarnationOf(vm), s.targets.warmup(current.Service(vm.Service), until), true)
+	})
 	if !first {
 		return
 	}
