--- a/internal/jsonbody/jsonbody.go
+++ b/internal/jsonbody/jsonbody.go
@@ -6,16 +6,18 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/marbleroad/marbleroad/internal/bodylimit"
 )
 
 // MaxBytes is the maximum size of a response: a full listing of the platform's store is
 // a few megabytes.
 const MaxBytes = 64 << 20
 
-// Decode reads a body to its end and decodes it. A body longer than MaxBytes is truncated,
-// and therefore fails to decode.
-func Decode(body io.Reader, into any) error {
-	data, err := io.ReadAll(io.LimitReader(body, MaxBytes))
+// Decode reads a body of up to maxBytes bytes to its end and decodes it. A longer one fails with
+// bodylimit.ErrTooLong.
+func Decode(body io.Reader, maxBytes int64, into any) error {
+	data, err := io.ReadAll(bodylimit.Reader(body, maxBytes))
 	if err != nil {
 		return errors.Wrap(err, "read answer")
 	}
--- a/internal/platform/httpapi/httpapi.go
+++ b/internal/platform/httpapi/httpapi.go
@@ -175,7 +175,7 @@
 		return platform.Object{}, statusError(resp, platform.ErrUnknown)
 	}
 	var out Object
-	if err := jsonbody.Decode(resp.Body, &out); err != nil {
+	if err := jsonbody.Decode(resp.Body, jsonbody.MaxBytes, &out); err != nil {
 		return platform.Object{}, errors.Mark(err, platform.ErrUnknown)
 	}
 	return out.toObject(), nil
@@ -197,7 +197,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp, platform.ErrUnavailable)
 	}
-	return errors.Mark(jsonbody.Decode(resp.Body, into), platform.ErrUnavailable)
+	return errors.Mark(jsonbody.Decode(resp.Body, jsonbody.MaxBytes, into), platform.ErrUnavailable)
 }
 
 // statusError maps a status to a sentinel error. It uses the fallback for statuses
