An answer without end to a probe or an order of the control daemon is none

What was seen: of an answer without end, 64 KiB were read and the rest was ignored. A probe result that is followed by white space without end counted as read, and an order counted as accepted, or as fenced, although its answer did not end.

Cause: io.LimitReader ends a longer body as if it were complete.

The change: a body has 16 KiB at most, and a longer one, or one that does not end within the call, fails the call by name (bodylimit.ErrTooLong).

Evidence: TestEndlessAnswerFails and TestEndlessAnswerIsNamed failed before: errors <nil> and "fencing token is old" for answers without end, 394,897 bytes read of chunks of one byte.

--- a/internal/engine/httpapi/httpapi.go
+++ b/internal/engine/httpapi/httpapi.go
@@ -6,12 +6,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/bodylimit"
 	"github.com/marbleroad/marbleroad/internal/engine"
+	"github.com/marbleroad/marbleroad/internal/jsonbody"
 	"github.com/marbleroad/marbleroad/internal/presence"
 )
 
@@ -21,8 +22,9 @@
 	AssignPath = "/v1/assign"
 )
 
-// maxResponseBytes bounds how much of a response is read.
-const maxResponseBytes = 64 << 10
+// maxResponseBytes bounds the body of a response, which has a few hundred bytes. The control daemon probes hundreds of VMs
+// at once.
+const maxResponseBytes = 16 << 10
 
 // Status is the wire format of the response to a probe.
 type Status struct {
@@ -96,8 +98,9 @@
 	if err != nil {
 		return errors.Wrap(err, "assign")
 	}
-	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
+	if err := bodylimit.Discard(resp.Body, maxResponseBytes); err != nil {
+		return errors.Wrap(err, "assign")
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return nil
@@ -112,9 +115,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("probe: upstream answered %d", resp.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err != nil {
-		return errors.Wrap(err, "read probe answer")
-	}
-	return errors.Wrap(json.Unmarshal(data, into), "decode probe answer")
+	return errors.Wrap(jsonbody.Decode(resp.Body, maxResponseBytes, into), "probe")
 }
