--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -209,7 +209,7 @@
 			failing.Reset()
 			c.recordVerified(w)
 		case errors.Is(err, platform.ErrCompacted):
-			c.log.Emit(event.WatchHistoryExpired).Str("of", "catalog").EmbedObject(platform.LogRevision(revision)).Send()
+			c.log.Emit(event.WatchHistoryExpired).Str("of", "catalog").EmbedObject(platform.LogRevision(revision)).AnErr("cause", err).Send()
 			watching = false
 			wait.Sleep(ctx, minRetryPause)
 		case errors.Is(err, platform.ErrNotFound) && w.Revision > 0:
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -349,7 +349,7 @@
 		return
 	}
 	if errors.Is(err, platform.ErrCompacted) {
-		d.log.Emit(event.WatchHistoryExpired).Str("of", "directory").EmbedObject(platform.LogRevision(d.revision)).Send()
+		d.log.Emit(event.WatchHistoryExpired).Str("of", "directory").EmbedObject(platform.LogRevision(d.revision)).AnErr("cause", err).Send()
 		d.listed = false
 		wait.Sleep(ctx, retryPause)
 		return
