A packed configuration that expands without end fails by name

What was seen: a configuration from another node that expands to more than 8 MiB was cut there, and what remained was decoded as if it were complete.

Cause: io.LimitReader ends a longer document without an error.

The change: an unpacked document has up to 2 MiB, twice the platform's largest object, and a longer one fails with bodylimit.ErrTooLong.

--- a/internal/feed/pack.go
+++ b/internal/feed/pack.go
@@ -8,11 +8,12 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/bodylimit"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 )
 
-// maxDocumentBytes bounds an unpacked document. The platform's objects are a megabyte at most.
-const maxDocumentBytes = 8 << 20
+// maxDocumentBytes bounds an unpacked document. The platform's objects have up to 1 MiB.
+const maxDocumentBytes = 2 << 20
 
 // packer caches the newest catalog's document in compressed form, so that it is compressed once for
 // all followers: a leader may have a fifth of a core and 20 Mbit/s.
@@ -41,12 +42,15 @@
 	return p.packed, nil
 }
 
-// unpackDocument decompresses a document.
+// unpackDocument decompresses a document. One of more than maxDocumentBytes fails with bodylimit.ErrTooLong.
 func unpackDocument(packed []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, errors.Wrap(err, "unpack configuration")
 	}
-	document, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes))
-	return document, errors.Wrap(err, "unpack configuration")
+	document, err := io.ReadAll(bodylimit.Reader(r, maxDocumentBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack configuration")
+	}
+	return document, nil
 }
