A response of another control daemon or of an entry has an end

What was seen: of a response without an end, a control daemon read the rest after its limit until the timeout of 1 s (330,737,886 bytes by an exchange), and the response of an entry to an explanation had no limit at all: it was read into memory (270,599,360 bytes).

Cause: connect reads a longer message to its end, and the client for entries was built without a limit.

The change: exchanges use bodylimit with the limit of messages; an explanation has up to 64 KiB, as all entries are asked at once.

--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -10,10 +10,12 @@
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
+	"github.com/marbleroad/marbleroad/internal/bodylimit"
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/item"
 	"github.com/marbleroad/marbleroad/internal/node"
+	"github.com/marbleroad/marbleroad/internal/transport"
 	"github.com/marbleroad/marbleroad/internal/wire"
 )
 
@@ -122,9 +124,8 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	k := x.k
-	client := marbleroadv1connect.NewPeerServiceClient(k.client, k.parts.Peers.URL(address), limitMessageSize)
 	requestedAt := clock.Now()
-	resp, err := client.Exchange(ctx, connect.NewRequest(&marbleroadv1.ExchangeRequest{
+	resp, err := k.peerClient(address).Exchange(ctx, connect.NewRequest(&marbleroadv1.ExchangeRequest{
 		NodeId:        k.config.NodeID,
 		FailureDomain: k.config.FailureDomain,
 		Items:         wire.CursorMessage(link.cursor),
@@ -164,6 +165,15 @@
 	})
 }
 
+// peerOptions limits and decompresses the responses of peers.
+var peerOptions = bodylimit.RPCOptions(transport.MaxMessageBytes)
+
+// peerClient returns a client of another control daemon.
+func (k *Control) peerClient(address string) marbleroadv1connect.PeerServiceClient {
+	client := bodylimit.RPCClient(k.client, transport.MaxMessageBytes)
+	return marbleroadv1connect.NewPeerServiceClient(client, k.parts.Peers.URL(address), peerOptions)
+}
+
 // unresponsiveFor reports whether the peer at the address has been queried but has not
 // responded for longer than the given time.
 func (x *exchanger) unresponsiveFor(address string, d time.Duration) bool {
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -15,6 +15,7 @@
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
+	"github.com/marbleroad/marbleroad/internal/bodylimit"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/item"
 	"github.com/marbleroad/marbleroad/internal/node"
@@ -26,6 +27,8 @@
 	statusTimeout = time.Second
 	// explainTimeout bounds the queries that Explain sends to all entries.
 	explainTimeout = time.Second
+	// maxExplainBytes bounds an entry's response, in bytes: some dozens of lines. All entries respond at once.
+	maxExplainBytes = 64 << 10
 )
 
 // operatorHandler returns the path and handler of OperatorService, which requires the
@@ -106,8 +109,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			client := marbleroadv1connect.NewEntryServiceClient(k.client, k.parts.Peers.URL(rec.EntryPeer))
-			resp, err := client.Explain(ctx, connect.NewRequest(r.Msg))
+			resp, err := k.entryClient(rec.EntryPeer).Explain(ctx, connect.NewRequest(r.Msg))
 			if err != nil || !resp.Msg.GetFound() {
 				return
 			}
@@ -124,3 +126,12 @@
 	found.EntryId = strings.TrimSpace(found.GetEntryId())
 	return connect.NewResponse(found), nil
 }
+
+// explainOptions limits and decompresses the responses of entries.
+var explainOptions = bodylimit.RPCOptions(maxExplainBytes)
+
+// entryClient returns a client of an entry.
+func (k *Control) entryClient(address string) marbleroadv1connect.EntryServiceClient {
+	client := bodylimit.RPCClient(k.client, maxExplainBytes)
+	return marbleroadv1connect.NewEntryServiceClient(client, k.parts.Peers.URL(address), explainOptions)
+}
