A view without an end is closed at its limit

What was seen: of a view without an end, an entry read the rest after its limit until the read's timeout: 317,575,122 bytes in 1 s.

Cause: connect reads a longer message to its end.

The change: the entry's view uses bodylimit. The read fails as before, so the entry turns to the next control daemon as for one that is away.

Evidence: TestEndlessViewFails failed before with that figure.

--- a/internal/entry/source.go
+++ b/internal/entry/source.go
@@ -12,6 +12,7 @@
 
 	marbleroadv1 "github.com/marbleroad/marbleroad/api/marbleroad/v1"
 	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
+	"github.com/marbleroad/marbleroad/internal/bodylimit"
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/item"
@@ -240,12 +241,15 @@
 	return min(max(limit, minReadTimeout), viewTimeout)
 }
 
+// viewOptions limits and decompresses views.
+var viewOptions = bodylimit.RPCOptions(transport.MaxMessageBytes)
+
 // readView reads the view of the current control process.
 func (s *Source) readView(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.readTimeout())
 	defer cancel()
 	address := s.config.Controls[s.controlIndex]
-	client := marbleroadv1connect.NewViewServiceClient(s.client, s.peers.URL(address), connect.WithReadMaxBytes(transport.MaxMessageBytes))
+	client := marbleroadv1connect.NewViewServiceClient(bodylimit.RPCClient(s.client, transport.MaxMessageBytes), s.peers.URL(address), viewOptions)
 	reader := s.witnessReaders[address]
 	if reader == nil {
 		reader = &wire.WitnessReader{}
