A response without an end to marbleroadctl has a size

What was seen: marbleroadctl read a response of a control daemon, or of a node, into memory until its timeout of 10 s; with 8 GB of address space it ended for lack of memory. A view that is followed by further bytes counted as complete.

Cause: its clients had no limit.

The change: responses have up to 32 MiB (a view of 12,000 upstream VMs has a few megabytes), the header of a node's response 64 KiB, and a node's response is not decompressed. The message names the reason.

Evidence: TestEndlessResponseOfControlDaemonFails and TestEndlessResponseOfNodeFails ended with "out of memory: cannot allocate" before, and TestEndlessBytesAfterViewFail with exit code 0.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/marbleroad/marbleroad/api/marbleroad/v1/marbleroadv1connect"
+	"github.com/marbleroad/marbleroad/internal/bodylimit"
 	"github.com/marbleroad/marbleroad/internal/daemon"
 	"github.com/marbleroad/marbleroad/internal/settings"
 	"github.com/marbleroad/marbleroad/internal/transport"
@@ -182,7 +183,8 @@
 		return nil, err
 	}
 	auth := connect.WithInterceptors(bearer(token))
-	return marbleroadv1connect.NewOperatorServiceClient(peers.Client(), peers.URL(address), auth), nil
+	client := bodylimit.RPCClient(peers.Client(), transport.MaxMessageBytes)
+	return marbleroadv1connect.NewOperatorServiceClient(client, peers.URL(address), bodylimit.RPCOptions(transport.MaxMessageBytes), auth), nil
 }
 
 // token returns the operators' token, from --token-file or else from the environment.
--- a/internal/ctl/node.go
+++ b/internal/ctl/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -15,9 +14,28 @@
 	"github.com/spf13/cobra"
 
 	"github.com/marbleroad/marbleroad/internal/inspect"
+	"github.com/marbleroad/marbleroad/internal/jsonbody"
 	"github.com/marbleroad/marbleroad/internal/quarantine"
 )
 
+const (
+	// maxViewBytes bounds a node's view, in bytes: that of 12,000 upstream VMs, 1,000 nodes and some thousand routes has a
+	// few megabytes.
+	maxViewBytes = 32 << 20
+	// maxNodeHeaderBytes bounds the header of a node's response, which has a few hundred bytes.
+	maxNodeHeaderBytes = 64 << 10
+)
+
+// nodeClient returns a client of a node's admin listener.
+func nodeClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		Proxy:                  http.ProxyFromEnvironment,
+		MaxResponseHeaderBytes: maxNodeHeaderBytes,
+		DisableCompression:     true,
+		DisableKeepAlives:      true,
+	}}
+}
+
 // nodeCommand returns the command that shows the state of one marbleroad-node. The
 // node's configuration is stored on the platform, so no command here changes it.
 func (a *app) nodeCommand() *cobra.Command {
@@ -70,7 +88,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return v, errors.Newf("%s answered %s to %s: is it the gateway.admin address of a marbleroad-node?", a.node, resp.Status, inspect.Path)
 	}
-	return v, errors.Wrap(json.NewDecoder(resp.Body).Decode(&v), "decode the node's response")
+	return v, errors.Wrap(jsonbody.Decode(resp.Body, maxViewBytes, &v), "decode the node's response")
 }
 
 func nodeStatus(v inspect.View) (grid, any) {
@@ -185,7 +203,7 @@
 		cancel()
 		return nil, nil, errors.Mark(errors.Wrap(err, "build the request to the node"), errUsage)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := nodeClient().Do(req)
 	if err == nil {
 		return resp, cancel, nil
 	}
