A response of the platform has a size that fits a control daemon's memory

What was seen: of a response without end, up to 64 MiB were read into memory and as many bytes again discarded to reuse the connection (134,283,302 bytes by one call), where a control daemon has 128 MB. A status counted although its response did not end: not found, compacted, conflict.

Cause: every response was bounded by 64 MiB, and Drain ignores that a body does not end.

The change: an object has 2 MiB at most, a list 16 MiB (2,000 rows of up to 5 KB, docs/CAPACITY.md).

--- a/internal/platform/httpapi/httpapi.go
+++ b/internal/platform/httpapi/httpapi.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/bodylimit"
 	"github.com/marbleroad/marbleroad/internal/jsonbody"
 	"github.com/marbleroad/marbleroad/internal/platform"
 )
@@ -30,6 +31,14 @@
 	BaseVersionHeader = "If-Version"
 )
 
+const (
+	// maxObjectBytes bounds a response with one object, in bytes: the platform's objects have up to 1 MB, and escapes make
+	// their encoding longer.
+	maxObjectBytes = 2 << 20
+	// maxListBytes bounds a response with many objects or VMs, in bytes: 2,000 rows of the table of up to 5 KB.
+	maxListBytes = 16 << 20
+)
+
 // Object is the wire format of one object.
 type Object struct {
 	Key      string          `json:"key"`
@@ -106,7 +115,7 @@
 // Get implements platform.ObjectStore.
 func (c *Client) Get(ctx context.Context, key string) (platform.Object, error) {
 	var out Object
-	if err := c.read(ctx, ObjectsPath+key, c.timeout, &out); err != nil {
+	if err := c.read(ctx, ObjectsPath+key, c.timeout, maxObjectBytes, &out); err != nil {
 		return platform.Object{}, err
 	}
 	return out.toObject(), nil
@@ -116,7 +125,7 @@
 func (c *Client) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
 	var out ObjectList
 	path := ListPath + "?prefix=" + url.QueryEscape(prefix)
-	if err := c.read(ctx, path, c.timeout, &out); err != nil {
+	if err := c.read(ctx, path, c.timeout, maxListBytes, &out); err != nil {
 		return nil, 0, err
 	}
 	return out.toObjects(), out.Revision, nil
@@ -134,7 +143,7 @@
 	query.Set("after", strconv.FormatUint(after, 10))
 	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	var out ObjectList
-	if err := c.read(ctx, WatchPath+"?"+query.Encode(), c.timeout+wait, &out); err != nil {
+	if err := c.read(ctx, WatchPath+"?"+query.Encode(), c.timeout+wait, maxListBytes, &out); err != nil {
 		return nil, 0, err
 	}
 	return out.toObjects(), out.Revision, nil
@@ -144,7 +153,7 @@
 func (c *Client) Members(ctx context.Context, failureDomain string, knownVersion uint64) (platform.MemberList, error) {
 	var out platform.MemberList
 	path := MembersPath + "?failure_domain=" + url.QueryEscape(failureDomain) + "&known=" + strconv.FormatUint(knownVersion, 10)
-	err := c.read(ctx, path, c.timeout, &out)
+	err := c.read(ctx, path, c.timeout, maxListBytes, &out)
 	return out, err
 }
 
@@ -170,19 +179,19 @@
 	if err != nil {
 		return platform.Object{}, errors.Mark(err, platform.ErrUnknown)
 	}
-	defer jsonbody.Drain(resp.Body)
+	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		return platform.Object{}, statusError(resp, platform.ErrUnknown)
 	}
 	var out Object
-	if err := jsonbody.Decode(resp.Body, jsonbody.MaxBytes, &out); err != nil {
+	if err := jsonbody.Decode(resp.Body, maxObjectBytes, &out); err != nil {
 		return platform.Object{}, errors.Mark(err, platform.ErrUnknown)
 	}
 	return out.toObject(), nil
 }
 
-// read sends a GET and decodes its response.
-func (c *Client) read(ctx context.Context, path string, timeout time.Duration, into any) error {
+// read sends a GET and decodes its response, whose body has up to maxBytes bytes.
+func (c *Client) read(ctx context.Context, path string, timeout time.Duration, maxBytes int64, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
@@ -193,16 +202,19 @@
 	if err != nil {
 		return errors.Mark(err, platform.ErrUnavailable)
 	}
-	defer jsonbody.Drain(resp.Body)
+	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp, platform.ErrUnavailable)
 	}
-	return errors.Mark(jsonbody.Decode(resp.Body, jsonbody.MaxBytes, into), platform.ErrUnavailable)
+	return errors.Mark(jsonbody.Decode(resp.Body, maxBytes, into), platform.ErrUnavailable)
 }
 
 // statusError maps a status to a sentinel error. It uses the fallback for statuses
-// that leave open whether a write had an effect.
+// that leave open whether a write had an effect, and for responses without an end, whose status counts for nothing.
 func statusError(resp *http.Response, fallback error) error {
+	if err := bodylimit.Discard(resp.Body, maxObjectBytes); err != nil {
+		return errors.Mark(errors.Wrapf(err, "platform answered %d", resp.StatusCode), fallback)
+	}
 	kind := fallback
 	switch resp.StatusCode {
 	case http.StatusNotFound:
