--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/marbleroad/marbleroad/test/standin/endless"
 	"github.com/marbleroad/marbleroad/test/standin/objectstore"
 )
 
@@ -122,6 +123,8 @@
 	StallFor atomic.Int64
 	// WrongAttemptID makes responses carry the ID of another request.
 	WrongAttemptID atomic.Bool
+	// Endless makes the VM answer some or all requests without end after it executed them; nil for none.
+	Endless atomic.Pointer[endless.Mode]
 	// Condition holds headers with the VM's condition that are added to all responses to requests; nil for none.
 	Condition atomic.Pointer[http.Header]
 
--- a/test/standin/groupengine/requests.go
+++ b/test/standin/groupengine/requests.go
@@ -46,6 +46,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Response-Seal", "seal-of-"+v.config.ID)
+	if v.Endless.Load().Answer(w, id) {
+		return
+	}
 	if v.Unframed.Load() {
 		// net/http then sends no chunks and closes the connection.
 		w.Header().Set("Transfer-Encoding", "identity")
--- a/test/standin/plain/plain.go
+++ b/test/standin/plain/plain.go
@@ -12,6 +12,7 @@
 
 	"github.com/marbleroad/marbleroad/internal/engine/httpapi"
 	"github.com/marbleroad/marbleroad/internal/relay"
+	"github.com/marbleroad/marbleroad/test/standin/endless"
 )
 
 // Service is the stand-in for one VM.
@@ -32,6 +33,7 @@
 	// unframed makes responses have neither a length nor chunks, pause is the time between their halves.
 	unframed bool
 	pause    time.Duration
+	endless  *endless.Mode
 	inFlight int
 }
 
@@ -62,6 +64,13 @@
 	s.unframed, s.pause = true, pause
 }
 
+// SetEndless makes the VM answer some or all requests without end after they ran; nil for none.
+func (s *Service) SetEndless(m *endless.Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endless = m
+}
+
 // SetLeaving sets whether the VM reports that it is leaving.
 func (s *Service) SetLeaving(leaving bool) {
 	s.mu.Lock()
@@ -111,7 +120,7 @@
 	if key := r.Header.Get("Idempotency-Key"); key != "" {
 		s.byKey[key]++
 	}
-	delay, unframed, pause := s.delay, s.unframed, s.pause
+	delay, unframed, pause, mode := s.delay, s.unframed, s.pause, s.endless
 	broken := s.breakNext > 0
 	if broken {
 		s.breakNext--
@@ -127,6 +136,9 @@
 	}
 	w.Header().Set(relay.RequestIDHeader, id)
 	w.Header().Set("Content-Type", "text/plain")
+	if mode.Answer(w, id) {
+		return
+	}
 	answer := fmt.Sprintf("%s %s by %s for %s: %s", r.Method, r.URL.RequestURI(), s.VM, id, body)
 	if unframed {
 		// net/http then sends no chunks and closes the connection.
