The head of a response is bounded

An upstream in trouble may send a head without end until the caller closes.

All transports (to upstreams, probes, the platform and other processes) now read 32 KiB of a head, interim responses included. Legitimate heads have about a kilobyte. A longer one fails the send as a broken answer after it may have run, so retries and ejection are those of a broken connection.

--- a/internal/daemon/transport_test.go
+++ b/internal/daemon/transport_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/transport"
+	"github.com/marbleroad/marbleroad/test/standin/endless"
 )
 
 // TestIdleConnectionsAreBounded guards against too many idle connections. A director that had requested
@@ -59,3 +60,48 @@
 	}
 	t.Errorf("%d connections are open after requests to %d hosts", idleConns, hosts)
 }
+
+// TestResponseHeadWithoutEndIsBounded guards against reading a response's head that has no end, of which net/http reads
+// 10 MiB by default.
+func TestResponseHeadWithoutEndIsBounded(t *testing.T) {
+	for _, kind := range endless.Heads {
+		address := serveEndless(t, kind)
+		var meter transport.Meter
+		for _, client := range []*http.Transport{newTransport("127.0.0.1:0", reportIdleConns, &meter), newProbeTransport("127.0.0.1:0", &meter)} {
+			before, _ := meter.Bytes()
+			resp, err := (&http.Client{Transport: client}).Get("http://" + address)
+			if err == nil {
+				_ = resp.Body.Close()
+				t.Errorf("%s: status %d", kind, resp.StatusCode)
+			}
+			if after, _ := meter.Bytes(); after-before > transport.MaxResponseHeadBytes {
+				t.Errorf("%s: %d bytes were read", kind, after-before)
+			}
+		}
+	}
+}
+
+// serveEndless starts an upstream that answers each connection without end, and returns its address.
+func serveEndless(t *testing.T, kind endless.Kind) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := c.Read(make([]byte, 1<<10)); err == nil {
+					endless.Send(c, kind, nil, 0)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
--- a/internal/daemon/transports.go
+++ b/internal/daemon/transports.go
@@ -29,6 +29,8 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: transport.MaxResponseHeadBytes,
 	}
 }
 
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/transport"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
 
@@ -135,6 +136,8 @@
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		WriteBufferSize:     writeBufferBytes,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: transport.MaxResponseHeadBytes,
 	}
 	singleUse := base.Clone()
 	singleUse.DisableKeepAlives = true
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -23,6 +23,11 @@
 // at the planned size is a few megabytes.
 const MaxMessageBytes = 32 << 20
 
+// MaxResponseHeadBytes bounds the head of a response, in bytes, with its interim responses. Heads have about a
+// kilobyte, and servers commonly accept 8 to 16 KiB. A server in trouble may send a head without end, of which
+// net/http would read 10 MiB by default: 25 of them at a time take the memory of a node.
+const MaxResponseHeadBytes = 32 << 10
+
 const (
 	maxHeaderBytes    = 64 << 10
 	dialTimeout       = time.Second
@@ -116,6 +121,8 @@
 		Protocols:       &protocols,
 		IdleConnTimeout: idleTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+
+		MaxResponseHeaderBytes: MaxResponseHeadBytes,
 	}}}
 }
 
