--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -3,8 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -102,3 +108,133 @@
 		<-ended
 	}
 }
+
+// heldWriter blocks the writes that would exceed its limit until it is released.
+type heldWriter struct {
+	net.Conn
+	left    int
+	held    func()
+	release chan struct{}
+}
+
+// Write implements io.Writer.
+func (w *heldWriter) Write(p []byte) (int, error) {
+	if w.left >= 0 && len(p) > w.left {
+		w.left = -1
+		w.held()
+		<-w.release
+	}
+	if w.left >= 0 {
+		w.left -= len(p)
+	}
+	return w.Conn.Write(p)
+}
+
+const (
+	// endlessAtOnce is the number of answers without end that a node must bear at a time.
+	endlessAtOnce = 300
+	// maxHeapGrowth is a tenth of the memory of a node, which has 284 MB.
+	maxHeapGrowth = 28 << 20
+)
+
+func heapInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// TestHeadsWithoutEndTakeLittleMemory guards against the end of a process by 300 heads without end at a time: the
+// memory is compared with that of as many requests that wait for their answers.
+func TestHeadsWithoutEndTakeLittleMemory(t *testing.T) {
+	for _, kind := range endless.Heads {
+		var waiting, held sync.WaitGroup
+		waiting.Add(endlessAtOnce)
+		held.Add(endlessAtOnce)
+		start, release := make(chan struct{}), make(chan struct{})
+		address := serveAll(t, func(c net.Conn) {
+			waiting.Done()
+			<-start
+			// The writer is held a little before the bound, or its connection is closed earlier.
+			once := sync.OnceFunc(held.Done)
+			endless.Send(&heldWriter{Conn: c, left: transport.MaxResponseHeadBytes - 2<<10, held: once, release: release}, kind, nil, 0)
+			once()
+		})
+		s := NewSender(&net.Dialer{}, nil)
+		var sends sync.WaitGroup
+		for range endlessAtOnce {
+			sends.Go(func() { _ = sendOne(s, address, false) })
+		}
+		waiting.Wait()
+		before := heapInUse()
+		close(start)
+		held.Wait()
+		awaitRead(t, address)
+		if growth := heapInUse() - before; growth > maxHeapGrowth {
+			t.Errorf("%s: %d heads without end take %d bytes", kind, endlessAtOnce, growth)
+		}
+		close(release)
+		sends.Wait()
+	}
+}
+
+// awaitRead waits until all bytes that were written to connections of the server's port have been read.
+func awaitRead(t *testing.T, address string) {
+	t.Helper()
+	for queued(t, address) {
+		runtime.Gosched()
+	}
+}
+
+// queued reports whether a socket with the given local or remote address holds bytes.
+func queued(t *testing.T, address string) bool {
+	t.Helper()
+	const localField, remoteField, queuesField, emptyQueues = 1, 2, 4, "00000000:00000000"
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	number, _ := strconv.Atoi(port)
+	suffix := fmt.Sprintf(":%04X", number)
+	table, err := os.ReadFile("/proc/self/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		ours := strings.HasSuffix(fields[localField], suffix) || strings.HasSuffix(fields[remoteField], suffix)
+		if ours && fields[queuesField] != emptyQueues {
+			return true
+		}
+	}
+	return false
+}
+
+// TestBoundOnHeadLeavesBodyAlone checks a head of many fields and a body of many lines on a reused connection.
+func TestBoundOnHeadLeavesBodyAlone(t *testing.T) {
+	const fields, lines = 200, 10_000
+	body := strings.Repeat("\n", lines)
+	answer := "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Field: x\r\n", fields) + fmt.Sprintf("Content-Length: %d\r\n\r\n", lines) + body
+	address := serveAll(t, func(c net.Conn) {
+		_, _ = c.Write([]byte(answer))
+		r := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = c.Write([]byte(answer))
+		}
+	})
+	s := NewSender(&net.Dialer{}, nil)
+	for range 3 {
+		resp, err := s.Send(context.Background(), Outgoing{Address: address, Method: http.MethodGet, Path: "/x", RequestID: "r"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := ReadBody(resp, lines)
+		_ = resp.Body.Close()
+		if err != nil || string(got) != body {
+			t.Errorf("%d bytes, error %v", len(got), err)
+		}
+	}
+}
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -175,12 +175,17 @@
 
 func (s *Sender) roundTrip(ctx context.Context, transport *http.Transport, o Outgoing) (*http.Response, *writeTracker, error) {
 	tracker := &writeTracker{}
-	req, err := s.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn}), o)
+	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
+	req, err := s.newRequest(httptrace.WithClientTrace(ctx, trace), o)
 	if err != nil {
 		return nil, tracker, errors.Wrap(err, "the request cannot be sent")
 	}
 	resp, err := transport.RoundTrip(req)
-	return resp, tracker, err
+	if err != nil {
+		return nil, tracker, err
+	}
+	tracker.endHead()
+	return resp, tracker, nil
 }
 
 // fromIntendedUpstream reports whether a response with this check result came from the upstream that the
