Bytes beyond an answer are no answer to the next request

A faulty upstream may send bytes after a complete response. On a kept connection another caller's request got them as its answer, if the upstream needs no echo of the request ID, or failed as one that may have run although it was never sent.

Cause: net/http returns a connection to its pool before its reader looks at what was received beyond the response. A request that takes the connection in between is taken for the one that the bytes answer.

The first write of a request on a reused connection now waits until the reader waits for bytes, which it does once it has used up what was received. If it parses a response before, the connection is closed, and the request, of which no byte was written, is sent on a new connection as for any stale one. This holds for each framing, as it looks at the order of reads and writes only. Encrypted connections, to other entries, don't wait: their close writes.

Bytes that arrive only after the next request was written can't be told from its response; the echo of the request ID decides then.

--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -60,6 +60,9 @@
 // ErrResponseMismatch means that a response belongs to another request.
 var ErrResponseMismatch = errors.New("answer belongs to another request")
 
+// errPremature means that a response arrived before its request was sent.
+var errPremature = errors.New("an answer came before the request")
+
 // Outgoing is one request to one upstream.
 type Outgoing struct {
 	Address   string
@@ -126,7 +129,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn}, nil
+		return newCountingConn(conn), nil
 	}
 	base := http.Transport{
 		DialContext:         dial,
@@ -175,7 +178,7 @@
 
 func (s *Sender) roundTrip(ctx context.Context, transport *http.Transport, o Outgoing) (*http.Response, *writeTracker, error) {
 	tracker := &writeTracker{}
-	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn}
+	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn, GotFirstResponseByte: tracker.gotFirstByte}
 	req, err := s.newRequest(httptrace.WithClientTrace(ctx, trace), o)
 	if err != nil {
 		return nil, tracker, errors.Wrap(err, "the request cannot be sent")
@@ -185,6 +188,10 @@
 		return nil, tracker, err
 	}
 	tracker.endHead()
+	if tracker.premature {
+		_ = resp.Body.Close()
+		return nil, tracker, errPremature
+	}
 	return resp, tracker, nil
 }
 
