An event of a stream has at most 128 KiB

An upstream in trouble may send an event without end. The gateway kept up to 1 MiB of it: 300 at a time take more memory than a node has (284 MB). A longer event is a broken answer as before: the stream goes on at another head.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,8 +34,9 @@
 	errEventOrder = errors.New("stream events out of order")
 )
 
-// maxEventBytes limits the size of an event, which is buffered until it is complete.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits the size of an event, which is buffered until it is complete. Events are some hundred bytes long,
+// and 300 that have no end must leave most of a node's 284 MB to others.
+const maxEventBytes = 128 << 10
 
 // eventReader splits the body of a stream into events without changing their bytes.
 type eventReader struct {
