The rest of a long answer holds no buffers and isn't cut off for its upstream's pace

Of a plain answer the first MiB is buffered, so that the request can be repeated; the rest is passed on as it arrives. Two faults showed with answers without end:

The buffered part stayed reserved, and in memory, until the answer ended, so up to the deadline. 300 such answers took the whole pool, from which also the bodies of callers' requests are reserved: those were refused with no-buffer. It is now released once the caller has it.

The limit for slow callers applied to the complete answer: one that took longer than 10.3 s because of its upstream was cut off as if its caller didn't read, and its upstream was not to blame. It now applies to each part.

In TestShortResponseToABrokenConnectionIsNotServed only the name of the method under test changed.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -128,21 +129,33 @@
 	}
 	j.c.inFlight.statusSent(resp.StatusCode)
 	j.w.WriteHeader(resp.StatusCode)
-	return j.s.writeToCaller(j.w, j.c.ID, func() error { return j.writeFull(body, complete, resp, s) })
+	err = j.s.writeToCaller(j.w, j.c.ID, func() error { return j.writeBuffered(body, complete) })
+	if err != nil || complete {
+		return err
+	}
+	// Buffers are for all requests, and the rest of the response may take until the deadline.
+	body.discard()
+	return j.writeRest(resp, s)
 }
 
-// writeFull writes the buffered part of a response to the caller, and the rest as it arrives unless the response
-// is complete.
-func (j *job) writeFull(body *bufferedBody, complete bool, resp *http.Response, s *send) error {
+// writeBuffered writes the buffered part of a response to the caller.
+func (j *job) writeBuffered(body *bufferedBody, complete bool) error {
 	out := &callerWriter{w: j.w, inFlight: j.c.inFlight}
 	if _, err := out.Write(body.data); err != nil {
 		return errors.Mark(err, errCallerDisconnected)
 	}
-	if complete {
-		// net/http would flush after the handler has returned, and drop the error.
-		return markDisconnected(http.NewResponseController(j.w).Flush())
+	if !complete {
+		return nil
 	}
-	_, err := io.Copy(out, resp.Body)
+	// net/http would flush after the handler has returned, and drop the error.
+	return markDisconnected(http.NewResponseController(j.w).Flush())
+}
+
+// writeRest passes on the rest of a response as it arrives.
+func (j *job) writeRest(resp *http.Response, s *send) error {
+	out := &callerWriter{w: j.w, inFlight: j.c.inFlight}
+	onSlow := sync.OnceFunc(func() { j.s.reportSlowCaller(j.c.ID) })
+	_, err := io.Copy(patientWriter{out: out, onSlow: onSlow}, resp.Body)
 	switch {
 	case out.err != nil:
 		return errors.Mark(out.err, errCallerDisconnected)
@@ -155,6 +168,22 @@
 	return nil
 }
 
+// patientWriter gives the caller callerWriteTimeout for each part of a response. A limit on the complete response would
+// cut off an upstream that takes longer to send it.
+type patientWriter struct {
+	out    *callerWriter
+	onSlow func()
+}
+
+// Write implements io.Writer.
+func (p patientWriter) Write(data []byte) (n int, err error) {
+	err = limitWrite(p.out.w, p.onSlow, func() error {
+		n, err = p.out.Write(data)
+		return err
+	})
+	return n, err
+}
+
 // markDisconnected marks an error of a write to the caller; nil stays nil.
 func markDisconnected(err error) error {
 	if err == nil || errors.Is(err, http.ErrNotSupported) {
--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -68,6 +68,12 @@
 	}
 }
 
+// discard drops the body and returns its reserved bytes.
+func (b *bufferedBody) discard() {
+	b.data = nil
+	b.release()
+}
+
 // readBuffered reads a body of at most limit bytes; 0 means no limit. It reports whether the body is complete:
 // it stops after limit bytes and, with errBuffersFull, when the pool has no room. Either way the result holds
 // what was read so far and must be released.
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -39,3 +39,6 @@
 
 // ReportUnanswered reports a connection that was closed with a request that was read but not handled.
 func ReportUnanswered(s *Server, caller net.Addr, header []byte) { s.reportUnanswered(caller, header) }
+
+// BufferedBytes returns the number of bytes that are reserved for bodies and streams.
+func BufferedBytes(s *Server) int64 { return s.buffers.used.Load() }
--- a/internal/gateway/lostreason_test.go
+++ b/internal/gateway/lostreason_test.go
@@ -80,7 +80,7 @@
 	var q inFlightRequests
 	j := &job{w: brokenCaller{}, c: &Call{}}
 	j.c.inFlight = q.begin(j.c)
-	err := j.writeFull(&bufferedBody{data: []byte("answer")}, true, nil, nil)
+	err := j.writeBuffered(&bufferedBody{data: []byte("answer")}, true)
 	if !errors.Is(err, errCallerDisconnected) || !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("the write returned %v", err)
 	}
--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -19,7 +19,8 @@
 	maxCallerBlock = 300 * time.Millisecond
 	// maxReadAhead limits the bytes that are read ahead for one stream. Streams are a few kilobytes long.
 	maxReadAhead = 256 << 10
-	// callerWriteTimeout is how long a caller that has blocked may take for each further event or response.
+	// callerWriteTimeout is how long a caller that has blocked may take for each further event, part of a long
+	// response, or shorter response.
 	callerWriteTimeout = 10 * time.Second
 )
 
@@ -171,9 +172,15 @@
 // writeToCaller calls send, which writes a complete response to the caller. If it blocks, it must end within
 // callerWriteTimeout.
 func (s *Server) writeToCaller(w http.ResponseWriter, id string, send func() error) error {
+	return limitWrite(w, func() { s.reportSlowCaller(id) }, send)
+}
+
+// limitWrite calls send, which writes to the caller. If it blocks, onSlow is called and send must end within
+// callerWriteTimeout.
+func limitWrite(w http.ResponseWriter, onSlow func(), send func() error) error {
 	control := http.NewResponseController(w)
 	watchdog := time.AfterFunc(maxCallerBlock, func() {
-		s.reportSlowCaller(id)
+		onSlow()
 		_ = control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	})
 	err := send()
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -53,8 +53,8 @@
 
 type options struct {
 	revokeBound time.Duration
-	// heads is the number of heads, 0 for two.
-	heads int
+	// heads is the number of heads, plain that of plain VMs; 0 for two.
+	heads, plain int
 	// pause is the time between two events of a stream, 0 for one millisecond.
 	pause time.Duration
 	// prefill is the time from the receipt of a streaming request to its execution.
@@ -100,7 +100,7 @@
 	for i := range cmp.Or(o.heads, 2) {
 		s.heads = append(s.heads, s.addVM(t, fmt.Sprintf("head-%d", i), "llm", streamEvents))
 	}
-	for i := range 2 {
+	for i := range cmp.Or(o.plain, 2) {
 		s.plain = append(s.plain, s.addVM(t, fmt.Sprintf("plain-%d", i), "api", 0))
 	}
 	log, err := event.New(io.Discard, "error", "n", "test")
