An error answer without end is a broken answer

An upstream in trouble may answer with an error status and a body without end. If the request could not be repeated, the caller got that body until the deadline. An error answer of 1 MiB or more explains no error; it now counts as broken: the upstream's connection is closed, and the caller gets a complete 502 at once.

Before the change TestErrorAnswerWithoutEndIsBroken failed: the caller read the upstream's bytes, cut off by the deadline.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -99,6 +99,10 @@
 // so that the request can be repeated if the response is truncated. Typical responses are a few kilobytes.
 const maxBufferedResponse = 1 << 20
 
+// errLargeError means that an error response is longer than maxBufferedResponse. It explains no error then: upstreams in
+// trouble send bytes without end.
+var errLargeError = errors.New("the error response has no end")
+
 // relayFull passes on a response that is not a stream. One of up to maxBufferedResponse bytes is passed on only
 // when it is complete, unless the node's buffers are full; a longer one that breaks off later results in
 // errPartialResponse.
@@ -111,6 +115,9 @@
 	if complete && j.endedEarly(resp, s) {
 		return errTruncated
 	}
+	if resp.StatusCode >= http.StatusBadRequest && len(body.data) >= maxBufferedResponse {
+		return errLargeError
+	}
 	if resp.StatusCode >= http.StatusInternalServerError && j.shouldRepeat() {
 		return statusError(resp.StatusCode)
 	}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +21,18 @@
 	vm.Endless.Store(&endless.Mode{Kinds: []endless.Kind{kind}, Share: 1, Pause: pause})
 }
 
+// TestErrorAnswerWithoutEndIsBroken guards against an error answer that keeps its caller until the deadline.
+func TestErrorAnswerWithoutEndIsBroken(t *testing.T) {
+	s := newTestSite(t, options{})
+	for _, vm := range s.plain {
+		answerEndless(vm, endless.ErrorBody, 0)
+	}
+	resp := s.send(t, http.MethodPost, "/once/x", nil)
+	if got := body(t, resp); resp.StatusCode != http.StatusBadGateway || strings.Contains(got, "xxx") {
+		t.Errorf("status %d with %d bytes", resp.StatusCode, len(got))
+	}
+}
+
 const (
 	// endlessAtOnce is the number of answers without end that a node must bear at a time.
 	endlessAtOnce = 300
