A long answer that breaks off counts against its upstream

A plain answer of which the caller has a part when it breaks off, or when the deadline ends it, can't be repeated. The gateway ended the caller's connection but did not count the failure: an upstream that sends bodies without end was never ejected and went on getting requests. It now counts as any other broken answer, unless the caller left.

TestAnswerWithoutEndEndsAtTheDeadline failed before for bodies in chunks and bodies with neither length nor chunks: no upstream was ejected after 12 requests.

A stream of valid events without end still doesn't count: each event shows that the upstream works. It ends at the deadline and never looks whole.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -16,11 +16,113 @@
 	"github.com/marbleroad/marbleroad/test/standin/groupengine"
 )
 
+const upstreamEjected = 5005
+
 // answerEndless makes a VM answer all requests without end.
 func answerEndless(vm *groupengine.VM, kind endless.Kind, pause time.Duration) {
 	vm.Endless.Store(&endless.Mode{Kinds: []endless.Kind{kind}, Share: 1, Pause: pause})
 }
 
+// brokenKinds are answers that are known as broken before their caller gets any part of them.
+var brokenKinds = append([]endless.Kind{endless.ChunkSize, endless.ChunkExtension, endless.SmallChunks, endless.Trailers, endless.ErrorBody}, endless.Heads...)
+
+// TestRequestAnsweredWithoutEndGoesOnElsewhere guards against callers that get no answer, or a wrong one, as an upstream
+// sends bytes that are no answer. The upstream must count as failing.
+func TestRequestAnsweredWithoutEndGoesOnElsewhere(t *testing.T) {
+	// Which VM gets a request is drawn at random; 64 requests reach a given one of two.
+	const requests = 64
+	for _, kind := range brokenKinds {
+		t.Run(string(kind), func(t *testing.T) {
+			log := &logBuffer{}
+			s := newTestSite(t, options{log: log})
+			answerEndless(s.plain[0], kind, 0)
+			for i := range requests {
+				target := fmt.Sprintf("/read/%d", i)
+				resp := s.send(t, http.MethodGet, target, map[string]string{"Attempt-Id": target})
+				if got := body(t, resp); resp.StatusCode != http.StatusOK || got != "answer of api to "+target {
+					t.Fatalf("status %d, body %q", resp.StatusCode, got)
+				}
+			}
+			if len(log.events(t, upstreamEjected)) == 0 {
+				t.Error("the upstream was not ejected")
+			}
+		})
+	}
+}
+
+// TestStreamWithoutEndGoesOnElsewhere is the same for streams, also for an event without end.
+func TestStreamWithoutEndGoesOnElsewhere(t *testing.T) {
+	const requests = 16
+	for _, kind := range append([]endless.Kind{endless.Line, endless.Event, endless.Comments}, brokenKinds...) {
+		t.Run(string(kind), func(t *testing.T) {
+			log := &logBuffer{}
+			s := newTestSite(t, options{log: log})
+			answerEndless(s.heads[0], kind, 0)
+			for i := range requests {
+				checkStream(t, s.send(t, http.MethodPost, fmt.Sprintf("/stream/%d", i), map[string]string{"Model": "m", "Attempt-Id": fmt.Sprint(i)}))
+			}
+			if len(log.events(t, upstreamEjected)) == 0 {
+				t.Error("the upstream was not ejected")
+			}
+		})
+	}
+}
+
+// TestSurplusReachesNoCaller guards against surplus bytes in the answer to a later request.
+func TestSurplusReachesNoCaller(t *testing.T) {
+	s := newTestSite(t, options{})
+	answerEndless(s.plain[0], endless.Surplus, 0)
+	for i := range 64 {
+		target := fmt.Sprintf("/read/%d", i)
+		got := body(t, s.send(t, http.MethodGet, target, map[string]string{"Attempt-Id": target}))
+		if got != "ok" && got != "answer of api to "+target {
+			t.Fatalf("body %q", got)
+		}
+	}
+}
+
+// TestAnswerWithoutEndEndsAtTheDeadline guards against answers that hold their caller for ever, or that look whole when
+// the deadline cuts them. The upstream must count as failing.
+func TestAnswerWithoutEndEndsAtTheDeadline(t *testing.T) {
+	for _, c := range []struct {
+		kind   endless.Kind
+		target string
+		pause  time.Duration
+		// alive is true if the answer has events, which show that the upstream works.
+		alive bool
+	}{
+		{endless.Chunks, "/once/", 0, false},
+		{endless.Unframed, "/once/", 0, false},
+		{endless.Chunks, "/once/", 50 * time.Millisecond, false},
+		{endless.StatusLine, "/once/", 50 * time.Millisecond, false},
+		{endless.ErrorBody, "/once/", 50 * time.Millisecond, false},
+		{endless.Event, "/stream/", 50 * time.Millisecond, false},
+		{endless.Events, "/stream/", 0, true},
+		{endless.Events, "/stream/", time.Millisecond, true},
+	} {
+		t.Run(fmt.Sprint(c.kind, c.pause), func(t *testing.T) {
+			log := &logBuffer{}
+			s := newTestSite(t, options{log: log})
+			for _, vm := range append(s.plain, s.heads...) {
+				answerEndless(vm, c.kind, c.pause)
+			}
+			const requests = 12
+			for i := range requests {
+				target := fmt.Sprint(c.target, i)
+				resp := s.send(t, http.MethodPost, target, map[string]string{"Model": "m", "Attempt-Id": target, "Deadline-Ms": "300"})
+				data, err := io.ReadAll(resp.Body)
+				if err == nil && resp.StatusCode < http.StatusInternalServerError {
+					t.Fatalf("status %d and %d bytes look whole", resp.StatusCode, len(data))
+				}
+			}
+			if len(log.events(t, upstreamEjected)) == 0 && !c.alive {
+				t.Error("no upstream was ejected")
+			}
+			waitFor(t, "the requests to end", func() bool { return gateway.InFlight(s.server) == 0 })
+		})
+	}
+}
+
 // TestErrorAnswerWithoutEndIsBroken guards against an error answer that keeps its caller until the deadline.
 func TestErrorAnswerWithoutEndIsBroken(t *testing.T) {
 	s := newTestSite(t, options{})
--- a/internal/gateway/failures.go
+++ b/internal/gateway/failures.go
@@ -119,6 +119,9 @@
 	failure := &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Code: relay.CodeBroken,
 		Detail: "the upstream's answer broke off", Cause: err}
 	if errors.Is(err, errPartialResponse) {
+		if !errors.Is(j.lastCause, context.Canceled) {
+			j.recordFailure(s, true)
+		}
 		j.logFailedAttempt(s, failure, context.Cause(ctx))
 		j.losePartial(failure)
 		panic(http.ErrAbortHandler)
