A long answer that breaks off ends its attempt at an entry

When a plain answer of more than 16 MiB broke off, the entry ended the caller's connection by a panic within the attempt. The attempt then counted as in flight at its upstream for ever, the upstream didn't count as failing, and an idempotency key stayed without an outcome. Upstreams that send bodies without end would take all their slots that way.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -93,6 +93,8 @@
 	// readAt is when the request had been read. lost is why it ended without a whole answer; zero if it did not.
 	readAt time.Time
 	lost   lostCall
+	// aborted is true when the caller's connection must be aborted, as its response is a part.
+	aborted bool
 	// endedWithError is true when the stream ended with an error event.
 	endedWithError bool
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -225,7 +225,7 @@
 		rec.Stage = ledger.Released
 		return rec
 	}
-	if failure != nil || c.endedWithError {
+	if failure != nil || c.endedWithError || c.aborted {
 		rec.Stage = ledger.Started
 		return rec
 	}
@@ -260,8 +260,12 @@
 		}
 		sentAt := clock.Now()
 		response, failure := s.sendTo(ctx, w, c, d, upstream)
-		s.recordEnd(c, d, upstream, failure)
-		s.recordOutcome(c, upstream, sentAt, failure)
+		outcome := failure
+		if c.aborted {
+			outcome = brokenResponse("the answer broke off after the caller had a part of it")
+		}
+		s.recordEnd(c, d, upstream, outcome)
+		s.recordOutcome(c, upstream, sentAt, outcome)
 		if failure == nil || failure.Verdict != verdict.NotRun || ctx.Err() != nil {
 			return response, failure
 		}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -51,6 +51,9 @@
 		defer span.End()
 		c, failure := s.handleCall(ctx, w, r, next, openAI)
 		s.metrics.Observe("request", clock.Since(startedAt))
+		if c.aborted {
+			panic(http.ErrAbortHandler)
+		}
 		if failure == nil && c.lost.reason != "" {
 			return
 		}
