An entry buffers 16 MiB of answers in all

An entry read plain answers of up to 16 MiB each before it passed them on, and gave up those of unknown length beyond that.

The buffers are now shared by all answers: beyond 16 KiB each, 16 MiB in all. What finds no room, and what is longer, is passed on as it arrives, also of unknown length and from another entry; a break or the deadline aborts the caller's connection. What was buffered is released as the caller gets it, and writes of a long answer end soon after the deadline, so that a caller that doesn't read it holds no slot.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -1,12 +1,12 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"sort"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,15 +59,26 @@
 func generationText(g uint64) string { return strconv.FormatUint(g, 10) }
 
 // relayResponse passes on a response that is not a stream of events. It reads
-// those of up to maxBufferedBody completely first, so that an interrupted one is
-// never passed on in part.
+// those of up to maxBufferedBody completely first, as far as the buffers have
+// room, so that an interrupted one is not passed on in part.
 func (s *Server) relayResponse(ctx context.Context, w http.ResponseWriter, c *call, address string, resp *http.Response) (bufferedResponse, *verdict.Error) {
 	if resp.ContentLength > maxBufferedBody {
 		return bufferedResponse{}, s.relayUnbuffered(w, c, resp)
 	}
-	body, err := relay.ReadBody(resp, maxBufferedBody)
+	body, reserved, complete, err := s.buffers.read(resp.Body)
+	release := sync.OnceFunc(func() { s.buffers.release(reserved) })
+	defer release()
 	if err != nil {
-		return bufferedResponse{}, verdict.As(err)
+		return bufferedResponse{}, verdict.As(relay.Failure(verdict.MayHaveRun, relay.CodeBroken, "the answer broke off", err))
+	}
+	if !complete {
+		putBack(resp, body, release)
+		body = nil
+		failure := s.relayUnbuffered(w, c, resp)
+		if c.lost.reason == "" && relay.Unframed(resp) && s.portClosed(ctx, address) {
+			c.abort(io.ErrUnexpectedEOF)
+		}
+		return bufferedResponse{}, failure
 	}
 	if relay.Unframed(resp) && s.portClosed(ctx, address) {
 		return bufferedResponse{}, brokenResponse("the upstream ended while its answer, which has no length, arrived")
@@ -322,73 +333,3 @@
 		RetryAfter: time.Duration(retryAfterMillis) * time.Millisecond,
 	}
 }
-
-// relayPeerResponse sends the other entry's response to the caller; a stream of
-// events is sent as it arrives.
-func (s *Server) relayPeerResponse(w http.ResponseWriter, c *call, resp *http.Response) *verdict.Error {
-	if resp.Header.Get("Content-Type") != "text/event-stream" {
-		body, err := relay.ReadBody(resp, maxBufferedBody)
-		if err != nil {
-			return verdict.As(err)
-		}
-		if relay.Unframed(resp) {
-			// Entries frame all their responses.
-			return brokenResponse("the other entry's answer has no length and may be a part")
-		}
-		copyHeaders(w.Header(), resp.Header, responseHeaders)
-		w.WriteHeader(resp.StatusCode)
-		_, err = w.Write(body)
-		c.loseCaller(err)
-		return nil
-	}
-	copyHeaders(w.Header(), resp.Header, responseHeaders)
-	w.WriteHeader(resp.StatusCode)
-	s.relayPeerStream(w, c, resp.Body)
-	return nil
-}
-
-var (
-	eventEnd = []byte("\n\n")
-	// doneEvent is the final event of a stream that is complete.
-	doneEvent  = []byte("data: [DONE]\n\n")
-	errorStart = []byte("event: error\n")
-)
-
-// relayPeerStream copies the other entry's events, complete ones only. It ends
-// the stream with an error event if the final event doesn't arrive.
-func (s *Server) relayPeerStream(w http.ResponseWriter, c *call, body io.Reader) {
-	controller := http.NewResponseController(w)
-	_ = controller.SetWriteDeadline(time.Now().Add(clock.Until(c.deadline) + callerGrace))
-	buf := make([]byte, copyBufferBytes)
-	var pending []byte
-	ended := false
-	for len(pending) < maxEventBytes {
-		n, err := body.Read(buf)
-		pending = append(pending, buf[:n]...)
-		if complete := bytes.LastIndex(pending, eventEnd) + len(eventEnd); complete >= len(eventEnd) {
-			events := pending[:complete]
-			ended = ended || bytes.HasSuffix(events, doneEvent) || bytes.Contains(events, errorStart)
-			if _, err := w.Write(events); err != nil {
-				c.loseCaller(err)
-				return
-			}
-			_ = controller.Flush()
-			pending = append(pending[:0], pending[complete:]...)
-		}
-		if err != nil {
-			break
-		}
-	}
-	if ended {
-		return
-	}
-	failure := &verdict.Error{
-		Verdict: verdict.MayHaveRun,
-		Status:  http.StatusBadGateway,
-		Code:    relay.CodeBroken,
-		Detail:  "the stream from the other failure domain broke off",
-	}
-	_, _ = w.Write(errorEvent(c.id, failure))
-	_ = controller.Flush()
-	s.recordFailure(c, failure)
-}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -103,6 +103,8 @@
 	stopping atomic.Bool
 	refusing atomic.Bool
 	inFlight sync.WaitGroup
+	// buffers limits what is buffered of responses.
+	buffers responseBuffers
 	// calls holds the calls that were read and are not finished.
 	calls inFlightCalls
 	// inFlightMu keeps inFlight.Add from being called after inFlight.Wait.
--- a/internal/entry/unbuffered.go
+++ b/internal/entry/unbuffered.go
@@ -4,7 +4,9 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
+	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/relay"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
@@ -15,10 +17,16 @@
 func (s *Server) relayUnbuffered(w http.ResponseWriter, c *call, resp *http.Response) *verdict.Error {
 	h := w.Header()
 	copyHeaders(h, resp.Header, responseHeaders)
-	h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	if resp.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
 	h.Set(relay.RequestIDHeader, c.id)
 	h.Set(verdict.Header, verdict.Ran.String())
 	w.WriteHeader(resp.StatusCode)
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(time.Now().Add(clock.Until(c.deadline) + callerGrace))
+	// net/http keeps the deadline for the next response on the connection.
+	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	out := &callerWriter{w: w}
 	_, err := io.Copy(out, resp.Body)
 	c.loseCaller(out.err)
@@ -34,6 +42,32 @@
 	c.aborted = true
 }
 
+// putBack makes the body of a response begin with what was read of it. release is called once that is read again.
+func putBack(resp *http.Response, beginning []byte, release func()) {
+	resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(&bufferedBeginning{data: beginning, release: release}, resp.Body), resp.Body}
+}
+
+// bufferedBeginning reads the buffered beginning of a response, and releases it at its end.
+type bufferedBeginning struct {
+	data    []byte
+	release func()
+}
+
+// Read implements io.Reader.
+func (b *bufferedBeginning) Read(p []byte) (int, error) {
+	if len(b.data) == 0 {
+		b.data = nil
+		b.release()
+		return 0, io.EOF
+	}
+	n := copy(p, b.data)
+	b.data = b.data[n:]
+	return n, nil
+}
+
 // callerWriter keeps the error of a write to a caller, as opposed to one of reading what is written.
 type callerWriter struct {
 	w   io.Writer
