--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/transport"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
 
@@ -59,6 +60,9 @@
 // ErrResponseMismatch means that a response belongs to another request.
 var ErrResponseMismatch = errors.New("answer belongs to another request")
 
+// errPremature means that a response arrived before its request was sent.
+var errPremature = errors.New("an answer came before the request")
+
 // Outgoing is one request to one upstream.
 type Outgoing struct {
 	Address   string
@@ -125,7 +129,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn}, nil
+		return newCountingConn(conn), nil
 	}
 	base := http.Transport{
 		DialContext:         dial,
@@ -135,6 +139,8 @@
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		WriteBufferSize:     writeBufferBytes,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: transport.MaxResponseHeadBytes,
 	}
 	singleUse := base.Clone()
 	singleUse.DisableKeepAlives = true
@@ -172,12 +178,21 @@
 
 func (s *Sender) roundTrip(ctx context.Context, transport *http.Transport, o Outgoing) (*http.Response, *writeTracker, error) {
 	tracker := &writeTracker{}
-	req, err := s.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn}), o)
+	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn, GotFirstResponseByte: tracker.gotFirstByte}
+	req, err := s.newRequest(httptrace.WithClientTrace(ctx, trace), o)
 	if err != nil {
 		return nil, tracker, errors.Wrap(err, "the request cannot be sent")
 	}
 	resp, err := transport.RoundTrip(req)
-	return resp, tracker, err
+	if err != nil {
+		return nil, tracker, err
+	}
+	tracker.endHead()
+	if tracker.premature {
+		_ = resp.Body.Close()
+		return nil, tracker, errPremature
+	}
+	return resp, tracker, nil
 }
 
 // fromIntendedUpstream reports whether a response with this check result came from the upstream that the
