A panic while a stream is read ahead is one of its request

What callers saw: nothing yet. The stream of a slow caller is read ahead on a goroutine of its own, where net/http does not recover: a panic caused by what one upstream sends would have ended the process, with all its callers' requests. Of the goroutines with crash.Guard it is the only one that processes an answer to a request; the others read the store, other nodes, or calls that have a fuzz test.

Change: the panic is contained and passed on to the handler of the request, which ends as with any other panic of it (1011).

Evidence: TestPanicOfReadingAheadEndsItsRequestOnly ended the test's process before, and passes.

--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -30,6 +30,9 @@
 // errCallerTooSlow means that a caller does not read its stream fast enough for the bounds of its buffer.
 var errCallerTooSlow = errors.New("the caller reads too slowly")
 
+// errReadPanicked means that the reading of an upstream's stream panicked.
+var errReadPanicked = errors.New("reading ahead panicked")
+
 // queuedEvent is an event that was read ahead.
 type queuedEvent struct {
 	raw, id []byte
@@ -73,6 +76,10 @@
 	for len(s.queue) == 0 && s.err == nil {
 		s.changed.Wait()
 	}
+	if len(s.queue) == 0 && errors.Is(s.err, errReadPanicked) {
+		// The panic is the request's, as if its handler had read the stream itself.
+		panic(s.err)
+	}
 	if len(s.queue) == 0 {
 		return nil, nil, s.err
 	}
@@ -117,7 +124,13 @@
 // readAhead reads the remaining events into the queue. If the queue exceeds its bounds, or the caller does not
 // accept anything for callerWriteTimeout, the write to the caller fails and the caller loses its answer.
 func (s *streamSource) readAhead() {
-	defer crash.Guard()
+	if p := crash.Contain(s.readRest); p != nil {
+		s.endReading(errors.Wrapf(errReadPanicked, "%s\n%s", p.Text, p.Stack))
+	}
+}
+
+// readRest does the work of readAhead.
+func (s *streamSource) readRest() {
 	s.onSlow()
 	_ = s.control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	// The event that is being passed on is still in the reader's buffer.
@@ -133,14 +146,19 @@
 		if errors.Is(err, errCallerTooSlow) {
 			_ = s.control.SetWriteDeadline(expiredDeadline)
 		}
-		s.mu.Lock()
-		s.err = err
-		s.changed.Signal()
-		s.mu.Unlock()
+		s.endReading(err)
 		return
 	}
 }
 
+// endReading records the result of the last read.
+func (s *streamSource) endReading(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+	s.changed.Signal()
+}
+
 // enqueue adds a copy of an event to the queue.
 func (s *streamSource) enqueue(raw, id []byte) error {
 	s.mu.Lock()
--- a/internal/gateway/readahead_test.go
+++ b/internal/gateway/readahead_test.go
@@ -196,3 +196,44 @@
 		t.Error("a reservation was released twice")
 	}
 }
+
+// faultyUpstream panics after its first events were read.
+type faultyUpstream struct{ first io.Reader }
+
+func (u faultyUpstream) Read(p []byte) (int, error) {
+	n, err := u.first.Read(p)
+	if errors.Is(err, io.EOF) {
+		panic("fault of the test")
+	}
+	return n, err
+}
+
+// TestPanicOfReadingAheadEndsItsRequestOnly guards against a panic on the goroutine that reads a stream ahead, which ended the
+// process: it is one of the request's handler.
+func TestPanicOfReadingAheadEndsItsRequestOnly(t *testing.T) {
+	caller := newBlockedCaller()
+	source, read, _ := newTestSource(faultyUpstream{strings.NewReader(testEvent(1) + testEvent(2))}, newBufferPool(1<<20), caller)
+	defer source.close()
+	if _, _, err := source.next(); err != nil {
+		t.Fatal(err)
+	}
+	written := make(chan error, 1)
+	go func() { written <- source.write(caller.accept) }()
+	for read.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	close(caller.released)
+	if err := <-written; err != nil {
+		t.Fatal(err)
+	}
+	if raw, _, err := source.next(); err != nil || string(raw) != testEvent(2) {
+		t.Fatalf("%q %v", raw, err)
+	}
+	defer func() {
+		if text := fmt.Sprint(recover()); !strings.Contains(text, "fault of the test") {
+			t.Errorf("the handler's panic: %s", text)
+		}
+	}()
+	_, _, err := source.next()
+	t.Errorf("no panic of the handler, but %v", err)
+}
