An event at an entry has at most 128 KiB

As at a node, an event without end was kept for long: 256 KiB in a read buffer that each stream has and as much again of its data, and 1 MiB of an event of another entry. The bounds are now 128 KiB, and 256 KiB for another entry's, whose IDs are longer. An event beyond that is a broken stream as before.

--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -103,6 +103,19 @@
 	ended.Wait()
 }
 
+// TestEventOfAnotherEntryWithoutEndIsBounded guards against keeping an event that has no end.
+func TestEventOfAnotherEntryWithoutEndIsBounded(t *testing.T) {
+	// 300 events without end may take half of a VM's 284 MB.
+	const maxRead = 284_000_000 / 2 / 300
+	s, c := newLoggingServer(t, io.Discard)
+	body := &io.LimitedReader{R: endlessBody{}, N: 1 << 30}
+	w := httptest.NewRecorder()
+	s.relayPeerStream(w, c, body)
+	if read := 1<<30 - body.N; read > maxRead || !strings.HasPrefix(w.Body.String(), "event: error\n") {
+		t.Errorf("%d bytes were read, body %q", read, w.Body)
+	}
+}
+
 // limitedCaller records the deadlines of its writes.
 type limitedCaller struct {
 	*httptest.ResponseRecorder
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -32,8 +32,8 @@
 	callerGrace = 5 * time.Second
 	// copyBufferBytes is the size of reads from another entry's response.
 	copyBufferBytes = 32 << 10
-	// maxEventBytes bounds an event of another entry's response.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds an event of another entry's response, which has a longer ID than the engine's.
+	maxEventBytes = 256 << 10
 )
 
 // requestHeaders are passed on to upstreams.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -20,8 +20,9 @@
 var ErrCallerDisconnected = errors.New("caller is gone")
 
 const (
-	// maxEventBytes bounds a line of the stream, and the data of an event.
-	maxEventBytes = 256 << 10
+	// maxEventBytes bounds a line of the stream, and the data of an event. Events are some hundred bytes long; each
+	// stream has a buffer of this size.
+	maxEventBytes = 128 << 10
 	// ResumePath is the path prefix under which engines serve the rest of a run.
 	ResumePath = "/v1/runs/"
 )
