--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/marbleroad/marbleroad/internal/forward"
 	"github.com/marbleroad/marbleroad/internal/gateway"
 	"github.com/marbleroad/marbleroad/test/standin/endless"
 	"github.com/marbleroad/marbleroad/test/standin/groupengine"
@@ -123,6 +124,28 @@
 	}
 }
 
+// TestForwardedCallAnsweredWithoutEndFails guards against bytes of another node that are no answer.
+func TestForwardedCallAnsweredWithoutEndFails(t *testing.T) {
+	for _, kind := range append([]endless.Kind{endless.ChunkSize, endless.ChunkExtension, endless.Trailers}, endless.Heads...) {
+		t.Run(string(kind), func(t *testing.T) {
+			mode := &endless.Mode{Kinds: []endless.Kind{kind}, Share: 1}
+			other := newOtherNode(t, "other", func(w http.ResponseWriter, r *http.Request, e forward.Envelope) {
+				if !strings.Contains(r.RequestURI, "endless") {
+					answer(w, r, e)
+					return
+				}
+				forward.MarkResponse(w.Header(), e.Request)
+				mode.Answer(w, e.Request)
+			})
+			s := cutOffSite(t, options{}, other)
+			resp := s.send(t, http.MethodPost, "/read/endless", nil)
+			if got := body(t, resp); resp.StatusCode != http.StatusBadGateway || strings.Contains(got, "xxx") {
+				t.Errorf("status %d, body %q", resp.StatusCode, got)
+			}
+		})
+	}
+}
+
 // TestErrorAnswerWithoutEndIsBroken guards against an error answer that keeps its caller until the deadline.
 func TestErrorAnswerWithoutEndIsBroken(t *testing.T) {
 	s := newTestSite(t, options{})
