--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/marbleroad/marbleroad/internal/forward"
 	"github.com/marbleroad/marbleroad/internal/gateway"
 	"github.com/marbleroad/marbleroad/test/standin/endless"
 	"github.com/marbleroad/marbleroad/test/standin/groupengine"
@@ -123,6 +124,28 @@
 	}
 }
 
+// TestForwardedCallAnsweredWithoutEndFails guards against bytes of another node that are no answer.
+func TestForwardedCallAnsweredWithoutEndFails(t *testing.T) {
+	for _, kind := range append([]endless.Kind{endless.ChunkSize, endless.ChunkExtension, endless.Trailers}, endless.Heads...) {
+		t.Run(string(kind), func(t *testing.T) {
+			mode := &endless.Mode{Kinds: []endless.Kind{kind}, Share: 1}
+			other := newOtherNode(t, "other", func(w http.ResponseWriter, r *http.Request, e forward.Envelope) {
+				if !strings.Contains(r.RequestURI, "endless") {
+					answer(w, r, e)
+					return
+				}
+				forward.MarkResponse(w.Header(), e.Request)
+				mode.Answer(w, e.Request)
+			})
+			s := cutOffSite(t, options{}, other)
+			resp := s.send(t, http.MethodPost, "/read/endless", nil)
+			if got := body(t, resp); resp.StatusCode != http.StatusBadGateway || strings.Contains(got, "xxx") {
+				t.Errorf("status %d, body %q", resp.StatusCode, got)
+			}
+		})
+	}
+}
+
 // TestErrorAnswerWithoutEndIsBroken guards against an error answer that keeps its caller until the deadline.
 func TestErrorAnswerWithoutEndIsBroken(t *testing.T) {
 	s := newTestSite(t, options{})
@@ -155,13 +178,14 @@
 func TestAnswersWithoutEndTakeLittleMemory(t *testing.T) {
 	// A plain VM is sent at least 12 requests at a time.
 	const vms = 40
+	const timeout = 2 * time.Minute
 	for _, kind := range []endless.Kind{endless.Chunks, endless.Unframed} {
 		t.Run(string(kind), func(t *testing.T) {
 			var waiting, begun, ended sync.WaitGroup
 			waiting.Add(endlessAtOnce)
 			begun.Add(endlessAtOnce)
 			start := make(chan struct{})
-			s := newTestSite(t, options{plain: vms, observe: func(o groupengine.Observation) {
+			s := newTestSite(t, options{plain: vms, timeout: timeout, observe: func(o groupengine.Observation) {
 				if o.Kind == groupengine.RequestExecuted {
 					waiting.Done()
 					<-start
@@ -173,7 +197,9 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			for i := range endlessAtOnce {
-				ended.Go(func() { readPart(ctx, t, s, fmt.Sprint(i), begun.Done) })
+				ended.Go(func() {
+					readPart(ctx, t, s, map[string]string{"Attempt-Id": fmt.Sprint(i), "Deadline-Ms": fmt.Sprint(timeout.Milliseconds())}, begun.Done)
+				})
 			}
 			waiting.Wait()
 			before := heapInUse()
@@ -193,9 +219,9 @@
 
 // readPart sends a request, reads the part of its answer that the node buffers and more, calls begun and keeps the
 // connection until ctx ends.
-func readPart(ctx context.Context, t *testing.T, s *testSite, id string, begun func()) {
+func readPart(ctx context.Context, t *testing.T, s *testSite, header map[string]string, begun func()) {
 	const part = 2 << 20
-	resp, err := s.trySend(ctx, http.MethodPost, "/once/x", map[string]string{"Attempt-Id": id})
+	resp, err := s.trySend(ctx, http.MethodPost, "/once/x", header)
 	if err != nil {
 		t.Error(err)
 		begun()
