--- a/internal/gateway/failures.go
+++ b/internal/gateway/failures.go
@@ -119,7 +119,7 @@
 	failure := &verdict.Error{Verdict: verdict.MayHaveRun, Status: http.StatusBadGateway, Code: relay.CodeBroken,
 		Detail: "the upstream's answer broke off", Cause: err}
 	if errors.Is(err, errPartialResponse) {
-		if !errors.Is(j.lastCause, context.Canceled) {
+		if blamesUpstream(err, j.lastCause) {
 			j.recordFailure(s, true)
 		}
 		j.logFailedAttempt(s, failure, context.Cause(ctx))
@@ -133,7 +133,7 @@
 	cause := context.Cause(ctx)
 	j.forwarding.paid = j.s.targets.takeForwardPaid(s)
 	j.reserved = j.s.targets.takeReservation(s)
-	if !errors.Is(cause, context.Canceled) && !errors.Is(cause, errQuarantined) && !errors.Is(cause, errTrial) {
+	if blamesUpstream(err, cause) {
 		j.recordFailure(s, true)
 	}
 	j.logFailedAttempt(s, failure, cause)
@@ -146,6 +146,13 @@
 	return failure
 }
 
+// blamesUpstream reports whether a response that was not completed counts as a failure of its upstream. It does not if the
+// caller left or read too slowly, or if this node ended it because of the request.
+func blamesUpstream(err, cause error) bool {
+	slow := errors.Is(err, errCallerTooSlow)
+	return !slow && !errors.Is(cause, context.Canceled) && !errors.Is(cause, errQuarantined) && !errors.Is(cause, errTrial)
+}
+
 // recordFailure records a failed attempt, which may eject the upstream. reached is false if no byte of the
 // request reached the upstream; a head is then reported as suspect to the director and the other nodes.
 func (j *job) recordFailure(s *send, reached bool) {
