A director that stops starts no call while its calls are waited for

Callers saw nothing. Stop waited for the calls' goroutines before it ended the actor, which could start another call meanwhile (misuse of the wait group, also in the code before).

Change: the actor ends first. Two tests of panics raced by themselves: one used an engine without a lock, one left goroutines that log.

--- a/internal/director/actor_test.go
+++ b/internal/director/actor_test.go
@@ -100,7 +100,7 @@
 func TestPanicOfTheDirectorLeavesTheProcess(t *testing.T) {
 	w := newWorld(t, 1, 2)
 	catalogs := &faultyCatalogs{catalog: w.catalog}
-	d, _ := startDirector(t, w, func(p *Parts) { p.Catalogs, p.Engine = catalogs, &recordingEngine{} })
+	d, _ := startDirector(t, w, func(p *Parts) { p.Catalogs, p.Engine = catalogs, &faultyEngine{calls: make(map[string]int)} })
 	waitFor(t, "the director to manage its failure domain", func() bool { return len(d.Directing()) == 1 })
 	catalogs.broken.Store(true)
 	waitFor(t, "the director to give its failure domain back", func() bool { return len(d.Directing()) == 0 })
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -194,8 +194,9 @@
 func (d *Director) Stop(context.Context) error {
 	d.stopping.Store(true)
 	d.cancel()
-	d.running.Wait()
+	// The actor starts calls, so it ends before they are waited for.
 	err := d.system.Root.StopFuture(d.actor.Load()).Wait()
+	d.running.Wait()
 	d.system.Shutdown()
 	return errors.Wrap(err, "stop director")
 }
--- a/internal/director/supervisor_test.go
+++ b/internal/director/supervisor_test.go
@@ -119,13 +119,14 @@
 	}
 }
 
-// faultyWriter panics or blocks when a line is written.
-type faultyWriter struct{ blocked chan struct{} }
+// faultyWriter panics when a line is written, or sends to entered and blocks until blocked is closed.
+type faultyWriter struct{ entered, blocked chan struct{} }
 
 func (f faultyWriter) Write([]byte) (int, error) {
 	if f.blocked == nil {
 		panic("in the log")
 	}
+	f.entered <- struct{}{}
 	<-f.blocked
 	return 0, io.ErrClosedPipe
 }
@@ -137,9 +138,13 @@
 
 // TestStandDownWithAFaultyLog guards against a report of a panic that panics itself, or waits for a lock of the panicking code.
 func TestStandDownWithAFaultyLog(t *testing.T) {
-	blocked := make(chan struct{})
+	entered, blocked := make(chan struct{}), make(chan struct{})
 	defer close(blocked)
-	for name, out := range map[string]io.Writer{"panics": faultyWriter{}, "blocks": faultyWriter{blocked}} {
+	for name, out := range map[string]faultyWriter{"panics": {}, "blocks": {entered, blocked}} {
+		if out.blocked != nil {
+			// The lines of the panic and of the restart.
+			defer func() { <-entered; <-entered }()
+		}
 		w := newWorld(t, 1, 2)
 		n := w.addNode(t, "n1")
 		log, err := event.New(out, "info", "n1", "test")
