A table that is read during an exchange is announced with its rows

A control process put its items into a response first, and whether it has read the table last. If the table was read in between, the response said so and lacked the rows. A peer without the platform then counted the table and the nodes' records as read, and told its entries so, which took it for a table without rows until the next exchange. The same order stood in the responses to entries, by the result of the last tick.

Both are now taken before the items. What is told holds at least the inputs that it was computed from.

The window in the responses to entries is much shorter; no test has hit it.

--- a/internal/control/serve.go
+++ b/internal/control/serve.go
@@ -23,8 +23,9 @@
 	m := r.Msg
 	now := clock.Now()
 	k.sendToState(viewRequested{id: m.GetEntryId(), at: now, demand: m.GetDemand()})
-	changed, next := k.items.Since(wire.Cursor(m.GetItems()), m.GetDigest(), k.relevantToDomain)
+	// Before the items: a table that is read in between must not count as read without its rows.
 	d := k.tickResult.Load()
+	changed, next := k.items.Since(wire.Cursor(m.GetItems()), m.GetDigest(), k.relevantToDomain)
 	out := &marbleroadv1.GetViewResponse{
 		Items:       wire.CursorMessage(next),
 		Changed:     wire.Items(changed),
@@ -73,15 +74,16 @@
 	if sameDomain {
 		filter = k.relevantToDomain
 	}
+	// Before the items, as for a view.
+	loaded, d := k.loaded(), k.tickResult.Load()
 	changed, next := k.items.Since(wire.Cursor(m.GetItems()), m.GetDigest(), filter)
-	d := k.tickResult.Load()
 	out := &marbleroadv1.ExchangeResponse{
 		NodeId:              k.config.NodeID,
 		FailureDomain:       k.config.FailureDomain,
 		Digest:              k.items.Digest(),
 		Items:               wire.CursorMessage(next),
 		Changed:             wire.Items(changed),
-		TableLoaded:         k.loaded(),
+		TableLoaded:         loaded,
 		PlatformUnreachable: k.platformDown.Load(),
 	}
 	if !sameDomain {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -752,6 +752,8 @@
   's/if snapshot\.MembersVersion == 0 \{/if false {/' ./internal/control TestInputsOfAControlStartInAnyOrder
 mutant "starts: the table counts as read before a tick used it" internal/control/serve.go \
   's/TableLoaded: d\.loaded/TableLoaded: k.loaded()/' ./internal/control TestInputsOfAControlStartInAnyOrder
+mutant "starts: a response says that the table was read, and lacks it" internal/control/serve.go \
+  's/TableLoaded:         loaded,/TableLoaded:         loaded || k.loaded(),/' ./internal/control TestTableReadDuringAnExchangeIsNotAnnounced
 mutant "starts: an entry takes the shares of a process that starts" internal/entry/source.go \
   's/if !m\.GetTableLoaded\(\) \{/if false {/' ./internal/entry 'TestSharesOfAControlStartAreNotTaken|TestViewsOfAStartInAnyOrder'
 mutant "starts: a table counts as read before its snapshot" internal/entry/source.go \
