The model check of directors that panic has panics after an order

A director that panics once an order is on its way, before its message is processed, leaves an order whose result nobody processes. The model check had panics at the start of a reconciliation and at the demand only, before any order of the message.

--- a/internal/director/model_test.go
+++ b/internal/director/model_test.go
@@ -87,15 +87,17 @@
 	}
 }
 
-// togglePanics makes one director, or both, panic in reconciliations, or lets it go on.
+// togglePanics makes one director, or both, panic in reconciliations or after orders, or lets it go on.
 func (w *world) togglePanics(t *rapid.T) {
-	inDuty := rapid.Bool().Draw(t, "in duty")
+	where := rapid.IntRange(0, 2).Draw(t, "where")
 	which := rapid.IntRange(0, 2).Draw(t, "director")
 	for i, n := range w.nodes {
 		switch {
 		case which != 2 && which != i:
-		case inDuty:
+		case where == 1:
 			n.panicsInDuty = !n.panicsInDuty
+		case where == 2:
+			n.panicsAfterOrder = !n.panicsAfterOrder
 		default:
 			n.panicsInReconcile = !n.panicsInReconcile
 		}
--- a/internal/director/world_test.go
+++ b/internal/director/world_test.go
@@ -112,6 +112,8 @@
 	faults *int
 	// panicsInReconcile makes each reconciliation panic at its start, and panicsInDuty once the node manages groups.
 	panicsInReconcile, panicsInDuty bool
+	// panicsAfterOrder makes the director panic each time that it has sent an order, before its message is processed.
+	panicsAfterOrder bool
 	// panicsInDomain is the failure domain whose management panics; empty for none.
 	panicsInDomain string
 	traffic        bool
@@ -397,6 +399,7 @@
 		}
 		n.deliver(i, m)
 	})
+	n.panicIf(n.panicsAfterOrder)
 }
 
 // outcome calls chooseOutcome. Rapid stops a test by a panic, which the director must not contain.
