--- a/internal/director/supervisor_test.go
+++ b/internal/director/supervisor_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/engine"
 	"github.com/marbleroad/marbleroad/internal/event"
@@ -179,3 +182,70 @@
 		}
 	}
 }
+
+// TestCallsOfAPanickedDirectorAreCanceled guards against calls that go on after the director that requested them has ended.
+func TestCallsOfAPanickedDirectorAreCanceled(t *testing.T) {
+	d := New(Config{Heartbeat: time.Second, StallBound: time.Second}, Parts{})
+	i := d.newIncarnation()
+	var ended error
+	i.start(waitLimit, func(ctx context.Context) any {
+		<-ctx.Done()
+		ended = ctx.Err()
+		return nil
+	})
+	i.end()
+	d.running.Wait()
+	if !errors.Is(ended, context.Canceled) {
+		t.Errorf("the call ended by %v", ended)
+	}
+}
+
+// countingNodes counts the exchanges that the director triggers.
+type countingNodes struct {
+	*node
+	triggered int
+}
+
+func (c *countingNodes) TriggerExchange() { c.triggered++ }
+
+// TestOtherNodesAreInformedOfAPanicAtOnce guards against a failure domain that waits for the next periodic exchange before another
+// node takes it over, or before it counts on the director again.
+func TestOtherNodesAreInformedOfAPanicAtOnce(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	n := w.addNode(t, "n1")
+	nodes := &countingNodes{node: n}
+	n.d.parts.Nodes = nodes
+	n.faults, n.panicsInReconcile = new(int), true
+	n.receive(tick{})
+	if nodes.triggered != 1 {
+		t.Errorf("%d exchanges after the panic", nodes.triggered)
+	}
+	n.panicsInReconcile = false
+	w.now = w.now.Add(minRestartDelay)
+	n.receive(tick{})
+	if n.d.Down() || nodes.triggered != 2 {
+		t.Errorf("%d exchanges after the restart", nodes.triggered)
+	}
+}
+
+// TestConfinementEnds guards against a director that, after a panic, takes over other failure domains too early or never again.
+func TestConfinementEnds(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	n := w.addNode(t, "n1")
+	n.faults, n.panicsInReconcile = new(int), true
+	n.receive(tick{})
+	n.panicsInReconcile = false
+	start := w.now
+	for _, at := range []time.Duration{minRestartDelay, confinementFactor * minRestartDelay} {
+		w.now = start.Add(at)
+		n.receive(tick{})
+		if !n.d.Confined() || n.d.Down() {
+			t.Errorf("%s after the panic the director is not confined", at)
+		}
+	}
+	w.now = start.Add(confinementFactor*minRestartDelay + tickInterval)
+	n.receive(tick{})
+	if n.d.Confined() {
+		t.Error("the director is still confined")
+	}
+}
