--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -84,18 +84,9 @@
 	}
 	feedServer := &feed.Server{Directory: directory, Cache: catalogCache, FleetRelayed: fleetSource.Relayed, CatalogRelayed: catalogSource.Relayed}
 	localState := func() *marbleroadv1.NodeState {
-		state := &marbleroadv1.NodeState{
-			Node:             self.ID,
-			Address:          self.Address,
-			FailureDomain:    self.FailureDomain,
-			Directing:        groupDirector.Directing(),
-			Dissolving:       groupDirector.Dissolving(),
-			Loading:          uint32(groupDirector.Loading()),
-			Preparing:        groupDirector.Preparing(),
-			DirectorDown:     groupDirector.Down(),
-			DirectorConfined: groupDirector.Confined(),
-			Platform:         feedServer.Knowledge(clock.Now()),
-		}
+		state := directorState(groupDirector)
+		state.Node, state.Address, state.FailureDomain = self.ID, self.Address, self.FailureDomain
+		state.Platform = feedServer.Knowledge(clock.Now())
 		server.FillState(state)
 		return state
 	}
@@ -255,3 +246,15 @@
 		},
 	}
 }
+
+// directorState returns what the director tells the other nodes.
+func directorState(d *director.Director) *marbleroadv1.NodeState {
+	return &marbleroadv1.NodeState{
+		Directing:        d.Directing(),
+		Dissolving:       d.Dissolving(),
+		Loading:          uint32(d.Loading()),
+		Preparing:        d.Preparing(),
+		DirectorDown:     d.Down(),
+		DirectorConfined: d.Confined(),
+	}
+}
