--- a/internal/director/supervisor_test.go
+++ b/internal/director/supervisor_test.go
@@ -249,3 +249,36 @@
 		t.Error("the director is still confined")
 	}
 }
+
+// TestStandstillBeforeAPanicIsNotHandledAgain guards against a new director that takes a standstill of the process from before its
+// start for one of its own.
+func TestStandstillBeforeAPanicIsNotHandledAgain(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	n := w.addNode(t, "n1")
+	n.receive(tick{})
+	w.now = w.now.Add(time.Minute)
+	n.receive(tick{})
+	resumedAt := n.s.resumedAt
+	if !resumedAt.Equal(w.now) {
+		t.Fatal("the standstill was not noticed")
+	}
+	n.faults, n.panicsInReconcile = new(int), true
+	n.receive(tick{})
+	n.panicsInReconcile = false
+	var out bytes.Buffer
+	log, err := event.New(&out, "info", "n1", "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.d.parts.Log = log
+	for now := w.now; w.now.Sub(now) <= minRestartDelay; w.now = w.now.Add(tickInterval) {
+		n.d.pulse.beat(w.now)
+		n.receive(tick{})
+	}
+	if n.s == nil || !n.s.resumedAt.Equal(resumedAt) {
+		t.Error("the new director does not know when the process last stood still")
+	}
+	if bytes.Contains(out.Bytes(), []byte(`"event":4040`)) {
+		t.Errorf("the standstill was handled again: %s", out.String())
+	}
+}
