Test that a new director counts as down until its first reconciliation

With the state reported as running as soon as it is created, no test of the package failed (those on panics, starts, inputs, late entries, orders and standstills were run). The test was seen failing then, and with a report after any message.

--- a/internal/director/supervisor_test.go
+++ b/internal/director/supervisor_test.go
@@ -282,3 +282,22 @@
 		t.Errorf("the standstill was handled again: %s", out.String())
 	}
 }
+
+// TestDirectorIsDownUntilItsFirstReconciliation guards against other nodes that count on a new director before it has shown that it
+// gets through a reconciliation.
+func TestDirectorIsDownUntilItsFirstReconciliation(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	n := w.addNode(t, "n1")
+	n.faults, n.panicsInReconcile = new(int), true
+	n.receive(tick{})
+	n.panicsInReconcile = false
+	w.now = w.now.Add(minRestartDelay)
+	n.receive(suspected{group: "g"})
+	if n.s == nil || !n.d.Down() {
+		t.Error("the new director counts as running after a message that is no reconciliation")
+	}
+	n.receive(tick{})
+	if n.d.Down() {
+		t.Error("the new director counts as down after its first reconciliation")
+	}
+}
