--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -748,6 +748,8 @@
   's/\ts\.rebuilding\.Lock\(\)\n\tdefer s\.rebuilding\.Unlock\(\)\n//' ./internal/gateway TestListDuringARebuildStaysInForce
 mutant "starts: plans change by what was not read" internal/control/planner.go \
   's/ \|\| !s\.mayChangePlans\(snapshot\)//' ./internal/control TestInputsOfAControlStartInAnyOrder
+mutant "starts: an order lacks a member that is not listed yet" internal/control/orders.go \
+  's/ \&\& !matches \&\& lacksMember\(plan, name, snapshot\)/ \&\& false/; s/if lacksMember\(plan, name, snapshot\)/if false/' ./internal/control TestOrderNamesAllMembers
 mutant "starts: VMs are absent before they can be probed" internal/control/state.go \
   's/if snapshot\.MembersVersion == 0 \{/if false {/' ./internal/control TestInputsOfAControlStartInAnyOrder
 mutant "starts: the table counts as read before a tick used it" internal/control/serve.go \
