--- a/internal/control/starts_test.go
+++ b/internal/control/starts_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/asynkron/protoactor-go/actor"
+
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/groups"
 	"github.com/marbleroad/marbleroad/internal/metrics"
@@ -54,3 +57,25 @@
 		t.Errorf("%d of 2 VMs are probed", len(s.probes))
 	}
 }
+
+// TestReadInputsAreUsedAtOnce guards against entries that wait for the next periodic tick after the last of a start's inputs was read.
+func TestReadInputsAreUsedAtOnce(t *testing.T) {
+	k, _ := newTestControl(t, nil)
+	k.system = actor.NewActorSystem(actor.WithLoggerFactory(discardLogger))
+	defer k.system.Shutdown()
+	ticks := make(chan tick, 3)
+	k.state = k.system.Root.Spawn(actor.PropsFromFunc(func(c actor.Context) {
+		if m, ok := c.Message().(tick); ok {
+			ticks <- m
+		}
+	}))
+	for _, input := range []*atomic.Bool{&k.tableRead, &k.nodesRead, &k.tableRead} {
+		k.markRead(input)
+	}
+	if err := k.system.Root.PoisonFuture(k.state).Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if len(ticks) != 1 {
+		t.Errorf("%d ticks after both inputs were read", len(ticks))
+	}
+}
