Tests of answers without end at an entry leave no port closed

The race detector found a race in two of these tests: the server checks in the background whether an upstream that failed has terminated, found the test's port closed and logged that while the next test made its logger. The ports stay open until the process ends, so nothing is logged.

--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -152,7 +152,8 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}))
-	defer upstream.Close()
+	// The port stays open: in the background the server checks whether the upstream has terminated.
+	defer upstream.CloseClientConnections()
 	s, d := newDispatchingServer(t, upstream.Listener.Addr().String())
 	c := &call{id: "r", method: http.MethodGet, upstreamPath: "/", decisions: &decisionLog{startedAt: clock.Now()}}
 	_, failure := s.run(context.Background(), httptest.NewRecorder(), c, d)
@@ -173,6 +174,7 @@
 		t.Fatal(err)
 	}
 	s := NewServer(Config{}, Parts{Log: logging.log, Metrics: logging.metrics, Tracer: tracing.Off(), Peers: peers})
+	t.Cleanup(s.abortCalls)
 	s.source = &Source{}
 	s.source.snapshot.Store(&view.Snapshot{})
 	d := newDispatcher()
@@ -187,6 +189,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		// The port stays open: in the background the server checks whether the upstream has terminated.
 		go func() {
 			conn, err := l.Accept()
 			if err != nil {
@@ -203,6 +206,5 @@
 		if failure == nil || failure.Status != http.StatusBadGateway {
 			t.Errorf("%s: failure %v", kind, failure)
 		}
-		_ = l.Close()
 	}
 }
