The deadline of a stream's writes ends with the stream

What callers of marbleroad-entry saw: on a kept connection, nothing for a request that came after the deadline of an earlier stream on the same connection had passed: the write deadline of that stream was still set, and net/http keeps it. Found by reading.

Evidence: TestDeadlineOfAStreamIsNotTheNextResponses failed before for streams of upstreams and of other entries, and passes.

--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -142,6 +142,26 @@
 	}
 }
 
+// TestDeadlineOfAStreamIsNotTheNextResponses guards against a caller that gets nothing for a later request on its connection, since the
+// deadline of an earlier stream has passed.
+func TestDeadlineOfAStreamIsNotTheNextResponses(t *testing.T) {
+	for name, relayStream := range map[string]func(s *Server, c *call, w http.ResponseWriter, body string){
+		"of an upstream": func(s *Server, c *call, w http.ResponseWriter, body string) {
+			s.relayEvents(context.Background(), w, c, eventID{}, "127.0.0.1:1", response(strings.NewReader(body), -1))
+		},
+		"of another entry": func(s *Server, c *call, w http.ResponseWriter, body string) {
+			s.relayPeerStream(w, c, strings.NewReader(body))
+		},
+	} {
+		s, c := newLoggingServer(t, io.Discard)
+		w := &limitedCaller{ResponseRecorder: httptest.NewRecorder()}
+		relayStream(s, c, w, "data: x\n\ndata: [DONE]\n\n")
+		if n := len(w.deadlines); n < 2 || w.deadlines[0].IsZero() || !w.deadlines[n-1].IsZero() {
+			t.Errorf("stream %s: deadlines %v", name, w.deadlines)
+		}
+	}
+}
+
 // TestLongAnswerThatBreaksOffEndsItsAttempt guards against an attempt that counts as in flight for ever, and an upstream
 // that does not count as failing, after a long answer broke off.
 func TestLongAnswerThatBreaksOffEndsItsAttempt(t *testing.T) {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -122,7 +122,7 @@
 // maxResumes times.
 func (s *Server) relayEvents(ctx context.Context, w http.ResponseWriter, c *call, id eventID, address string, resp *http.Response) *verdict.Error {
 	controller := http.NewResponseController(w)
-	_ = controller.SetWriteDeadline(time.Now().Add(clock.Until(c.deadline) + callerGrace))
+	defer limitWrites(controller, c)()
 	h := w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-store")
--- a/internal/entry/peeranswer.go
+++ b/internal/entry/peeranswer.go
@@ -5,9 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 
-	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/relay"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
@@ -54,7 +52,7 @@
 // the stream with an error event if the final event doesn't arrive.
 func (s *Server) relayPeerStream(w http.ResponseWriter, c *call, body io.Reader) {
 	controller := http.NewResponseController(w)
-	_ = controller.SetWriteDeadline(time.Now().Add(clock.Until(c.deadline) + callerGrace))
+	defer limitWrites(controller, c)()
 	buf := make([]byte, copyBufferBytes)
 	var pending []byte
 	ended := false
--- a/internal/entry/unbuffered.go
+++ b/internal/entry/unbuffered.go
@@ -23,10 +23,7 @@
 	h.Set(relay.RequestIDHeader, c.id)
 	h.Set(verdict.Header, verdict.Ran.String())
 	w.WriteHeader(resp.StatusCode)
-	controller := http.NewResponseController(w)
-	_ = controller.SetWriteDeadline(time.Now().Add(clock.Until(c.deadline) + callerGrace))
-	// net/http keeps the deadline for the next response on the connection.
-	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
+	defer limitWrites(http.NewResponseController(w), c)()
 	out := &callerWriter{w: w}
 	_, err := io.Copy(out, resp.Body)
 	c.loseCaller(out.err)
@@ -36,6 +33,13 @@
 	return nil
 }
 
+// limitWrites gives all writes to the caller until callerGrace after the call's deadline. end must be called after the response:
+// net/http keeps the deadline for the next one on the connection.
+func limitWrites(controller *http.ResponseController, c *call) (end func()) {
+	_ = controller.SetWriteDeadline(time.Now().Add(clock.Until(c.deadline) + callerGrace))
+	return func() { _ = controller.SetWriteDeadline(time.Time{}) }
+}
+
 // abort records that the upstream's response broke off after the caller had a part of it.
 func (c *call) abort(cause error) {
 	c.lost = lostCall{reason: lostUpstreamBroke, cause: cause}
