Test of requests of a panicking process: the event counts before the panic

Trace: a request's event is counted after it was written, and the test caused the panic as soon as its caller had read the head, which is flushed with the event. It now waits until the event counts; what it checks is unchanged.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -31,6 +31,14 @@
 // CutOff reports whether the node takes itself for cut off from all upstreams.
 func CutOff(s *Server) bool { return s.reach.CutOff() }
 
+// PassedEvents returns how many events were passed on to the callers of the requests in flight.
+func PassedEvents(s *Server) (n int64) {
+	for _, f := range s.inFlight.all() {
+		n += f.events.Load()
+	}
+	return n
+}
+
 // InFlight returns the number of requests that were read and are not finished.
 func InFlight(s *Server) int { return len(s.inFlight.all()) }
 
--- a/internal/gateway/lostend_test.go
+++ b/internal/gateway/lostend_test.go
@@ -265,6 +265,8 @@
 	log := &logBuffer{}
 	s := newTestSite(t, options{pause: 500 * time.Millisecond, log: log})
 	conn, _ := startStream(t, s, waitLimit)
+	// An event is counted after it was written.
+	waitFor(t, "the first event to count", func() bool { return gateway.PassedEvents(s.server) == 1 })
 	s.server.ReportPanic(crash.Panic{})
 	_ = conn.Close()
 	waitFor(t, "the request to end", func() bool { return gateway.InFlight(s.server) == 0 })
