Heads of all connections together are bounded by the process's memory

What callers saw: a process that ran out of memory. 400 connections that each send a head of 60,000 bytes in short fields and do not end it made a process take 175 to 568 MB, whichever of its nine servers they met; heads without an end at the servers for readiness and metrics 303 to 465 MB.

Cause: a head takes some twenty times its size while net/http parses it, and the only limits were those of one connection: 64 KiB a head, and net/http's default of 1 MiB at the servers for readiness and metrics. Nothing counted them together. Beside net/http's, internal/callers kept a copy of up to 128 KiB for as long as the connection was open.

Change: the memory setting of a process is divided (internal/resource), and a quarter of it is one pool for heads, bodies and buffered responses. A connection of any server counts the bytes and lines of a head as they arrive and reserves what net/http makes of them, beyond 16 KiB, until the request ends. A head without room closes its connection: nothing of it was handled, so its caller may send it again; 400 and 431 stay for requests outside the limits. What was read together with an earlier request counts too. The servers for readiness and metrics are served by internal/callers like all others, with 16 KiB a head. The garbage collector runs more often from 60% of the memory on. Heads over TLS count by their bytes until they are parsed.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -10,14 +10,20 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/callers"
 	"github.com/marbleroad/marbleroad/internal/kernel"
+	"github.com/marbleroad/marbleroad/internal/resource"
 )
 
 // ServiceName is the name of the admin service in the kernel.
 const ServiceName = "admin"
 
-// readHeaderTimeout is the maximum time for a client to send a request's header.
-const readHeaderTimeout = 5 * time.Second
+const (
+	// readHeaderTimeout is the maximum time for a client to send a request's header.
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 90 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
 
 // ReadinessReporter reports whether the daemon is ready for requests, and if not, the reason.
 type ReadinessReporter interface {
@@ -28,20 +34,21 @@
 type Server struct {
 	address          string
 	mux              *http.ServeMux
-	http             *http.Server
+	share            resource.Share
+	server           *callers.Server
 	readinessService string
 	reporter         ReadinessReporter
 }
 
 // New returns an admin server for the address. readinessService names the kernel service
-// whose readiness it reports. Profiles are served only if profiles is true.
-func New(address string, metrics http.Handler, readinessService string, profiles bool) *Server {
+// whose readiness it reports. Profiles are served only if profiles is true. share is what its connections may hold.
+func New(address string, share resource.Share, metrics http.Handler, readinessService string, profiles bool) *Server {
 	mux := http.NewServeMux()
 	s := &Server{
 		address:          address,
 		mux:              mux,
+		share:            share,
 		readinessService: readinessService,
-		http:             &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout},
 	}
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
@@ -85,11 +92,17 @@
 	if err != nil {
 		return errors.Wrap(err, "listen on the admin address")
 	}
-	go func() { _ = s.http.Serve(listener) }()
+	s.server = callers.NewServer(&http.Server{
+		Handler:           s.mux,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}, listener, callers.Options{Share: s.share})
+	go func() { _ = s.server.Serve() }()
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *Server) Stop(context.Context) error {
-	return errors.Wrap(s.http.Close(), "close the admin listener")
+	return errors.Wrap(s.server.Close(), "close the admin listener")
 }
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/marbleroad/marbleroad/internal/resource"
 )
 
 // phase is the state of a caller's connection.
@@ -47,6 +49,11 @@
 	timerGeneration int
 	// header is the part of the current request's header that was read, byte for byte.
 	header []byte
+	// received is the size of the current request's header so far. ahead is that of what was last read beyond
+	// it: the next request's header may be a part of that.
+	received, ahead headerSize
+	// reserved is what the header takes of the pool, until the next request.
+	reserved resource.Reservation
 	// limitTimer fires at the end of the phase's limit; nil without a limit.
 	limitTimer *time.Timer
 	// closedByLimit is true once a limit has closed the connection.
@@ -72,6 +79,7 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.stopTimer()
+	c.reserved.Release()
 	var dropped []byte
 	if c.phase == readingHeader && c.headerComplete() && !c.responseStarted.Load() {
 		dropped = bytes.Clone(c.header)
@@ -82,7 +90,7 @@
 }
 
 // recordRead records bytes that were read. The first bytes of a request start the phase
-// readingHeader. It returns false when a limit has closed the connection meanwhile.
+// readingHeader. It returns false when a limit has closed the connection, or closes it now.
 func (c *Conn) recordRead(p []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -92,10 +100,23 @@
 	if c.phase == idle {
 		c.startPhase(readingHeader)
 	}
-	if c.phase == readingHeader && !c.listener.encrypted {
-		c.recordHeader(p)
+	switch c.phase {
+	case readingHeader:
+		header := c.recordHeader(p)
+		c.received.add(header)
+		c.ahead = sizeAhead(p[len(header):])
+	case handling:
+		c.ahead = sizeAhead(p)
 	}
-	return true
+	return c.reserveHeader()
+}
+
+// closeByLimit closes the connection and has its reads fail; the caller holds mu.
+func (c *Conn) closeByLimit() {
+	c.closedByLimit = true
+	c.stopTimer()
+	// The read of net/http's goroutine fails then, and the goroutine closes this Conn.
+	_ = c.Conn.Close()
 }
 
 // setPhase starts a phase and its limit. A multiplexed connection stays in its phase.
@@ -121,14 +142,22 @@
 	c.phaseStart = time.Now()
 	switch p {
 	case idle:
-		c.header = c.header[:0]
+		c.startHeader()
 	case multiplexed:
-		c.header = nil
+		c.header, c.received = nil, headerSize{}
 		c.listener.connMultiplexed()
 	}
 	c.startTimer()
 }
 
+// startHeader forgets the last request's header. A part of the next one may have been read already.
+func (c *Conn) startHeader() {
+	c.dropHeader()
+	c.reserved.Release()
+	c.received, c.ahead = c.ahead, headerSize{}
+	c.reserveHeader()
+}
+
 // startTimer starts the timer of the phase's limit; the caller holds mu.
 func (c *Conn) startTimer() {
 	c.stopTimer()
@@ -161,9 +190,7 @@
 		c.limitTimer = time.AfterFunc(readerDelay, func() { c.expire(generation) })
 		return
 	}
-	c.closedByLimit = true
-	// The read of net/http's goroutine fails then, and the goroutine closes this Conn.
-	_ = c.Conn.Close()
+	c.closeByLimit()
 }
 
 // readerDelay is how long an expired limit waits for the connection's reader to read the received bytes.
@@ -179,11 +206,22 @@
 // headerComplete reports whether the recorded header is complete; the caller holds mu.
 func (c *Conn) headerComplete() bool { return bytes.HasSuffix(c.header, headerEnd) }
 
-// HeaderRead records that a request's header is complete and its handling starts.
-func HeaderRead(r *http.Request) {
-	if c := connOf(r); c != nil {
-		c.setPhase(handling)
+// HeaderRead records that a request's header is complete and its handling starts. It returns false if a limit has closed the
+// connection before: the request must not run then, as its caller may have sent it to another server.
+func HeaderRead(r *http.Request) bool {
+	c := connOf(r)
+	if c == nil {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != multiplexed {
+		c.startPhase(handling)
+	}
+	if c.listener.encrypted {
+		c.reserved.Shrink(requestHeaderSize(r).cost(false))
 	}
+	return !c.closedByLimit
 }
 
 // ClosedByCaller reports whether the caller of a request has closed its connection, according
--- a/internal/callers/head.go
+++ b/internal/callers/head.go
@@ -31,21 +31,39 @@
 	prefaceStart = []byte("PRI * HTTP/2")
 )
 
-// recordHeader records the bytes of a header up to its end; the caller holds mu. A header above
-// maxHeaderBytes is not recorded completely, but the servers don't accept it either.
-func (c *Conn) recordHeader(p []byte) {
-	if c.headerComplete() || len(c.header)+len(p) > maxHeaderBytes {
-		return
+// recordHeader records the bytes of a header up to its end, and returns those of p that belong to it; the caller holds mu. A
+// header above maxHeaderBytes is not recorded completely, but the servers don't accept it either. Nothing is recorded of
+// encrypted bytes.
+func (c *Conn) recordHeader(p []byte) []byte {
+	if c.listener.encrypted || len(c.header)+len(p) > maxHeaderBytes {
+		return p
 	}
+	if c.headerComplete() {
+		return nil
+	}
+	before := len(c.header)
 	c.header = append(c.header, p...)
 	if end := bytes.Index(c.header, headerEnd); end >= 0 {
 		c.header = c.header[:end+len(headerEnd)]
+		p = p[:max(0, len(c.header)-before)]
 	}
-	if bytes.HasPrefix(c.header, prefaceStart) {
+	if c.listener.unencryptedHTTP2 && bytes.HasPrefix(c.header, prefaceStart) {
 		c.startPhase(multiplexed)
 	}
+	return p
 }
 
+// dropHeader discards the recorded header; the caller holds mu. The memory of a large one is not kept for the next.
+func (c *Conn) dropHeader() {
+	c.header = c.header[:0]
+	if cap(c.header) > keptHeaderBytes {
+		c.header = nil
+	}
+}
+
+// keptHeaderBytes is the size up to which a connection keeps the memory of a recorded header.
+const keptHeaderBytes = 2 << 10
+
 // TakeLengthHeader inspects the recorded header of a request and discards it. tracked is false for a
 // request from another listener's connection.
 func TakeLengthHeader(r *http.Request) (seen LengthHeader, tracked bool) {
@@ -55,8 +73,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer c.dropHeader()
 	header, _, complete := bytes.Cut(c.header, headerEnd)
-	c.header = c.header[:0]
 	switch {
 	case !complete:
 		return LengthHeaderUnknown, true
--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marbleroad/marbleroad/internal/clock"
+	"github.com/marbleroad/marbleroad/internal/resource"
 )
 
 // Limits bounds the duration of a connection's phases; zero is no limit.
@@ -27,6 +28,8 @@
 	Unanswered func(caller net.Addr, header []byte)
 	// AcceptLimit decides which new connections are closed unread; nil for none.
 	AcceptLimit *AcceptLimit
+	// Share is what the connections may hold together.
+	Share resource.Share
 }
 
 // Listener tracks the connections that it accepted.
@@ -35,6 +38,8 @@
 	options Options
 	// encrypted is true when the received bytes are encrypted.
 	encrypted bool
+	// unencryptedHTTP2 is true if connections may start with HTTP/2.
+	unencryptedHTTP2 bool
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -54,6 +59,9 @@
 
 // NewListener returns a listener that tracks the connections of an inner one.
 func NewListener(inner net.Listener, o Options) *Listener {
+	if o.Share.Stats == nil {
+		o.Share.Stats = &resource.Stats{}
+	}
 	return &Listener{Listener: inner, options: o, conns: make(map[*Conn]struct{}), changed: make(chan struct{}), acceptEnded: make(chan struct{})}
 }
 
@@ -106,7 +114,7 @@
 
 // add starts tracking a connection.
 func (l *Listener) add(inner net.Conn) *Conn {
-	c := &Conn{Conn: inner, listener: l}
+	c := &Conn{Conn: inner, listener: l, reserved: resource.NewReservation(l.options.Share.Pool)}
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/marbleroad/marbleroad/internal/resource"
 )
 
 // Server is an HTTP server that answers every request it has read before it stops.
@@ -28,20 +30,41 @@
 // NewServer returns a server for the connections of a listener, with the settings of h. It
 // replaces the hooks ConnContext and ConnState of h and wraps its handler.
 func NewServer(h *http.Server, inner net.Listener, o Options) *Server {
+	s := &Server{http: h, listener: NewListener(inner, o)}
+	s.listener.unencryptedHTTP2 = h.Protocols != nil && h.Protocols.UnencryptedHTTP2()
 	h.ConnContext = withConn
 	h.ConnState = connState
-	h.Handler = markHandling(h.Handler)
-	return &Server{http: h, listener: NewListener(inner, o)}
+	h.Handler = markHandling(s.listener.options.Share, h.Handler)
+	return s
 }
 
 // markHandling ends the header phase of a request before its handler runs.
-func markHandling(next http.Handler) http.Handler {
+func markHandling(share resource.Share, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		HeaderRead(r)
+		if !HeaderRead(r) {
+			panic(http.ErrAbortHandler)
+		}
+		if r.ProtoMajor == 2 {
+			handleMultiplexed(share, next, w, r)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// handleMultiplexed handles a request of a connection that carries several at once. Its header is reserved once it is parsed;
+// there is no connection of its own to close.
+func handleMultiplexed(share resource.Share, next http.Handler, w http.ResponseWriter, r *http.Request) {
+	reserved := resource.NewReservation(share.Pool)
+	defer reserved.Release()
+	if cost := requestHeaderSize(r).cost(false); cost > freeHeaderCost && !reserved.Grow(cost) {
+		share.Stats.Heads.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	next.ServeHTTP(w, r)
+}
+
 // Serve serves until the server is drained or closed, and returns nil then.
 func (s *Server) Serve() error {
 	defer s.listener.endAccepting()
--- /dev/null
+++ b/internal/daemon/budget.go
@@ -0,0 +1,50 @@
+package daemon
+
+import (
+	"context"
+	"runtime/debug"
+	"time"
+
+	"github.com/marbleroad/marbleroad/internal/crash"
+	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/resource"
+	"github.com/marbleroad/marbleroad/internal/settings"
+	"github.com/marbleroad/marbleroad/internal/wait"
+)
+
+// bytesPerMegabyte converts the unit of the settings.
+const bytesPerMegabyte = 1 << 20
+
+// newBudget returns the budget of a process, and limits its Go runtime if the settings specify the memory.
+func newBudget(s settings.Node) (*resource.Budget, error) {
+	memory := int64(s.Memory * bytesPerMegabyte)
+	if memory == 0 {
+		var err error
+		if memory, err = resource.DefaultMemory(); err != nil {
+			return nil, err
+		}
+	}
+	limits := resource.NewLimits(memory)
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(limits.Runtime)
+	}
+	return resource.NewBudget(limits), nil
+}
+
+// refusalInterval is the time between two reports of what was refused for lack of room.
+const refusalInterval = time.Second
+
+// reportRefusals publishes what this process refuses for lack of room, and logs it while there is some: a line an interval,
+// however many connections are refused.
+func (b base) reportRefusals(ctx context.Context) {
+	defer crash.Guard()
+	reported := int64(0)
+	for wait.Sleep(ctx, refusalInterval) {
+		heads := b.budget.Stats.Heads.Load()
+		b.metrics.Set("callers.headers_refused", heads)
+		if heads != reported {
+			b.log.Emit(event.CallersRefused).Int64("headers", heads-reported).Int64("reserved_bytes", b.budget.Pool.Used()).Send()
+			reported = heads
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/marbleroad/marbleroad/internal/ledger"
 	"github.com/marbleroad/marbleroad/internal/metrics"
 	platformapi "github.com/marbleroad/marbleroad/internal/platform/httpapi"
+	"github.com/marbleroad/marbleroad/internal/resource"
 	"github.com/marbleroad/marbleroad/internal/settings"
 	"github.com/marbleroad/marbleroad/internal/tracing"
 	"github.com/marbleroad/marbleroad/internal/transport"
@@ -64,6 +65,8 @@
 	tracer       *tracing.Tracer
 	peers        *transport.Peers
 	platform     *platformapi.Client
+	// budget bounds what all servers of the process hold for their callers.
+	budget *resource.Budget
 }
 
 // Main runs the command line of a daemon and returns the exit code.
@@ -111,7 +114,13 @@
 	if err != nil {
 		return errors.Mark(err, settings.ErrInvalid)
 	}
+	budget, err := newBudget(s.Node)
+	if err != nil {
+		return err
+	}
+	peers.Budget = budget
 	b := base{
+		budget:       budget,
 		settingsPath: settingsPath,
 		program:      program,
 		settings:     s,
@@ -128,6 +137,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go b.reportLogLoss(ctx, out)
+	go b.reportRefusals(ctx)
 	go b.reloadOnSignal(reloads)
 	return b.runUntilSignal(k, stops)
 }
@@ -216,6 +226,7 @@
 		ShutdownLimit: s.Entry.ShutdownLimit,
 		Linger:        s.Entry.Linger,
 		CallerTLS:     callerTLS,
+		Share:         b.budget.Share(),
 	}, entry.Parts{
 		Log:     b.log,
 		Metrics: b.metrics,
@@ -235,7 +246,7 @@
 		Window:        s.Presence.Window,
 	}, b.log, b.peers)
 	return newKernel(
-		admin.New(s.Entry.Admin, b.metrics, entry.ServerName, s.Debug.Pprof),
+		admin.New(s.Entry.Admin, b.budget.Share(), b.metrics, entry.ServerName, s.Debug.Pprof),
 		source,
 		server,
 	)
@@ -243,7 +254,7 @@
 
 // control assembles marbleroad-control.
 func (b base) control() (*kernel.Kernel, error) {
-	tuneMemory()
+	tuneMemory(b.budget)
 	s := b.settings
 	estimates := groups.DefaultEstimates
 	estimates.GracePeriod = 2 * s.Presence.Window
@@ -272,7 +283,7 @@
 		Platform: b.platform,
 		Engine:   engineapi.New(newTransport(s.Control.Listen, probeIdleConns, &b.peers.Traffic.Upstreams)),
 	})
-	return newKernel(admin.New(s.Control.Admin, b.metrics, control.ServiceName, s.Debug.Pprof), c)
+	return newKernel(admin.New(s.Control.Admin, b.budget.Share(), b.metrics, control.ServiceName, s.Debug.Pprof), c)
 }
 
 // newKernel registers the services in a new kernel, which starts them in this order.
@@ -341,9 +352,9 @@
 )
 
 // tuneMemory configures the garbage collector for the control daemon.
-func tuneMemory() {
+func tuneMemory(budget *resource.Budget) {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(softMemoryLimit)
+	debug.SetMemoryLimit(min(softMemoryLimit, budget.Limits.Runtime))
 }
 
 // stopLimit returns the time limit for the entire stop. All daemons use the same sum;
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -44,8 +44,6 @@
 	// stopMargin is the part of the stop's grace period that is reserved for the
 	// process to exit.
 	stopMargin = 700 * time.Millisecond
-	// bytesPerMegabyte converts the unit of the settings.
-	bytesPerMegabyte = 1 << 20
 	// storeIdleConns and reportIdleConns bound the idle connections to one host,
 	// for calls to the platform's store and for calls to upstreams.
 	storeIdleConns  = 4
@@ -144,7 +142,7 @@
 	directory.OnChange(func(*fleet.Snapshot) { server.Rebuild() })
 	directory.OnRestore(nodes.CheckRecord)
 	directory.OnChange(groupDirector.Refresh)
-	adminServer := admin.New(s.Gateway.Admin, b.metrics, gateway.ServerName, s.Debug.Pprof)
+	adminServer := admin.New(s.Gateway.Admin, b.budget.Share(), b.metrics, gateway.ServerName, s.Debug.Pprof)
 	adminServer.HandleGet(inspect.Path, inspect.Handler(inspect.Sources{
 		Node:          self.ID,
 		FailureDomain: self.FailureDomain,
@@ -234,7 +232,7 @@
 		},
 		LogInFlight: s.Log.InFlight,
 		Regions:     s.Node.Regions,
-		Memory:      int64(s.Node.Memory * bytesPerMegabyte),
+		Budget:      b.budget,
 		Warmups:     gateway.WarmupBounds{Excess: s.Gateway.WarmupExcess, Slack: s.Gateway.WarmupSlack},
 		Overload: gateway.Overload{
 			Returns:        s.Overload.Returns,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -31,6 +31,7 @@
 	"github.com/marbleroad/marbleroad/internal/quarantine"
 	"github.com/marbleroad/marbleroad/internal/reach"
 	"github.com/marbleroad/marbleroad/internal/relay"
+	"github.com/marbleroad/marbleroad/internal/resource"
 	"github.com/marbleroad/marbleroad/internal/tracing"
 	"github.com/marbleroad/marbleroad/internal/transport"
 	"github.com/marbleroad/marbleroad/internal/view"
@@ -75,6 +76,8 @@
 	Linger time.Duration
 	// CallerTLS is nil for plain HTTP.
 	CallerTLS *tls.Config
+	// Share is what the callers' connections may hold.
+	Share resource.Share
 }
 
 // Server serves callers.
@@ -175,7 +178,7 @@
 		IdleTimeout:    idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 		TLSConfig:      s.config.CallerTLS,
-	}, listener, callers.Options{Unanswered: s.recordUnanswered})
+	}, listener, callers.Options{Unanswered: s.recordUnanswered, Share: s.config.Share})
 	go s.serveCallers()
 	go s.watchReachability(s.abortCtx)
 	mux := http.NewServeMux()
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -32,6 +32,8 @@
 		"If it repeats, check what else runs on the VM."}
 	Panicked = Event{1016, zerolog.ErrorLevel, "a panic ends this process",
 		"Report it with the text and the stack of the line. 5034 names the requests that it had."}
+	CallersRefused = Event{1017, zerolog.WarnLevel, "headers were refused within the last second, as they exceed what this process holds for all callers together",
+		"If these callers are wanted, raise node.memory."}
 	StartIncomplete = Event{1014, zerolog.InfoLevel, "this daemon has started and still lacks what it needs to serve",
 		"If it lasts, check the missing part: 3001 for the platform, 4026 and 4030 for other nodes."}
 	StartComplete = Event{1015, zerolog.InfoLevel, "this daemon has all that it needs to serve; the fields are the times after its start at which each part became available",
@@ -263,7 +265,7 @@
 var Catalogue = []Event{
 	Started, Stopping, Stopped, StopLimit, ServiceFailed, TraceExportFailed,
 	Reloaded, LogDropped, ConnectionFailed, Suspended, HandlerPanicked, StopRepeated, SchedulingStall,
-	StartIncomplete, StartComplete, Panicked,
+	StartIncomplete, StartComplete, Panicked, CallersRefused,
 	RowAdopted, ChangeAccepted, ChangeConflict, ChangeInvalid, RowUnreadable, DrainPending,
 	CatalogAdopted, HomesInvalid,
 	PlatformDown, PlatformUp, WriteResolved, WatchHistoryExpired, RegisterFailed, NodesUnreadable, EntryUnreadable,
--- a/internal/gateway/adapted.go
+++ b/internal/gateway/adapted.go
@@ -36,7 +36,7 @@
 	}
 	s.statsPublishedAt = now
 	s.publishFairShares(now)
-	s.metrics.Set("buffers.reserved", s.buffers.used.Load())
+	s.metrics.Set("buffers.reserved", s.buffers.Used())
 	s.publishDemand(now)
 	const percent = 100
 	for _, stats := range s.targets.loadStats(now) {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/relay"
+	"github.com/marbleroad/marbleroad/internal/resource"
 )
 
 // relay passes an upstream's response to the caller. It returns a statusError for a response that is not passed
@@ -109,7 +110,7 @@
 func (j *job) relayFull(resp *http.Response, s *send) error {
 	body, complete, err := readBuffered(resp.Body, j.s.buffers, maxBufferedResponse)
 	defer body.release()
-	if err != nil && !errors.Is(err, errBuffersFull) {
+	if err != nil && !errors.Is(err, resource.ErrExhausted) {
 		return errors.Mark(errors.Wrap(err, errTruncated.Error()), errTruncated)
 	}
 	if complete && j.endedEarly(resp, s) {
--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -2,9 +2,8 @@
 
 import (
 	"io"
-	"sync/atomic"
 
-	"github.com/cockroachdb/errors"
+	"github.com/marbleroad/marbleroad/internal/resource"
 )
 
 const (
@@ -13,57 +12,29 @@
 	unreservedBytes = 16 << 10
 	// bufferStep is the number of bytes that are reserved at a time for a longer body.
 	bufferStep = 64 << 10
-	// defaultBufferBytes limits the reserved buffers of a node whose memory is not specified.
+	// defaultBufferBytes limits the reserved buffers of a node without a budget.
 	defaultBufferBytes = 64 << 20
-	// bufferFraction is the part of the node's memory that reserved buffers may take. The rest is left for
-	// the state of the fleet, connections and small bodies.
-	bufferFraction = 4
 )
 
-// errBuffersFull means that the node's buffers have no room for a body.
-var errBuffersFull = errors.New("the buffers of this node are full")
-
-// bufferPool limits the bytes that a node buffers for callers and upstreams that are slow. It is safe for
-// concurrent use.
-type bufferPool struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// newBufferPool returns the pool of a node with the given memory in bytes; 0 if that is unknown.
-func newBufferPool(memory int64) *bufferPool {
-	if memory <= 0 {
-		return &bufferPool{limit: defaultBufferBytes}
+// bufferPool returns the pool for what a node buffers for callers and upstreams that are slow: that of its budget.
+func bufferPool(b *resource.Budget) *resource.Pool {
+	if b == nil {
+		return resource.NewPool(defaultBufferBytes)
 	}
-	return &bufferPool{limit: memory / bufferFraction}
+	return b.Pool
 }
 
-// reserve reserves n bytes; it reports false if that would exceed the limit.
-func (p *bufferPool) reserve(n int) bool {
-	for {
-		used := p.used.Load()
-		if used+int64(n) > p.limit {
-			return false
-		}
-		if p.used.CompareAndSwap(used, used+int64(n)) {
-			return true
-		}
-	}
-}
-
-func (p *bufferPool) release(n int) { p.used.Add(-int64(n)) }
-
 // bufferedBody is a body, or its beginning, with the bytes that are reserved for it.
 type bufferedBody struct {
 	data     []byte
-	pool     *bufferPool
+	pool     *resource.Pool
 	reserved int
 }
 
 // release returns the reserved bytes to the pool. Further calls have no effect.
 func (b *bufferedBody) release() {
 	if b.reserved > 0 {
-		b.pool.release(b.reserved)
+		b.pool.Release(int64(b.reserved))
 		b.reserved = 0
 	}
 }
@@ -75,9 +46,9 @@
 }
 
 // readBuffered reads a body of at most limit bytes; 0 means no limit. It reports whether the body is complete:
-// it stops after limit bytes and, with errBuffersFull, when the pool has no room. Either way the result holds
+// it stops after limit bytes and, with resource.ErrExhausted, when the pool has no room. Either way the result holds
 // what was read so far and must be released.
-func readBuffered(r io.Reader, pool *bufferPool, limit int) (body *bufferedBody, complete bool, err error) {
+func readBuffered(r io.Reader, pool *resource.Pool, limit int) (body *bufferedBody, complete bool, err error) {
 	body = &bufferedBody{pool: pool}
 	for free := unreservedBytes; ; free = bufferStep {
 		if limit > 0 {
@@ -87,8 +58,8 @@
 			return body, false, nil
 		}
 		if len(body.data) >= unreservedBytes {
-			if !pool.reserve(free) {
-				return body, false, errBuffersFull
+			if !pool.Reserve(int64(free)) {
+				return body, false, resource.ErrExhausted
 			}
 			body.reserved += free
 		}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -49,4 +49,4 @@
 func ReportUnanswered(s *Server, caller net.Addr, header []byte) { s.reportUnanswered(caller, header) }
 
 // BufferedBytes returns the number of bytes that are reserved for bodies and streams.
-func BufferedBytes(s *Server) int64 { return s.buffers.used.Load() }
+func BufferedBytes(s *Server) int64 { return s.buffers.Used() }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -16,6 +16,7 @@
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
 	"github.com/marbleroad/marbleroad/internal/forward"
+	"github.com/marbleroad/marbleroad/internal/resource"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
 
@@ -149,7 +150,7 @@
 	if errors.As(err, &large) {
 		return data, tooLargeError()
 	}
-	if errors.Is(err, errBuffersFull) {
+	if errors.Is(err, resource.ErrExhausted) {
 		s.metrics.Count("requests.no_buffer", 1)
 		return data, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: codeNoBuffer, Detail: err.Error(), RetryAfter: s.retryAfter(clock.Now(), c, allFull)}
 	}
--- a/internal/gateway/longanswer_test.go
+++ b/internal/gateway/longanswer_test.go
@@ -47,7 +47,7 @@
 	}
 	caller := &promptCaller{ResponseRecorder: httptest.NewRecorder()}
 	var q inFlightRequests
-	j := &job{s: &Server{metrics: metrics.NewRegistry(), log: log, buffers: newBufferPool(0)}, w: caller, c: &Call{}}
+	j := &job{s: &Server{metrics: metrics.NewRegistry(), log: log, buffers: bufferPool(nil)}, w: caller, c: &Call{}}
 	j.c.inFlight = q.begin(j.c)
 	first := strings.Repeat("x", maxBufferedResponse)
 	body := io.MultiReader(strings.NewReader(first), &pausingBody{parts: []string{"a", "b"}})
--- a/internal/gateway/readahead.go
+++ b/internal/gateway/readahead.go
@@ -10,6 +10,7 @@
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/crash"
 	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/resource"
 )
 
 const (
@@ -43,7 +44,7 @@
 // goroutine reads the remaining events ahead, and the source supplies them from its queue.
 type streamSource struct {
 	events *eventReader
-	pool   *bufferPool
+	pool   *resource.Pool
 	// onEvent is called for each event, onEnd at the regular end of the stream, by whichever goroutine reads.
 	onEvent func(now time.Time)
 	onEnd   func(now time.Time)
@@ -86,7 +87,7 @@
 	first := s.queue[0]
 	s.queue = s.queue[1:]
 	s.queuedBytes -= len(first.raw)
-	s.pool.release(len(first.raw))
+	s.pool.Release(int64(len(first.raw)))
 	return first.raw, first.id, nil
 }
 
@@ -163,7 +164,7 @@
 func (s *streamSource) enqueue(raw, id []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.queuedBytes+len(raw) > maxReadAhead || !s.pool.reserve(len(raw)) {
+	if s.closed || s.queuedBytes+len(raw) > maxReadAhead || !s.pool.Reserve(int64(len(raw))) {
 		return errCallerTooSlow
 	}
 	copied := append([]byte(nil), raw...)
@@ -181,7 +182,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	s.pool.release(s.queuedBytes)
+	s.pool.Release(int64(s.queuedBytes))
 	s.queue, s.queuedBytes = nil, 0
 	// net/http keeps the deadline for the next response on the connection.
 	_ = s.control.SetWriteDeadline(time.Time{})
@@ -211,5 +212,5 @@
 // reportSlowCaller logs and counts a caller that blocks the relay of its response.
 func (s *Server) reportSlowCaller(id string) {
 	s.metrics.Count("callers.slow", 1)
-	s.log.Emit(event.CallerSlow).Str("request", id).Int64("buffered_bytes", s.buffers.used.Load()).Send()
+	s.log.Emit(event.CallerSlow).Str("request", id).Int64("buffered_bytes", s.buffers.Used()).Send()
 }
--- a/internal/gateway/readahead_test.go
+++ b/internal/gateway/readahead_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/marbleroad/marbleroad/internal/resource"
 )
 
 // blockedCaller is a caller that accepts nothing until it is released or the write deadline passes.
@@ -45,7 +47,7 @@
 }
 
 // newTestSource returns a source that reads from an upstream and counts the events that were read.
-func newTestSource(upstream io.Reader, pool *bufferPool, caller *blockedCaller) (source *streamSource, read *atomic.Int64, ended *atomic.Bool) {
+func newTestSource(upstream io.Reader, pool *resource.Pool, caller *blockedCaller) (source *streamSource, read *atomic.Int64, ended *atomic.Bool) {
 	read, ended = new(atomic.Int64), new(atomic.Bool)
 	return &streamSource{
 		events:  newEventReader(upstream),
@@ -67,7 +69,7 @@
 	for i := range events {
 		stream.WriteString(testEvent(i))
 	}
-	caller, pool := newBlockedCaller(), newBufferPool(1<<20)
+	caller, pool := newBlockedCaller(), resource.NewPool(256<<10)
 	source, read, ended := newTestSource(strings.NewReader(stream.String()), pool, caller)
 	var got strings.Builder
 	relayed := make(chan error, 1)
@@ -90,7 +92,7 @@
 			t.Fatalf("%d of %d events were read while the caller blocked", read.Load(), events)
 		}
 	}
-	if pool.used.Load() == 0 {
+	if pool.Used() == 0 {
 		t.Error("no buffer was reserved")
 	}
 	close(caller.released)
@@ -100,7 +102,7 @@
 	if got.String() != stream.String() {
 		t.Errorf("the caller received %q", got.String())
 	}
-	if used := pool.used.Load(); used != 0 {
+	if used := pool.Used(); used != 0 {
 		t.Errorf("%d bytes are still reserved", used)
 	}
 }
@@ -123,7 +125,7 @@
 
 // relayToBlockedCallers relays endless streams to callers that accept nothing, until each has lost its answer. It
 // returns the largest number of bytes that were reserved.
-func relayToBlockedCallers(callers int, pool *bufferPool) int64 {
+func relayToBlockedCallers(callers int, pool *resource.Pool) int64 {
 	var done sync.WaitGroup
 	var peak atomic.Int64
 	for range callers {
@@ -144,7 +146,7 @@
 	finished := make(chan struct{})
 	go func() { done.Wait(); close(finished) }()
 	for {
-		peak.Store(max(peak.Load(), pool.used.Load()))
+		peak.Store(max(peak.Load(), pool.Used()))
 		select {
 		case <-finished:
 			return peak.Load()
@@ -155,12 +157,13 @@
 
 // TestThousandSlowCallersKeepToTheBuffers: each loses its answer, and the node does not run out of memory.
 func TestThousandSlowCallersKeepToTheBuffers(t *testing.T) {
-	pool := newBufferPool(32 << 20)
+	const limit = 8 << 20
+	pool := resource.NewPool(limit)
 	peak := relayToBlockedCallers(1000, pool)
-	if peak > pool.limit {
-		t.Errorf("%d bytes were reserved of %d", peak, pool.limit)
+	if peak > limit {
+		t.Errorf("%d bytes were reserved of %d", peak, limit)
 	}
-	if used := pool.used.Load(); used != 0 {
+	if used := pool.Used(); used != 0 {
 		t.Errorf("%d bytes are still reserved", used)
 	}
 }
@@ -168,22 +171,22 @@
 // BenchmarkSlowCallers reports the bytes that a thousand blocked callers reserve at most on a node of 184 MB.
 func BenchmarkSlowCallers(b *testing.B) {
 	for range b.N {
-		b.ReportMetric(float64(relayToBlockedCallers(1000, newBufferPool(184<<20))), "peak-bytes")
+		b.ReportMetric(float64(relayToBlockedCallers(1000, resource.NewPool(46<<20))), "peak-bytes")
 	}
 }
 
 func TestLongBodiesAreReserved(t *testing.T) {
-	pool := newBufferPool(4 * 4 * bufferStep)
+	pool := resource.NewPool(4 * bufferStep)
 	small, complete, err := readBuffered(strings.NewReader("small"), pool, 0)
 	if err != nil || !complete || string(small.data) != "small" || small.reserved != 0 {
 		t.Errorf("small body: %+v, complete %v, %v", small, complete, err)
 	}
 	text := strings.Repeat("x", unreservedBytes+2*bufferStep+1)
 	long, complete, err := readBuffered(strings.NewReader(text), pool, 0)
-	if err != nil || !complete || string(long.data) != text || pool.used.Load() != 3*bufferStep {
-		t.Errorf("long body: %d bytes, complete %v, %v; reserved %d", len(long.data), complete, err, pool.used.Load())
+	if err != nil || !complete || string(long.data) != text || pool.Used() != 3*bufferStep {
+		t.Errorf("long body: %d bytes, complete %v, %v; reserved %d", len(long.data), complete, err, pool.Used())
 	}
-	if _, complete, err = readBuffered(strings.NewReader(text), pool, 0); complete || !errors.Is(err, errBuffersFull) {
+	if _, complete, err = readBuffered(strings.NewReader(text), pool, 0); complete || !errors.Is(err, resource.ErrExhausted) {
 		t.Errorf("beyond the pool: complete %v, %v", complete, err)
 	}
 	limited, complete, err := readBuffered(strings.NewReader(text), pool, 100)
@@ -192,7 +195,7 @@
 	}
 	long.release()
 	long.release()
-	if pool.used.Load() < 0 {
+	if pool.Used() < 0 {
 		t.Error("a reservation was released twice")
 	}
 }
@@ -212,7 +215,7 @@
 // process: it is one of the request's handler.
 func TestPanicOfReadingAheadEndsItsRequestOnly(t *testing.T) {
 	caller := newBlockedCaller()
-	source, read, _ := newTestSource(faultyUpstream{strings.NewReader(testEvent(1) + testEvent(2))}, newBufferPool(1<<20), caller)
+	source, read, _ := newTestSource(faultyUpstream{strings.NewReader(testEvent(1) + testEvent(2))}, resource.NewPool(256<<10), caller)
 	defer source.close()
 	if _, _, err := source.next(); err != nil {
 		t.Fatal(err)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -28,6 +28,7 @@
 	"github.com/marbleroad/marbleroad/internal/quarantine"
 	"github.com/marbleroad/marbleroad/internal/reach"
 	"github.com/marbleroad/marbleroad/internal/relay"
+	"github.com/marbleroad/marbleroad/internal/resource"
 	"github.com/marbleroad/marbleroad/internal/retry"
 	"github.com/marbleroad/marbleroad/internal/tracing"
 	"github.com/marbleroad/marbleroad/internal/transport"
@@ -42,6 +43,8 @@
 	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// maxReadyHeaderBytes is for the load balancer's checks.
+	maxReadyHeaderBytes = 16 << 10
 	// stallInterval is the time between two runs of checkSends.
 	stallInterval = 50 * time.Millisecond
 	// connectTimeout limits the setup of a connection to an upstream, which takes 2 to 5 ms.
@@ -84,8 +87,8 @@
 	Warmups WarmupBounds
 	// Regions maps the failure domains to their regions, to which routes and teams can be restricted.
 	Regions regionsByDomain
-	// Memory is the memory in bytes that the process may use; 0 if it is not specified.
-	Memory int64
+	// Budget bounds what the process holds for callers; nil for no limit.
+	Budget *resource.Budget
 	// Overload holds the features for times when callers ask for more than the upstreams can serve.
 	Overload Overload
 	// LogInFlight logs the requests in flight each second.
@@ -166,7 +169,7 @@
 	quarantine     *quarantine.Table
 	pending        pendingTerminations
 	targets        *targetTable
-	buffers        *bufferPool
+	buffers        *resource.Pool
 	// rebuilding serializes Rebuild.
 	rebuilding sync.Mutex
 	// homesCheckedFor is the version of the catalog whose homes were checked last.
@@ -186,7 +189,7 @@
 	cancelWork context.CancelFunc
 
 	callers     *callers.Server
-	readyServer *http.Server
+	readyServer *callers.Server
 	// background counts the goroutines that Stop waits for.
 	background sync.WaitGroup
 	// statsPublishedAt is when the load metrics were last updated. Only watchStalls uses it.
@@ -215,7 +218,7 @@
 		ports:           portcheck.New(upstreamDialer(c.Local)),
 		quarantine:      p.Quarantine,
 		targets:         newTargetTable(c.FailureDomain, c.Repeats, p.Dissolving, clock.Now()),
-		buffers:         newBufferPool(c.Memory),
+		buffers:         bufferPool(c.Budget),
 		workCtx:         workCtx,
 		cancelWork:      cancelWork,
 	}
@@ -249,7 +252,9 @@
 func (s *Server) Name() string { return ServerName }
 
 // Handler returns the handler for callers' requests.
-func (s *Server) Handler() http.Handler { return http.HandlerFunc(s.handle) }
+func (s *Server) Handler() http.Handler {
+	return http.HandlerFunc(s.handle)
+}
 
 // Start implements kernel.Service.
 func (s *Server) Start(context.Context) error {
@@ -263,17 +268,12 @@
 	}
 	errorLog := log.New(errorLogWriter{s.log}, "", 0)
 	s.callers = s.newCallerServer(listener, errorLog)
-	s.readyServer = &http.Server{
-		Handler:           http.HandlerFunc(s.handleReady),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          errorLog,
-	}
+	s.readyServer = s.newReadyServer(ready, errorLog)
 	s.background.Add(2)
 	go s.watchStalls()
 	go s.watchProcessor()
 	go s.serve(s.callers.Serve)
-	go s.serve(func() error { return s.readyServer.Serve(ready) })
+	go s.serve(s.readyServer.Serve)
 	return nil
 }
 
@@ -285,7 +285,18 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          errorLog,
-	}, l, callers.Options{Limits: s.callerLimits, Unanswered: s.reportUnanswered, AcceptLimit: s.acceptLimit})
+	}, l, callers.Options{Limits: s.callerLimits, Unanswered: s.reportUnanswered, AcceptLimit: s.acceptLimit, Share: s.config.Budget.Share()})
+}
+
+// newReadyServer returns a server for the load balancer's checks on the given listener.
+func (s *Server) newReadyServer(l net.Listener, errorLog *log.Logger) *callers.Server {
+	return callers.NewServer(&http.Server{
+		Handler:           http.HandlerFunc(s.handleReady),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxReadyHeaderBytes,
+		ErrorLog:          errorLog,
+	}, l, callers.Options{Share: s.config.Budget.Share()})
 }
 
 func (s *Server) serve(serve func() error) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,7 +21,7 @@
 	Processor float64
 	// Regions maps failure domains to their regions.
 	Regions map[string]string
-	// Memory is the number of megabytes that the node's process may use; 0 if it is not specified.
+	// Memory is the number of megabytes that each process on the node may use; 0 if it is not specified.
 	Memory float64
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marbleroad/marbleroad/internal/callers"
+	"github.com/marbleroad/marbleroad/internal/resource"
 	"github.com/marbleroad/marbleroad/internal/settings"
 )
 
@@ -57,6 +58,8 @@
 type Peers struct {
 	// Traffic counts the bytes of these clients and listeners.
 	Traffic Traffic
+	// Budget bounds what the connections of the listeners hold; nil for no limit. It must be set before Serve.
+	Budget *resource.Budget
 
 	tls    *tls.Config
 	dialer *net.Dialer
@@ -161,7 +164,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		TLSConfig:         p.tls.Clone(),
-	}, listener, callers.Options{})
+	}, listener, callers.Options{Share: p.Budget.Share()})
 	go func() {
 		if p.tls == nil {
 			_ = server.Serve()
--- /dev/null
+++ b/test/integration/crowds_test.go
@@ -0,0 +1,61 @@
+package integration
+
+import (
+	"net"
+	"strings"
+	"testing"
+)
+
+// denseBytes is the size of the heads of many short fields: below net/http's limit as the servers set it.
+const denseBytes = 60000
+
+// denseFields returns fields of a head that are as short as distinct names allow.
+func denseFields(bytes int) string {
+	const digits = "abcdefghijklmnopqrstuvwxyz0123456789"
+	var out strings.Builder
+	for i := 0; out.Len() < bytes; i++ {
+		for n := i; ; n /= len(digits) {
+			out.WriteByte(digits[n%len(digits)])
+			if n < len(digits) {
+				break
+			}
+		}
+		out.WriteString(":\r\n")
+	}
+	return out.String()
+}
+
+// TestCrowdOfUnendedHeads: a head of many short fields takes some twenty times its size while it is parsed, and it was
+// kept until the timeout of the header, for any number of connections.
+func TestCrowdOfUnendedHeads(t *testing.T) {
+	head := "GET /healthz HTTP/1.1\r\nHost: h\r\n" + denseFields(denseBytes)
+	crowdTest(t, crowdSize, func(_ target, c net.Conn) { send(c, head) }, allServers...)
+}
+
+// TestCrowdOfDenseHeads sends complete heads of many short fields, one after another on each connection.
+func TestCrowdOfDenseHeads(t *testing.T) {
+	const requests = 4
+	head := "GET /healthz HTTP/1.1\r\nHost: h\r\n" + denseFields(denseBytes) + "\r\n"
+	crowdTest(t, crowdSize, func(_ target, c net.Conn) {
+		for range requests {
+			if !send(c, head) || !isOpen(c) {
+				return
+			}
+		}
+	}, allServers...)
+}
+
+// TestCrowdOfEndlessHeads sends fields, or one line, without an end. What a server does not read of it stays in the kernel,
+// which counts as the process's memory.
+func TestCrowdOfEndlessHeads(t *testing.T) {
+	crowdTest(t, crowdSize, func(_ target, c net.Conn) {
+		if send(c, "GET /healthz HTTP/1.1\r\nHost: h\r\n") {
+			sendEndlessly(c, "field: "+strings.Repeat("v", 1000)+"\r\n")
+		}
+	}, allServers...)
+}
+
+// TestCrowdOfEndlessLines sends a head of one line that does not end.
+func TestCrowdOfEndlessLines(t *testing.T) {
+	crowdTest(t, crowdSize, func(_ target, c net.Conn) { sendEndlessly(c, strings.Repeat("x", 1000)) }, allServers...)
+}
--- a/test/integration/node_test.go
+++ b/test/integration/node_test.go
@@ -40,10 +40,17 @@
 // newPlatformDeployment starts a platform with five model VMs and one plain VM, and nodes, and waits until these
 // are ready.
 func newPlatformDeployment(t *testing.T, nodes int) *platformDeployment {
+	t.Helper()
+	return newLimitedPlatformDeployment(t, nodes, "", "")
+}
+
+// newLimitedPlatformDeployment is newPlatformDeployment with a command of sh that limits the nodes' resources, and lines of
+// their settings' section node; both may be empty.
+func newLimitedPlatformDeployment(t *testing.T, nodes int, limit, nodeSettings string) *platformDeployment {
 	t.Helper()
 	n := deploymentCount.Add(1)
 	s := &platformDeployment{
-		deployment: &deployment{t: t, dir: t.TempDir(), network: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, n)},
+		deployment: &deployment{t: t, dir: t.TempDir(), network: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, n), limit: limit},
 		store:      objectstore.New(),
 		engines:    make(map[string]*groupengine.VM),
 		servers:    make(map[string]*http.Server),
@@ -58,7 +65,7 @@
 	for i := range nodes {
 		nd := &node{id: fmt.Sprintf("node-%d", i), domain: "a", ip: fmt.Sprintf("%s.%d", s.network, 200+i)}
 		s.nodes = append(s.nodes, nd)
-		s.writeNodeSettings(nd)
+		s.writeNodeSettings(nd, nodeSettings)
 		nd.entry = s.startProcess(nd.id, "marbleroad-node", nd)
 	}
 	for _, nd := range s.nodes {
@@ -101,12 +108,13 @@
 	}
 }
 
-func (s *platformDeployment) writeNodeSettings(nd *node) {
+// writeNodeSettings writes a node's settings; more holds further lines of section node.
+func (s *platformDeployment) writeNodeSettings(nd *node, more string) {
 	nd.settings = filepath.Join(s.dir, nd.id+".ini")
 	text := fmt.Sprintf(`[node]
 id = %s
 failure_domain = a
-[platform]
+%s[platform]
 url = http://%s
 [gateway]
 listen = %s:%d
@@ -117,7 +125,7 @@
 stall_bound = 1s
 [cluster]
 listen = %s:%d
-`, nd.id, s.ip(1, platformPort), nd.ip, nodeListenPort, nd.ip, nodeReadyPort, nd.ip, nodeAdminPort, nd.ip, nodeClusterPort)
+`, nd.id, more, s.ip(1, platformPort), nd.ip, nodeListenPort, nd.ip, nodeReadyPort, nd.ip, nodeAdminPort, nd.ip, nodeClusterPort)
 	if err := os.WriteFile(nd.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/test/integration/site_test.go
+++ b/test/integration/site_test.go
@@ -119,6 +119,8 @@
 	history       *history
 	// overrides holds changes of the nodes' settings, one "section:key = value" a line.
 	overrides string
+	// limit is a command of sh that limits the daemons' resources; empty for none.
+	limit string
 }
 
 // topology describes a deployment. The counts are per failure domain.
@@ -130,6 +132,8 @@
 	engineConfig engine.Config
 	// overrides changes the settings of all nodes, one "section:key = value" a line.
 	overrides string
+	// limit is a command of sh that limits the daemons' resources; empty for none.
+	limit string
 	// beforeStart is called before the nodes start; nil for none.
 	beforeStart func(*deployment)
 }
@@ -150,6 +154,7 @@
 		platform:  platform.New(),
 		vms:       make(map[string]*vm),
 		overrides: topo.overrides,
+		limit:     topo.limit,
 	}
 	s.history = newHistory(s)
 	s.tokenFile = filepath.Join(s.dir, "token")
@@ -373,6 +378,9 @@
 		s.t.Fatal(err)
 	}
 	cmd := exec.Command(filepath.Join(binaries, binary), "run", nd.settings)
+	if s.limit != "" {
+		cmd = exec.Command("sh", "-c", s.limit+` && exec "$0" "$@"`, filepath.Join(binaries, binary), "run", nd.settings)
+	}
 	cmd.Env = append(os.Environ(), "GORACE=halt_on_error=1")
 	cmd.Stderr = log
 	cmd.Stdout = log
