What a connection has received and not read is bounded

What callers saw: bytes that the kernel has received for a process count as its memory, and clients decided how many there are. 800 connections with a request in progress that then send empty lines without an end made an entry hold 159 MB at memory = 128, 90 MB of it unread; endless bodies that nobody reads 133 to 139 MB unread at the servers for readiness and metrics.

Cause: no listener set a receive buffer, so that each connection got the system's default of 128 KiB, which grows to megabytes while it is read.

Change: callers.Listen sets the buffer of each server's connections: 16 KiB, and 64 KiB between the system's own processes, whose messages are large and whose links are slow. The kernel takes up to twice as much.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -88,7 +87,7 @@
 
 // Start implements kernel.Service.
 func (s *Server) Start(context.Context) error {
-	listener, err := net.Listen("tcp", s.address)
+	listener, err := callers.Listen(s.address, callers.CallerBuffer)
 	if err != nil {
 		return errors.Wrap(err, "listen on the admin address")
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -166,7 +166,7 @@
 
 // Start implements kernel.Service.
 func (s *Server) Start(context.Context) error {
-	listener, err := net.Listen("tcp", s.config.Listen)
+	listener, err := callers.Listen(s.config.Listen, callers.CallerBuffer)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -258,11 +258,11 @@
 
 // Start implements kernel.Service.
 func (s *Server) Start(context.Context) error {
-	listener, err := net.Listen("tcp", s.config.Listen)
+	listener, err := callers.Listen(s.config.Listen, callers.CallerBuffer)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	ready, err := net.Listen("tcp", s.config.ReadyListen)
+	ready, err := callers.Listen(s.config.ReadyListen, callers.CallerBuffer)
 	if err != nil {
 		return errors.Wrap(err, "listen for the load balancer")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -46,6 +46,10 @@
 			b.WriteByte('\n')
 		}
 	}
+	b.WriteString("## Limits without a key\n\nThey hold for each connection or request, besides what node.memory allows for all together.\n\n| limit | value | beyond it |\n|---|---|---|\n")
+	for _, l := range FixedLimits {
+		_, _ = fmt.Fprintf(&b, "| %s | %s | %s |\n", l.Name, l.Value, l.Doc)
+	}
 	page := strings.TrimRight(b.String(), "\n") + "\n"
 	goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md")).Assert(t, "CONFIGURATION", []byte(page))
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -148,7 +148,7 @@
 
 // Serve listens on the address and serves the handler until the server is closed.
 func (p *Peers) Serve(address string, handler http.Handler) (*callers.Server, error) {
-	tcp, err := net.Listen("tcp", address)
+	tcp, err := callers.Listen(address, callers.PeerBuffer)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
--- a/test/integration/crowds_test.go
+++ b/test/integration/crowds_test.go
@@ -59,3 +59,27 @@
 func TestCrowdOfEndlessLines(t *testing.T) {
 	crowdTest(t, crowdSize, func(_ target, c net.Conn) { sendEndlessly(c, strings.Repeat("x", 1000)) }, allServers...)
 }
+
+// TestCrowdOfEmptyLines sends empty lines without an end where a request should come: on new connections, and after a
+// request.
+func TestCrowdOfEmptyLines(t *testing.T) {
+	crowdTest(t, crowdSize, func(_ target, c net.Conn) { sendEndlessly(c, "\r\n") }, allServers...)
+	t.Run("after a request", func(t *testing.T) {
+		crowdTest(t, crowdSize, func(to target, c net.Conn) {
+			if send(c, to.post+"Content-Length: 0\r\n\r\n") {
+				isOpen(c)
+				sendEndlessly(c, "\r\n")
+			}
+		}, allServers...)
+	})
+}
+
+// TestCrowdOfEmptyLinesBehindRequests sends empty lines without an end while an earlier request of the connection is handled.
+// They are not read until it has its answer, and the kernel received megabytes of them for each connection.
+func TestCrowdOfEmptyLinesBehindRequests(t *testing.T) {
+	crowdTest(t, 2*crowdSize, func(to target, c net.Conn) {
+		if send(c, to.stream) {
+			sendEndlessly(c, "\r\n")
+		}
+	}, "entry callers")
+}
