Bodies of all connections together are bounded by the process's memory

What callers saw: 400 connections with bodies without an end made a process at memory = 128 take 187 MB (callers of a node), 251 MB (callers of an entry), 1048 and 912 MB (ports of entry and control for other daemons); in chunks of a byte 149 to 181 MB.

Cause: only marbleroad-node's gateway counted bodies together, and not the copies that grow beside them; entry allowed its max_body to each connection, and the ports between daemons 32 MB. Nothing bounded the time for a body there, nor for the rest of one that a handler does not read.

Change: one wrapper for all servers (callers.BoundBodies) reserves a body in the pool of heads and responses, from 16 KiB on, at three times its size: a buffer that doubles (ReadBody) and the one that it replaces. Without room the gateway and entry answer 503 with Retry-After, which promises that the request has not run. Between daemons a body has 30 s, at the servers for readiness and metrics 5 s, and the rest of a body that was not read 5 s; those two servers give a caller 10 and 5 s for each part of a response. HTTP/2 between daemons receives 256 KiB ahead, not 1 MiB.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,8 +18,11 @@
 const ServiceName = "admin"
 
 const (
-	// readHeaderTimeout is the maximum time for a client to send a request's header.
+	// readHeaderTimeout and bodyTimeout are the maximum times for a client to send a request's header and its body, and
+	// writeTimeout that to receive a part of a response.
 	readHeaderTimeout = 5 * time.Second
+	bodyTimeout       = 5 * time.Second
+	writeTimeout      = 10 * time.Second
 	idleTimeout       = 90 * time.Second
 	maxHeaderBytes    = 16 << 10
 )
@@ -96,7 +99,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}, listener, callers.Options{Share: s.share})
+	}, listener, callers.Options{Share: s.share, BodyTimeout: bodyTimeout, WriteTimeout: writeTimeout})
 	go func() { _ = s.server.Serve() }()
 	return nil
 }
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -72,6 +72,11 @@
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.responseStarted.Store(true)
+	if timeout := c.listener.options.WriteTimeout; timeout > 0 {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+			return 0, err
+		}
+	}
 	return c.Conn.Write(p)
 }
 
--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -30,6 +30,10 @@
 	AcceptLimit *AcceptLimit
 	// Share is what the connections may hold together.
 	Share resource.Share
+	// BodyTimeout bounds the time for a request's body; 0 for a handler that sets a deadline itself.
+	BodyTimeout time.Duration
+	// WriteTimeout bounds each write to a connection; 0 for a handler that sets a deadline itself.
+	WriteTimeout time.Duration
 }
 
 // Listener tracks the connections that it accepted.
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -34,7 +34,7 @@
 	s.listener.unencryptedHTTP2 = h.Protocols != nil && h.Protocols.UnencryptedHTTP2()
 	h.ConnContext = withConn
 	h.ConnState = connState
-	h.Handler = markHandling(s.listener.options.Share, h.Handler)
+	h.Handler = markHandling(s.listener.options.Share, BoundBodies(s.listener.options.Share, o.BodyTimeout, h.Handler))
 	return s
 }
 
--- a/internal/daemon/budget.go
+++ b/internal/daemon/budget.go
@@ -38,13 +38,17 @@
 // however many connections are refused.
 func (b base) reportRefusals(ctx context.Context) {
 	defer crash.Guard()
-	reported := int64(0)
+	type counts struct{ heads, bodies int64 }
+	var reported counts
 	for wait.Sleep(ctx, refusalInterval) {
-		heads := b.budget.Stats.Heads.Load()
-		b.metrics.Set("callers.headers_refused", heads)
-		if heads != reported {
-			b.log.Emit(event.CallersRefused).Int64("headers", heads-reported).Int64("reserved_bytes", b.budget.Pool.Used()).Send()
-			reported = heads
+		stats := b.budget.Stats
+		now := counts{stats.Heads.Load(), stats.Bodies.Load()}
+		b.metrics.Set("callers.headers_refused", now.heads)
+		b.metrics.Set("callers.bodies_refused", now.bodies)
+		if now != reported {
+			b.log.Emit(event.CallersRefused).Int64("headers", now.heads-reported.heads).Int64("bodies", now.bodies-reported.bodies).
+				Int64("reserved_bytes", b.budget.Pool.Used()).Send()
+			reported = now
 		}
 	}
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -6,7 +6,6 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -16,8 +15,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/marbleroad/marbleroad/internal/callers"
 	"github.com/marbleroad/marbleroad/internal/quarantine"
 	"github.com/marbleroad/marbleroad/internal/relay"
+	"github.com/marbleroad/marbleroad/internal/resource"
 	"github.com/marbleroad/marbleroad/internal/table"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 	"github.com/marbleroad/marbleroad/internal/view"
@@ -57,6 +58,8 @@
 	codeDeadlinePast   = "deadline-past"
 	codeNotFound       = "not-found"
 	codeNotReady       = "not-ready"
+	// codeNoBuffer means that the entry has no room for the body.
+	codeNoBuffer = "no-buffer"
 )
 
 // call is one request that the entry processes. It belongs to the goroutine
@@ -210,11 +213,14 @@
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(s.config.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.config.MaxBody))
+	body, err := callers.ReadBody(http.MaxBytesReader(w, r.Body, s.config.MaxBody), r.ContentLength)
 	if err == nil {
 		_ = controller.SetReadDeadline(time.Time{})
 		return body, nil
 	}
+	if errors.Is(err, resource.ErrExhausted) {
+		return nil, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: codeNoBuffer, Detail: err.Error(), RetryAfter: refusedRetryAfter}
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, invalidInput(http.StatusRequestTimeout, codeBadRequest, "the body did not come in time")
 	}
--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// unreservedBytes is the size up to which a body is buffered without a reservation. Nearly all bodies
+	// unreservedBytes is the size up to which a response is buffered without a reservation. Nearly all
 	// are smaller.
 	unreservedBytes = 16 << 10
-	// bufferStep is the number of bytes that are reserved at a time for a longer body.
+	// bufferStep is the number of bytes that are reserved at a time for a longer one.
 	bufferStep = 64 << 10
 	// defaultBufferBytes limits the reserved buffers of a node without a budget.
 	defaultBufferBytes = 64 << 20
@@ -45,7 +45,7 @@
 	b.release()
 }
 
-// readBuffered reads a body of at most limit bytes; 0 means no limit. It reports whether the body is complete:
+// readBuffered reads a response of at most limit bytes; 0 means no limit. It reports whether that is all of it:
 // it stops after limit bytes and, with resource.ErrExhausted, when the pool has no room. Either way the result holds
 // what was read so far and must be released.
 func readBuffered(r io.Reader, pool *resource.Pool, limit int) (body *bufferedBody, complete bool, err error) {
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/marbleroad/marbleroad/internal/callers"
 	"github.com/marbleroad/marbleroad/internal/catalog"
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
@@ -44,9 +45,7 @@
 		failure = s.route(r.Context(), c)
 	}
 	if failure == nil {
-		var body *bufferedBody
-		body, failure = s.readBody(w, r, c)
-		defer body.release()
+		failure = s.readBody(w, r, c)
 	}
 	if failure == nil {
 		j, failure = s.run(w, r, c)
@@ -130,55 +129,51 @@
 
 // readBody reads the complete body, so that the request can be sent more than once. It also rejects a header
 // or a body that is larger than the configuration allows.
-// What is reserved for the body must be released when the call ends.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *Call) (*bufferedBody, *verdict.Error) {
-	none := &bufferedBody{}
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *Call) *verdict.Error {
 	limits := s.catalog.Catalog().Limits()
 	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
-		return none, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusRequestHeaderFieldsTooLarge, Code: codeTooLarge, Detail: "the header is larger than the configuration allows"}
+		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusRequestHeaderFieldsTooLarge, Code: codeTooLarge, Detail: "the header is larger than the configuration allows"}
 	}
 	limit := limits.MaxBodyBytes
 	if limit > 0 && r.ContentLength > limit {
-		return none, tooLargeError()
+		return tooLargeError()
 	}
 	body := r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	data, err := s.readAll(w, body, c.Deadline)
+	data, err := readAll(w, body, r.ContentLength, c.Deadline)
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return data, tooLargeError()
-	}
-	if errors.Is(err, resource.ErrExhausted) {
+	switch {
+	case err == nil:
+		c.Body = data
+		return nil
+	case errors.As(err, &large):
+		return tooLargeError()
+	case errors.Is(err, resource.ErrExhausted):
 		s.metrics.Count("requests.no_buffer", 1)
-		return data, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: codeNoBuffer, Detail: err.Error(), RetryAfter: s.retryAfter(clock.Now(), c, allFull)}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return data, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusRequestTimeout, Code: codeSlowBody, Detail: "the body was not complete within the time for the request", Cause: err}
+		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusServiceUnavailable, Code: codeNoBuffer, Detail: err.Error(), RetryAfter: s.retryAfter(clock.Now(), c, allFull)}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusRequestTimeout, Code: codeSlowBody, Detail: "the body was not complete within the time for the request", Cause: err}
 	}
-	if err != nil {
-		return data, &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusBadRequest, Code: codeBadBody, Detail: "the body broke off", Cause: err}
-	}
-	c.Body = data.data
-	return data, nil
+	return &verdict.Error{Verdict: verdict.NotRun, Status: http.StatusBadRequest, Code: codeBadBody, Detail: "the body broke off", Cause: err}
 }
 
 // readAll reads a body until the deadline. After a complete body the read deadline of the connection is
 // removed, since net/http continues to read in order to detect that the caller leaves. After a failure it
 // stays, or net/http would wait for the remaining bytes.
-func (s *Server) readAll(w http.ResponseWriter, body io.Reader, deadline time.Time) (*bufferedBody, error) {
+func readAll(w http.ResponseWriter, body io.Reader, length int64, deadline time.Time) ([]byte, error) {
 	control := http.NewResponseController(w)
 	// Connection deadlines use the wall clock of the system.
 	if err := control.SetReadDeadline(time.Now().Add(clock.Until(deadline))); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return &bufferedBody{}, errors.Wrap(err, "limit the reading of the body")
+		return nil, errors.Wrap(err, "limit the reading of the body")
 	}
-	data, _, err := readBuffered(body, s.buffers, 0)
+	data, err := callers.ReadBody(body, length)
 	if err != nil {
-		return data, err
+		return nil, err
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return data, errors.Wrap(err, "lift the limit on the body")
+		return nil, errors.Wrap(err, "lift the limit on the body")
 	}
 	return data, nil
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -43,8 +43,10 @@
 	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
-	// maxReadyHeaderBytes is for the load balancer's checks.
+	// maxReadyHeaderBytes and readyTimeout are for the load balancer's checks: the size of their headers, and the time for
+	// a body and for the response.
 	maxReadyHeaderBytes = 16 << 10
+	readyTimeout        = 5 * time.Second
 	// stallInterval is the time between two runs of checkSends.
 	stallInterval = 50 * time.Millisecond
 	// connectTimeout limits the setup of a connection to an upstream, which takes 2 to 5 ms.
@@ -253,7 +255,7 @@
 
 // Handler returns the handler for callers' requests.
 func (s *Server) Handler() http.Handler {
-	return http.HandlerFunc(s.handle)
+	return callers.BoundBodies(resource.Share{Pool: s.buffers}, 0, http.HandlerFunc(s.handle))
 }
 
 // Start implements kernel.Service.
@@ -296,7 +298,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxReadyHeaderBytes,
 		ErrorLog:          errorLog,
-	}, l, callers.Options{Share: s.config.Budget.Share()})
+	}, l, callers.Options{Share: s.config.Budget.Share(), BodyTimeout: readyTimeout, WriteTimeout: readyTimeout})
 }
 
 func (s *Server) serve(serve func() error) {
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -36,6 +36,7 @@
 	{"upstreams.leaving.heard", "counter", "Responses in which an upstream VM announced that it is leaving."},
 	{"requests.no_buffer", "counter", "Requests that were refused because their body did not fit into the buffers of the node."},
 	{"callers.headers_refused", "gauge", "Requests that were refused since the start, as the process had no room for their header."},
+	{"callers.bodies_refused", "gauge", "Requests that were refused since the start, as the process had no room for their body."},
 	{"callers.slow", "counter", "Callers that blocked the relay of their response for 0.3 s or longer."},
 	{"buffers.reserved", "gauge", "Bytes that are reserved for large headers, for bodies over 16 KB and for slow callers."},
 	{"requests.held_back", "counter", "Requests that were refused because all upstream VMs that could serve them had asked for fewer requests."},
--- a/internal/resource/budget.go
+++ b/internal/resource/budget.go
@@ -4,8 +4,8 @@
 
 // Stats counts what a process has refused for lack of room. It is safe for concurrent use.
 type Stats struct {
-	// Heads counts those that the pool had no room for.
-	Heads atomic.Int64
+	// Heads and Bodies count those that the pool had no room for.
+	Heads, Bodies atomic.Int64
 }
 
 // Share is what the connections of one server may hold. The zero value is no limit.
--- a/internal/resource/limits.go
+++ b/internal/resource/limits.go
@@ -11,7 +11,7 @@
 	poolFraction = 4
 	// runtimePercent is the percentage of the memory from which the garbage collector runs more often. The rest is for what
 	// the kernel has received and for the pages of the program.
-	runtimePercent = 60
+	runtimePercent = 50
 )
 
 // Limits bound what a process holds for the callers of its servers.
--- a/internal/resource/pool.go
+++ b/internal/resource/pool.go
@@ -60,6 +60,9 @@
 	return true
 }
 
+// Held returns the number of reserved bytes.
+func (r *Reservation) Held() int64 { return r.held }
+
 // Shrink returns what the reservation holds beyond n bytes.
 func (r *Reservation) Shrink(n int64) {
 	if n < r.held {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -51,7 +51,7 @@
 		func(s *Settings, t string) error { return parseAmount(t, &s.Node.Processor) }},
 	{"node", "regions", "", "pairs such as a=north b=south, separated by spaces", "Regions of the failure domains. The platform's configuration can restrict routes and teams to regions.", nil,
 		func(s *Settings, t string) error { return parsePairs(t, &s.Node.Regions) }},
-	{"node", "memory", "0", "a number of megabytes, 0 or more", "Memory that each daemon on this VM may use; 0 is half of the VM's memory. A quarter of it may hold callers' headers and bodies and responses to slow callers, as far as they are larger than usual: a header takes 3 times its size and 256 bytes a field; a body takes its size. A header without room closes its connection unread, a body is rejected with 503.", nil,
+	{"node", "memory", "0", "a number of megabytes, 0 or more", "Memory that each daemon on this VM may use; 0 is half of the VM's memory. A quarter of it may hold callers' headers and bodies and responses to slow callers, as far as they are larger than usual: a header takes 3 times its size and 256 bytes a field, a body 3 times its size. A header without room closes its connection unread, a body is rejected with 503.", nil,
 		func(s *Settings, t string) error { return parseAmount(t, &s.Node.Memory) }},
 
 	{"platform", "url", "", "an http URL with an IP number, such as http://10.0.0.1:9000", "Where the platform's Object API and membership list are.", allPrograms,
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -35,6 +35,10 @@
 	readHeaderTimeout = 5 * time.Second
 	// idleTimeout is how long clients and servers keep an idle connection open.
 	idleTimeout = 90 * time.Second
+	// bodyTimeout is the maximum time for a peer to send a request's body.
+	bodyTimeout = 30 * time.Second
+	// receiveWindow bounds what a connection receives of bodies before they are read, in bytes.
+	receiveWindow = 256 << 10
 	// pingInterval is the time without traffic after which a client pings the peer,
 	// to detect peers that became unreachable without closing the connection. If
 	// there is no response within pingTimeout, the connection is closed.
@@ -164,7 +168,8 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		TLSConfig:         p.tls.Clone(),
-	}, listener, callers.Options{Share: p.Budget.Share()})
+		HTTP2:             &http.HTTP2Config{MaxReceiveBufferPerConnection: receiveWindow, MaxReceiveBufferPerStream: receiveWindow},
+	}, listener, callers.Options{Share: p.Budget.Share(), BodyTimeout: bodyTimeout})
 	go func() {
 		if p.tls == nil {
 			_ = server.Serve()
--- a/test/integration/crowds_test.go
+++ b/test/integration/crowds_test.go
@@ -83,3 +83,21 @@
 		}
 	}, "entry callers")
 }
+
+// TestCrowdOfEndlessBodies sends bodies without an end.
+func TestCrowdOfEndlessBodies(t *testing.T) {
+	crowdTest(t, crowdSize, func(to target, c net.Conn) {
+		if send(c, to.post+"Content-Length: 4000000\r\n\r\n") {
+			sendEndlessly(c, strings.Repeat("x", 1000))
+		}
+	}, allServers...)
+}
+
+// TestCrowdOfEndlessChunks sends bodies without an end in chunks of a byte.
+func TestCrowdOfEndlessChunks(t *testing.T) {
+	crowdTest(t, crowdSize, func(to target, c net.Conn) {
+		if send(c, to.post+"Transfer-Encoding: chunked\r\n\r\n") {
+			sendEndlessly(c, "1\r\nx\r\n")
+		}
+	}, allServers...)
+}
