Idle connections no longer take all descriptors of a process

What callers saw: with more idle connections than descriptors (400 of 256 in the test) each of the nine servers' processes had all descriptors in use. An ordinary caller timed out, and no upstream could be dialled.

Cause: connections of callers, of other daemons, to upstreams and to the store share one count, and no server limited its part. An idle connection ended only at the idle timeout.

Change: the number of descriptors (node.descriptors, or the system's limit) and half of the memory are divided among the servers (resource.NewLimits): after 200 for files, 40 in 64 for callers, 12 for other daemons, 1 each for readiness and metrics, and the rest stays free for upstreams, nodes and the store. At its maximum a server closes a connection without a complete request for the new one: first one that never had a request, then one between two requests, each the one that has waited longest; nothing was read on it. If there is none, the wait for the oldest incomplete body ends with the answer of a body that is late (408, not run), so that a crowd of slow bodies holds a server no longer than it takes to answer. Otherwise the new connection is closed unread. A connection that a limit has closed hands no request to its handler.

Event 1017 says once a second what was refused; four metrics count it.

--- a/internal/callers/body.go
+++ b/internal/callers/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/marbleroad/marbleroad/internal/resource"
@@ -33,7 +34,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		body := &boundBody{ReadCloser: r.Body, conn: connOf(r), share: share, w: w, timeout: timeout}
+		body := &boundBody{ReadCloser: r.Body, conn: connOfBody(r), share: share, w: w, timeout: timeout}
 		body.reserved, body.buffer = resource.NewReservation(share.Pool), resource.NewReservation(share.Pool)
 		// net/http also reads the body, before it sends a long response of a handler that does not.
 		body.start()
@@ -47,7 +48,7 @@
 // boundBody is a request's body. One goroutine at a time uses it.
 type boundBody struct {
 	io.ReadCloser
-	// conn is the request's connection; nil for one of another listener.
+	// conn is the connection that carries this request alone; nil if it carries others too.
 	conn  *Conn
 	share resource.Share
 	w     http.ResponseWriter
@@ -66,6 +67,9 @@
 	if b.err != nil {
 		return 0, b.err
 	}
+	if b.conn != nil && b.conn.bodyAborted.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	if !b.reserve() {
 		b.err = resource.ErrExhausted
 		b.w.Header().Set("Connection", "close")
@@ -105,6 +109,9 @@
 
 // start starts the timeout of the body, if it has one.
 func (b *boundBody) start() {
+	if b.conn != nil {
+		b.conn.startBody()
+	}
 	if b.timeout > 0 {
 		_ = http.NewResponseController(b.w).SetReadDeadline(time.Now().Add(b.timeout))
 	}
@@ -112,6 +119,9 @@
 
 // complete ends the timeout after a complete body, as net/http goes on reading, to detect that the caller leaves.
 func (b *boundBody) complete() {
+	if b.conn != nil {
+		b.conn.endBody()
+	}
 	if b.timeout > 0 {
 		_ = http.NewResponseController(b.w).SetReadDeadline(time.Time{})
 	}
@@ -125,11 +135,20 @@
 		b.conn.setReceiveBuffer(CallerBuffer)
 		b.buffer.Release()
 	}
-	if b.err == nil {
+	aborted := b.conn != nil && b.conn.bodyAborted.Load()
+	if b.err == nil && !aborted {
 		_ = http.NewResponseController(b.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	}
 }
 
+// connOfBody returns the connection of a request; nil for one that carries several requests at once.
+func connOfBody(r *http.Request) *Conn {
+	if r.ProtoMajor == 2 {
+		return nil
+	}
+	return connOf(r)
+}
+
 // ReadBody reads a body to its end. length is its length, -1 if it is not known. The buffer grows with what was received, at
 // most to twice that, whatever length the caller has announced.
 func ReadBody(body io.Reader, length int64) ([]byte, error) {
--- a/internal/callers/body_test.go
+++ b/internal/callers/body_test.go
@@ -47,7 +47,7 @@
 // TestLargestBodyIsServed checks that one body of the largest size that the platform's configurations allow is served by the
 // smallest node, and that its room is free again while the connection stays open.
 func TestLargestBodyIsServed(t *testing.T) {
-	pool := resource.NewPool(resource.NewLimits(smallNode).Pool)
+	pool := resource.NewPool(resource.NewLimits(smallNode, manyDescriptors).Pool)
 	address, _ := boundedServer(t, resource.Share{Pool: pool}, echoLength)
 	c := connect(t, address)
 	for range 2 {
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -40,6 +40,10 @@
 	listener *Listener
 	// responseStarted is true once a part of a response was written in the phase.
 	responseStarted atomic.Bool
+	// bodyAborted is true once the wait for the current request's body was ended for a new connection.
+	bodyAborted atomic.Bool
+	// place is where the connection waits for a request; the listener's lock guards it.
+	place place
 
 	mu    sync.Mutex
 	phase phase
@@ -54,6 +58,11 @@
 	received, ahead headerSize
 	// reserved is what the header takes of the pool, until the next request.
 	reserved resource.Reservation
+	// served is true once a request was handled; active is the number of requests that a multiplexed connection has.
+	served bool
+	active int
+	// receiving is true while a request's body is not complete.
+	receiving bool
 	// limitTimer fires at the end of the phase's limit; nil without a limit.
 	limitTimer *time.Timer
 	// closedByLimit is true once a limit has closed the connection.
@@ -148,6 +157,11 @@
 	switch p {
 	case idle:
 		c.startHeader()
+		c.receiving = false
+		c.listener.startWaiting(c, c.served)
+	case handling:
+		c.served = true
+		c.listener.endWaiting(c)
 	case multiplexed:
 		c.header, c.received = nil, headerSize{}
 		c.listener.connMultiplexed()
@@ -163,6 +177,24 @@
 	c.reserveHeader()
 }
 
+// startRequest records that a request of a multiplexed connection is handled, endRequest that it has ended. In between no
+// new connection takes its place.
+func (c *Conn) startRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active++
+	c.listener.endWaiting(c)
+}
+
+func (c *Conn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active--
+	if c.active == 0 {
+		c.listener.startWaiting(c, true)
+	}
+}
+
 // startTimer starts the timer of the phase's limit; the caller holds mu.
 func (c *Conn) startTimer() {
 	c.stopTimer()
--- a/internal/callers/headersize_test.go
+++ b/internal/callers/headersize_test.go
@@ -13,8 +13,11 @@
 	"github.com/marbleroad/marbleroad/internal/resource"
 )
 
-// smallNode is the memory of the smallest node, in bytes.
-const smallNode = 184 << 20
+const (
+	// smallNode is the memory of the smallest node, in bytes, and manyDescriptors its number of descriptors.
+	smallNode       = 184 << 20
+	manyDescriptors = 4100
+)
 
 // boundedServer starts a server whose connections share a pool. It returns the server's address and the number of requests
 // that it has handled.
@@ -104,7 +107,7 @@
 // TestLargestHeaderIsServed checks that one header of the largest size that a configuration allows, and of the largest that
 // net/http accepts here, is served by the smallest node, and that its room is free again while the connection stays open.
 func TestLargestHeaderIsServed(t *testing.T) {
-	pool := resource.NewPool(resource.NewLimits(smallNode).Pool)
+	pool := resource.NewPool(resource.NewLimits(smallNode, manyDescriptors).Pool)
 	address, _ := boundedServer(t, resource.Share{Pool: pool}, nil)
 	c := connect(t, address)
 	for _, size := range []int{16 << 10, 64 << 10} {
--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -47,6 +47,8 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
+	// waiting holds those of conns without a complete request.
+	waiting waitingConns
 	// draining is true once only pending connections are still accepted; linger is how
 	// long a connection without a request is then kept.
 	draining bool
@@ -75,7 +77,7 @@
 	l.startAccepting()
 	for {
 		inner, err := l.Listener.Accept()
-		if err == nil && l.admits() {
+		if err == nil && l.admits() && l.makeRoom() {
 			return l.add(inner), nil
 		}
 		if err == nil {
@@ -163,6 +165,7 @@
 	l.mu.Lock()
 	_, tracked := l.conns[c]
 	delete(l.conns, c)
+	l.waiting.remove(c)
 	l.wakeDrain()
 	l.mu.Unlock()
 	if tracked && dropped != nil && l.options.Unanswered != nil {
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -55,6 +55,10 @@
 // handleMultiplexed handles a request of a connection that carries several at once. Its header is reserved once it is parsed;
 // there is no connection of its own to close.
 func handleMultiplexed(share resource.Share, next http.Handler, w http.ResponseWriter, r *http.Request) {
+	if c := connOf(r); c != nil {
+		c.startRequest()
+		defer c.endRequest()
+	}
 	reserved := resource.NewReservation(share.Pool)
 	defer reserved.Release()
 	if cost := requestHeaderSize(r).cost(false); cost > freeHeaderCost && !reserved.Grow(cost) {
--- a/internal/daemon/budget.go
+++ b/internal/daemon/budget.go
@@ -17,14 +17,18 @@
 
 // newBudget returns the budget of a process, and limits its Go runtime if the settings specify the memory.
 func newBudget(s settings.Node) (*resource.Budget, error) {
-	memory := int64(s.Memory * bytesPerMegabyte)
+	memory, descriptors := int64(s.Memory*bytesPerMegabyte), s.Descriptors
+	var err error
 	if memory == 0 {
-		var err error
-		if memory, err = resource.DefaultMemory(); err != nil {
-			return nil, err
-		}
+		memory, err = resource.DefaultMemory()
+	}
+	if err == nil && descriptors == 0 {
+		descriptors, err = resource.DefaultDescriptors()
+	}
+	if err != nil {
+		return nil, err
 	}
-	limits := resource.NewLimits(memory)
+	limits := resource.NewLimits(memory, descriptors)
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(limits.Runtime)
 	}
@@ -38,16 +42,18 @@
 // however many connections are refused.
 func (b base) reportRefusals(ctx context.Context) {
 	defer crash.Guard()
-	type counts struct{ heads, bodies int64 }
+	type counts struct{ evicted, refused, heads, bodies int64 }
 	var reported counts
 	for wait.Sleep(ctx, refusalInterval) {
 		stats := b.budget.Stats
-		now := counts{stats.Heads.Load(), stats.Bodies.Load()}
+		now := counts{stats.Evicted.Load(), stats.Refused.Load(), stats.Heads.Load(), stats.Bodies.Load()}
+		b.metrics.Set("callers.evicted", now.evicted)
+		b.metrics.Set("callers.refused", now.refused)
 		b.metrics.Set("callers.headers_refused", now.heads)
 		b.metrics.Set("callers.bodies_refused", now.bodies)
 		if now != reported {
-			b.log.Emit(event.CallersRefused).Int64("headers", now.heads-reported.heads).Int64("bodies", now.bodies-reported.bodies).
-				Int64("reserved_bytes", b.budget.Pool.Used()).Send()
+			b.log.Emit(event.CallersRefused).Int64("evicted", now.evicted-reported.evicted).Int64("refused", now.refused-reported.refused).
+				Int64("headers", now.heads-reported.heads).Int64("bodies", now.bodies-reported.bodies).Int64("reserved_bytes", b.budget.Pool.Used()).Send()
 			reported = now
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -226,7 +226,7 @@
 		ShutdownLimit: s.Entry.ShutdownLimit,
 		Linger:        s.Entry.Linger,
 		CallerTLS:     callerTLS,
-		Share:         b.budget.Share(),
+		Share:         b.budget.Callers(),
 	}, entry.Parts{
 		Log:     b.log,
 		Metrics: b.metrics,
@@ -246,7 +246,7 @@
 		Window:        s.Presence.Window,
 	}, b.log, b.peers)
 	return newKernel(
-		admin.New(s.Entry.Admin, b.budget.Share(), b.metrics, entry.ServerName, s.Debug.Pprof),
+		admin.New(s.Entry.Admin, b.budget.Probes(), b.metrics, entry.ServerName, s.Debug.Pprof),
 		source,
 		server,
 	)
@@ -283,7 +283,7 @@
 		Platform: b.platform,
 		Engine:   engineapi.New(newTransport(s.Control.Listen, probeIdleConns, &b.peers.Traffic.Upstreams)),
 	})
-	return newKernel(admin.New(s.Control.Admin, b.budget.Share(), b.metrics, control.ServiceName, s.Debug.Pprof), c)
+	return newKernel(admin.New(s.Control.Admin, b.budget.Probes(), b.metrics, control.ServiceName, s.Debug.Pprof), c)
 }
 
 // newKernel registers the services in a new kernel, which starts them in this order.
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -142,7 +142,7 @@
 	directory.OnChange(func(*fleet.Snapshot) { server.Rebuild() })
 	directory.OnRestore(nodes.CheckRecord)
 	directory.OnChange(groupDirector.Refresh)
-	adminServer := admin.New(s.Gateway.Admin, b.budget.Share(), b.metrics, gateway.ServerName, s.Debug.Pprof)
+	adminServer := admin.New(s.Gateway.Admin, b.budget.Probes(), b.metrics, gateway.ServerName, s.Debug.Pprof)
 	adminServer.HandleGet(inspect.Path, inspect.Handler(inspect.Sources{
 		Node:          self.ID,
 		FailureDomain: self.FailureDomain,
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -32,8 +32,8 @@
 		"If it repeats, check what else runs on the VM."}
 	Panicked = Event{1016, zerolog.ErrorLevel, "a panic ends this process",
 		"Report it with the text and the stack of the line. 5034 names the requests that it had."}
-	CallersRefused = Event{1017, zerolog.WarnLevel, "headers or bodies were refused within the last second, as they exceed what this process holds for all callers together",
-		"If these callers are wanted, raise node.memory."}
+	CallersRefused = Event{1017, zerolog.WarnLevel, "connections, headers or bodies were refused within the last second, as they exceed what this process holds for all callers together",
+		"If these callers are wanted, raise node.memory and node.descriptors."}
 	StartIncomplete = Event{1014, zerolog.InfoLevel, "this daemon has started and still lacks what it needs to serve",
 		"If it lasts, check the missing part: 3001 for the platform, 4026 and 4030 for other nodes."}
 	StartComplete = Event{1015, zerolog.InfoLevel, "this daemon has all that it needs to serve; the fields are the times after its start at which each part became available",
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -287,7 +287,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          errorLog,
-	}, l, callers.Options{Limits: s.callerLimits, Unanswered: s.reportUnanswered, AcceptLimit: s.acceptLimit, Share: s.config.Budget.Share()})
+	}, l, callers.Options{Limits: s.callerLimits, Unanswered: s.reportUnanswered, AcceptLimit: s.acceptLimit, Share: s.config.Budget.Callers()})
 }
 
 // newReadyServer returns a server for the load balancer's checks on the given listener.
@@ -298,7 +298,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxReadyHeaderBytes,
 		ErrorLog:          errorLog,
-	}, l, callers.Options{Share: s.config.Budget.Share(), BodyTimeout: readyTimeout, WriteTimeout: readyTimeout})
+	}, l, callers.Options{Share: s.config.Budget.Probes(), BodyTimeout: readyTimeout, WriteTimeout: readyTimeout})
 }
 
 func (s *Server) serve(serve func() error) {
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -35,6 +35,8 @@
 	{"upstreams.rests.heard", "counter", "Responses in which an upstream VM rejected a request and asked for backoff."},
 	{"upstreams.leaving.heard", "counter", "Responses in which an upstream VM announced that it is leaving."},
 	{"requests.no_buffer", "counter", "Requests that were refused because their body did not fit into the buffers of the node."},
+	{"callers.evicted", "gauge", "Connections without a request that were closed since the start, so that newer ones could be accepted."},
+	{"callers.refused", "gauge", "New connections that were closed unread since the start, as all connections had requests."},
 	{"callers.headers_refused", "gauge", "Requests that were refused since the start, as the process had no room for their header."},
 	{"callers.bodies_refused", "gauge", "Requests that were refused since the start, as the process had no room for their body."},
 	{"callers.slow", "counter", "Callers that blocked the relay of their response for 0.3 s or longer."},
--- a/internal/resource/process.go
+++ b/internal/resource/process.go
@@ -1,6 +1,7 @@
 package resource
 
 import (
+	"math"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -18,3 +19,12 @@
 	}
 	return int64(uint64(info.Totalram) * uint64(info.Unit) / defaultMemoryFraction), nil
 }
+
+// DefaultDescriptors returns the limit on open descriptors that the system sets for this process.
+func DefaultDescriptors() (int, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, errors.Wrap(err, "read the limit on descriptors")
+	}
+	return int(min(limit.Cur, math.MaxInt32)), nil
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -51,8 +51,10 @@
 		func(s *Settings, t string) error { return parseAmount(t, &s.Node.Processor) }},
 	{"node", "regions", "", "pairs such as a=north b=south, separated by spaces", "Regions of the failure domains. The platform's configuration can restrict routes and teams to regions.", nil,
 		func(s *Settings, t string) error { return parsePairs(t, &s.Node.Regions) }},
-	{"node", "memory", "0", "a number of megabytes, 0 or more", "Memory that each daemon on this VM may use; 0 is half of the VM's memory. A quarter of it may hold callers' headers and bodies and responses to slow callers, as far as they are larger than usual: a header takes 3 times its size and 256 bytes a field, a body 3 times its size. A header without room closes its connection unread, a body is rejected with 503.", nil,
+	{"node", "memory", "0", "a number of megabytes, 0 or more", "Memory that each daemon on this VM may use; 0 is half of the VM's memory. A quarter of it may hold callers' headers and bodies and responses to slow callers, as far as they are larger than usual: a header takes 3 times its size and 256 bytes a field, a body 3 times its size. A header without room closes its connection unread, a body is rejected with 503. Half of it, at 48 KB each, limits the connections of callers and other nodes.", nil,
 		func(s *Settings, t string) error { return parseAmount(t, &s.Node.Memory) }},
+	{"node", "descriptors", "0", "0, or a whole number from 64 to 16777216", "Descriptors that each daemon may have open; 0 is the limit that the system sets. After 200 for files, five eighths are for connections of callers, three sixteenths for those of other daemons, and a 64th each for those to the admin address and for readiness checks, 8 at least. Beyond that, a new connection takes the place of one without a request, or is closed unread.", nil,
+		func(s *Settings, t string) error { return parseDescriptors(t, &s.Node.Descriptors) }},
 
 	{"platform", "url", "", "an http URL with an IP number, such as http://10.0.0.1:9000", "Where the platform's Object API and membership list are.", allPrograms,
 		func(s *Settings, t string) error { return parseHTTPURL(t, &s.Platform.URL) }},
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -112,6 +112,18 @@
 	return parseCount(text, into)
 }
 
+// parseDescriptors parses a number of descriptors, 0 for the system's limit. With fewer than minDescriptors nothing is left for
+// the servers.
+func parseDescriptors(text string, into *int) error {
+	const minDescriptors, maxDescriptors = 64, 1 << 24
+	v, err := strconv.Atoi(text)
+	if err != nil || v < 0 || v > maxDescriptors || (v > 0 && v < minDescriptors) {
+		return errors.New("not a count in range")
+	}
+	*into = v
+	return nil
+}
+
 func parseByteCount(text string, into *int64) error {
 	const maxBytes = 64 << 20
 	v, err := strconv.ParseInt(text, 10, 64)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,8 @@
 	Regions map[string]string
 	// Memory is the number of megabytes that each process on the node may use; 0 if it is not specified.
 	Memory float64
+	// Descriptors is the number of open descriptors that each process may have; 0 is the limit that the system sets.
+	Descriptors int
 }
 
 // Platform holds the settings for calls to the platform.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// TestDescriptorsAreInRange guards the range of node.descriptors: nodes have thousands of them.
+func TestDescriptorsAreInRange(t *testing.T) {
+	for value, valid := range map[string]bool{"0": true, "64": true, "4100": true, "16384": true, "1048576": true, "-1": false, "1": false, "63": false, "many": false} {
+		text := strings.Replace(validFile, "id = obuda-1", "id = obuda-1\ndescriptors = "+value, 1)
+		if _, err := load(t, text, EntryProgram); (err == nil) != valid {
+			t.Errorf("%s: %v", value, err)
+		}
+	}
+}
+
 // TestFaultsAreNamed compares the error messages for invalid files with the golden file.
 func TestFaultsAreNamed(t *testing.T) {
 	cases := []struct{ name, text string }{
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -169,7 +169,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		TLSConfig:         p.tls.Clone(),
 		HTTP2:             &http.HTTP2Config{MaxReceiveBufferPerConnection: receiveWindow, MaxReceiveBufferPerStream: receiveWindow},
-	}, listener, callers.Options{Share: p.Budget.Share(), BodyTimeout: bodyTimeout})
+	}, listener, callers.Options{Share: p.Budget.Peers(), BodyTimeout: bodyTimeout})
 	go func() {
 		if p.tls == nil {
 			_ = server.Serve()
--- a/test/integration/crowds_test.go
+++ b/test/integration/crowds_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 )
 
 // denseBytes is the size of the heads of many short fields: below net/http's limit as the servers set it.
@@ -60,6 +61,24 @@
 	crowdTest(t, crowdSize, func(_ target, c net.Conn) { sendEndlessly(c, strings.Repeat("x", 1000)) }, allServers...)
 }
 
+// TestCrowdOfEndlessBodies sends bodies without an end.
+func TestCrowdOfEndlessBodies(t *testing.T) {
+	crowdTest(t, crowdSize, func(to target, c net.Conn) {
+		if send(c, to.post+"Content-Length: 4000000\r\n\r\n") {
+			sendEndlessly(c, strings.Repeat("x", 1000))
+		}
+	}, allServers...)
+}
+
+// TestCrowdOfEndlessChunks sends bodies without an end in chunks of a byte.
+func TestCrowdOfEndlessChunks(t *testing.T) {
+	crowdTest(t, crowdSize, func(to target, c net.Conn) {
+		if send(c, to.post+"Transfer-Encoding: chunked\r\n\r\n") {
+			sendEndlessly(c, "1\r\nx\r\n")
+		}
+	}, allServers...)
+}
+
 // TestCrowdOfEmptyLines sends empty lines without an end where a request should come: on new connections, and after a
 // request.
 func TestCrowdOfEmptyLines(t *testing.T) {
@@ -84,20 +103,22 @@
 	}, "entry callers")
 }
 
-// TestCrowdOfEndlessBodies sends bodies without an end.
-func TestCrowdOfEndlessBodies(t *testing.T) {
-	crowdTest(t, crowdSize, func(to target, c net.Conn) {
-		if send(c, to.post+"Content-Length: 4000000\r\n\r\n") {
-			sendEndlessly(c, strings.Repeat("x", 1000))
-		}
-	}, allServers...)
-}
-
-// TestCrowdOfEndlessChunks sends bodies without an end in chunks of a byte.
-func TestCrowdOfEndlessChunks(t *testing.T) {
-	crowdTest(t, crowdSize, func(to target, c net.Conn) {
-		if send(c, to.post+"Transfer-Encoding: chunked\r\n\r\n") {
-			sendEndlessly(c, "1\r\nx\r\n")
-		}
-	}, allServers...)
+// TestCrowdOfIdleConnections opens more connections than the process may have descriptors. Without a limit, the process
+// accepts no further caller and can't connect to its upstreams.
+func TestCrowdOfIdleConnections(t *testing.T) {
+	for _, name := range allServers {
+		t.Run(name, func(t *testing.T) {
+			to := startTarget(t, name, "ulimit -n 256")
+			watch := watchProcess(to.process, to.address)
+			crowd := gather(to, crowdSize, func(target, net.Conn) { time.Sleep(sampleInterval) })
+			requireOrdinary(t, to)
+			crowd.disperse()
+			requireOrdinary(t, to)
+			watch.stop()
+			watch.check(t)
+			if watch.peakDescriptors >= crowdDescriptors {
+				t.Errorf("the process held all of its %d descriptors", crowdDescriptors)
+			}
+		})
+	}
 }
