--- a/test/integration/crowds_test.go
+++ b/test/integration/crowds_test.go
@@ -1,8 +1,11 @@
 package integration
 
 import (
+	"fmt"
 	"net"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -103,6 +106,42 @@
 	}, "entry callers")
 }
 
+// TestCrowdOfUnreadAnswers sends requests one behind the other and reads no answer.
+func TestCrowdOfUnreadAnswers(t *testing.T) {
+	crowdTest(t, crowdSize, func(to target, c net.Conn) {
+		for range crowdBytes / len(getMetrics) {
+			if !send(c, getMetrics) {
+				return
+			}
+		}
+	}, allServers...)
+}
+
+// getMetrics is a request with a long answer at the servers for operators.
+const getMetrics = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// TestCrowdOfDistinctValues sends requests of which each names other values: model, host, path, identifiers, and as many parts
+// of a prompt as fit into a head. What a process keeps of them must not grow with their number.
+func TestCrowdOfDistinctValues(t *testing.T) {
+	const requests, parts = 200, 1400
+	var count atomic.Uint64
+	crowdTest(t, crowdSize, func(to target, c net.Conn) {
+		for range requests {
+			n := count.Add(1)
+			var prefix strings.Builder
+			for part := range uint64(parts) {
+				_, _ = fmt.Fprintf(&prefix, "%x:1,", n*parts+part)
+			}
+			path := []string{"/stream/", "/read/", "/other/"}[n%3]
+			request := fmt.Sprintf("POST %s%d HTTP/1.1\r\nHost: h%s.example\r\nAttempt-Id: a%d\r\nApi-Key: key\r\nDeadline-Ms: 800\r\nModel: m%d\r\nToken-Counts: 1400,10\r\n"+
+				"Prompt-Prefix: %s1:1\r\nTraceparent: 00-%032x-%016x-01\r\nContent-Length: 0\r\n\r\n", path, n, strings.Repeat(strconv.FormatUint(n, 10), int(n%2)), n, n, prefix.String(), n, n)
+			if !send(c, request) || !isOpen(c) {
+				return
+			}
+		}
+	}, "node callers")
+}
+
 // TestCrowdOfIdleConnections opens more connections than the process may have descriptors. Without a limit, the process
 // accepts no further caller and can't connect to its upstreams.
 func TestCrowdOfIdleConnections(t *testing.T) {
