--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -206,7 +206,17 @@
 mutant "a stop closes idle connections without a linger time" internal/callers/listener.go \
   's/return l\.linger, true/return 0, true/' ./internal/gateway 'TestRequestsReadDuringStopAreAnswered|TestStreamFromBeforeStopKeepsConnection'
 mutant "a connection limit ignores a request that was read" internal/callers/conn.go \
-  's/if c\.timerGeneration != generation \|\| c\.headerComplete\(\)/if false/; s/if c\.closedByLimit \{\n\t\treturn false/if false {\n\t\treturn false/' ./internal/callers TestLimitKeepsConnectionWithReadRequest
+  's/if c\.timerGeneration != generation \|\| c\.headerComplete\(\)/if false/; s/if c\.closedByLimit \{\n\t\treturn false/if false {\n\t\treturn false/; s/return c\.reserveHeader\(\)/c.reserveHeader()\n\treturn true/; s/return !c\.closedByLimit/return true/' ./internal/callers TestLimitKeepsConnectionWithReadRequest
+mutant "crowds: a header needs no room" internal/callers/headersize.go \
+  's/cost <= freeHeaderCost \|\|/true ||/' ./internal/callers TestHeaderWithoutRoomIsNotRead
+mutant "crowds: a header that was read with the request before it counts nothing" internal/callers/conn.go \
+  's/c\.received, c\.ahead = c\.ahead, headerSize\{\}/c.received = headerSize{}/' ./internal/callers TestHeaderBehindRequestIsReserved
+mutant "crowds: a body needs no room" internal/callers/body.go \
+  's/if !b\.reserve\(\)/if false/' ./internal/callers TestBodyWithoutRoomIsRefused
+mutant "crowds: idle connections keep their places" internal/callers/waiting.go \
+  's/&w\.fresh, &w\.kept, //' ./internal/callers TestIdleConnectionsKeepNobodyOut
+mutant "crowds: incomplete bodies keep their places" internal/callers/waiting.go \
+  's/, &w\.receiving\}/}/' ./internal/callers TestIncompleteBodiesKeepNobodyOut
 mutant "a connection limit ignores a request that waits to be read" internal/callers/conn.go \
   's/if unread, _ := c\.peek\(\); unread/if false/' ./internal/callers TestLimitKeepsConnectionWithUnreadRequest
 mutant "a response during a stop lacks Connection: close" internal/gateway/handle.go \
@@ -547,8 +557,8 @@
   's/if e\.known && next\.Revision < e\.Revision/if false/' ./internal/fleet TestOlderEvacuationsAreIgnored
 mutant "slow callers: the rest of a stream is not read ahead" internal/gateway/readahead.go \
   's/time\.AfterFunc\(maxCallerBlock, s\.readAhead\)/time.AfterFunc(time.Hour, s.readAhead)/' ./internal/gateway TestSlowCallerDoesNotBlockItsUpstream
-mutant "slow callers: the node's buffers have no bound" internal/gateway/buffers.go \
-  's/if used\+int64\(n\) > p\.limit/if false/' ./internal/gateway TestThousandSlowCallersKeepToTheBuffers
+mutant "slow callers: the node's buffers have no bound" internal/resource/pool.go \
+  's/if used\+n > p\.limit/if false/' ./internal/gateway TestThousandSlowCallersKeepToTheBuffers
 mutant "feed: a follower waits at each disconnected leader" internal/feed/feed.go \
   's/for ; ; q\.wait = 0 \{/for {/' ./internal/feed TestDisconnectedLeadersAreSkippedAtOnce
 mutant "feed: a disconnected leader ends the search" internal/feed/feed.go \
