A header over TLS is reserved by its bytes only until it is parsed

Cause: each read of a connection renewed the reservation of the header by its received bytes, also after the parsed header had replaced it. The same renewal could reserve for a connection that was just being closed, and was never released then.

Change: only reads of a header reserve for it.

Evidence: TestEncryptedBodyIsNotReservedAsHeader failed before.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -119,10 +119,11 @@
 		header := c.recordHeader(p)
 		c.received.add(header)
 		c.ahead = sizeAhead(p[len(header):])
+		return c.reserveHeader()
 	case handling:
 		c.ahead = sizeAhead(p)
 	}
-	return c.reserveHeader()
+	return true
 }
 
 // closeByLimit closes the connection and has its reads fail; the caller holds mu.
--- a/internal/callers/headersize_test.go
+++ b/internal/callers/headersize_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -132,3 +134,29 @@
 	_ = c.Close()
 	eventually(t, "nothing is reserved", func() bool { return pool.Used() == 0 })
 }
+
+// TestEncryptedBodyIsNotReservedAsHeader checks that a header over TLS, of which only the bytes are known until it is parsed,
+// is reserved by its fields from then on, also while its body is read. Callers with bodies of usual size were refused.
+func TestEncryptedBodyIsNotReservedAsHeader(t *testing.T) {
+	certificates := httptest.NewTLSServer(nil)
+	defer certificates.Close()
+	pool := resource.NewPool(1 << 20)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	reserved := make(chan int64, 1)
+	server := NewServer(&http.Server{TLSConfig: certificates.TLS.Clone(), Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = ReadBody(r.Body, r.ContentLength)
+		reserved <- pool.Used()
+	})}, listener, Options{Share: resource.Share{Pool: pool}})
+	go func() { _ = server.ServeTLS() }()
+	t.Cleanup(func() { _ = server.Close() })
+	c := tls.Client(connect(t, listener.Addr().String()), &tls.Config{InsecureSkipVerify: true, DynamicRecordSizingDisabled: true})
+	if got := status(t, c, post(2*bodyStep)); got != http.StatusOK {
+		t.Errorf("status %d", got)
+	}
+	if n := <-reserved - 3*bodyStep*bodyCost; n > freeHeaderCost {
+		t.Errorf("%d bytes were reserved for a small header", n)
+	}
+}
