A part of an unframed answer under an upload no longer looks whole

What callers saw: an upstream answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a complete answer.

Cause: Linux reports a reset of a socket once. If the write of the request takes the error, the read beside it sees an orderly end, and that is all that ends an unframed answer. The check of the upstream's port does not help, as the upstream lives on.

Change: a new package, internal/httpcheck, stands between net/http and all that uses a response of relay.Sender. Its connection counts what was written of a request. When an unframed answer ends, it closes the connection, waits for a write that has yet to return, and reports an error instead of an orderly end unless the request was written whole. No time bound: a blocked write ends with the close, and one that has passed its bytes to the system returns.

Why it works: a reset is seen either by the read, or by a write, which then fails or is in progress; an orderly close under an upload is a part as well. What gives a false alarm is an answer that ends before its request was taken, which no reader can tell from a part.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -17,6 +17,7 @@
 	"github.com/marbleroad/marbleroad/internal/admission"
 	"github.com/marbleroad/marbleroad/internal/clock"
 	"github.com/marbleroad/marbleroad/internal/event"
+	"github.com/marbleroad/marbleroad/internal/httpcheck"
 	"github.com/marbleroad/marbleroad/internal/node"
 	"github.com/marbleroad/marbleroad/internal/relay"
 	"github.com/marbleroad/marbleroad/internal/verdict"
@@ -75,12 +76,12 @@
 		putBack(resp, body, release)
 		body = nil
 		failure := s.relayUnbuffered(w, c, resp)
-		if c.lost.reason == "" && relay.Unframed(resp) && s.portClosed(ctx, address) {
+		if c.lost.reason == "" && httpcheck.Unframed(resp) && s.portClosed(ctx, address) {
 			c.abort(io.ErrUnexpectedEOF)
 		}
 		return bufferedResponse{}, failure
 	}
-	if relay.Unframed(resp) && s.portClosed(ctx, address) {
+	if httpcheck.Unframed(resp) && s.portClosed(ctx, address) {
 		return bufferedResponse{}, brokenResponse("the upstream ended while its answer, which has no length, arrived")
 	}
 	h := w.Header()
--- a/internal/entry/peeranswer.go
+++ b/internal/entry/peeranswer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/marbleroad/marbleroad/internal/httpcheck"
 	"github.com/marbleroad/marbleroad/internal/relay"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
@@ -14,7 +15,7 @@
 // events is sent as it arrives.
 func (s *Server) relayPeerResponse(w http.ResponseWriter, c *call, resp *http.Response) *verdict.Error {
 	if resp.Header.Get("Content-Type") != "text/event-stream" {
-		if relay.Unframed(resp) {
+		if httpcheck.Unframed(resp) {
 			// Entries frame all their responses.
 			return brokenResponse("the other entry's answer has no length and may be a part")
 		}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marbleroad/marbleroad/internal/clock"
-	"github.com/marbleroad/marbleroad/internal/relay"
+	"github.com/marbleroad/marbleroad/internal/httpcheck"
 	"github.com/marbleroad/marbleroad/internal/resource"
 )
 
@@ -37,7 +37,7 @@
 		raw, id, err := source.next()
 		if isStreamEnd(err) {
 			// A stream has events, so that an unframed one without any has broken off after its header.
-			if j.endedEarly(resp, s) || (relay.Unframed(resp) && !j.out.started) {
+			if j.endedEarly(resp, s) || (httpcheck.Unframed(resp) && !j.out.started) {
 				return errTruncated
 			}
 			j.startResponse(resp)
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -69,6 +69,8 @@
 	// a node without peers.
 	changeBound   time.Duration
 	newestVersion func() uint64
+	// maxBody is the largest body that the configuration allows; 0 for 1,000 bytes.
+	maxBody int
 	// noConfiguration leaves the store without a configuration.
 	noConfiguration bool
 	// configuration and list wrap the sources of the platform's configuration and list of VMs; nil for the platform's own.
@@ -104,7 +106,7 @@
 	storeServer := httptest.NewServer(s.store)
 	t.Cleanup(storeServer.Close)
 	if !o.noConfiguration {
-		s.store.Put("config", "main", withTimeout(configuration(1), o.timeout))
+		s.store.Put("config", "main", withMaxBody(withTimeout(configuration(1), o.timeout), o.maxBody))
 	}
 	for i := range cmp.Or(o.heads, 2) {
 		s.heads = append(s.heads, s.addVM(t, fmt.Sprintf("head-%d", i), "llm", streamEvents))
@@ -307,6 +309,14 @@
 	return c
 }
 
+// withMaxBody sets the largest body that a configuration allows, unless it is 0.
+func withMaxBody(c map[string]any, maxBody int) map[string]any {
+	if maxBody > 0 {
+		c["limits"].(map[string]any)["max-body-bytes"] = maxBody
+	}
+	return c
+}
+
 func (s *testSite) send(t *testing.T, method, target string, header map[string]string) *http.Response {
 	t.Helper()
 	resp, err := s.trySend(context.Background(), method, target, header)
--- a/internal/gateway/unframed.go
+++ b/internal/gateway/unframed.go
@@ -4,7 +4,7 @@
 	"net/http"
 
 	"github.com/marbleroad/marbleroad/internal/clock"
-	"github.com/marbleroad/marbleroad/internal/relay"
+	"github.com/marbleroad/marbleroad/internal/httpcheck"
 )
 
 // endedEarly reports whether a response that ended without an error is a part: it is unframed, and its upstream has
@@ -12,7 +12,7 @@
 // a part too.
 func (j *job) endedEarly(resp *http.Response, s *send) bool {
 	switch {
-	case !relay.Unframed(resp):
+	case !httpcheck.Unframed(resp):
 		return false
 	case s.forwarded:
 		return true
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/httpcheck"
 	"github.com/marbleroad/marbleroad/internal/transport"
 	"github.com/marbleroad/marbleroad/internal/verdict"
 )
@@ -99,8 +100,8 @@
 // Sender sends requests to upstreams and other entries. It may be used from any goroutine.
 type Sender struct {
 	// pooled reuses connections; singleUse opens a new one for each request.
-	pooled    *http.Transport
-	singleUse *http.Transport
+	pooled    *httpcheck.Transport
+	singleUse *httpcheck.Transport
 	// peerScheme is http or https, for requests to other entries.
 	peerScheme string
 }
@@ -131,7 +132,7 @@
 		}
 		return newCountingConn(conn), nil
 	}
-	base := http.Transport{
+	base := &http.Transport{
 		DialContext:         dial,
 		TLSClientConfig:     peerTLS,
 		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{},
@@ -148,7 +149,7 @@
 	if peerTLS != nil {
 		scheme = "https"
 	}
-	return &Sender{pooled: base.Clone(), singleUse: singleUse, peerScheme: scheme}
+	return &Sender{pooled: httpcheck.NewTransport(base), singleUse: httpcheck.NewTransport(singleUse), peerScheme: scheme}
 }
 
 // Send sends the request and returns the upstream's response once its header is
@@ -176,7 +177,7 @@
 	return resp, nil
 }
 
-func (s *Sender) roundTrip(ctx context.Context, transport *http.Transport, o Outgoing) (*http.Response, *writeTracker, error) {
+func (s *Sender) roundTrip(ctx context.Context, transport http.RoundTripper, o Outgoing) (*http.Response, *writeTracker, error) {
 	tracker := &writeTracker{}
 	trace := &httptrace.ClientTrace{GotConn: tracker.gotConn, GotFirstResponseByte: tracker.gotFirstByte}
 	req, err := s.newRequest(httptrace.WithClientTrace(ctx, trace), o)
@@ -329,13 +330,6 @@
 	return &verdict.Error{Verdict: v, Status: status, Code: code, Detail: detail, Cause: cause}
 }
 
-// Unframed reports whether only the end of its connection ends a response: it has neither a length nor chunks. Such a
-// response looks the same whether its upstream finished it or terminated.
-func Unframed(resp *http.Response) bool {
-	noBody := resp.Request != nil && resp.Request.Method == http.MethodHead
-	return resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !noBody
-}
-
 // ReadBody reads a response's complete body, which may have at most limit bytes. Its errors
 // are *verdict.Error with MayHaveRun.
 func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
--- a/internal/relay/writetracker.go
+++ b/internal/relay/writetracker.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/tls"
 	"net/http/httptrace"
+
+	"github.com/marbleroad/marbleroad/internal/httpcheck"
 )
 
 // writeTracker tracks whether any byte of one request was written to a connection.
@@ -26,6 +28,9 @@
 	if isTLS {
 		inner = encrypted.NetConn()
 	}
+	if checked, ok := inner.(*httpcheck.Conn); ok {
+		inner = checked.Conn
+	}
 	conn, ok := inner.(*countingConn)
 	if !ok {
 		return
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -404,8 +404,12 @@
   's/!r\.concerns\(s\.Team\) \|\| //' ./internal/quarantine TestTeamCannotGetAnotherTeamsPartQuarantined
 mutant "parts: a suspicion is not passed on" internal/quarantine/gossip.go \
   's/out\.Trait = \&marbleroadv1\.Trait/_ = \&marbleroadv1.Trait/' ./internal/quarantine TestTraitsOnTheWireAndInTheStore
+mutant "unframed: its end counts although its request was not written" internal/httpcheck/transport.go \
+  's/ && !b\.exchange\.requestWritten\(\)/ \&\& false/' ./internal/httpcheck 'TestPartUnderAnUploadIsNotWhole'
+mutant "unframed: a write that is about to return counts as unwritten" internal/httpcheck/conn.go \
+  's/for c\.writing \{\n\t\tc\.ended\.Wait\(\)\n\t\}/if c.writing {\n\t\treturn false\n\t}/' ./internal/httpcheck 'TestWriteThatHasYetToReturnDecides'
 mutant "unframed: the end of the connection is the end of the answer" internal/gateway/unframed.go \
-  's/case !relay\.Unframed\(resp\):/case true || !relay.Unframed(resp):/' ./internal/gateway 'TestUnframedStreamThatBreaksOffContinues|TestUnframedAnswerOfAnEndingUpstreamIsRepeated'
+  's/case !httpcheck\.Unframed\(resp\):/case true || !httpcheck.Unframed(resp):/' ./internal/gateway 'TestUnframedStreamThatBreaksOffContinues|TestUnframedAnswerOfAnEndingUpstreamIsRepeated'
 mutant "a crowded process accepts all connections" internal/callers/acceptlimit.go \
   's/if l\.tokens < 1/if false/' ./internal/callers TestCrowdedProcessRefusesWhatItCannotServe
 mutant "terminations of upstreams count as attempts" internal/gateway/suspects.go \
--- a/test/standin/groupengine/groupengine.go
+++ b/test/standin/groupengine/groupengine.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/marbleroad/marbleroad/test/standin/endless"
+	"github.com/marbleroad/marbleroad/test/standin/malformed"
 	"github.com/marbleroad/marbleroad/test/standin/objectstore"
 )
 
@@ -125,6 +126,8 @@
 	WrongAttemptID atomic.Bool
 	// Endless makes the VM answer some or all requests without end after it executed them; nil for none.
 	Endless atomic.Pointer[endless.Mode]
+	// Malformed is how the VM answers all requests after it executed them; nil for usual answers.
+	Malformed atomic.Pointer[malformed.Answer]
 	// Condition holds headers with the VM's condition that are added to all responses to requests; nil for none.
 	Condition atomic.Pointer[http.Header]
 
--- a/test/standin/groupengine/requests.go
+++ b/test/standin/groupengine/requests.go
@@ -46,7 +46,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Response-Seal", "seal-of-"+v.config.ID)
-	if v.Endless.Load().Answer(w, id) {
+	if v.Endless.Load().Answer(w, id) || v.Malformed.Load().Answer(w) {
 		return
 	}
 	if v.Unframed.Load() {
--- /dev/null
+++ b/test/standin/malformed/malformed.go
@@ -0,0 +1,67 @@
+// Package malformed sends answers that are no whole, valid HTTP responses, as servers in trouble do. Stand-ins use it.
+package malformed
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Answer is an answer that is written as it is, without reading more of its request.
+type Answer struct {
+	// Status is the status line, without its line end.
+	Status string
+	// Body is all that follows the head.
+	Body string
+	// Reset makes the connection end with a reset, Pause after the answer. It is closed without one otherwise, but a
+	// close resets it too if a part of the request is unread.
+	Reset bool
+	Pause time.Duration
+}
+
+const (
+	ok = "HTTP/1.1 200 OK"
+	// event is a whole answer to a plain request too.
+	event     = "id: 1\ndata: x\n\n"
+	resetWait = 30 * time.Millisecond
+)
+
+// Parts are parts of answers without a length, whose connection ends while their request is still being written.
+var Parts = map[string]*Answer{
+	"reset":              {Status: ok, Body: event, Reset: true, Pause: resetWait},
+	"reset at once":      {Status: ok, Body: event, Reset: true},
+	"reset, HTTP/1.0":    {Status: "HTTP/1.0 200 OK", Body: event, Reset: true, Pause: resetWait},
+	"reset, over 1 MiB":  {Status: ok, Body: strings.Repeat(event, 1<<17), Reset: true, Pause: resetWait},
+	"closed, not read":   {Status: ok, Body: event, Pause: resetWait},
+	"reset in its event": {Status: ok, Body: event[:8], Reset: true, Pause: resetWait},
+}
+
+// Send writes the answer with the given fields, and ends the connection.
+func (a *Answer) Send(conn net.Conn, fields http.Header) {
+	defer func() { _ = conn.Close() }()
+	head := a.Status + "\r\n"
+	for name := range fields {
+		head += name + ": " + fields.Get(name) + "\r\n"
+	}
+	_, _ = io.WriteString(conn, head+"\r\n"+a.Body)
+	time.Sleep(a.Pause)
+	if a.Reset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// Answer sends the answer with the fields that are set on w, and ends the connection. It returns false, and writes
+// nothing, if there is no such answer.
+func (a *Answer) Answer(w http.ResponseWriter) bool {
+	if a == nil {
+		return false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	a.Send(conn, w.Header())
+	return true
+}
