An answer with an invalid status or version no longer counts as one

What callers saw: nothing. An upstream's status 000 (also 099, +20, or 101 without being asked) reached the node's own net/http server, which panics on such a status: the caller's connection closed after its request was read, without a repeat elsewhere and without a 502. A status of 600 was passed on. A 000 whose header said that the request had not run became a 503, a promise, for a request that had run. With "HTTP/2.0" in its status line an answer counted as framed, so that a part of one looked whole.

Cause: net/http accepts any number of three characters and any version that it can parse. Nothing looked at them before the header fields were used.

Change: httpcheck.Transport checks the version and the status (200 to 599, RFC 9110) of a response before it returns it, and closes the connection of one that is not valid. The sender reports it as a broken answer, after which the request may have run, whatever was written at that moment.

Why it works: the check stands before OnResponse and CheckResponse, the first to read header fields, so that no limit, announcement or refusal is taken from such an answer; the rest is what happens after any broken answer: a repeat elsewhere, or 502.

--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -21,6 +21,7 @@
 const (
 	// uploadBytes is the size of a request that the buffers of its connection can't hold.
 	uploadBytes = 12 << 20
+	smallBytes  = 10
 )
 
 // serveMalformed starts a server that sends the answer to each request, and returns its address.
@@ -101,3 +102,9 @@
 func TestPartUnderAnUploadReachesNoCaller(t *testing.T) {
 	testMalformed(t, malformed.Parts, uploadBytes)
 }
+
+// TestAnswerWithoutValidStatusReachesNoCaller guards against callers that get no answer at all, since net/http can't pass
+// such a status on, and against a part that looks whole as its version has other framing.
+func TestAnswerWithoutValidStatusReachesNoCaller(t *testing.T) {
+	testMalformed(t, malformed.Statuses, smallBytes)
+}
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -113,10 +113,16 @@
 	testMalformed(t, malformed.Parts, uploadBytes)
 }
 
+// TestAnswerWithoutValidStatusReachesNoCaller guards against callers that get no answer at all, since net/http can't pass
+// such a status on, and against a part that looks whole as its version has other framing.
+func TestAnswerWithoutValidStatusReachesNoCaller(t *testing.T) {
+	testMalformed(t, malformed.Statuses, 10)
+}
+
 // TestForwardedCallGetsNoMalformedAnswer guards against the same answers from another node.
 func TestForwardedCallGetsNoMalformedAnswer(t *testing.T) {
-	for kind, size := range map[string]int{"parts": uploadBytes} {
-		answers := map[string]map[string]*malformed.Answer{"parts": malformed.Parts}[kind]
+	for kind, size := range map[string]int{"parts": uploadBytes, "statuses": 10} {
+		answers := map[string]map[string]*malformed.Answer{"parts": malformed.Parts, "statuses": malformed.Statuses}[kind]
 		for _, name := range slices.Sorted(maps.Keys(answers)) {
 			t.Run(kind+"/"+name, func(t *testing.T) {
 				other := newOtherNode(t, "other", func(w http.ResponseWriter, r *http.Request, e forward.Envelope) {
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -18,6 +18,9 @@
 // orderly end.
 var ErrPart = errors.New("the response ended before its request was written")
 
+// http1 is the major version of HTTP/1.0 and HTTP/1.1.
+const http1 = 1
+
 // Transport is an http.RoundTripper that returns valid responses only. The end of a response's body is checked
 // too. It is safe for concurrent use.
 type Transport struct{ base *http.Transport }
@@ -29,7 +32,7 @@
 	return &Transport{base: base}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. It returns ErrInvalid for a response that is not valid.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	x := &exchange{request: r}
 	trace := &httptrace.ClientTrace{GotConn: x.gotConn}
@@ -38,6 +41,10 @@
 		return nil, err
 	}
 	resp.Request = r
+	if err := check(resp, http1); err != nil {
+		x.abandon(resp)
+		return nil, err
+	}
 	resp.Body = &checkedBody{ReadCloser: resp.Body, resp: resp, exchange: x}
 	return resp, nil
 }
@@ -61,6 +68,14 @@
 	}
 }
 
+// abandon closes the connection of a response that is not used. It must not carry another request.
+func (x *exchange) abandon(resp *http.Response) {
+	if x.conn != nil {
+		_ = x.conn.Close()
+	}
+	_ = resp.Body.Close()
+}
+
 // requestWritten reports whether the request was written completely. It must be called only when the response has ended
 // with its connection. It reports false for an encrypted connection, where that can't be known.
 func (x *exchange) requestWritten() bool {
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -288,9 +288,10 @@
 // classify returns the error of a failed send with the verdict whether the request may have run.
 func classify(ctx context.Context, tracker *writeTracker, err error) *verdict.Error {
 	v := verdict.NotRun
-	// When the context ends, net/http may still write the request to a
+	// When the context ends or the response is not valid, net/http may still write the request to a
 	// connection that it has chosen.
-	if tracker.wroteBytes() || (ctx.Err() != nil && len(tracker.conns) > 0) {
+	undecided := ctx.Err() != nil || errors.Is(err, httpcheck.ErrInvalid)
+	if tracker.wroteBytes() || (undecided && len(tracker.conns) > 0) {
 		v = verdict.MayHaveRun
 	}
 	if ctx.Err() != nil {
@@ -301,6 +302,9 @@
 	if v == verdict.NotRun {
 		return failure(v, CodeUnreachable, "no byte of the request reached the upstream", err)
 	}
+	if errors.Is(err, httpcheck.ErrInvalid) {
+		return failure(v, CodeBroken, "the upstream sent something else than an answer", err)
+	}
 	return failure(v, CodeBroken, "the connection broke before the answer", err)
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -404,6 +404,12 @@
   's/!r\.concerns\(s\.Team\) \|\| //' ./internal/quarantine TestTeamCannotGetAnotherTeamsPartQuarantined
 mutant "parts: a suspicion is not passed on" internal/quarantine/gossip.go \
   's/out\.Trait = \&marbleroadv1\.Trait/_ = \&marbleroadv1.Trait/' ./internal/quarantine TestTraitsOnTheWireAndInTheStore
+mutant "httpcheck: any status is an answer" internal/httpcheck/check.go \
+  's/resp\.StatusCode < minStatus \|\| resp\.StatusCode > maxStatus/false/' ./internal/gateway 'TestAnswerWithoutValidStatusReachesNoCaller'
+mutant "httpcheck: the version is whatever the answer says" internal/httpcheck/check.go \
+  's/resp\.ProtoMajor != major/false/' ./internal/gateway 'TestAnswerWithoutValidStatusReachesNoCaller'
+mutant "relay: an invalid answer proves that nothing ran" internal/relay/sender.go \
+  's/tracker\.wroteBytes\(\) \|\| \(undecided && len\(tracker\.conns\) > 0\)/!errors.Is(err, httpcheck.ErrInvalid) \&\& (tracker.wroteBytes() || undecided)/' ./internal/entry 'TestAnswerWithoutValidStatusReachesNoCaller'
 mutant "unframed: its end counts although its request was not written" internal/httpcheck/transport.go \
   's/ && !b\.exchange\.requestWritten\(\)/ \&\& false/' ./internal/httpcheck 'TestPartUnderAnUploadIsNotWhole'
 mutant "unframed: a write that is about to return counts as unwritten" internal/httpcheck/conn.go \
--- a/test/standin/malformed/malformed.go
+++ b/test/standin/malformed/malformed.go
@@ -13,6 +13,8 @@
 type Answer struct {
 	// Status is the status line, without its line end.
 	Status string
+	// Fields are complete lines of the head, which follow the fields that the request determines.
+	Fields string
 	// Body is all that follows the head.
 	Body string
 	// Reset makes the connection end with a reset, Pause after the answer. It is closed without one otherwise, but a
@@ -25,6 +27,7 @@
 	ok = "HTTP/1.1 200 OK"
 	// event is a whole answer to a plain request too.
 	event     = "id: 1\ndata: x\n\n"
+	framed    = "Content-Length: 15\r\n"
 	resetWait = 30 * time.Millisecond
 )
 
@@ -38,6 +41,22 @@
 	"reset in its event": {Status: ok, Body: event[:8], Reset: true, Pause: resetWait},
 }
 
+// Statuses are answers whose status line is none of a final response.
+var Statuses = map[string]*Answer{
+	"status 000": {Status: "HTTP/1.1 000 Unknown", Fields: framed, Body: event},
+	"status 000 that says that the request did not run": {Status: "HTTP/1.1 000 Unknown", Fields: framed + refusal, Body: event},
+	"status 099":        {Status: "HTTP/1.1 099 Unknown", Fields: framed, Body: event},
+	"status 101":        {Status: "HTTP/1.1 101 Switching Protocols", Fields: "Connection: upgrade\r\nUpgrade: x\r\n", Body: event},
+	"status 600":        {Status: "HTTP/1.1 600 Unknown", Fields: framed, Body: event},
+	"status of a sign":  {Status: "HTTP/1.1 +20 OK", Fields: framed, Body: event},
+	"version 2, framed": {Status: "HTTP/2.0 200 OK", Fields: framed, Body: event},
+	"version 2":         {Status: "HTTP/2.0 200 OK", Body: event},
+}
+
+// refusal are header fields that state that the request did not run and that the server leaves, in the protocols of both
+// kinds of upstreams.
+const refusal = "Not-Executed: 1\r\nX-Refused: not-run\r\nServer-Leaving: 1\r\nServer-Limit: 0\r\n"
+
 // Send writes the answer with the given fields, and ends the connection.
 func (a *Answer) Send(conn net.Conn, fields http.Header) {
 	defer func() { _ = conn.Close() }()
@@ -45,7 +64,7 @@
 	for name := range fields {
 		head += name + ": " + fields.Get(name) + "\r\n"
 	}
-	_, _ = io.WriteString(conn, head+"\r\n"+a.Body)
+	_, _ = io.WriteString(conn, head+a.Fields+"\r\n"+a.Body)
 	time.Sleep(a.Pause)
 	if a.Reset {
 		_ = conn.(*net.TCPConn).SetLinger(0)
