An answer with an invalid field name no longer counts as one

What callers saw: an answer with "Foo Bar: x" or "Foo : x" in its head as a 200 without that line; with "Content-Length : 4" all bytes up to the close of the connection as its body; with "Transfer-Encoding : chunked", whole or broken off, the framing of the chunks as its body. A refusal with such a line was believed, so that callers got a 503 for a request that had run twice. The same held for a blank in a trailer or in the head of an interim response.

Cause: net/http keeps a name with a blank as it is, does not recognise the field then, and drops the line when it writes the response.

Broken already there, and kept as tests: a control byte, a tab, NUL or DEL in a name, no name, no colon, a control byte in a value, two lengths, a folded name; control bytes in trailers and interim responses; other nodes' answers without a length.

Change: httpcheck checks the names of a response's fields before it returns it, and those of its trailers at its end. net/http does not show the fields of an interim response without giving up its bound on their bytes, so the connection scans the heads as they are read (not on encrypted connections, where interim responses can't be seen and still reach nobody).

Why it works: a name is a token (RFC 9110, section 5.1) or the answer is broken, whatever the field says; so no framing can hide in one.

--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -108,3 +108,9 @@
 func TestAnswerWithoutValidStatusReachesNoCaller(t *testing.T) {
 	testMalformed(t, malformed.Statuses, smallBytes)
 }
+
+// TestAnswerWithInvalidFieldNameReachesNoCaller guards against an answer that is passed on without a line of its head, or
+// with a body that is not the upstream's, as net/http doesn't see its framing.
+func TestAnswerWithInvalidFieldNameReachesNoCaller(t *testing.T) {
+	testMalformed(t, malformed.Names, smallBytes)
+}
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -119,10 +119,16 @@
 	testMalformed(t, malformed.Statuses, 10)
 }
 
+// TestAnswerWithInvalidFieldNameReachesNoCaller guards against an answer that is passed on without a line of its head, or
+// with a body that is not the upstream's, as net/http doesn't see its framing.
+func TestAnswerWithInvalidFieldNameReachesNoCaller(t *testing.T) {
+	testMalformed(t, malformed.Names, 10)
+}
+
 // TestForwardedCallGetsNoMalformedAnswer guards against the same answers from another node.
 func TestForwardedCallGetsNoMalformedAnswer(t *testing.T) {
-	for kind, size := range map[string]int{"parts": uploadBytes, "statuses": 10} {
-		answers := map[string]map[string]*malformed.Answer{"parts": malformed.Parts, "statuses": malformed.Statuses}[kind]
+	for kind, size := range map[string]int{"parts": uploadBytes, "statuses": 10, "names": 10} {
+		answers := map[string]map[string]*malformed.Answer{"parts": malformed.Parts, "statuses": malformed.Statuses, "names": malformed.Names}[kind]
 		for _, name := range slices.Sorted(maps.Keys(answers)) {
 			t.Run(kind+"/"+name, func(t *testing.T) {
 				other := newOtherNode(t, "other", func(w http.ResponseWriter, r *http.Request, e forward.Envelope) {
--- a/internal/httpcheck/check.go
+++ b/internal/httpcheck/check.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalid means that what a server sent is no valid HTTP response. Nothing in it may be used, also not a statement that
@@ -25,5 +26,16 @@
 	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
 		return errors.Wrapf(ErrInvalid, "status %.20q", resp.Status)
 	}
+	return checkNames(resp.Header)
+}
+
+// checkNames returns an error if the name of a field is no token. net/http keeps names with blanks, and does not see that
+// "Content-Length : 4" states a length.
+func checkNames(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrInvalid, "field name %.40q", name)
+		}
+	}
 	return nil
 }
--- a/internal/httpcheck/conn.go
+++ b/internal/httpcheck/conn.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"net"
 	"sync"
+
+	"github.com/cockroachdb/errors"
 )
 
 // dialFunc is the type of http.Transport.DialContext.
@@ -24,7 +26,8 @@
 	}
 }
 
-// Conn is a connection of a Transport. It records how much of the newest request was written.
+// Conn is a connection of a Transport. It records how much of the newest request was written, and scans the head of its
+// response.
 type Conn struct {
 	// Conn is the connection that the Transport's dial function returned.
 	net.Conn
@@ -35,6 +38,7 @@
 	writing bool
 	ended   *sync.Cond
 	request requestMeter
+	head    headScanner
 }
 
 func newConn(inner net.Conn) *Conn {
@@ -53,11 +57,37 @@
 	return c, !isTLS
 }
 
-// beginRequest is called before the first byte of a request is written.
+// beginRequest must be called before the first byte of a further request on the connection is written.
 func (c *Conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.request = requestMeter{}
+	c.request, c.head = requestMeter{}, headScanner{}
+}
+
+// ignoreHead ends the scan of an encrypted connection.
+func (c *Conn) ignoreHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = headScanner{part: headEnded}
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.scan(p[:n])
+	return n, err
+}
+
+// checkHead returns an error if net/http has accepted an invalid head.
+func (c *Conn) checkHead() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.invalidName {
+		return errors.Wrap(ErrInvalid, "field name")
+	}
+	return nil
 }
 
 // Write implements net.Conn.
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -41,7 +41,7 @@
 		return nil, err
 	}
 	resp.Request = r
-	if err := check(resp, http1); err != nil {
+	if err := errors.CombineErrors(check(resp, http1), x.checkHead()); err != nil {
 		x.abandon(resp)
 		return nil, err
 	}
@@ -63,11 +63,23 @@
 // gotConn records a connection that net/http chose for the request.
 func (x *exchange) gotConn(info httptrace.GotConnInfo) {
 	x.conn, x.plain = unwrap(info.Conn)
-	if x.conn != nil {
+	switch {
+	case x.conn == nil:
+	case !x.plain:
+		x.conn.ignoreHead()
+	case info.Reused:
 		x.conn.beginRequest()
 	}
 }
 
+// checkHead returns an error for what only the bytes of a head show, which can't be seen on an encrypted connection.
+func (x *exchange) checkHead() error {
+	if x.conn == nil {
+		return nil
+	}
+	return x.conn.checkHead()
+}
+
 // abandon closes the connection of a response that is not used. It must not carry another request.
 func (x *exchange) abandon(resp *http.Response) {
 	if x.conn != nil {
@@ -92,12 +104,23 @@
 // Read implements io.Reader. At the end of a response that is not whole, it returns an error instead of io.EOF.
 func (b *checkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && Unframed(b.resp) && !b.exchange.requestWritten() {
-		err = ErrPart
+	if errors.Is(err, io.EOF) {
+		err = b.checkEnd()
 	}
 	return n, err
 }
 
+// checkEnd returns io.EOF if the response is whole.
+func (b *checkedBody) checkEnd() error {
+	if Unframed(b.resp) && !b.exchange.requestWritten() {
+		return ErrPart
+	}
+	if err := checkNames(b.resp.Trailer); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // Unframed reports whether only the end of its connection ends a response: it has neither a length nor chunks. Such a
 // response looks the same whether its upstream finished it or terminated.
 func Unframed(resp *http.Response) bool {
--- a/test/standin/malformed/malformed.go
+++ b/test/standin/malformed/malformed.go
@@ -11,6 +11,8 @@
 
 // Answer is an answer that is written as it is, without reading more of its request.
 type Answer struct {
+	// Before is written before the status line.
+	Before string
 	// Status is the status line, without its line end.
 	Status string
 	// Fields are complete lines of the head, which follow the fields that the request determines.
@@ -28,6 +30,7 @@
 	// event is a whole answer to a plain request too.
 	event     = "id: 1\ndata: x\n\n"
 	framed    = "Content-Length: 15\r\n"
+	chunked   = "f\r\n" + event + "\r\n0\r\n\r\n"
 	resetWait = 30 * time.Millisecond
 )
 
@@ -57,10 +60,35 @@
 // kinds of upstreams.
 const refusal = "Not-Executed: 1\r\nX-Refused: not-run\r\nServer-Leaving: 1\r\nServer-Limit: 0\r\n"
 
+// Names are answers with a blank or a control byte in the name of a header field, and such whose framing net/http does
+// not see because of that.
+var Names = map[string]*Answer{
+	"blank":            {Status: ok, Fields: framed + "Foo Bar: x\r\n", Body: event},
+	"blank at its end": {Status: ok, Fields: framed + "Foo : x\r\n", Body: event},
+	"blank in a refusal": {Status: "HTTP/1.1 503 Service Unavailable", Fields: framed + refusal + "Foo Bar: x\r\n",
+		Body: event},
+	"blank in the name of the length":     {Status: ok, Fields: "Content-Length : 4\r\n", Body: event},
+	"blank in the name of the encoding":   {Status: ok, Fields: "Transfer-Encoding : chunked\r\n", Body: chunked},
+	"blank in that name, folded":          {Status: ok, Fields: "Transfer-Encoding\r\n : chunked\r\n", Body: chunked},
+	"blank in that name, broken off":      {Status: ok, Fields: "Transfer-Encoding : chunked\r\n", Body: chunked[:10]},
+	"control byte":                        {Status: ok, Fields: framed + "Foo\x01: x\r\n", Body: event},
+	"tab":                                 {Status: ok, Fields: framed + "Foo\t: x\r\n", Body: event},
+	"NUL":                                 {Status: ok, Fields: framed + "Fo\x00o: x\r\n", Body: event},
+	"DEL":                                 {Status: ok, Fields: framed + "Foo\x7f: x\r\n", Body: event},
+	"no name":                             {Status: ok, Fields: framed + ": x\r\n", Body: event},
+	"no colon":                            {Status: ok, Fields: framed + "Foo\r\n", Body: event},
+	"control byte in a value":             {Status: ok, Fields: framed + "Foo: x\x00\r\n", Body: event},
+	"two lengths":                         {Status: ok, Fields: framed + "Content-Length: 4\r\n", Body: event},
+	"blank in an interim response":        {Before: "HTTP/1.1 103 Early Hints\r\nFoo Bar: x\r\n\r\n", Status: ok, Fields: framed, Body: event},
+	"control byte in an interim response": {Before: "HTTP/1.1 103 Early Hints\r\nFoo\x01: x\r\n\r\n", Status: ok, Fields: framed, Body: event},
+	"blank in a trailer":                  {Status: ok, Fields: "Trailer: Foo\r\nTransfer-Encoding: chunked\r\n", Body: strings.TrimSuffix(chunked, "\r\n") + "Foo Bar: x\r\n\r\n"},
+	"control byte in a trailer":           {Status: ok, Fields: "Transfer-Encoding: chunked\r\n", Body: strings.TrimSuffix(chunked, "\r\n") + "Foo\x01: x\r\n\r\n"},
+}
+
 // Send writes the answer with the given fields, and ends the connection.
 func (a *Answer) Send(conn net.Conn, fields http.Header) {
 	defer func() { _ = conn.Close() }()
-	head := a.Status + "\r\n"
+	head := a.Before + a.Status + "\r\n"
 	for name := range fields {
 		head += name + ": " + fields.Get(name) + "\r\n"
 	}
