Chunks of an HTTP/1.0 answer no longer reach callers as its body

What callers saw: an answer of HTTP/1.0 with "Transfer-Encoding: chunked", whole or broken off, as a 200 whose body was the framing of the chunks; streams with lines of it between their events.

Cause: HTTP/1.0 has no chunks, so net/http deletes the field and reads to the end of the connection. Nothing of that is left in the response.

Change: the scan of the head looks for the field, and the check rejects it in a response of HTTP/1.0, also beside a length: RFC 9112 (section 6.1) has a client treat the framing as faulty.

Why it works: the field is seen in the bytes of the head, before net/http deletes it, in any spelling and any pieces (TestTransferEncodingIsFound), and in no body, value or interim response.

--- a/internal/httpcheck/conn.go
+++ b/internal/httpcheck/conn.go
@@ -80,12 +80,17 @@
 	return n, err
 }
 
-// checkHead returns an error if net/http has accepted an invalid head.
-func (c *Conn) checkHead() error {
+// checkHead returns an error if net/http has accepted an invalid head. chunks is true if the version of the response has
+// chunks.
+func (c *Conn) checkHead(chunks bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.head.invalidName {
+	switch {
+	case c.head.invalidName:
 		return errors.Wrap(ErrInvalid, "field name")
+	case c.head.hasEncoding && !chunks:
+		// RFC 9112, section 6.1: the framing is faulty, whatever a length says.
+		return errors.Wrap(ErrInvalid, "transfer encoding in HTTP/1.0")
 	}
 	return nil
 }
--- a/internal/httpcheck/head_test.go
+++ b/internal/httpcheck/head_test.go
@@ -30,3 +30,30 @@
 		}
 	}
 }
+
+// TestTransferEncodingIsFound guards against a field that is overlooked as it is written otherwise, or that is found in a
+// longer name, in a value, in an interim response or in a body.
+func TestTransferEncodingIsFound(t *testing.T) {
+	const status = "HTTP/1.0 200 OK\r\n"
+	for head, found := range map[string]bool{
+		status + "Transfer-Encoding: chunked\r\n\r\n":                          true,
+		status + "A: x\r\ntransfer-ENCODING:chunked\r\n\r\n":                   true,
+		status + "Transfer-Encoding:\r\n chunked\r\n\r\n":                      true,
+		status + "A: x\r\n\r\nTransfer-Encoding: chunked\r\n":                  false,
+		status + "Transfer-Encoding-A: x\r\n\r\n":                              false,
+		status + "ATransfer-Encoding: x\r\n\r\n":                               false,
+		status + "A: Transfer-Encoding: x\r\n Transfer-Encoding: x\r\n\r\n":    false,
+		"HTTP/1.0 103 Early\r\nTransfer-Encoding: x\r\n\r\n" + status + "\r\n": false,
+	} {
+		for size := 1; size <= len(head); size++ {
+			var s headScanner
+			for start := 0; start < len(head); start += size {
+				s.scan([]byte(head[start:min(start+size, len(head))]))
+			}
+			if s.hasEncoding != found || s.invalidName {
+				t.Errorf("%q in pieces of %d: found %t, invalid name %t", head, size, s.hasEncoding, s.invalidName)
+				break
+			}
+		}
+	}
+}
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -41,7 +41,7 @@
 		return nil, err
 	}
 	resp.Request = r
-	if err := errors.CombineErrors(check(resp, http1), x.checkHead()); err != nil {
+	if err := errors.CombineErrors(check(resp, http1), x.checkHead(resp)); err != nil {
 		x.abandon(resp)
 		return nil, err
 	}
@@ -73,11 +73,11 @@
 }
 
 // checkHead returns an error for what only the bytes of a head show, which can't be seen on an encrypted connection.
-func (x *exchange) checkHead() error {
+func (x *exchange) checkHead(resp *http.Response) error {
 	if x.conn == nil {
 		return nil
 	}
-	return x.conn.checkHead()
+	return x.conn.checkHead(resp.ProtoAtLeast(1, 1))
 }
 
 // abandon closes the connection of a response that is not used. It must not carry another request.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -412,6 +412,8 @@
   's/!httpguts\.ValidHeaderFieldName\(name\)/!httpguts.ValidHeaderFieldName("x" + name[:0])/' ./internal/gateway 'TestAnswerWithInvalidFieldNameReachesNoCaller'
 mutant "httpcheck: nobody looks at interim responses" internal/httpcheck/conn.go \
   's/if c\.head\.invalidName/if false/' ./internal/gateway 'TestAnswerWithInvalidFieldNameReachesNoCaller'
+mutant "httpcheck: HTTP/1.0 may have chunks" internal/httpcheck/conn.go \
+  's/c\.head\.hasEncoding && !chunks/false/' ./internal/gateway 'TestAnswerWithInvalidFieldNameReachesNoCaller'
 mutant "relay: an invalid answer proves that nothing ran" internal/relay/sender.go \
   's/tracker\.wroteBytes\(\) \|\| \(undecided && len\(tracker\.conns\) > 0\)/!errors.Is(err, httpcheck.ErrInvalid) \&\& (tracker.wroteBytes() || undecided)/' ./internal/entry 'TestAnswerWithoutValidStatusReachesNoCaller'
 mutant "unframed: its end counts although its request was not written" internal/httpcheck/transport.go \
