Every client checks the responses that it reads

What showed: the store, the reports of upstream VMs and all other outside systems were read with plain net/http. An object, a report, an accepted order or a good health check was believed from an answer with a blank in a name (head, trailer, interim response), with HTTP/2.0 in its status line, or, where the body does not matter, with chunks of HTTP/1.0. Conditions of a VM and the platform's clock were taken from the header of such an answer and of one with status 000. A 409 whose answer was reset under its write was a conflict, not a write whose outcome is unknown. Between our processes a status 000, 099 or 600 over HTTP/2 was passed on.

Why it works: the check is in the transport, before a client sees the response; each client already treats an error of its transport as no answer, and a write as one whose outcome is unknown.

--- a/internal/ctl/node.go
+++ b/internal/ctl/node.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/marbleroad/marbleroad/internal/httpcheck"
 	"github.com/marbleroad/marbleroad/internal/inspect"
 	"github.com/marbleroad/marbleroad/internal/jsonbody"
 	"github.com/marbleroad/marbleroad/internal/quarantine"
@@ -28,12 +29,12 @@
 
 // nodeClient returns a client of a node's admin listener.
 func nodeClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: httpcheck.NewTransport(&http.Transport{
 		Proxy:                  http.ProxyFromEnvironment,
 		MaxResponseHeaderBytes: maxNodeHeaderBytes,
 		DisableCompression:     true,
 		DisableKeepAlives:      true,
-	}}
+	})}
 }
 
 // nodeCommand returns the command that shows the state of one marbleroad-node. The
--- a/internal/daemon/transport_test.go
+++ b/internal/daemon/transport_test.go
@@ -67,7 +67,7 @@
 	for _, kind := range endless.Heads {
 		address := serveEndless(t, kind)
 		var meter transport.Meter
-		for _, client := range []*http.Transport{newTransport("127.0.0.1:0", reportIdleConns, &meter), newProbeTransport("127.0.0.1:0", &meter)} {
+		for _, client := range []http.RoundTripper{newTransport("127.0.0.1:0", reportIdleConns, &meter), newProbeTransport("127.0.0.1:0", &meter)} {
 			before, _ := meter.Bytes()
 			resp, err := (&http.Client{Transport: client}).Get("http://" + address)
 			if err == nil {
--- a/internal/daemon/transports.go
+++ b/internal/daemon/transports.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marbleroad/marbleroad/internal/httpcheck"
 	"github.com/marbleroad/marbleroad/internal/settings"
 	"github.com/marbleroad/marbleroad/internal/transport"
 )
@@ -22,7 +23,19 @@
 }
 
 // newTransport returns an HTTP transport whose connections come from localAddr and are counted by meter.
-func newTransport(localAddr string, maxIdlePerHost int, meter *transport.Meter) *http.Transport {
+func newTransport(localAddr string, maxIdlePerHost int, meter *transport.Meter) *httpcheck.Transport {
+	return httpcheck.NewTransport(newBaseTransport(localAddr, maxIdlePerHost, meter))
+}
+
+// newProbeTransport returns a transport that opens a new connection for each request.
+func newProbeTransport(localAddr string, meter *transport.Meter) *httpcheck.Transport {
+	base := newBaseTransport(localAddr, 0, meter)
+	base.DisableKeepAlives = true
+	return httpcheck.NewTransport(base)
+}
+
+// newBaseTransport returns what the transports have in common, without a check of the responses.
+func newBaseTransport(localAddr string, maxIdlePerHost int, meter *transport.Meter) *http.Transport {
 	return &http.Transport{
 		DialContext:         transport.Metered(transport.Dialer(localAddr).DialContext, meter),
 		MaxIdleConns:        maxIdleConns,
@@ -34,13 +47,6 @@
 	}
 }
 
-// newProbeTransport returns a transport that opens a new connection for each request.
-func newProbeTransport(localAddr string, meter *transport.Meter) *http.Transport {
-	out := newTransport(localAddr, 0, meter)
-	out.DisableKeepAlives = true
-	return out
-}
-
 // loadCallerTLS reads the certificate for callers; it returns nil if none is set.
 func loadCallerTLS(s settings.TLS) (*tls.Config, error) {
 	if s.CallerCert == "" {
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -18,18 +18,29 @@
 // orderly end.
 var ErrPart = errors.New("the response ended before its request was written")
 
-// http1 is the major version of HTTP/1.0 and HTTP/1.1.
-const http1 = 1
+// Major versions of HTTP.
+const (
+	http1 = 1
+	http2 = 2
+)
 
 // Transport is an http.RoundTripper that returns valid responses only. The end of a response's body is checked
 // too. It is safe for concurrent use.
-type Transport struct{ base *http.Transport }
+type Transport struct {
+	base *http.Transport
+	// major is the version of HTTP that the connections carry.
+	major int
+}
 
-// NewTransport returns a transport that sends requests with base, whose dial function it wraps. The request must
-// state the length of its body. base must not be used otherwise.
+// NewTransport returns a transport that sends requests with base, over HTTP/2 if its protocols include that and over
+// HTTP/1.1 otherwise. Requests must state the length of their bodies. base must not be used otherwise.
 func NewTransport(base *http.Transport) *Transport {
+	if base.Protocols != nil && base.Protocols.HTTP2() {
+		// It has no unframed responses, and net/http checks the names of fields.
+		return &Transport{base: base, major: http2}
+	}
 	base.DialContext = observed(base.DialContext)
-	return &Transport{base: base}
+	return &Transport{base: base, major: http1}
 }
 
 // RoundTrip implements http.RoundTripper. It returns ErrInvalid for a response that is not valid.
@@ -41,7 +52,7 @@
 		return nil, err
 	}
 	resp.Request = r
-	if err := errors.CombineErrors(check(resp, http1), x.checkHead(resp)); err != nil {
+	if err := errors.CombineErrors(check(resp, t.major), x.checkHead(resp)); err != nil {
 		x.abandon(resp)
 		return nil, err
 	}
--- a/internal/transport/endless_test.go
+++ b/internal/transport/endless_test.go
@@ -10,7 +10,7 @@
 
 // frame returns an HTTP/2 frame of stream 1, or of the connection for settings.
 func frame(kind byte, payload string) []byte {
-	const settingsFrame, headBytes = 4, 9
+	const headBytes = 9
 	head := make([]byte, headBytes)
 	binary.BigEndian.PutUint32(head, uint32(len(payload))<<8|uint32(kind))
 	if kind != settingsFrame {
@@ -40,7 +40,7 @@
 }
 
 func answerEndlessHead(c net.Conn) {
-	const headersFrame, settingsFrame, continuationFrame = 1, 4, 9
+	const continuationFrame = 9
 	// :status 200 by its index, and a field x: y without indexing.
 	const status, field = "\x88", "\x00\x01x\x01y"
 	defer func() { _ = c.Close() }()
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marbleroad/marbleroad/internal/callers"
+	"github.com/marbleroad/marbleroad/internal/httpcheck"
 	"github.com/marbleroad/marbleroad/internal/resource"
 	"github.com/marbleroad/marbleroad/internal/settings"
 )
@@ -122,7 +123,7 @@
 	var protocols http.Protocols
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(p.tls == nil)
-	return &http.Client{Transport: progressTransport{&http.Transport{
+	return &http.Client{Transport: progressTransport{httpcheck.NewTransport(&http.Transport{
 		DialContext:     Metered(p.dialer.DialContext, &p.Traffic.Peers),
 		TLSClientConfig: p.tls.Clone(),
 		Protocols:       &protocols,
@@ -130,7 +131,7 @@
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 
 		MaxResponseHeaderBytes: MaxResponseHeadBytes,
-	}}}
+	})}}
 }
 
 // ClientOptions returns the options of calls between nodes whose responses have up to
--- a/test/standin/malformed/malformed.go
+++ b/test/standin/malformed/malformed.go
@@ -78,6 +78,7 @@
 	"no name":                               {Status: ok, Fields: framed + ": x\r\n", Body: event},
 	"no colon":                              {Status: ok, Fields: framed + "Foo\r\n", Body: event},
 	"control byte in a value":               {Status: ok, Fields: framed + "Foo: x\x00\r\n", Body: event},
+	"body under its length":                 {Status: ok, Fields: "Content-Length: 16\r\n", Body: event},
 	"two lengths":                           {Status: ok, Fields: framed + "Content-Length: 4\r\n", Body: event},
 	"blank in an interim response":          {Before: "HTTP/1.1 103 Early Hints\r\nFoo Bar: x\r\n\r\n", Status: ok, Fields: framed, Body: event},
 	"control byte in an interim response":   {Before: "HTTP/1.1 103 Early Hints\r\nFoo\x01: x\r\n\r\n", Status: ok, Fields: framed, Body: event},
