--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -91,7 +91,7 @@
 	return x.conn.checkHead(resp.ProtoAtLeast(1, 1))
 }
 
-// abandon closes the connection of a response that is not used. It must not carry another request.
+// abandon closes the connection of a response that is not used, so that it carries no further request.
 func (x *exchange) abandon(resp *http.Response) {
 	if x.conn != nil {
 		_ = x.conn.Close()
