--- a/internal/ctl/malformed_test.go
+++ b/internal/ctl/malformed_test.go
@@ -1,9 +1,6 @@
 package ctl
 
 import (
-	"bufio"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 
@@ -25,21 +22,7 @@
 		"version 2":          {malformed.Answer{Status: "HTTP/2.0 200 OK", Fields: length, Body: view}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = l.Close() }()
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					c.answer.Send(conn, nil)
-				}
-			}()
-			code, out := run("node", "status", "--timeout", endlessTimeout, "--node", l.Addr().String())
+			code, out := run("node", "status", "--timeout", endlessTimeout, "--node", c.answer.Serve(t))
 			if (code == exitOK) != c.valid || strings.Contains(out, "deadline") {
 				t.Errorf("exit code %d: %s", code, out)
 			}
--- a/internal/daemon/malformed_test.go
+++ b/internal/daemon/malformed_test.go
@@ -1,11 +1,9 @@
 package daemon
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -147,7 +145,7 @@
 				continue
 			}
 			t.Run(call+"/"+name, func(t *testing.T) {
-				clients := newWireClients(serveAnswer(t, answers[name]))
+				clients := newWireClients(answers[name].Serve(t))
 				if err := c.call(t.Context(), clients); (err == nil) != valid {
 					t.Errorf("error %v", err)
 				}
@@ -164,34 +162,10 @@
 	const uploadBytes = 12 << 20
 	value := []byte(`"` + strings.Repeat("x", uploadBytes) + `"`)
 	conflict := &malformed.Answer{Status: "HTTP/1.1 409 Conflict", Body: "conf", Reset: true, Pause: 30 * time.Millisecond}
-	clients := newWireClients(serveAnswer(t, conflict))
+	clients := newWireClients(conflict.Serve(t))
 	for range 20 {
 		if _, err := clients.store.Put(t.Context(), "kind/name", value, 0); !errors.Is(err, port.ErrUnknown) {
 			t.Errorf("error %v, want one of a write whose outcome is unknown", err)
 		}
 	}
 }
-
-// serveAnswer starts a server that sends the answer to each request, and returns its address.
-func serveAnswer(t *testing.T, a *malformed.Answer) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					a.Send(c, nil)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"maps"
@@ -24,30 +23,6 @@
 	smallBytes  = 10
 )
 
-// serveMalformed starts a server that sends the answer to each request, and returns its address.
-func serveMalformed(t *testing.T, a *malformed.Answer) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					a.Send(c, http.Header{relay.RequestIDHeader: {r.Header.Get(relay.RequestIDHeader)}})
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // testMalformed checks that no caller of an entry gets an answer of the given forms, of an upstream or of another entry, to
 // a request of the given size, and that such an answer never proves that the request has not run.
 func testMalformed(t *testing.T, answers map[string]*malformed.Answer, size int) {
@@ -66,7 +41,7 @@
 	for _, name := range slices.Sorted(maps.Keys(answers)) {
 		for kind, relayFrom := range relays {
 			t.Run(name+"/"+kind, func(t *testing.T) {
-				address := serveMalformed(t, answers[name])
+				address := answers[name].Serve(t, relay.RequestIDHeader)
 				for _, once := range []bool{false, true} {
 					s, c := newLoggingServer(t, io.Discard)
 					s.sender, s.ports, s.source = relay.NewSender(&net.Dialer{}, nil), portcheck.New(&net.Dialer{}), &Source{}
--- a/internal/httpcheck/transport_test.go
+++ b/internal/httpcheck/transport_test.go
@@ -63,7 +63,7 @@
 func TestPartUnderAnUploadIsNotWhole(t *testing.T) {
 	for name, part := range malformed.Parts {
 		transport := NewTransport(&http.Transport{})
-		address := serve(t, func(c net.Conn, _ *http.Request) { part.Send(c, nil) })
+		address := part.Serve(t)
 		for range 20 {
 			if body, err := post(transport, address, uploadBytes); err == nil {
 				t.Errorf("%s: %d bytes look whole", name, len(body))
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -411,7 +411,7 @@
 mutant "httpcheck: any name is one of a field" internal/httpcheck/check.go \
   's/!httpguts\.ValidHeaderFieldName\(name\)/!httpguts.ValidHeaderFieldName("x" + name[:0])/' ./internal/gateway 'TestAnswerWithInvalidFieldNameReachesNoCaller'
 mutant "httpcheck: nobody looks at interim responses" internal/httpcheck/conn.go \
-  's/if c\.head\.invalidName/if false/' ./internal/gateway 'TestAnswerWithInvalidFieldNameReachesNoCaller'
+  's/case c\.head\.invalidName:/case false:/' ./internal/gateway 'TestAnswerWithInvalidFieldNameReachesNoCaller'
 mutant "httpcheck: HTTP/1.0 may have chunks" internal/httpcheck/conn.go \
   's/c\.head\.hasEncoding && !chunks/false/' ./internal/gateway 'TestAnswerWithInvalidFieldNameReachesNoCaller'
 mutant "relay: an invalid answer proves that nothing ran" internal/relay/sender.go \
--- a/test/standin/malformed/malformed.go
+++ b/test/standin/malformed/malformed.go
@@ -2,6 +2,7 @@
 package malformed
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -60,8 +61,8 @@
 // kinds of upstreams.
 const refusal = "Not-Executed: 1\r\nX-Refused: not-run\r\nServer-Leaving: 1\r\nServer-Limit: 0\r\n"
 
-// Names are answers with a blank or a control byte in the name of a header field, and such whose framing net/http does
-// not see because of that.
+// Names are answers with a blank or a control byte in the name of a field, of which some hide the framing of the body from
+// net/http, and answers whose framing is not valid for other reasons.
 var Names = map[string]*Answer{
 	"blank":            {Status: ok, Fields: framed + "Foo Bar: x\r\n", Body: event},
 	"blank at its end": {Status: ok, Fields: framed + "Foo : x\r\n", Body: event},
@@ -104,6 +105,48 @@
 	}
 }
 
+// testingTB is what Serve needs of a testing.TB. Programs that use this package need not import testing.
+type testingTB interface {
+	Helper()
+	Fatal(...any)
+	Cleanup(func())
+}
+
+// Serve starts a server that sends the answer to each request, and returns its address. The answer echoes the named fields
+// of its request.
+func (a *Answer) Serve(t testingTB, echoed ...string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go a.respond(c, echoed)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// respond reads the head of a request and sends the answer to it.
+func (a *Answer) respond(c net.Conn, echoed []string) {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	fields := make(http.Header)
+	for _, name := range echoed {
+		fields.Set(name, r.Header.Get(name))
+	}
+	a.Send(c, fields)
+}
+
 // Answer sends the answer with the fields that are set on w, and ends the connection. It returns false, and writes
 // nothing, if there is no such answer.
 func (a *Answer) Answer(w http.ResponseWriter) bool {
