--- a/review/standin2/crowd.go
+++ b/review/standin2/crowd.go
@@ -16,6 +16,8 @@
 	// crowdPause is the time between two connections of the crowd. It ends when refusedInRow in a row were refused.
 	crowdPause   = 2 * time.Millisecond
 	refusedInRow = 300
+	// linesAfter is how many further connections are opened before the lines are sent on one.
+	linesAfter = 50
 	// ordinaryTime is how long ordinary clients call, one every ordinaryPause.
 	ordinaryTime  = 40 * time.Second
 	ordinaryPause = 250 * time.Millisecond
@@ -44,12 +46,18 @@
 	failed, inRow := 0, 0
 	for i := 0; len(held) < crowdSize && inRow < refusedInRow; i++ {
 		time.Sleep(crowdPause)
-		c, err := holdOne(n, i, lines)
+		c, err := holdOne(n, i)
 		if err != nil {
 			failed, inRow = failed+1, inRow+1
 			continue
 		}
 		held, inRow = append(held, c), 0
+		if len(held) > linesAfter {
+			_, _ = io.WriteString(held[len(held)-1-linesAfter], lines)
+		}
+	}
+	for _, c := range held[max(0, len(held)-linesAfter):] {
+		_, _ = io.WriteString(c, lines)
 	}
 	r.note("the crowd has opened %d connections, each answered once, then %d empty lines; %d were refused", len(held), len(lines)/2, failed)
 	served, calls := 0, 0
@@ -75,8 +83,8 @@
 	return ready && longest >= maxWithout, nil
 }
 
-// holdOne opens a connection, has one request answered, and sends the lines.
-func holdOne(n *node, i int, lines string) (net.Conn, error) {
+// holdOne opens a connection, and has one request answered.
+func holdOne(n *node, i int) (net.Conn, error) {
 	c, err := net.DialTimeout("tcp", n.front, time.Second)
 	if err != nil {
 		return nil, err
@@ -91,7 +99,6 @@
 		_ = c.Close()
 		return nil, err
 	}
-	_, _ = io.Copy(io.Discard, resp.Body)
-	_, err = io.WriteString(c, lines)
+	_, err = io.Copy(io.Discard, resp.Body)
 	return c, err
 }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,6 +23,8 @@
 	"crowded":  crowded,
 	"cut":      cut,
 	"promise":  promise,
+	"unsealed": unsealed,
+	"stepped":  stepped,
 }
 
 func main() {
--- a/review/standin2/rig.go
+++ b/review/standin2/rig.go
@@ -77,6 +77,14 @@
 	return l.Addr().String(), nil
 }
 
+// mode returns the mode of an upstream in trouble, or the plain one without the trouble.
+func (r *rig) mode(inTrouble string) string {
+	if r.trouble {
+		return inTrouble
+	}
+	return modePlain
+}
+
 // note writes a line to the record.
 func (r *rig) note(format string, args ...any) {
 	r.mu.Lock()
--- a/review/standin2/upstream.go
+++ b/review/standin2/upstream.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,10 +19,31 @@
 	modePlain = "plain"
 	// modeStream answers with a stream of events that has neither a length nor chunks and ends with its connection.
 	modeStream = "stream"
-	// modeFailing runs each request and answers that it is unavailable, without Not-Executed.
+	// modeFailing runs each request, and answers failingPercent of them with 503 without Not-Executed.
 	modeFailing = "failing"
+	// modeSpoiling spoils one byte in the heads of spoilingPercent of its answers.
+	modeSpoiling = "spoiling"
+	// modeSteps answers with a stream of events of which the ids increase by idStep.
+	modeSteps = "steps"
 )
 
+const (
+	// failingPercent is the dose of srv_grey in the site file, spoilingPercent that of garble.
+	failingPercent  = 45
+	spoilingPercent = 2
+	idStep          = 5
+	percent         = 100
+)
+
+// answered counts the answers of this process.
+var answered atomic.Int64
+
+// due reports whether the given percentage of the answers includes this one, at even distances.
+func due(share int64) bool {
+	n := answered.Add(1)
+	return n*share/percent != (n-1)*share/percent
+}
+
 const (
 	streamEvents   = 27
 	streamInterval = 200 * time.Millisecond
@@ -85,21 +107,44 @@
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Response-Seal", "seal."+id)
-	switch mode {
-	case modeStream:
+	switch {
+	case mode == modeStream:
 		stream(w, r, reports)
 		return
-	case modeFailing:
-		time.Sleep(20 * time.Millisecond)
+	case mode == modeSteps:
+		steps(w, r, reports)
+		return
+	case mode == modeFailing && due(failingPercent):
 		reports.report("answer", r, "503 without Not-Executed")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = io.WriteString(w, "the database did not confirm\n")
 		return
+	case mode == modeSpoiling && due(spoilingPercent):
+		reports.report("answer", r, "200, one byte of the head is wrong")
+		w.Header().Del("Response-Seal")
+		w.Header().Set("Response-Sea1", "seal."+id)
+	default:
+		reports.report("answer", r, "200")
 	}
-	reports.report("answer", r, "200")
 	_, _ = fmt.Fprintf(w, "%s %s has %d bytes\n", r.Method, r.RequestURI, len(body))
 }
 
+// steps sends the events after Last-Event-Id, with ids that increase by idStep, in an answer of chunks.
+func steps(w http.ResponseWriter, r *http.Request, reports *reporter) {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	for id := last + idStep; id <= idStep*streamEvents; id += idStep {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: part %d of %d\n\n", id, id/idStep, streamEvents)
+		if http.NewResponseController(w).Flush() != nil || r.Context().Err() != nil {
+			reports.report("broken off", r, "after event "+strconv.Itoa(id))
+			return
+		}
+		time.Sleep(streamInterval / 10)
+	}
+	reports.report("answer", r, "the whole stream")
+}
+
 // stream sends the events after Last-Event-Id, in an answer without a length or chunks.
 func stream(w http.ResponseWriter, r *http.Request, reports *reporter) {
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
